--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,40 @@
+/**
+ * Standard style, plus the layers of the tree: `src/common` knows nothing of the runtime, and a runtime
+ * folder never imports from the inside of another one that stands above it.
+ */
+
+import neostandard from 'neostandard'
+
+const nodeIo = ['node:*', 'undici', 'ws', 'moleculer', 'moleculer-web', 'tslog', 'yargs', 'ini']
+
+function layer (files, group, message) {
+  return { files, rules: { 'no-restricted-imports': ['error', { patterns: [{ group, message }] }] } }
+}
+
+export default [
+  ...neostandard({ ts: true, ignores: ['dist/**', 'node_modules/**'] }),
+  {
+    files: ['**/*.ts'],
+    rules: {
+      '@typescript-eslint/consistent-type-imports': ['error', { prefer: 'type-imports', fixStyle: 'separate-type-imports' }],
+      'max-len': 'off',
+      '@stylistic/max-len': ['error', { code: 150, ignoreStrings: true, ignoreTemplateLiterals: true, ignoreRegExpLiterals: true }]
+    }
+  },
+  {
+    files: ['src/common/**/*.ts'],
+    ignores: ['**/*.test.ts'],
+    rules: {
+      'no-restricted-imports': ['error', {
+        patterns: [
+          { group: nodeIo, message: 'src/common is free of input and output.' },
+          { group: ['**/platform/**', '**/peer/**', '**/gateway/**', '**/scheduler/**', '**/operator/**'], message: 'src/common imports from no runtime folder.' }
+        ]
+      }]
+    }
+  },
+  layer(['src/platform/**/*.ts'], ['**/peer/**', '**/gateway/**', '**/scheduler/**', '**/operator/**'], 'platform stands below these.'),
+  layer(['src/peer/**/*.ts'], ['**/gateway/**', '**/scheduler/**', '**/operator/**'], 'peer stands below these.'),
+  layer(['src/gateway/**/*.ts'], ['**/scheduler/**', '**/operator/**'], 'gateway and scheduler meet only in src/common/protocol.'),
+  layer(['src/scheduler/**/*.ts'], ['**/gateway/**', '**/operator/**'], 'gateway and scheduler meet only in src/common/protocol.')
+]
--- /dev/null
+++ b/src/common/Clock.ts
@@ -0,0 +1,85 @@
+/**
+ * Time for production and for tests: the real clock, and one that a test moves by hand.
+ */
+
+import type { EpochMs, IClock, IDisposable, ITimers, MonotonicMs } from './Types.js'
+
+/** The machine's clock and timers. */
+export class SystemClock implements IClock, ITimers {
+  public nowMs (): MonotonicMs {
+    return performance.now()
+  }
+
+  public wallMs (): EpochMs {
+    return Date.now()
+  }
+
+  public after (delayMs: number, callback: () => void): IDisposable {
+    const timer = setTimeout(callback, delayMs)
+    return { dispose: () => clearTimeout(timer) }
+  }
+
+  public every (periodMs: number, callback: () => void): IDisposable {
+    const timer = setInterval(callback, periodMs)
+    return { dispose: () => clearInterval(timer) }
+  }
+}
+
+interface IManualTimer {
+  atMs: number
+  readonly periodMs: number | undefined
+  readonly callback: () => void
+}
+
+/** A clock for tests: time stands still until `advance` moves it, which also fires what is due, in order. */
+export class ManualClock implements IClock, ITimers {
+  private _nowMs = 0
+  private readonly _timers = new Set<IManualTimer>()
+
+  public constructor (private readonly _wallOffsetMs = 1_700_000_000_000) {}
+
+  public nowMs (): MonotonicMs {
+    return this._nowMs
+  }
+
+  public wallMs (): EpochMs {
+    return this._wallOffsetMs + this._nowMs
+  }
+
+  public after (delayMs: number, callback: () => void): IDisposable {
+    return this._add(delayMs, undefined, callback)
+  }
+
+  public every (periodMs: number, callback: () => void): IDisposable {
+    return this._add(periodMs, periodMs, callback)
+  }
+
+  public advance (byMs: number): void {
+    const untilMs = this._nowMs + byMs
+    for (let due = this._nextDue(untilMs); due !== undefined; due = this._nextDue(untilMs)) {
+      this._fire(due)
+    }
+    this._nowMs = untilMs
+  }
+
+  private _add (delayMs: number, periodMs: number | undefined, callback: () => void): IDisposable {
+    const timer: IManualTimer = { atMs: this._nowMs + delayMs, periodMs, callback }
+    this._timers.add(timer)
+    return { dispose: () => { this._timers.delete(timer) } }
+  }
+
+  private _nextDue (untilMs: number): IManualTimer | undefined {
+    let next: IManualTimer | undefined
+    for (const timer of this._timers) {
+      if (timer.atMs <= untilMs && (next === undefined || timer.atMs < next.atMs)) next = timer
+    }
+    return next
+  }
+
+  private _fire (timer: IManualTimer): void {
+    this._nowMs = Math.max(this._nowMs, timer.atMs)
+    if (timer.periodMs === undefined) this._timers.delete(timer)
+    else timer.atMs += timer.periodMs
+    timer.callback()
+  }
+}
