--- /dev/null
+++ b/src/common/requests/AttemptIds.ts
@@ -0,0 +1,44 @@
+/**
+ * Identities of attempts, unique over processes and restarts, and the hash that spreads request ids over id shards.
+ */
+
+import type { Hash32, Hash64 } from './HashTypes.js'
+import type { IProcessIdentity } from '../Types.js'
+
+const ID_SHARD_PREFIX = 'ids/'
+/** Between the parts of a claim key; the header parser refuses it in callers' names and ids. */
+const SEPARATOR = '\u0000'
+
+/** Numbers the attempts of one process. */
+export class AttemptIds {
+  private _sequence = 0
+
+  public constructor (private readonly _self: IProcessIdentity) {}
+
+  /** `processId.incarnation.sequence`, the incarnation and sequence in base 36. */
+  public next (): string {
+    this._sequence += 1
+    return `${this._self.processId}.${this._self.incarnation.toString(36)}.${this._sequence.toString(36)}`
+  }
+}
+
+/** Maps callers' ids to claim keys and id shards; all processes must agree on `idShards`. */
+export class IdHasher {
+  public constructor (
+    private readonly _hash64: Hash64,
+    private readonly _hash32: Hash32,
+    private readonly _idShards: number
+  ) {}
+
+  /** Two callers who choose the same request id get different keys. */
+  public claimKey (caller: string, requestId: string): string {
+    const text = `${caller}${SEPARATOR}${requestId}`
+    return this._hash64(text) + this._hash32(text).toString(16).padStart(8, '0')
+  }
+
+  /** The id shard that keeps a claim key or a job id. */
+  public idShard (key: string): string {
+    const slice = this._hash32(key) % this._idShards
+    return `${ID_SHARD_PREFIX}${slice.toString().padStart(2, '0')}`
+  }
+}
--- /dev/null
+++ b/src/gateway/Types.ts
@@ -0,0 +1,42 @@
+/**
+ * What the parts of a gateway need from each other.
+ */
+
+import type { IdHasher, AttemptIds } from '../common/requests/AttemptIds.js'
+import type { IConfigReplica, IProfile } from '../common/config/Types.js'
+import type { ILogger } from '../common/observability/Types.js'
+import type { ISchedulerRouter } from '../common/routing/Types.js'
+import type { IPeerHub } from '../peer/Types.js'
+import type { IClock, IFinalAnswer, IRandom, ITimers } from '../common/Types.js'
+
+/** What a flow of requests needs. */
+export interface IFlowContext {
+  readonly hub: IPeerHub
+  readonly router: ISchedulerRouter
+  readonly config: IConfigReplica
+  readonly attemptIds: AttemptIds
+  readonly hasher: IdHasher
+  readonly clock: IClock
+  readonly timers: ITimers
+  readonly random: IRandom
+  readonly log: ILogger
+}
+
+/** A request whose service and profile are known. */
+export interface IRoutedRequest {
+  readonly service: string
+  readonly caller: string
+  readonly requestId: string
+  readonly idempotent: boolean
+  readonly contentType: string
+  readonly body: Uint8Array
+  readonly profile: IProfile
+  readonly profileRevision: number
+  /** By the gateway's monotonic clock. */
+  readonly deadlineAtMs: number
+}
+
+/** Counts how requests end, for operators. */
+export interface IOutcomeSink {
+  noteOutcome (service: string, caller: string, answer: IFinalAnswer, late: boolean): void
+}
--- /dev/null
+++ b/src/scheduler/requests/RequestService.ts
@@ -0,0 +1,209 @@
+/**
+ * Takes requests from gateways, has the decision engine admit and place them, and answers each exactly once.
+ */
+
+import { AnswerCache } from './AnswerCache.js'
+import { Dispatcher } from './Dispatcher.js'
+
+import type { EngineDecision, IWorkItem } from '../../common/policy/Types.js'
+import type { IClaimRequest, ISubmitRequest } from '../../common/protocol/Types.js'
+import type { IProfile } from '../../common/config/Types.js'
+import type { IDisposable, IFinalAnswer, OutcomeReason } from '../../common/Types.js'
+import type { IPendingRequest, IRequestContext } from './Types.js'
+
+const SLOT = { cores: 1, memoryBytes: 0, accelerators: 0 } as const
+/** A takeover of an id shard takes a few seconds; a caller who waits less gives up earlier by its deadline. */
+const MAX_CLAIM_WAIT_MS = 3000
+/** When a peer or this process stops, others have taken over within about a second. */
+const DRAINING_RETRY_MS = 200
+const UNKNOWN_SERVICE_RETRY_MS = 1000
+
+export class RequestService {
+  private readonly _pending = new Map<string, IPendingRequest>()
+  private readonly _answers: AnswerCache
+  private readonly _dispatcher: Dispatcher
+  private _wake: IDisposable | undefined
+  private _draining = false
+
+  public constructor (private readonly _context: IRequestContext) {
+    this._answers = new AnswerCache(_context.clock, _context.timers)
+    this._dispatcher = new Dispatcher(_context, {
+      onAnswer: (attemptId, answer) => this._finish(attemptId, answer),
+      onRequeue: (item) => this._requeue(item),
+      onPlaceFree: () => this.pump()
+    })
+    _context.runners.onCapacity(() => this.pump())
+  }
+
+  public get inFlight (): number {
+    return this._pending.size
+  }
+
+  /** The final answer of a request, as soon as it is known. */
+  public async submit (ask: ISubmitRequest): Promise<IFinalAnswer> {
+    const refusal = this._refuseEarly(ask)
+    if (refusal !== undefined) return refusal
+    const service = this._context.config.service(ask.service)
+    const found = service === undefined ? undefined : this._context.config.profile(service.profile)
+    if (service === undefined || found === undefined) {
+      return this._refused('internal', 'this service is not known here yet', UNKNOWN_SERVICE_RETRY_MS)
+    }
+    const answer = ask.idempotent
+      ? await this._queue(ask, found.profile, found.revision, service.team)
+      : await this._claimAndQueue(ask, found.profile, found.revision, service.team)
+    return { ...answer, region: this._context.self.region, profileRevision: answer.profileRevision ?? found.revision }
+  }
+
+  /** The answer of an attempt that this process holds, for a repeat of its id or a gateway that lost its link. */
+  public async outcomeOf (attemptId: string, waitMs: number): Promise<IFinalAnswer> {
+    return await this._answers.outcomeOf(attemptId, waitMs)
+  }
+
+  /** Takes a request out of the queue whose caller has gone; what already runs goes on. */
+  public cancel (attemptId: string): boolean {
+    const pending = this._pending.get(attemptId)
+    if (pending === undefined || this._context.engine.cancel(pending.itemId) !== 'queued') return false
+    this._finish(attemptId, { outcome: 'notRun', reason: 'cancelled', retryAfterMs: 0 })
+    return true
+  }
+
+  /** Refuses new work, hands queued work back as not run (gateways try elsewhere) and waits for what runs. */
+  public async drain (): Promise<void> {
+    this._draining = true
+    for (const [attemptId, pending] of [...this._pending]) {
+      if (this._context.engine.cancel(pending.itemId) === 'queued') this._finish(attemptId, this._drainingAnswer('notRun'))
+    }
+    while (this._pending.size > 0) {
+      await new Promise<void>((resolve) => { this._context.timers.after(DRAINING_RETRY_MS / 10, resolve) })
+    }
+  }
+
+  /** Carries out what the engine decides, until it has nothing more to decide now. */
+  public pump (): void {
+    for (let decision = this._context.engine.next(); decision !== undefined; decision = this._context.engine.next()) {
+      this._carryOut(decision)
+    }
+    this._scheduleWake()
+  }
+
+  private _carryOut (decision: EngineDecision): void {
+    if (decision.type === 'place') {
+      const attemptId = attemptOf(decision.item.id)
+      const pending = this._pending.get(attemptId)
+      if (pending === undefined) this._context.engine.finished(decision.item.id, 'stopped', 0)
+      else this._dispatcher.dispatch(pending, decision.item, decision.hostId)
+    }
+    if (decision.type === 'giveUp') {
+      this._finish(attemptOf(decision.item.id), {
+        outcome: 'notRun', reason: decision.reason, retryAfterMs: decision.retryAfterMs
+      })
+    }
+  }
+
+  private _scheduleWake (): void {
+    this._wake?.dispose()
+    const delayMs = this._context.engine.nextWakeAtMs() - this._context.clock.nowMs()
+    this._wake = Number.isFinite(delayMs) ? this._context.timers.after(Math.max(0, delayMs), () => this.pump()) : undefined
+  }
+
+  private _refuseEarly (ask: ISubmitRequest): IFinalAnswer | undefined {
+    if (this._draining) return this._drainingAnswer('refused')
+    if (ask.remainingMs <= 0) return { outcome: 'notRun', reason: 'deadline', retryAfterMs: 0 }
+    return undefined
+  }
+
+  /**
+   * A non-idempotent request is dispatched only under a claim that is durable in the store. Without it, the same id
+   * sent through two gateways, or again after its scheduler died, would run twice: one sees a second broadcast.
+   */
+  private async _claimAndQueue (ask: ISubmitRequest, profile: IProfile, revision: number, team: string): Promise<IFinalAnswer> {
+    this._answers.open(ask.attemptId)
+    const claim = this._claimRequest(ask)
+    const reply = await this._context.claims.claim(claim, Math.min(ask.remainingMs, MAX_CLAIM_WAIT_MS))
+    if (reply.decision === 'duplicate') {
+      return this._close(ask, await this._context.claims.outcomeOf(reply.holder, reply.attemptId, ask.remainingMs))
+    }
+    if (reply.decision !== 'granted') return this._close(ask, this._claimRefused(reply))
+    const answer = await this._queue(ask, profile, revision, team)
+    if (answer.outcome === 'notRun' || answer.outcome === 'refused') await this._context.claims.release(claim)
+    return this._close(ask, answer)
+  }
+
+  private _close (ask: ISubmitRequest, answer: IFinalAnswer): IFinalAnswer {
+    this._answers.close(ask.attemptId, answer)
+    return answer
+  }
+
+  private _claimRefused (reply: { readonly decision: string, readonly retryAfterMs?: number }): IFinalAnswer {
+    if (reply.decision === 'blocked') return { outcome: 'notRun', reason: 'linkLost', retryAfterMs: DRAINING_RETRY_MS }
+    return this._refused('storeUnavailable', 'claims of non-idempotent requests cannot be stored now', reply.retryAfterMs ?? DRAINING_RETRY_MS)
+  }
+
+  private _claimRequest (ask: ISubmitRequest): IClaimRequest {
+    const claimKey = this._context.hasher.claimKey(ask.caller, ask.requestId)
+    const holder = `${this._context.self.processId}#${this._context.self.incarnation}`
+    return { idShard: this._context.hasher.idShard(claimKey), claimKey, attemptId: ask.attemptId, holder }
+  }
+
+  private async _queue (ask: ISubmitRequest, profile: IProfile, profileRevision: number, team: string): Promise<IFinalAnswer> {
+    const nowMs = this._context.clock.nowMs()
+    const deadlineAtMs = nowMs + ask.remainingMs
+    const item = toItem(ask, profile, team, nowMs, deadlineAtMs)
+    const decision = this._context.engine.admit(item)
+    if (!decision.admitted) return this._refused(decision.reason, decision.detail, decision.retryAfterMs)
+    return await new Promise<IFinalAnswer>((resolve) => {
+      this._pending.set(ask.attemptId, { itemId: item.id, ask, arrivedAtMs: nowMs, deadlineAtMs, profileRevision, answer: resolve })
+      this.pump()
+    })
+  }
+
+  private _requeue (item: IWorkItem): void {
+    const attemptId = attemptOf(item.id)
+    const pending = this._pending.get(attemptId)
+    if (pending === undefined) return
+    pending.itemId = item.id
+    const decision = this._draining ? undefined : this._context.engine.admit(item)
+    if (decision === undefined) this._finish(attemptId, this._drainingAnswer('notRun'))
+    else if (!decision.admitted) {
+      this._finish(attemptId, { outcome: 'notRun', reason: decision.reason, detail: decision.detail, retryAfterMs: decision.retryAfterMs })
+    }
+    this.pump()
+  }
+
+  private _finish (attemptId: string, answer: IFinalAnswer): void {
+    const pending = this._pending.get(attemptId)
+    if (pending === undefined) return
+    this._pending.delete(attemptId)
+    pending.answer({ ...answer, profileRevision: pending.profileRevision })
+  }
+
+  private _refused (reason: OutcomeReason, detail: string, retryAfterMs: number): IFinalAnswer {
+    return { outcome: 'refused', reason, detail, retryAfterMs }
+  }
+
+  private _drainingAnswer (outcome: 'refused' | 'notRun'): IFinalAnswer {
+    return { outcome, reason: 'draining', detail: 'this scheduler is stopping', retryAfterMs: DRAINING_RETRY_MS }
+  }
+}
+
+/** Ends the attempt's part of an item id: a dispatch to a further host is `attemptId/2`. */
+const DISPATCH_SEPARATOR = '/'
+
+function attemptOf (itemId: string): string {
+  const end = itemId.indexOf(DISPATCH_SEPARATOR)
+  return end < 0 ? itemId : itemId.slice(0, end)
+}
+
+function toItem (ask: ISubmitRequest, profile: IProfile, team: string, nowMs: number, deadlineAtMs: number): IWorkItem {
+  return {
+    id: ask.attemptId,
+    caller: ask.caller,
+    service: ask.service,
+    team,
+    profile,
+    resources: SLOT,
+    arrivedAtMs: nowMs,
+    deadlineAtMs,
+    idempotent: ask.idempotent
+  }
+}
--- /dev/null
+++ b/src/scheduler/requests/Types.ts
@@ -0,0 +1,47 @@
+/**
+ * What the request path of a scheduler needs.
+ */
+
+import type { IConfigReplica } from '../../common/config/Types.js'
+import type { ILogger } from '../../common/observability/Types.js'
+import type { IDecisionEngine } from '../../common/policy/Types.js'
+import type { ClaimReply, IClaimRequest, ISubmitRequest } from '../../common/protocol/Types.js'
+import type { IdHasher } from '../../common/requests/AttemptIds.js'
+import type { IClock, IFinalAnswer, IProcessIdentity, IRandom, ITimers } from '../../common/Types.js'
+import type { IRunnerClient } from '../../platform/Types.js'
+import type { RunnerPool } from '../hosts/RunnerPool.js'
+
+/** Asks the owner of a claim's id shard, wherever it is. */
+export interface IClaimClient {
+  /** Keeps asking through a change of owner, up to `timeoutMs`; then `unavailable`. */
+  claim (ask: IClaimRequest, timeoutMs: number): Promise<ClaimReply>
+  /** Best effort: a claim that is not released stays, and its holder answers repeats truthfully. */
+  release (ask: IClaimRequest): Promise<void>
+  /** The final answer of another attempt of the same id, from the process that holds it. */
+  outcomeOf (holder: string, attemptId: string, waitMs: number): Promise<IFinalAnswer>
+}
+
+export interface IRequestContext {
+  readonly self: IProcessIdentity
+  readonly engine: IDecisionEngine
+  readonly runners: RunnerPool
+  readonly client: IRunnerClient
+  readonly claims: IClaimClient
+  readonly config: IConfigReplica
+  readonly hasher: IdHasher
+  readonly clock: IClock
+  readonly timers: ITimers
+  readonly random: IRandom
+  readonly log: ILogger
+}
+
+/** A request that waits for its final answer. */
+export interface IPendingRequest {
+  /** Its item in the engine; a dispatch to a further host is a new one. */
+  itemId: string
+  readonly ask: ISubmitRequest
+  readonly arrivedAtMs: number
+  readonly deadlineAtMs: number
+  readonly profileRevision: number
+  readonly answer: (answer: IFinalAnswer) => void
+}
