--- /dev/null
+++ b/src/common/policy/NaiveEngine.ts
@@ -0,0 +1,273 @@
+/**
+ * The plain decision engine: first come, first served, on the first host with room. The baseline of the bench and the
+ * reference of the differential tests, so it is written to be obviously right rather than fast or fair.
+ */
+
+import { addInto, difference, fits, larger, NO_RESOURCES, subtractFrom, zeroResources } from './Resources.js'
+
+import type { IResources, MonotonicMs, IClock } from '../Types.js'
+import type { ITeamConfig } from '../config/Types.js'
+import type { IMutableResources } from './Resources.js'
+import type { AdmitDecision, AttemptEnd, EngineDecision, IDecisionEngine, IEngineHost, IEngineLoad, IWorkItem } from './Types.js'
+
+const RETRY_AFTER_MS = 1_000
+
+export interface INaiveHost {
+  config: IEngineHost
+  readonly used: IMutableResources
+}
+
+interface INaivePlace {
+  readonly item: IWorkItem
+  readonly hostId: string
+  counted: IResources
+}
+
+interface INaiveGroup {
+  readonly groupId: string
+  readonly items: readonly IWorkItem[]
+  readonly expiresAtMs: MonotonicMs
+}
+
+/** What waits in the line: one item, or the items of an all-at-once job. */
+interface INaiveEntry {
+  readonly items: readonly IWorkItem[]
+}
+
+export class NaiveEngine implements IDecisionEngine {
+  protected readonly _hosts = new Map<string, INaiveHost>()
+  private readonly _running = new Map<string, INaivePlace>()
+  private readonly _held = new Map<string, INaivePlace>()
+  private readonly _groups = new Map<string, INaiveGroup>()
+  private readonly _ready: EngineDecision[] = []
+  private _queue: INaiveEntry[] = []
+  private _queued = 0
+  private _earliestDeadlineAtMs = Infinity
+
+  public constructor (protected readonly _clock: IClock) {}
+
+  public putHost (host: IEngineHost): void {
+    const known = this._hosts.get(host.hostId)
+    if (known === undefined) this._hosts.set(host.hostId, { config: host, used: zeroResources() })
+    else known.config = host
+  }
+
+  public removeHost (hostId: string): readonly string[] {
+    const lost = [...this._running.values()].filter((place) => place.hostId === hostId)
+    for (const place of lost) this._running.delete(place.item.id)
+    for (const [id, place] of this._held) {
+      if (place.hostId === hostId) this._held.delete(id)
+    }
+    this._hosts.delete(hostId)
+    return lost.map((place) => place.item.id)
+  }
+
+  public adopt (item: IWorkItem, hostId: string): void {
+    this._count(this._running, item, hostId)
+  }
+
+  public admit (item: IWorkItem): AdmitDecision {
+    return this._enqueue([item])
+  }
+
+  public admitGroup (_groupId: string, items: readonly IWorkItem[]): AdmitDecision {
+    return this._enqueue(items)
+  }
+
+  public cancel (itemId: string): 'queued' | 'running' | 'absent' {
+    if (this._running.has(itemId)) return 'running'
+    const index = this._queue.findIndex((entry) => entry.items.some((item) => item.id === itemId))
+    if (index < 0) return 'absent'
+    const [entry] = this._queue.splice(index, 1)
+    const rest = entry?.items.filter((item) => item.id !== itemId) ?? []
+    if (rest.length > 0) this._queue.splice(index, 0, { items: rest })
+    this._queued -= 1
+    return 'queued'
+  }
+
+  public next (): EngineDecision | undefined {
+    this._expire()
+    this._fillReservations()
+    if (this._ready.length === 0) this._placeHead()
+    return this._ready.shift()
+  }
+
+  public nextWakeAtMs (): MonotonicMs {
+    let wakeAtMs = this._earliestDeadlineAtMs
+    for (const group of this._groups.values()) wakeAtMs = Math.min(wakeAtMs, group.expiresAtMs)
+    return wakeAtMs
+  }
+
+  public finished (itemId: string, _end: AttemptEnd, _serviceMs: number): void {
+    this._release(this._running, itemId)
+  }
+
+  public reportUsage (itemId: string, usage: IResources): void {
+    const place = this._running.get(itemId)
+    const host = place === undefined ? undefined : this._hosts.get(place.hostId)
+    if (place === undefined || host === undefined) return
+    subtractFrom(host.used, place.counted)
+    place.counted = larger(place.item.resources, usage)
+    addInto(host.used, place.counted)
+  }
+
+  public reserve (groupId: string, items: readonly IWorkItem[], expiresAtMs: MonotonicMs): readonly string[] {
+    this.dropReservation(groupId)
+    this._groups.set(groupId, { groupId, items, expiresAtMs })
+    this._fillReservations()
+    return this.reservedIds(groupId)
+  }
+
+  public reservedIds (groupId: string): readonly string[] {
+    const items = this._groups.get(groupId)?.items ?? []
+    return items.filter((item) => this._held.has(item.id)).map((item) => item.id)
+  }
+
+  public startReserved (groupId: string): readonly { readonly item: IWorkItem, readonly hostId: string }[] | undefined {
+    this._expire()
+    const group = this._groups.get(groupId)
+    if (group === undefined || this.reservedIds(groupId).length < group.items.length) return undefined
+    const places = group.items.map((item) => ({ item, hostId: this._held.get(item.id)?.hostId ?? '' }))
+    this.dropReservation(groupId)
+    for (const place of places) this._count(this._running, place.item, place.hostId)
+    return places
+  }
+
+  public dropReservation (groupId: string): void {
+    for (const item of this._groups.get(groupId)?.items ?? []) this._release(this._held, item.id)
+    this._groups.delete(groupId)
+  }
+
+  public putTeam (_team: ITeamConfig): void {}
+
+  public load (): IEngineLoad {
+    const capacity = zeroResources()
+    const used = zeroResources()
+    let largestFree = NO_RESOURCES
+    for (const host of this._hosts.values()) {
+      addInto(used, host.used)
+      if (!host.config.accepting) continue
+      addInto(capacity, host.config.capacity)
+      const free = difference(host.config.capacity, host.used)
+      if (free.cores > largestFree.cores) largestFree = free
+    }
+    const expectedWaitMs = { urgent: 0, normal: 0, patient: 0 }
+    return { queued: this._queued, running: this._running.size, capacity, used, largestFree, expectedWaitMs }
+  }
+
+  public dump (): Readonly<Record<string, unknown>> {
+    return { engine: 'naive', hosts: this._hosts.size, load: this.load() }
+  }
+
+  /** The first host with room; subclasses in the bench choose otherwise. */
+  protected _chooseHost (item: IWorkItem): INaiveHost | undefined {
+    for (const host of this._hosts.values()) {
+      if (this._hasRoom(host, item) && item.avoidHostIds?.includes(host.config.hostId) !== true) return host
+    }
+    return item.avoidHostIds === undefined ? undefined : this._chooseAvoided(item)
+  }
+
+  /** Where a newcomer stands in the line: at its end. */
+  protected _insertionIndex (queue: readonly { readonly items: readonly IWorkItem[] }[], _item: IWorkItem): number {
+    return queue.length
+  }
+
+  protected _hasRoom (host: INaiveHost, item: IWorkItem): boolean {
+    return host.config.accepting && fits(item.resources, difference(host.config.capacity, host.used))
+  }
+
+  /** When each other host that could ever hold the item is to be avoided, an avoided one is better than none. */
+  private _chooseAvoided (item: IWorkItem): INaiveHost | undefined {
+    const accepting = [...this._hosts.values()].filter((host) => host.config.accepting && fits(item.resources, host.config.capacity))
+    const hasOther = accepting.some((host) => item.avoidHostIds?.includes(host.config.hostId) !== true)
+    return hasOther ? undefined : accepting.find((host) => this._hasRoom(host, item))
+  }
+
+  private _enqueue (items: readonly IWorkItem[]): AdmitDecision {
+    const tooLarge = items.find((item) => !this._isFeasible(item))
+    if (tooLarge !== undefined) {
+      const detail = `no host is large enough for ${tooLarge.id}`
+      return { admitted: false, reason: 'infeasible', detail, retryAfterMs: RETRY_AFTER_MS }
+    }
+    const [first] = items
+    if (first === undefined) return { admitted: true, expectedWaitMs: 0 }
+    this._queue.splice(this._insertionIndex(this._queue, first), 0, { items })
+    this._queued += items.length
+    this._noteDeadlines(items)
+    return { admitted: true, expectedWaitMs: 0 }
+  }
+
+  private _noteDeadlines (items: readonly IWorkItem[]): void {
+    for (const item of items) this._earliestDeadlineAtMs = Math.min(this._earliestDeadlineAtMs, item.deadlineAtMs)
+  }
+
+  private _isFeasible (item: IWorkItem): boolean {
+    for (const host of this._hosts.values()) {
+      if (fits(item.resources, host.config.capacity)) return true
+    }
+    return false
+  }
+
+  private _expire (): void {
+    const nowMs = this._clock.nowMs()
+    for (const group of [...this._groups.values()]) {
+      if (group.expiresAtMs <= nowMs) this.dropReservation(group.groupId)
+    }
+    if (this._earliestDeadlineAtMs > nowMs) return
+    const isLate = (entry: INaiveEntry): boolean => entry.items.some((item) => item.deadlineAtMs <= nowMs)
+    const late = this._queue.filter(isLate).flatMap((entry) => entry.items)
+    this._queue = this._queue.filter((entry) => !isLate(entry))
+    this._queued -= late.length
+    for (const item of late) this._ready.push({ type: 'giveUp', item, reason: 'deadline', retryAfterMs: RETRY_AFTER_MS })
+    this._earliestDeadlineAtMs = Infinity
+    for (const entry of this._queue) this._noteDeadlines(entry.items)
+  }
+
+  private _fillReservations (): void {
+    for (const group of this._groups.values()) {
+      for (const item of group.items) {
+        const host = this._held.has(item.id) ? undefined : this._chooseHost(item)
+        if (host !== undefined) this._count(this._held, item, host.config.hostId)
+      }
+    }
+  }
+
+  private _placeHead (): void {
+    const [head] = this._queue
+    if (head === undefined || !this._placeAll(head.items)) return
+    this._queue.shift()
+    this._queued -= head.items.length
+    const nowMs = this._clock.nowMs()
+    for (const item of head.items) {
+      const hostId = this._running.get(item.id)?.hostId ?? ''
+      this._ready.push({ type: 'place', item, hostId, waitMs: nowMs - item.arrivedAtMs })
+    }
+  }
+
+  private _placeAll (items: readonly IWorkItem[]): boolean {
+    const placed: string[] = []
+    for (const item of items) {
+      const host = this._chooseHost(item)
+      if (host === undefined) {
+        for (const id of placed) this._release(this._running, id)
+        return false
+      }
+      this._count(this._running, item, host.config.hostId)
+      placed.push(item.id)
+    }
+    return true
+  }
+
+  private _count (places: Map<string, INaivePlace>, item: IWorkItem, hostId: string): void {
+    places.set(item.id, { item, hostId, counted: item.resources })
+    const host = this._hosts.get(hostId)
+    if (host !== undefined) addInto(host.used, item.resources)
+  }
+
+  private _release (places: Map<string, INaivePlace>, itemId: string): void {
+    const place = places.get(itemId)
+    const host = place === undefined ? undefined : this._hosts.get(place.hostId)
+    places.delete(itemId)
+    if (place !== undefined && host !== undefined) subtractFrom(host.used, place.counted)
+  }
+}
