--- /dev/null
+++ b/src/platform/Logger.ts
@@ -0,0 +1,77 @@
+/**
+ * JSON lines on standard output by tslog: one line per event, with a level, the time and the process.
+ */
+
+import { Logger as TsLogger } from 'tslog'
+import { EventRateLimit } from '../common/observability/EventRateLimit.js'
+import { LOG_LEVELS } from '../common/observability/Types.js'
+
+import type { ILogFields, ILogger, LogLevel } from '../common/observability/Types.js'
+import type { IClock } from '../common/Types.js'
+
+export interface ILoggerOptions {
+  readonly processId: string
+  readonly level: LogLevel
+  /** Lines per second of one event; further ones are counted. */
+  readonly maxLinesPerSecond: number
+  /** Where lines go; standard output unless given. */
+  readonly write?: (line: string) => void
+}
+
+/** Fields whose values are masked, should they ever be passed. */
+const MASKED_FIELDS = ['token', 'sharedKey', 'authorization', 'body', 'password']
+
+interface ILogLine {
+  readonly [field: string]: unknown
+}
+
+export class Logger implements ILogger {
+  private readonly _tslog: TsLogger<ILogLine>
+  private readonly _rate: EventRateLimit
+  private readonly _minLevel: number
+  private readonly _write: (line: string) => void
+
+  public constructor (private readonly _clock: IClock, private readonly _options: ILoggerOptions) {
+    this._rate = new EventRateLimit(_clock, _options.maxLinesPerSecond)
+    this._minLevel = LOG_LEVELS.indexOf(_options.level)
+    this._write = _options.write ?? (line => { process.stdout.write(line) })
+    this._tslog = new TsLogger<ILogLine>({
+      type: 'hidden',
+      // Computing the code position of each line would cost more than the rest of it.
+      hideLogPositionForProduction: true,
+      maskValuesOfKeys: MASKED_FIELDS,
+      maskValuesOfKeysCaseInsensitive: true,
+      attachedTransports: [line => this._print(line)]
+    })
+  }
+
+  public debug (event: string, fields?: ILogFields): void {
+    this._log('debug', event, fields)
+  }
+
+  public info (event: string, fields?: ILogFields): void {
+    this._log('info', event, fields)
+  }
+
+  public warn (event: string, fields?: ILogFields): void {
+    this._log('warn', event, fields)
+  }
+
+  public error (event: string, fields?: ILogFields): void {
+    this._log('error', event, fields)
+  }
+
+  private _log (level: LogLevel, event: string, fields?: ILogFields): void {
+    if (LOG_LEVELS.indexOf(level) < this._minLevel) return
+    const { allowed, suppressed } = this._rate.take(event)
+    if (!allowed) return
+    const time = new Date(this._clock.wallMs()).toISOString()
+    const line = { time, level, event, process: this._options.processId, ...fields }
+    this._tslog[level](suppressed > 0 ? { ...line, suppressed } : line)
+  }
+
+  private _print (line: ILogLine): void {
+    const { _meta, ...fields } = line
+    this._write(`${JSON.stringify(fields)}\n`)
+  }
+}
--- /dev/null
+++ b/src/platform/settings/SettingsDefaults.ts
@@ -0,0 +1,50 @@
+/**
+ * The defaults of all settings, in the units that the key names carry.
+ */
+
+const KIB = 1024
+const MIB = 1024 * KIB
+const SECOND_MS = 1000
+const HOUR_MS = 3600 * SECOND_MS
+
+/** Room for the envelope of a message beside a body of 1 MiB. */
+const ENVELOPE_BYTES = 64 * KIB
+
+export const SETTINGS_DEFAULTS = {
+  caller: {
+    maxBodyBytes: MIB + ENVELOPE_BYTES,
+    requestTimeoutMs: 30 * SECOND_MS
+  },
+  peer: {
+    heartbeatMs: SECOND_MS,
+    silenceMs: 5 * SECOND_MS,
+    callTimeoutMs: 5 * SECOND_MS,
+    loadSummaryMs: SECOND_MS,
+    maxMessageBytes: 4 * MIB
+  },
+  store: {
+    callTimeoutMs: 2 * SECOND_MS,
+    leaseTtlMs: 10 * SECOND_MS
+  },
+  hostList: {
+    pollMs: SECOND_MS
+  },
+  limits: {
+    maxInFlight: 10_000,
+    maxConnections: 10_000,
+    maxHeaderBytes: 16 * KIB,
+    maxHeaderCount: 64,
+    headersTimeoutMs: 10 * SECOND_MS,
+    drainMs: 30 * SECOND_MS,
+    maxDumpBytes: MIB
+  },
+  ids: {
+    idShards: 8,
+    claimRetentionMs: HOUR_MS,
+    storeWritesPerSecond: 100
+  },
+  log: {
+    level: 'info',
+    maxLinesPerSecond: 20
+  }
+} as const
