--- /dev/null
+++ b/src/gateway/BodyReader.ts
@@ -0,0 +1,42 @@
+/**
+ * Reads a caller's body whole, within a limit.
+ */
+
+import { err, ok } from 'neverthrow'
+
+import type { IncomingMessage } from 'node:http'
+import type { Result } from 'neverthrow'
+import type { IBadInput } from '../common/requests/Types.js'
+
+const OVERSIZE_STATUS = 413
+const CUT_STATUS = 400
+
+/**
+ * The body, or why it can't be taken. A declared length over the limit is refused before a byte is read, so that
+ * oversize uploads cost no memory.
+ */
+export async function readBody (request: IncomingMessage, maxBytes: number): Promise<Result<Uint8Array, IBadInput>> {
+  const declaredBytes = Number(request.headers['content-length'] ?? 0)
+  if (declaredBytes > maxBytes) return oversize(maxBytes)
+  if (declaredBytes === 0 && request.headers['transfer-encoding'] === undefined) return ok(new Uint8Array(0))
+  return await new Promise((resolve) => { collect(request, maxBytes, resolve) })
+}
+
+function collect (request: IncomingMessage, maxBytes: number, resolve: (result: Result<Uint8Array, IBadInput>) => void): void {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  request.on('data', (chunk: Buffer) => {
+    bytes += chunk.byteLength
+    if (bytes > maxBytes) {
+      request.pause()
+      resolve(oversize(maxBytes))
+    } else chunks.push(chunk)
+  })
+  request.once('end', () => resolve(ok(Buffer.concat(chunks))))
+  request.once('error', () => resolve(err({ status: CUT_STATUS, field: 'body', message: 'was cut short' })))
+  request.once('close', () => resolve(err({ status: CUT_STATUS, field: 'body', message: 'was cut short' })))
+}
+
+function oversize (maxBytes: number): Result<never, IBadInput> {
+  return err({ status: OVERSIZE_STATUS, field: 'body', message: `is over the limit of ${maxBytes} bytes` })
+}
--- /dev/null
+++ b/src/gateway/CallerServer.ts
@@ -0,0 +1,219 @@
+/**
+ * The callers' side of a gateway: requests, jobs and the health check over HTTP, by moleculer-web.
+ */
+
+import { createServer } from 'node:http'
+import ApiGateway from 'moleculer-web'
+import { answerBody, answerHeaders, answerStatus, HEADER_OUTCOME } from '../common/requests/AnswerHeaders.js'
+import { parseName, parseRequestHead } from '../common/requests/RequestParser.js'
+import { readBody } from './BodyReader.js'
+import { parseJob } from './JobFlow.js'
+import { route } from './RouteRequest.js'
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import type { ServiceBroker, ServiceSchema } from 'moleculer'
+import type { IBadInput } from '../common/requests/Types.js'
+import type { IConfigReplica } from '../common/config/Types.js'
+import type { ILogger } from '../common/observability/Types.js'
+import type { IJobStatus } from '../common/protocol/Types.js'
+import type { IClock, IFinalAnswer } from '../common/Types.js'
+import type { ICallerSettings, ILimitSettings } from '../platform/settings/Types.js'
+import type { JobFlow } from './JobFlow.js'
+import type { RequestFlow } from './RequestFlow.js'
+import type { IOutcomeSink } from './Types.js'
+
+const MAX_JOB_BYTES = 1024 * 1024
+const OVERLOADED_RETRY_MS = 500
+const SWEEP_MS = 100
+
+/** What moleculer-web adds to a request. */
+interface IApiRequest extends IncomingMessage {
+  readonly $params: Readonly<Record<string, string>>
+}
+
+export interface ICallerServerContext {
+  readonly broker: ServiceBroker
+  readonly settings: ICallerSettings
+  readonly limits: ILimitSettings
+  readonly requests: RequestFlow
+  readonly jobs: JobFlow
+  readonly config: IConfigReplica
+  readonly outcomes: IOutcomeSink
+  readonly clock: IClock
+  readonly log: ILogger
+  /** Whether this gateway can serve: it knows the configuration and a scheduler. */
+  readonly isReady: () => boolean
+}
+
+export class CallerServer {
+  private _server: Server | undefined
+  private _draining = false
+  private _inFlight = 0
+
+  public constructor (private readonly _context: ICallerServerContext) {
+    _context.broker.createService(this._schema())
+  }
+
+  public get inFlight (): number {
+    return this._inFlight
+  }
+
+  /** The bound address, once the broker has started. */
+  public get url (): string {
+    const address = this._server?.address() as AddressInfo
+    return `http://${address.address}:${address.port}`
+  }
+
+  /** From now on the health check fails and answers close their connections; requests are still taken. */
+  public startDraining (): void {
+    this._draining = true
+  }
+
+  /**
+   * Refuses new connections and waits until every request in flight has its answer, or `graceMs` has passed.
+   *
+   * Called some time after `startDraining`, when the balancer has seen the health check fail: refusing connections
+   * earlier would cut off callers that it still sends here.
+   */
+  public async close (graceMs: number): Promise<void> {
+    const untilMs = this._context.clock.nowMs() + graceMs
+    this._server?.close()
+    while (this._inFlight > 0 && this._context.clock.nowMs() < untilMs) {
+      this._server?.closeIdleConnections()
+      await new Promise((resolve) => setTimeout(resolve, SWEEP_MS))
+    }
+    this._server?.closeAllConnections()
+  }
+
+  private _schema (): ServiceSchema {
+    const self = this
+    return {
+      name: 'callers',
+      mixins: [ApiGateway as unknown as ServiceSchema],
+      settings: {
+        ip: this._context.settings.listen.ip,
+        port: this._context.settings.listen.port,
+        path: '/v1',
+        logRequest: null,
+        logResponse: null,
+        logRouteRegistration: null,
+        routes: [{
+          path: '/',
+          bodyParsers: false,
+          mergeParams: true,
+          aliases: {
+            'GET health': (_request: IApiRequest, response: ServerResponse) => this._health(response),
+            'POST requests/:service': (request: IApiRequest, response: ServerResponse) => this._counted(() => this._request(request, response)),
+            'POST jobs': (request: IApiRequest, response: ServerResponse) => this._counted(() => this._submitJob(request, response)),
+            'GET jobs/:jobId': (request: IApiRequest, response: ServerResponse) => this._counted(() => this._job(request, response, 'status')),
+            'DELETE jobs/:jobId': (request: IApiRequest, response: ServerResponse) => this._counted(() => this._job(request, response, 'cancel'))
+          }
+        }]
+      },
+      methods: {
+        createServer () {
+          self._server = self._createServer(this.httpHandler)
+          this.server = self._server
+          this.isHTTPS = false
+        }
+      }
+    }
+  }
+
+  private _createServer (handler: (request: IncomingMessage, response: ServerResponse) => void): Server {
+    const { limits, settings } = this._context
+    const server = createServer({
+      maxHeaderSize: limits.maxHeaderBytes,
+      headersTimeout: limits.headersTimeoutMs,
+      requestTimeout: settings.requestTimeoutMs,
+      connectionsCheckingInterval: limits.headersTimeoutMs / 2
+    }, handler)
+    server.maxHeadersCount = limits.maxHeaderCount
+    server.maxConnections = limits.maxConnections
+    return server
+  }
+
+  private async _counted (serve: () => Promise<void>): Promise<void> {
+    this._inFlight += 1
+    try {
+      await serve()
+    } finally {
+      this._inFlight -= 1
+    }
+  }
+
+  private _health (response: ServerResponse): void {
+    const healthy = !this._draining && this._context.isReady()
+    this._sendJson(response, healthy ? 200 : 503, { healthy, draining: this._draining })
+  }
+
+  private async _request (request: IApiRequest, response: ServerResponse): Promise<void> {
+    const arrivedAtMs = this._context.clock.nowMs()
+    if (this._inFlight > this._context.limits.maxInFlight) {
+      this._sendAnswer(response, { outcome: 'refused', reason: 'overloaded', retryAfterMs: OVERLOADED_RETRY_MS })
+      return
+    }
+    const head = parseRequestHead(request.$params.service ?? '', request.headers)
+    if (head.isErr()) return this._sendBadInput(request, response, head.error)
+    const body = await readBody(request, this._context.settings.maxBodyBytes)
+    if (body.isErr()) return this._sendBadInput(request, response, body.error)
+    const routed = route(head.value, body.value, this._context.config, arrivedAtMs)
+    if (routed.isErr()) return this._sendBadInput(request, response, routed.error)
+    const answer = await this._context.requests.run(routed.value)
+    const late = this._context.clock.nowMs() > routed.value.deadlineAtMs
+    this._context.outcomes.noteOutcome(head.value.service, head.value.caller, answer, late)
+    this._sendAnswer(response, answer)
+  }
+
+  private async _submitJob (request: IApiRequest, response: ServerResponse): Promise<void> {
+    const body = await readBody(request, MAX_JOB_BYTES)
+    if (body.isErr()) return this._sendBadInput(request, response, body.error)
+    const job = parseJob(Buffer.from(body.value).toString('utf8'))
+    if (job.isErr()) return this._sendBadInput(request, response, job.error)
+    if (this._context.config.service(job.value.service) === undefined) {
+      return this._sendBadInput(request, response, { status: 404, field: 'service', message: `no service named ${job.value.service}` })
+    }
+    const answer = await this._context.jobs.submit(job.value)
+    if (answer.outcome !== 'done') return this._sendAnswer(response, answer)
+    this._sendJson(response, 202, { jobId: job.value.jobId, state: 'accepted' }, { [HEADER_OUTCOME]: 'done' })
+  }
+
+  private async _job (request: IApiRequest, response: ServerResponse, what: 'status' | 'cancel'): Promise<void> {
+    const jobId = parseName(request.$params.jobId, 'jobId')
+    if (jobId.isErr()) return this._sendBadInput(request, response, jobId.error)
+    const found = await this._context.jobs[what](jobId.value)
+    if (found === undefined) return this._sendBadInput(request, response, { status: 404, field: 'jobId', message: `no job named ${jobId.value}` })
+    if (isJobStatus(found)) return this._sendJson(response, 200, found)
+    this._sendAnswer(response, found)
+  }
+
+  private _sendAnswer (response: ServerResponse, answer: IFinalAnswer): void {
+    const body = answerBody(answer)
+    this._send(response, answerStatus(answer), answerHeaders(answer), body)
+  }
+
+  private _sendBadInput (request: IncomingMessage, response: ServerResponse, fault: IBadInput): void {
+    // Bytes of a body that nobody will read would be taken for the connection's next request.
+    const headers: Record<string, string> = request.complete ? {} : { connection: 'close' }
+    this._sendJson(response, fault.status, { outcome: 'refused', reason: 'badInput', field: fault.field, detail: `${fault.field} ${fault.message}` }, {
+      [HEADER_OUTCOME]: 'refused', 'x-jackdawreel-reason': 'badInput', ...headers
+    })
+  }
+
+  private _sendJson (response: ServerResponse, status: number, value: unknown, headers: Readonly<Record<string, string>> = {}): void {
+    this._send(response, status, { 'content-type': 'application/json', ...headers }, JSON.stringify(value))
+  }
+
+  private _send (response: ServerResponse, status: number, headers: Readonly<Record<string, string>>, body: Uint8Array | string): void {
+    if (response.destroyed) return
+    const length = typeof body === 'string' ? Buffer.byteLength(body) : body.byteLength
+    if (this._draining) response.setHeader('connection', 'close')
+    response.writeHead(status, { ...headers, 'content-length': String(length) })
+    response.end(body)
+  }
+}
+
+function isJobStatus (found: IJobStatus | IFinalAnswer): found is IJobStatus {
+  return 'jobId' in found
+}
