--- a/src/platform/Types.ts
+++ b/src/platform/Types.ts
@@ -184,4 +184,6 @@
   stop (host: IHostRecord, fence: IFence, taskId: string, attempt: number): ResultAsync<IWorkerStatus, UpstreamError>
   /** Renewal, news and usage in one long poll, so that the cost is per host and not per task. */
   sync (host: IHostRecord, sync: IWorkerSync): ResultAsync<IWorkerStatus, UpstreamError>
+  /** Drops connections to hosts that are no longer in use. */
+  forget (hostId: string): void
 }
