Add the peer links: handshake, calls, casts, heartbeats, graceful close

One connection per pair of processes over ws and msgpackr. Both sides prove that they hold the shared key before a message is read. Errors of a call tell whether it may have taken effect; heartbeats find silent peers without counting our own pauses.

--- /dev/null
+++ b/src/peer/PeerHub.test.ts
@@ -0,0 +1,194 @@
+/**
+ * Two hubs in one process, over real sockets of 127.0.0.1.
+ */
+
+import test from 'ava'
+
+import { identity, startHub, TEST_KEY } from '../../test/support/PeerHubs.js'
+import { TcpForwarder } from '../../test/support/TcpForwarder.js'
+import { until } from '../../test/support/Until.js'
+import { AmbiguousError, RefusedError, UnreachableError } from '../common/Errors.js'
+import type { IDisposable, IProcessIdentity } from '../common/Types.js'
+import type { PeerHub } from './PeerHub.js'
+import type { PeerHubSettings } from './PeerHubOptions.js'
+import type { IPeerLink } from './Types.js'
+
+const FAST_HEARTBEAT = { heartbeatMs: 50, silenceLimitMs: 300 }
+
+interface IPair {
+  readonly a: PeerHub
+  readonly b: PeerHub
+  readonly ab: IPeerLink
+  readonly forwarder: TcpForwarder
+  readonly dial: IDisposable
+}
+
+/** Hub a dials hub b through a forwarder. */
+async function linkedPair (settings: Partial<PeerHubSettings> = {}): Promise<IPair> {
+  const { hub: a } = await startHub(identity('a'), settings)
+  const { hub: b, url } = await startHub(identity('b', 1, 'east'), settings)
+  const forwarder = new TcpForwarder(Number(new URL(url).port))
+  const dial = a.dial(`ws://127.0.0.1:${await forwarder.listen()}`, 'b')
+  await until(() => a.link('b') !== undefined && b.link('a') !== undefined)
+  return { a, b, ab: a.link('b') as IPeerLink, forwarder, dial }
+}
+
+async function endPair (pair: IPair): Promise<void> {
+  pair.a.dispose()
+  pair.b.dispose()
+  await pair.forwarder.close()
+}
+
+function never (): Promise<never> {
+  return new Promise(() => {})
+}
+
+test('calls are answered out of order, each with its own reply, and casts arrive', async (t) => {
+  const pair = await linkedPair()
+  const waiting = new Map<string, () => void>()
+  pair.b.handle('drain', async (ask) => {
+    const hostId = String(ask.hostId)
+    await new Promise<void>((resolve) => { waiting.set(hostId, resolve) })
+    return { draining: hostId === 'second' }
+  })
+  const heard: IProcessIdentity[] = []
+  pair.b.listen('members', (_cast, from) => heard.push(from))
+  const first = pair.ab.call('drain', { hostId: 'first' }, 5_000)
+  const second = pair.ab.call('drain', { hostId: 'second' }, 5_000)
+  await until(() => waiting.size === 2)
+  waiting.get('second')?.()
+  t.deepEqual((await second)._unsafeUnwrap(), { draining: true })
+  waiting.get('first')?.()
+  t.deepEqual((await first)._unsafeUnwrap(), { draining: false })
+  pair.ab.cast('members', { members: [] })
+  await until(() => heard.length === 1)
+  t.is(heard[0]?.processId, 'a')
+  t.true(pair.a.traffic().crossRegionSentBytes > 0)
+  await endPair(pair)
+})
+
+test('a call ends with the error that tells whether it may have taken effect', async (t) => {
+  const pair = await linkedPair({ maxFrameBytes: 10_000 })
+  pair.b.handle('drain', async (ask) => {
+    if (ask.hostId === 'refuse') throw new RefusedError('drain', 'h1', 'no such host')
+    throw new Error('broken half-way')
+  })
+  pair.b.handle('cancel', never)
+  const failure = async (call: ReturnType<IPeerLink['call']>): Promise<unknown> => (await call)._unsafeUnwrapErr()
+  const refused = await failure(pair.ab.call('drain', { hostId: 'refuse' }, 5_000)) as RefusedError
+  t.true(refused instanceof RefusedError)
+  t.is(refused.peer, 'b')
+  t.regex(refused.message, /peer\.drain b.*no such host/)
+  t.true(await failure(pair.ab.call('drain', {}, 5_000)) instanceof AmbiguousError)
+  t.true(await failure(pair.ab.call('jobStatus', { jobId: 'j' }, 5_000)) instanceof RefusedError)
+  t.true(await failure(pair.ab.call('cancel', { attemptId: 'x' }, 20)) instanceof AmbiguousError)
+  t.true(await failure(pair.ab.call('cancel', { attemptId: 'x'.repeat(20_000) }, 5_000)) instanceof UnreachableError)
+  await endPair(pair)
+})
+
+test('a reply that comes after its call has timed out reaches no other call', async (t) => {
+  // The peer stalls for longer than the caller waits, and its answer comes while the caller's next call is under way.
+  // Were it taken for the answer of that one, a caller would be told the outcome of somebody else's request.
+  const pair = await linkedPair()
+  const release: Array<() => void> = []
+  pair.b.handle('cancel', async () => {
+    await new Promise<void>((resolve) => { release.push(resolve) })
+    return { cancelled: release.length > 1 }
+  })
+  t.true((await pair.ab.call('cancel', { attemptId: '1' }, 10)).isErr())
+  const next = pair.ab.call('cancel', { attemptId: '2' }, 5_000)
+  await until(() => release.length === 2)
+  release[0]?.()
+  await until(() => pair.a.counters.lateReplies === 1)
+  release[1]?.()
+  t.true((await next).isOk())
+  await endPair(pair)
+})
+
+test('both sides dial at once and end with one connection, on which calls survive', async (t) => {
+  const { hub: a, url: urlA } = await startHub(identity('a'))
+  const { hub: b, url: urlB } = await startHub(identity('b'))
+  a.handle('cancel', async () => ({ cancelled: true }))
+  b.handle('cancel', async () => ({ cancelled: true }))
+  a.dial(urlB, 'b')
+  b.dial(urlA, 'a')
+  await until(() => a.link('b') !== undefined && b.link('a') !== undefined)
+  const results = await Promise.all([a.link('b')?.call('cancel', { attemptId: '1' }, 5_000), b.link('a')?.call('cancel', { attemptId: '2' }, 5_000)])
+  t.deepEqual(results.map((result) => result?.isOk()), [true, true])
+  a.dispose()
+  b.dispose()
+})
+
+test('when one direction of the path is cut both sides notice, and calls in flight end as ambiguous', async (t) => {
+  // A broken switch swallows what b sends while a's bytes still arrive. The connection stays open, so only silence
+  // shows it; a caller would otherwise wait until its own timeout for answers that can't come.
+  const pair = await linkedPair(FAST_HEARTBEAT)
+  let handled = 0
+  pair.b.handle('cancel', () => {
+    handled += 1
+    return never()
+  })
+  const lost: string[] = []
+  pair.a.onLost((peer) => lost.push(peer.processId))
+  const call = pair.ab.call('cancel', { attemptId: '1' }, 60_000)
+  await until(() => handled === 1)
+  pair.forwarder.cut('toClient')
+  t.true((await call)._unsafeUnwrapErr() instanceof AmbiguousError)
+  t.deepEqual(lost, ['b'])
+  t.true((await pair.ab.call('cancel', { attemptId: '2' }, 1_000))._unsafeUnwrapErr() instanceof UnreachableError)
+  pair.forwarder.heal()
+  await until(() => pair.a.link('b') !== undefined && pair.b.link('a') !== undefined)
+  await endPair(pair)
+})
+
+test('a restarted process takes the place of its older self, and the older one is not let in again', async (t) => {
+  // A process is replaced while its connection still looks open here. Messages for the process must go to the new
+  // one; were the old connection kept, they would vanish until its silence is noticed.
+  const { hub: a, url } = await startHub(identity('a'))
+  const { hub: old } = await startHub(identity('b', 1))
+  const lost: number[] = []
+  a.onLost((peer) => lost.push(peer.incarnation))
+  old.dial(url, 'a')
+  await until(() => a.link('b') !== undefined)
+  const { hub: restarted } = await startHub(identity('b', 2))
+  restarted.dial(url, 'a')
+  await until(() => a.link('b')?.peer.incarnation === 2)
+  await until(() => old.counters.failedHandshakes > 0)
+  t.is(a.link('b')?.peer.incarnation, 2)
+  t.deepEqual(lost, [1])
+  for (const hub of [a, old, restarted]) hub.dispose()
+})
+
+test('a process with another key gets no link', async (t) => {
+  // A process of another cell, with another key, dials by mistake. Were it let in, its messages would be taken for
+  // those of this cell.
+  const { hub: a, url } = await startHub(identity('a'))
+  const { hub: stranger } = await startHub(identity('s'), { sharedKey: `${TEST_KEY}, but another` })
+  stranger.dial(url, 'a')
+  await until(() => stranger.counters.failedHandshakes > 2)
+  t.is(a.links().length, 0)
+  t.is(stranger.links().length, 0)
+  a.dispose()
+  stranger.dispose()
+})
+
+test('a graceful close answers the calls in progress and refuses new ones as not run', async (t) => {
+  // An operator stops a process that is in the middle of a call. The caller must get its answer, and a call that
+  // comes too late must be known not to have run, so that it can go elsewhere.
+  const pair = await linkedPair()
+  let finish: (() => void) | undefined
+  pair.b.handle('cancel', async () => {
+    await new Promise<void>((resolve) => { finish = resolve })
+    return { cancelled: true }
+  })
+  const call = pair.ab.call('cancel', { attemptId: '1' }, 60_000)
+  await until(() => finish !== undefined)
+  const closed = pair.b.close(60_000)
+  const late = await pair.ab.call('cancel', { attemptId: '2' }, 60_000)
+  t.true(late._unsafeUnwrapErr() instanceof UnreachableError)
+  finish?.()
+  t.deepEqual((await call)._unsafeUnwrap(), { cancelled: true })
+  await closed
+  await until(() => pair.a.link('b') === undefined)
+  await endPair(pair)
+})
--- /dev/null
+++ b/src/peer/PeerLink.ts
@@ -0,0 +1,286 @@
+/**
+ * One proven connection to one peer: carries calls, replies and casts, and knows when the peer is gone.
+ */
+
+import { errAsync, ResultAsync } from 'neverthrow'
+
+import { AmbiguousError, UnreachableError } from '../common/Errors.js'
+import type { IPeerCalls, IPeerCasts, PeerCallName, PeerCastName } from '../common/protocol/Types.js'
+import type { IProcessIdentity, MonotonicMs } from '../common/Types.js'
+import { CallTable } from './CallTable.js'
+import type { CallResult } from './CallTable.js'
+import { FailureKind, FrameCodec, FrameKind, wire } from './Frames.js'
+import type { Frame, IBareFrame, ICallFrame, ICastFrame, WireFrame } from './Frames.js'
+import { failureOf } from './HandlerTable.js'
+import type { HandlerTable } from './HandlerTable.js'
+import { HeartbeatMonitor } from './HeartbeatMonitor.js'
+import type { AwakeClock } from './HeartbeatMonitor.js'
+import { PacketBatch } from './PacketBatch.js'
+import type { PeerCounters } from './PeerCounters.js'
+import type { IPeerEnvironment, IPeerHubOptions } from './PeerHubOptions.js'
+import type { IPeerSocket, IPeerSocketListener } from './PeerSocket.js'
+import type { IPeerLink, PeerError } from './Types.js'
+
+/** What all links of a hub share. */
+export interface ILinkContext {
+  readonly selfId: string
+  readonly options: IPeerHubOptions
+  readonly environment: IPeerEnvironment
+  readonly counters: PeerCounters
+  readonly handlers: HandlerTable
+  readonly awake: AwakeClock
+  /** Called once, when the link has gone. */
+  onGone (link: PeerLink, reason: string): void
+}
+
+export class PeerLink implements IPeerLink, IPeerSocketListener {
+  public lastHeardMs: MonotonicMs
+  private readonly _codec: FrameCodec
+  private readonly _calls: CallTable
+  private readonly _monitor: HeartbeatMonitor
+  private readonly _batch: PacketBatch
+  private readonly _idleWaiters: Array<() => void> = []
+  private readonly _goneWaiters: Array<() => void> = []
+  private _successor: PeerLink | undefined
+  private _gone = false
+  private _finishing = false
+  private _handling = 0
+  private _takesCalls = true
+  private _peerTakesCalls = true
+  private _peerRetired = false
+
+  public constructor (
+    public readonly peer: IProcessIdentity,
+    public readonly dialledBySelf: boolean,
+    private readonly _socket: IPeerSocket,
+    private readonly _context: ILinkContext
+  ) {
+    const { options, environment } = _context
+    this.lastHeardMs = environment.clock.nowMs()
+    this._codec = new FrameCodec(options.maxFrameBytes)
+    this._calls = new CallTable(peer.processId, environment.timers)
+    this._monitor = new HeartbeatMonitor(_context.awake, options.silenceLimitMs)
+    this._batch = new PacketBatch((packet) => this._sendPacket(packet))
+    _socket.listen(this)
+  }
+
+  public get sentBytes (): number {
+    return this._socket.sentBytes
+  }
+
+  public get receivedBytes (): number {
+    return this._socket.receivedBytes
+  }
+
+  /** Calls in flight, ours and the peer's. */
+  public get busy (): number {
+    return this._calls.size + this._handling
+  }
+
+  public call<N extends PeerCallName> (name: N, ask: IPeerCalls[N]['ask'], timeoutMs: number):
+  ResultAsync<IPeerCalls[N]['reply'], PeerError> {
+    if (this._successor !== undefined) return this._successor.call(name, ask, timeoutMs)
+    const step = `peer.${name}`
+    const refusal = this._whyNotCall() ?? this._enqueue(wire.call(this._calls.nextId, name, ask))
+    if (refusal !== undefined) {
+      this._context.counters.refusedCalls += 1
+      return errAsync(new UnreachableError(step, this.peer.processId, refusal))
+    }
+    if (this._gone) return errAsync(new AmbiguousError(step, this.peer.processId, 'link lost while it was sent'))
+    // The peer's handler gave the reply under the same name, and both run the same protocol version.
+    return new ResultAsync(new Promise<CallResult>((resolve) => {
+      this._calls.add(step, timeoutMs, (result) => {
+        resolve(result)
+        this._noteIdle()
+      })
+      // A frame that fills its batch has gone out already, before the call was entered.
+      if (this._batch.bytes === 0) this._calls.noteSent()
+    })) as ResultAsync<IPeerCalls[N]['reply'], PeerError>
+  }
+
+  public cast<N extends PeerCastName> (name: N, cast: IPeerCasts[N]): void {
+    if (this._successor !== undefined) {
+      this._successor.cast(name, cast)
+      return
+    }
+    if (this._gone || this._isBackedUp() || this._enqueue(wire.cast(name, cast)) !== undefined) {
+      this._context.counters.droppedCasts += 1
+    }
+  }
+
+  public close (): void {
+    this.lose('closed here')
+  }
+
+  /** Sends a heartbeat when one is due and gives the link up when the peer has been silent. To be called every period. */
+  public tick (): void {
+    if (this._gone) return
+    if (this._monitor.noteReceived(this._socket.receivedBytes)) this.lastHeardMs = this._context.environment.clock.nowMs()
+    if (this._monitor.isSilent()) {
+      this._context.counters.silentLinks += 1
+      this.lose('silent')
+      return
+    }
+    if (this._monitor.isHeartbeatDue(this._socket.sentBytes)) this._sendBare(FrameKind.Heartbeat)
+  }
+
+  /** Starts no more calls here but on `successor`; closes when what is in flight has ended on both sides. */
+  public retire (successor: PeerLink): void {
+    this._successor = successor
+    this._sendBare(FrameKind.Retire)
+    this._noteIdle()
+  }
+
+  /** Takes no more calls from the peer; those in progress go on. */
+  public stopTakingCalls (): void {
+    this._takesCalls = false
+    this._sendBare(FrameKind.Closing)
+  }
+
+  /** Resolves when no call is in flight in either direction and everything was handed to the socket. */
+  public async whenIdle (): Promise<void> {
+    while (!this._gone && this.busy > 0) {
+      await new Promise<void>((resolve) => { this._idleWaiters.push(resolve) })
+    }
+  }
+
+  /** Resolves when the connection has gone. */
+  public async whenGone (): Promise<void> {
+    if (this._gone) return
+    await new Promise<void>((resolve) => { this._goneWaiters.push(resolve) })
+  }
+
+  /** Sends what waits, then closes as soon as the peer has read it. */
+  public finish (): void {
+    this._batch.flush()
+    this._finishing = true
+    this._socket.close()
+  }
+
+  /** Gives the link up at once. */
+  public lose (reason: string): void {
+    if (this._gone) return
+    this._gone = true
+    this._batch.clear()
+    this._socket.dispose()
+    this._calls.loseAll(`link lost (${reason})`)
+    this._noteIdle()
+    this._context.onGone(this, reason)
+    for (const resolve of this._goneWaiters.splice(0)) resolve()
+  }
+
+  public onClosed (): void {
+    this.lose('closed by the peer')
+  }
+
+  public onPacket (packet: Uint8Array): void {
+    if (this._gone) return
+    this.lastHeardMs = this._context.environment.clock.nowMs()
+    const frames = this._codec.decode(packet)
+    if (frames.isErr()) {
+      this._context.counters.malformedPackets += 1
+      this.lose(`malformed packet: ${frames.error}`)
+      return
+    }
+    for (const frame of frames.value) this._onFrame(frame)
+  }
+
+  private _onFrame (frame: Frame): void {
+    switch (frame.kind) {
+      case FrameKind.Call: this._onCall(frame); break
+      case FrameKind.Reply: this._countLate(this._calls.reply(frame.callId, frame.reply)); break
+      case FrameKind.Failure: this._countLate(this._calls.fail(frame)); break
+      case FrameKind.Cast: this._onCast(frame); break
+      case FrameKind.Heartbeat: break
+      case FrameKind.Closing: this._peerTakesCalls = false; break
+      case FrameKind.Retire:
+        this._peerRetired = true
+        this._noteIdle()
+    }
+  }
+
+  private _countLate (known: boolean): void {
+    if (!known) this._context.counters.lateReplies += 1
+  }
+
+  private _onCall (frame: ICallFrame): void {
+    const { callId, name } = frame
+    if (!this._takesCalls) return this._fail(callId, FailureKind.NotRun, name, 'the process is closing')
+    if (this._handling >= this._context.options.maxCallsInFlight) return this._fail(callId, FailureKind.NotRun, name, 'too many calls in flight')
+    const handler = this._context.handlers.handler(name)
+    if (handler === undefined) return this._fail(callId, FailureKind.Refused, name, 'no handler')
+    this._handling += 1
+    this._answer(callId, name, () => handler(frame.ask, this.peer))
+  }
+
+  private async _answer (callId: number, name: string, handle: () => Promise<unknown>): Promise<void> {
+    try {
+      const unsendable = this._enqueue(wire.reply(callId, await handle()))
+      if (unsendable !== undefined) this._fail(callId, FailureKind.Broken, name, `reply: ${unsendable}`)
+    } catch (error) {
+      const failure = failureOf(error)
+      if (failure === FailureKind.Broken) this._noteBroken(name, error)
+      this._fail(callId, failure, name, error instanceof Error ? error.message : String(error))
+    }
+    this._handling -= 1
+    this._noteIdle()
+  }
+
+  private _fail (callId: number, failure: FailureKind, name: string, message: string): void {
+    this._enqueue(wire.failure(callId, failure, `peer.${name}`, this._context.selfId, message))
+  }
+
+  private _onCast (frame: ICastFrame): void {
+    try {
+      this._context.handlers.deliver(frame.name, frame.cast, this.peer)
+    } catch (error) {
+      this._noteBroken(frame.name, error)
+    }
+  }
+
+  private _noteBroken (name: string, error: unknown): void {
+    this._context.counters.brokenHandlers += 1
+    this._context.environment.log?.warn('peerHandlerBroken', { step: `peer.${name}`, peer: this.peer.processId, error: String(error) })
+  }
+
+  private _whyNotCall (): string | undefined {
+    if (this._gone || this._finishing) return 'the link is down'
+    if (!this._peerTakesCalls) return 'the peer is closing'
+    if (this._calls.size >= this._context.options.maxCallsInFlight) return 'too many calls in flight'
+    return this._isBackedUp() ? 'the link is backed up' : undefined
+  }
+
+  /**
+   * Made for a peer that reads more slowly than we send: without a bound its backlog fills our memory, and one would
+   * see the process grow until it is killed and takes every other link with it.
+   */
+  private _isBackedUp (): boolean {
+    return this._socket.bufferedBytes + this._batch.bytes > this._context.options.maxBufferedBytes
+  }
+
+  /** Queues a frame; gives the reason when it can't be sent. */
+  private _enqueue (frame: WireFrame): string | undefined {
+    if (this._gone || this._finishing) return 'the link is down'
+    const bytes = this._codec.encode(frame)
+    if (bytes.isErr()) return bytes.error
+    this._batch.add(bytes.value)
+    return undefined
+  }
+
+  private _sendBare (kind: IBareFrame['kind']): void {
+    this._enqueue(wire.bare(kind))
+  }
+
+  private _sendPacket (packet: Uint8Array): void {
+    if (this._gone) return
+    this._calls.noteSent()
+    this._socket.send(packet)
+    if (this._socket.bufferedBytes > this._context.options.maxBacklogBytes) this.lose('the peer reads too slowly')
+  }
+
+  private _noteIdle (): void {
+    if (this.busy > 0 && !this._gone) return
+    for (const resolve of this._idleWaiters.splice(0)) resolve()
+    if (!this._gone && this._successor !== undefined && this._peerRetired) this.finish()
+  }
+}
--- /dev/null
+++ b/src/peer/PeerListener.ts
@@ -0,0 +1,92 @@
+/**
+ * Accepts connections from peers, and keeps strangers from using up memory or sockets.
+ */
+
+import { createServer } from 'node:http'
+
+import { ResultAsync } from 'neverthrow'
+import { WebSocketServer } from 'ws'
+
+import type { IncomingMessage, Server } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import type { WebSocket } from 'ws'
+import { UnreachableError } from '../common/Errors.js'
+import type { PeerCounters } from './PeerCounters.js'
+import type { IPeerEnvironment, IPeerHubOptions } from './PeerHubOptions.js'
+
+/** Room for a batch of frames beside the largest single one. */
+const PACKET_SLACK_BYTES = 128 * 1024
+const MAX_HEADER_BYTES = 4_096
+
+export function maxPacketBytes (options: Pick<IPeerHubOptions, 'maxFrameBytes'>): number {
+  return options.maxFrameBytes + PACKET_SLACK_BYTES
+}
+
+export class PeerListener {
+  private readonly _server: Server
+  private readonly _webSockets: WebSocketServer
+  private readonly _unproven = new Set<Socket>()
+
+  public constructor (
+    private readonly _options: IPeerHubOptions,
+    private readonly _environment: IPeerEnvironment,
+    private readonly _counters: PeerCounters,
+    onWebSocket: (webSocket: WebSocket, tcp: Socket) => void
+  ) {
+    this._server = createServer({ maxHeaderSize: MAX_HEADER_BYTES })
+    this._server.on('connection', (socket: Socket) => this._onConnection(socket))
+    this._webSockets = new WebSocketServer({
+      server: this._server, clientTracking: false, perMessageDeflate: false, maxPayload: maxPacketBytes(_options)
+    })
+    this._webSockets.on('error', () => {})
+    this._webSockets.on('connection', (webSocket: WebSocket, request: IncomingMessage) => {
+      webSocket.on('error', () => {})
+      onWebSocket(webSocket, request.socket)
+    })
+  }
+
+  /** Binds the address; gives `ws://ip:port`. */
+  public listen (): ResultAsync<string, UnreachableError> {
+    const { listenIp, listenPort } = this._options
+    const bound = new Promise<string>((resolve, reject) => {
+      this._server.once('error', reject)
+      this._server.listen(listenPort, listenIp, () => {
+        this._server.off('error', reject)
+        resolve(`ws://${listenIp}:${(this._server.address() as AddressInfo).port}`)
+      })
+    })
+    return ResultAsync.fromPromise(bound, (cause) =>
+      new UnreachableError('peer.listen', `${listenIp}:${listenPort}`, String(cause), { cause }))
+  }
+
+  /** Notes that a connection has proved itself and may stay. */
+  public release (socket: Socket): void {
+    this._unproven.delete(socket)
+  }
+
+  public close (): void {
+    this._webSockets.close()
+    this._server.close()
+    for (const socket of this._unproven) socket.destroy()
+  }
+
+  /**
+   * A connection that sends nothing, or half a request, never reaches the handshake and so has no timeout there. One
+   * would see open sockets pile up until peers can't connect. Every connection has to prove itself in time instead.
+   */
+  private _onConnection (socket: Socket): void {
+    if (this._unproven.size >= this._options.maxUnproven) {
+      this._counters.crowdedOut += 1
+      socket.destroy()
+      return
+    }
+    this._unproven.add(socket)
+    const timeout = this._environment.timers.after(this._options.handshakeTimeoutMs, () => {
+      if (this._unproven.has(socket)) socket.destroy()
+    })
+    socket.on('close', () => {
+      timeout.dispose()
+      this._unproven.delete(socket)
+    })
+  }
+}
--- a/src/peer/Types.ts
+++ b/src/peer/Types.ts
@@ -3,12 +3,15 @@
  */
 
 import type { ResultAsync } from 'neverthrow'
-import type { AmbiguousError, UnreachableError } from '../common/Errors.js'
+import type { AmbiguousError, RefusedError, UnreachableError } from '../common/Errors.js'
 import type { IPeerCalls, IPeerCasts, PeerCallName, PeerCastName } from '../common/protocol/Types.js'
 import type { IDisposable, IProcessIdentity } from '../common/Types.js'
 
-/** `UnreachableError`: never sent. `AmbiguousError`: sent, and the link went or the time ran out before the reply. */
-export type PeerError = UnreachableError | AmbiguousError
+/**
+ * `UnreachableError`: never sent, or sent and not handled. `RefusedError`: the handler said that nothing took effect.
+ * `AmbiguousError`: sent, and the link went, the time ran out before the reply or the handler broke off.
+ */
+export type PeerError = UnreachableError | RefusedError | AmbiguousError
 
 export interface IPeerHandlers {
   /** What answers each call; a call without a handler is refused. */
