--- /dev/null
+++ b/src/common/routing/SchedulerRouter.test.ts
@@ -0,0 +1,98 @@
+/**
+ * The choice among schedulers.
+ */
+
+import test from 'ava'
+
+import { SeededRandom } from '../Random.js'
+import { SchedulerRouter } from './SchedulerRouter.js'
+
+import type { IProfile } from '../config/Types.js'
+import type { ILoadSummary, IShardLoad } from '../protocol/Types.js'
+
+const NONE = { cores: 0, memoryBytes: 0, accelerators: 0 }
+
+const PROFILE: IProfile = {
+  name: 'urgent',
+  priorityClass: 'urgent',
+  deadlineMs: 1000,
+  floorShare: 0,
+  weight: 1,
+  maxRunning: 1000,
+  allAtOnce: false,
+  spread: 'none',
+  crossRegion: 'whenWorthIt',
+  crossRegionGainMs: 100,
+  maxRetries: 1,
+  preemptible: false,
+  idempotentDefault: true
+}
+
+function shard (shardId: string, kind: IShardLoad['kind'], epoch: number, freeSlots: number): IShardLoad {
+  return { shardId, kind, epoch, freeSlots, totalSlots: 8, free: NONE, largestFree: NONE }
+}
+
+function summary (processId: string, region: string, freeSlots: number, waitMs = 0, more: Partial<ILoadSummary> = {}): ILoadSummary {
+  return {
+    processId,
+    incarnation: 1,
+    region,
+    failureDomain: region,
+    draining: false,
+    storeReachable: true,
+    shards: [shard(`runners/${processId}`, 'runners', 1, freeSlots)],
+    expectedWaitMs: { urgent: waitMs, normal: waitMs, patient: waitMs },
+    queued: 0,
+    ...more
+  }
+}
+
+function route (summaries: readonly ILoadSummary[], profile = PROFILE, excluded: readonly string[] = []): ReadonlyArray<string | undefined> {
+  const router = new SchedulerRouter('west', new SeededRandom(7))
+  for (const each of summaries) router.noteSummary(each)
+  const chosen = new Set<string | undefined>()
+  for (let draw = 0; draw < 50; draw++) chosen.add(router.choose({ profile, excluded: new Set(excluded) }))
+  return [...chosen].sort()
+}
+
+test('free places in the own region are used, in proportion, before anything else', (t) => {
+  t.deepEqual(route([summary('a', 'west', 4), summary('b', 'west', 4), summary('c', 'east', 400)]), ['a', 'b'])
+})
+
+test('another region gets work only when the wait saved is worth the bytes and the profile allows it', (t) => {
+  const busy = summary('a', 'west', 0, 250)
+  const idle = summary('c', 'east', 4)
+  t.deepEqual(route([busy, idle]), ['c'])
+  t.deepEqual(route([busy, idle], { ...PROFILE, crossRegionGainMs: 300 }), ['a'])
+  t.deepEqual(route([busy, idle], { ...PROFILE, crossRegion: 'never' }), ['a'])
+})
+
+test('a scheduler that drains, was tried or has no runners gets nothing', (t) => {
+  const drains = summary('a', 'west', 4, 0, { draining: true })
+  const withoutRunners = summary('b', 'west', 0, 0, { shards: [shard('ids/00', 'ids', 1, 0)] })
+  t.deepEqual(route([drains, withoutRunners, summary('c', 'west', 4)], PROFILE, ['c']), [undefined])
+})
+
+test('what was sent since the last summary counts, so that a burst does not all go to one place', (t) => {
+  const router = new SchedulerRouter('west', new SeededRandom(7))
+  router.noteSummary(summary('a', 'west', 8))
+  router.noteSummary(summary('b', 'west', 8))
+  const sent = { a: 0, b: 0 }
+  for (let request = 0; request < 16; request++) {
+    const chosen = router.choose({ profile: PROFILE, excluded: new Set() }) as 'a' | 'b'
+    router.noteSent(chosen)
+    sent[chosen] += 1
+  }
+  t.deepEqual(sent, { a: 8, b: 8 })
+})
+
+test('two processes claim a shard: the one with the higher epoch owns it', (t) => {
+  // A paused owner wakes up and goes on telling that it owns the shard, until its hosts refuse it. Requests that
+  // followed the older word would be refused one after the other.
+  const router = new SchedulerRouter('west', new SeededRandom(7))
+  router.noteSummary(summary('new', 'west', 1, 0, { shards: [shard('ids/00', 'ids', 5, 0)] }))
+  router.noteSummary(summary('old', 'west', 1, 0, { shards: [shard('ids/00', 'ids', 4, 0)] }))
+  t.is(router.ownerOf('ids/00'), 'new')
+  router.forget('new')
+  t.is(router.ownerOf('ids/00'), 'old')
+})
