--- /dev/null
+++ b/src/common/config/ConfigInvalidError.ts
@@ -0,0 +1,22 @@
+/**
+ * What is wrong with a profile, service or team that an operator wants to put, all of it at once.
+ */
+
+import { InvalidInputError } from '../Errors.js'
+
+export interface IFieldProblem {
+  readonly field: string
+  /** What is allowed there. */
+  readonly allowed: string
+}
+
+/** Nothing was changed; `problems` lists every field to mend. */
+export class ConfigInvalidError extends InvalidInputError {
+  public constructor (peer: string, public readonly problems: readonly IFieldProblem[]) {
+    super('config.check', peer, problems.map(problem => problem.field).join(', '), problems.map(describe).join('; '))
+  }
+}
+
+function describe (problem: IFieldProblem): string {
+  return `${problem.field} ${problem.allowed}`
+}
--- /dev/null
+++ b/src/platform/config/ConfigRecords.ts
@@ -0,0 +1,98 @@
+/**
+ * The store's records of configured things: the current entry of each, and its earlier revisions.
+ */
+
+import { err, ok } from 'neverthrow'
+import { AmbiguousError, ConflictError, UnreachableError } from '../../common/Errors.js'
+import { configKey, decodeEntry, encodeEntry, historyKey, historyPrefix } from '../../common/config/ConfigCodec.js'
+
+import type { Result } from 'neverthrow'
+import type { InvalidInputError } from '../../common/Errors.js'
+import type { ConfigKind, IConfigEntry } from '../../common/config/Types.js'
+import type { IKeyValueStore, IStoreRecord, StoreError } from '../Types.js'
+
+export interface IStoredEntry {
+  /** Absent for a thing that never existed. */
+  readonly entry: IConfigEntry | undefined
+  /** What a compare-and-swap must name; 0 for a thing that never existed. */
+  readonly modRevision: number
+}
+
+export type RecordError = StoreError | InvalidInputError
+
+type Outcome<T> = Promise<Result<T, RecordError>>
+
+const NEVER_EXISTED: IStoredEntry = { entry: undefined, modRevision: 0 }
+const ARCHIVE_ATTEMPTS = 3
+
+export class ConfigRecords {
+  public constructor (private readonly _store: IKeyValueStore, private readonly _maxHistory: number) {}
+
+  public async current (kind: ConfigKind, name: string): Outcome<IStoredEntry> {
+    return this._read(configKey(kind, name))
+  }
+
+  /** The kept revisions, the current one included, oldest first. */
+  public async history (kind: ConfigKind, name: string): Outcome<readonly IConfigEntry[]> {
+    const earlier = await this._store.range(historyPrefix(kind, name))
+    if (earlier.isErr()) return err(earlier.error)
+    const current = await this.current(kind, name)
+    if (current.isErr()) return err(current.error)
+    const entries = new Map(earlier.value.records.flatMap(readable).map(entry => [entry.revision, entry]))
+    const { entry } = current.value
+    if (entry !== undefined) entries.set(entry.revision, entry)
+    return ok([...entries.values()].sort((a, b) => a.revision - b.revision))
+  }
+
+  /** One revision, current or earlier; absent when it never was or is no longer kept. */
+  public async revision (kind: ConfigKind, name: string, revision: number): Outcome<IConfigEntry | undefined> {
+    const earlier = await this._read(historyKey(kind, name, revision))
+    if (earlier.isErr()) return err(earlier.error)
+    if (earlier.value.entry !== undefined) return ok(earlier.value.entry)
+    const current = await this.current(kind, name)
+    return current.map(({ entry }) => entry?.revision === revision ? entry : undefined)
+  }
+
+  /**
+   * Keeps an entry before another one takes its place. Done first, because a process that dies between the two
+   * writes would else leave a hole in the history; and a writer that lost its answer finds here whether its revision
+   * was in force before somebody else's.
+   *
+   * Repeating it is safe: the record is created once and its content is the same whoever writes it.
+   */
+  public async archive (entry: IConfigEntry): Outcome<void> {
+    const key = historyKey(entry.kind, entry.name, entry.revision)
+    for (let attempt = 1; ; attempt++) {
+      const written = await this._store.compareAndSwap(key, 0, encodeEntry(entry))
+      if (written.isOk() || written.error instanceof ConflictError) return ok(undefined)
+      if (!(written.error instanceof AmbiguousError)) return err(written.error)
+      if (attempt === ARCHIVE_ATTEMPTS) return err(notChanged(key, written.error))
+    }
+  }
+
+  /** Drops the revision that has become too old to keep. What fails here leaves one record too many. */
+  public async prune (kind: ConfigKind, name: string, newestRevision: number): Promise<void> {
+    const key = historyKey(kind, name, newestRevision - this._maxHistory)
+    if (newestRevision <= this._maxHistory) return
+    const record = await this._store.get(key)
+    const modRevision = record.isOk() ? record.value?.modRevision : undefined
+    if (modRevision !== undefined) await this._store.compareAndSwap(key, modRevision, undefined)
+  }
+
+  private async _read (key: string): Outcome<IStoredEntry> {
+    const record = await this._store.get(key)
+    if (record.isErr()) return err(record.error)
+    if (record.value === undefined) return ok(NEVER_EXISTED)
+    const { modRevision, value } = record.value
+    return decodeEntry(key, value).map(entry => ({ entry, modRevision }))
+  }
+}
+
+function readable (record: IStoreRecord): readonly IConfigEntry[] {
+  return decodeEntry(record.key, record.value).match(entry => [entry], () => [])
+}
+
+/** The entry itself wasn't touched yet, so what is ambiguous about its history leaves the edit undone for certain. */
+function notChanged (key: string, cause: AmbiguousError): UnreachableError {
+  return new UnreachableError('config.archive', key, 'the store did not confirm the history; nothing was changed', { cause })
+}
