--- /dev/null
+++ b/bin/jackdawreel-gateway.ts
@@ -0,0 +1,12 @@
+#!/usr/bin/env node
+/**
+ * The gateway's binary: `jackdawreel-gateway --config FILE`.
+ */
+
+import { GatewayDaemon } from '../src/daemon/GatewayDaemon.js'
+import { runDaemon } from '../src/daemon/runDaemon.js'
+
+await runDaemon(async (settings) => {
+  if (settings.caller === undefined) throw new Error('[caller] is missing: a gateway needs an address for its callers')
+  return await GatewayDaemon.create(settings, settings.caller)
+})
--- /dev/null
+++ b/scripts/try.ts
@@ -0,0 +1,96 @@
+/**
+ * `npm run try`: starts a small cell as separate processes, sends every kind of request of both deployments and bad
+ * input, prints one JSON line per outcome, and stops everything gracefully.
+ */
+
+import { randomBytes } from 'node:crypto'
+
+import { CallerClient } from '../test/support/CallerClient.js'
+import { Cell } from '../test/support/Cell.js'
+import { configureExamples } from '../test/support/Configure.js'
+
+import type { ICall, IReply } from '../test/support/CallerClient.js'
+
+const SERVICES = ['chip-lookup', 'neighbour-broadcast', 'sighting-sweep', 'pivot-stop', 'pivot-start', 'season-budget', 'sector-sweep']
+const BODY_BYTES = 1024 * 1024
+const CONFIG_LIMIT_MS = 5000
+
+let served = 0
+let failed = 0
+
+function report (kind: string, expected: boolean, reply: IReply, detail: Readonly<Record<string, unknown>> = {}): void {
+  if (expected) served += 1
+  else failed += 1
+  const { outcome, waitMs = 0, upstream = '', region = '' } = reply
+  process.stdout.write(JSON.stringify({ kind, outcome, status: reply.status, waitMs, upstream, region, ...detail, ok: expected }) + '\n')
+}
+
+async function sendAll (clients: readonly CallerClient[]): Promise<void> {
+  let number = 0
+  for (const service of SERVICES) {
+    for (const client of clients) {
+      number += 1
+      const body = randomBytes(number % 2 === 0 ? BODY_BYTES : 100)
+      const call: ICall = { service, caller: `caller-${number}`, requestId: `try-${number}`, body, contentType: 'application/x-sample' }
+      const reply = await client.send(call)
+      report(service, reply.outcome === 'done' && reply.body.equals(body) && reply.contentType === call.contentType, reply)
+    }
+  }
+}
+
+async function sendRepeat (first: CallerClient, second: CallerClient): Promise<void> {
+  const call: ICall = { service: 'pivot-start', caller: 'crew-1', requestId: 'start-7', idempotent: false, body: 'north pivot' }
+  const replies = await Promise.all([first.send(call), second.send(call)])
+  const same = replies.every((reply) => reply.outcome === 'done') && replies[0]?.upstream === replies[1]?.upstream
+  for (const reply of replies) report('repeated pivot-start', same, reply)
+}
+
+async function sendBadInput (client: CallerClient): Promise<void> {
+  const headers = { 'x-jackdawreel-caller': 'c', 'x-jackdawreel-request-id': 'bad' }
+  const cases: ReadonlyArray<readonly [string, number, Record<string, string>, string, Buffer | string]> = [
+    ['unknown service', 404, headers, 'no-such-service', ''],
+    ['missing caller', 400, { 'x-jackdawreel-request-id': 'bad' }, 'chip-lookup', ''],
+    ['bad deadline', 400, { ...headers, 'x-jackdawreel-deadline-ms': 'soon' }, 'chip-lookup', ''],
+    ['oversize body', 413, headers, 'chip-lookup', Buffer.alloc(8 * BODY_BYTES)]
+  ]
+  for (const [kind, status, sent, service, body] of cases) {
+    const reply = await client.raw('POST', `/v1/requests/${service}`, sent, body)
+    report(kind, reply.status === status && reply.outcome === 'refused', reply, JSON.parse(reply.body.toString()) as Record<string, unknown>)
+  }
+}
+
+async function untilConfigured (clients: readonly CallerClient[]): Promise<void> {
+  const untilMs = performance.now() + CONFIG_LIMIT_MS
+  for (const client of clients) {
+    for (let number = 0; ; number++) {
+      const reply = await client.send({ service: 'sector-sweep', caller: 'warm-up', requestId: `warm-up-${number}`, idempotent: true })
+      if (reply.outcome === 'done') break
+      if (performance.now() > untilMs) throw new Error(`not served after ${CONFIG_LIMIT_MS} ms: ${reply.status} ${reply.body.toString()}`)
+      await new Promise((resolve) => setTimeout(resolve, 50))
+    }
+  }
+}
+
+async function main (): Promise<void> {
+  const cell = await Cell.start()
+  try {
+    await configureExamples(cell.storeUrl)
+    const clients = cell.gateways().slice(0, 2).map((gateway) => new CallerClient(gateway.url))
+    await untilConfigured(clients)
+    await sendAll(clients)
+    await sendRepeat(clients[0] as CallerClient, clients[1] as CallerClient)
+    await sendBadInput(clients[0] as CallerClient)
+    await Promise.all(clients.map(async (client) => { await client.close() }))
+    for (const [processId, end] of await cell.stopDaemons()) {
+      if (end === 0) continue
+      failed += 1
+      process.stderr.write(`${processId} ended with ${end}\n`)
+    }
+  } finally {
+    await cell.dispose()
+  }
+  process.stdout.write(JSON.stringify({ served, failed }) + '\n')
+  process.exitCode = failed === 0 ? 0 : 1
+}
+
+await main()
--- /dev/null
+++ b/src/daemon/DaemonCore.ts
@@ -0,0 +1,82 @@
+/**
+ * What a gateway and a scheduler have in common: settings in, then clock, log, links, store, configuration and the
+ * knowledge of the other processes.
+ */
+
+import { randomBytes, randomInt } from 'node:crypto'
+import xxhash from 'xxhash-wasm'
+import { SystemClock } from '../common/Clock.js'
+import { ConfigReplica } from '../common/config/ConfigReplica.js'
+import { DisposableStore } from '../common/Emitter.js'
+import { SeededRandom } from '../common/Random.js'
+import { AttemptIds, IdHasher } from '../common/requests/AttemptIds.js'
+import { SchedulerRouter } from '../common/routing/SchedulerRouter.js'
+import { PeerHub } from '../peer/PeerHub.js'
+import { ConfigWatcher } from '../platform/config/ConfigWatcher.js'
+import { KEY_VALUE_DEFAULTS, KeyValueClient } from '../platform/KeyValueClient.js'
+import { Logger } from '../platform/Logger.js'
+import { ConfigExchange } from './ConfigExchange.js'
+
+import type { IProcessIdentity } from '../common/Types.js'
+import type { ISettings } from '../platform/settings/Types.js'
+
+const MAX_SEED = 0x7fffffff
+const CONFIG_RETRY_MS = 1000
+const NONCE_BYTES = 9
+
+export class DaemonCore {
+  public readonly clock = new SystemClock()
+  public readonly random = new SeededRandom(randomInt(MAX_SEED))
+  public readonly config = new ConfigReplica()
+  public readonly disposables = new DisposableStore()
+  public readonly log: Logger
+  public readonly hub: PeerHub
+  public readonly store: KeyValueClient
+  public readonly router: SchedulerRouter
+  public readonly attemptIds: AttemptIds
+  public readonly watcher: ConfigWatcher
+  private readonly _exchange: ConfigExchange
+
+  private constructor (public readonly settings: ISettings, public readonly self: IProcessIdentity, public readonly hasher: IdHasher) {
+    const { clock, random } = this
+    this.log = new Logger(clock, { processId: self.processId, level: settings.log.level, maxLinesPerSecond: settings.log.maxLinesPerSecond })
+    this.hub = new PeerHub(self, peerOptions(settings), { clock, timers: clock, random, log: this.log })
+    this.store = new KeyValueClient({ ...KEY_VALUE_DEFAULTS, url: settings.store.url, callTimeoutMs: settings.store.callTimeoutMs }, clock, random)
+    this.router = new SchedulerRouter(self.region, random)
+    this.attemptIds = new AttemptIds(self)
+    this.watcher = new ConfigWatcher(this.store, this.config, clock, this.log, {
+      retryMs: CONFIG_RETRY_MS,
+      entriesOfPeers: async () => await this._exchange.entriesOfPeers()
+    })
+    this._exchange = this.disposables.add(new ConfigExchange(this.hub, this.config, this.watcher, clock))
+    this.disposables.add(this.watcher)
+    this._followLoad()
+  }
+
+  public static async create (settings: ISettings): Promise<DaemonCore> {
+    const { h32, h64ToString } = await xxhash()
+    const hasher = new IdHasher((text) => h64ToString(text), (text) => h32(text), settings.ids.idShards)
+    const self: IProcessIdentity = {
+      processId: settings.process.id,
+      incarnation: Date.now(),
+      region: settings.process.region,
+      failureDomain: settings.process.failureDomain
+    }
+    return new DaemonCore(settings, self, hasher)
+  }
+
+  /** Unique for each write of this process, so that it recognises its own after a lost answer. */
+  public nonce (): string {
+    return randomBytes(NONCE_BYTES).toString('base64url')
+  }
+
+  private _followLoad (): void {
+    this.disposables.add(this.hub.listen('loadSummary', (summary) => this.router.noteSummary(summary)))
+    this.disposables.add(this.hub.onLost((peer) => this.router.forget(peer.processId)))
+  }
+}
+
+function peerOptions (settings: ISettings): ConstructorParameters<typeof PeerHub>[1] {
+  const { listen, sharedKey, heartbeatMs, silenceMs, maxMessageBytes } = settings.peer
+  return { listenIp: listen.ip, listenPort: listen.port, sharedKey, heartbeatMs, silenceLimitMs: silenceMs, maxFrameBytes: maxMessageBytes }
+}
--- /dev/null
+++ b/src/daemon/runDaemon.ts
@@ -0,0 +1,56 @@
+/**
+ * The life of a process: settings from a file, start, a line that says where it serves, and a graceful stop on SIGTERM.
+ */
+
+import { readFileSync } from 'node:fs'
+import { parseArgs } from 'node:util'
+import { SettingsLoader } from '../platform/settings/SettingsLoader.js'
+
+import type { ISettings } from '../platform/settings/Types.js'
+import type { IDaemon } from './Types.js'
+
+/** Exit codes, as docs/OPERATING.md lists them. */
+const EXIT_SETTINGS = 2
+const EXIT_START = 3
+const EXIT_STOP = 4
+
+export async function runDaemon (create: (settings: ISettings) => Promise<IDaemon>): Promise<void> {
+  const { values } = parseArgs({ options: { config: { type: 'string' } } })
+  const settings = loadSettings(values.config)
+  const daemon = await orExit(EXIT_START, async () => await create(settings))
+  const url = await orExit(EXIT_START, async () => await daemon.start())
+  process.once('SIGTERM', () => { stop(daemon) })
+  process.once('SIGINT', () => { stop(daemon) })
+  process.stdout.write(JSON.stringify({ ready: true, url, processId: settings.process.id }) + '\n')
+}
+
+function loadSettings (path: string | undefined): ISettings {
+  if (path === undefined) exit(EXIT_SETTINGS, 'name the settings file with --config FILE')
+  let text = ''
+  try {
+    text = readFileSync(path, 'utf8')
+  } catch {
+    exit(EXIT_SETTINGS, `the settings file ${path} can't be read`)
+  }
+  const settings = new SettingsLoader().load(text)
+  if (settings.isErr()) exit(EXIT_SETTINGS, settings.error.message)
+  return settings.value
+}
+
+async function stop (daemon: IDaemon): Promise<void> {
+  await orExit(EXIT_STOP, async () => { await daemon.stop() })
+  process.exit(0)
+}
+
+async function orExit<T> (code: number, action: () => Promise<T>): Promise<T> {
+  try {
+    return await action()
+  } catch (error) {
+    return exit(code, error instanceof Error ? error.message : String(error))
+  }
+}
+
+function exit (code: number, message: string): never {
+  process.stderr.write(`${message}\n`)
+  process.exit(code)
+}
--- a/src/platform/RunnerClient.ts
+++ b/src/platform/RunnerClient.ts
@@ -64,13 +64,13 @@
     return sendCommand(this._connections(host).control, command, runnerStatus)
   }
 
-  /** Calls in progress on its connections end as ambiguous. */
+  /** Calls in progress go on: a shard that changes hands must not cut them off. Their own timeouts bound them. */
   public forget (hostId: string): void {
     const connections = this._hosts.get(hostId)
     if (connections === undefined) return
     this._hosts.delete(hostId)
-    connections.calls.destroy().catch(() => {})
-    connections.control.destroy().catch(() => {})
+    connections.calls.close().catch(() => {})
+    connections.control.close().catch(() => {})
   }
 
   public dispose (): void {
--- a/src/platform/settings/SettingsDefaults.ts
+++ b/src/platform/settings/SettingsDefaults.ts
@@ -36,6 +36,7 @@
     maxHeaderCount: 64,
     headersTimeoutMs: 10 * SECOND_MS,
     drainMs: 30 * SECOND_MS,
+    drainNoticeMs: 3 * SECOND_MS,
     maxDumpBytes: MIB
   },
   ids: {
--- a/src/platform/settings/SettingsSchema.ts
+++ b/src/platform/settings/SettingsSchema.ts
@@ -59,6 +59,7 @@
     maxHeaderCount: wholeNumber(8, 1000, 'headers').default(limits.maxHeaderCount),
     headersTimeoutMs: wholeNumber(100, 300_000, 'milliseconds').default(limits.headersTimeoutMs),
     drainMs: wholeNumber(0, HOUR_MS, 'milliseconds').default(limits.drainMs),
+    drainNoticeMs: wholeNumber(0, HOUR_MS, 'milliseconds').default(limits.drainNoticeMs),
     maxDumpBytes: wholeNumber(KIB, 64 * MIB, 'bytes').default(limits.maxDumpBytes)
   }),
   ids: z.strictObject({
--- a/src/platform/settings/Types.ts
+++ b/src/platform/settings/Types.ts
@@ -80,6 +80,8 @@
   readonly headersTimeoutMs: number
   /** How long a planned stop waits for work in flight, in milliseconds. */
   readonly drainMs: number
+  /** How long a stopping gateway still takes connections, until the balancer has seen its health check fail, in milliseconds. */
+  readonly drainNoticeMs: number
   /** The largest state dump, in bytes. */
   readonly maxDumpBytes: number
 }
--- /dev/null
+++ b/test/support/CallerClient.ts
@@ -0,0 +1,70 @@
+/**
+ * A caller for tests, scripts and benches: sends requests and jobs over HTTP and reads the final answer.
+ */
+
+import { Pool } from 'undici'
+
+export interface ICall {
+  readonly service: string
+  readonly caller: string
+  readonly requestId: string
+  readonly idempotent?: boolean
+  readonly deadlineMs?: number
+  readonly contentType?: string
+  readonly body?: Uint8Array | string
+}
+
+export interface IReply {
+  readonly status: number
+  readonly outcome: string
+  readonly reason: string | undefined
+  readonly upstream: string | undefined
+  readonly region: string | undefined
+  readonly waitMs: number | undefined
+  readonly retryAfterMs: number | undefined
+  readonly contentType: string | undefined
+  readonly body: Buffer
+  readonly totalMs: number
+}
+
+export class CallerClient {
+  private readonly _pool: Pool
+
+  public constructor (url: string, connections = 64) {
+    this._pool = new Pool(url, { connections, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 })
+  }
+
+  /** Rejects when the connection breaks before the whole answer. */
+  public async send (call: ICall): Promise<IReply> {
+    const headers: Record<string, string> = { 'x-jackdawreel-caller': call.caller, 'x-jackdawreel-request-id': call.requestId }
+    if (call.idempotent !== undefined) headers['x-jackdawreel-idempotent'] = String(call.idempotent)
+    if (call.deadlineMs !== undefined) headers['x-jackdawreel-deadline-ms'] = String(call.deadlineMs)
+    headers['content-type'] = call.contentType ?? 'application/octet-stream'
+    return await this.raw('POST', `/v1/requests/${call.service}`, headers, call.body)
+  }
+
+  public async raw (
+    method: 'GET' | 'POST' | 'DELETE', path: string, headers: Record<string, string> = {}, body?: Uint8Array | string): Promise<IReply> {
+    const startedAtMs = performance.now()
+    const answer = await this._pool.request({ method, path, headers, ...(body === undefined ? {} : { body }) })
+    const bytes = Buffer.from(await answer.body.arrayBuffer())
+    const header = (name: string): string | undefined => answer.headers[name]?.toString()
+    const number = (name: string): number | undefined => header(name) === undefined ? undefined : Number(header(name))
+    return {
+      status: answer.statusCode,
+      outcome: header('x-jackdawreel-outcome') ?? 'none',
+      reason: header('x-jackdawreel-reason'),
+      upstream: header('x-jackdawreel-upstream'),
+      region: header('x-jackdawreel-region'),
+      waitMs: number('x-jackdawreel-wait-ms'),
+      retryAfterMs: number('x-jackdawreel-retry-after-ms'),
+      contentType: header('content-type'),
+      body: bytes,
+      totalMs: performance.now() - startedAtMs
+    }
+  }
+
+  public async close (): Promise<void> {
+    await this._pool.close()
+  }
+}
--- /dev/null
+++ b/test/support/Cell.ts
@@ -0,0 +1,214 @@
+/**
+ * A whole cell on loopback for tests, scripts and benches: stand-ins for the platform and the hosts, and the real
+ * gateways and schedulers, each a process of its own on a free port.
+ */
+
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { request } from 'undici'
+
+import { startProcess } from './Processes.js'
+
+import type { IHostRecord } from '../../src/platform/Types.js'
+import type { ProcessHandle } from './Processes.js'
+
+export interface ICellOptions {
+  readonly regions: readonly string[]
+  readonly gatewaysPerRegion: number
+  readonly schedulersPerRegion: number
+  readonly runnersPerRegion: number
+  readonly workersPerRegion: number
+  readonly hostsPerRack: number
+  readonly slots: number
+  readonly worker: { readonly cores: number, readonly memoryBytes: number, readonly accelerators: number }
+  /** Further lines for the settings of every process, by section. */
+  readonly settings: Readonly<Record<string, Readonly<Record<string, string | number>>>>
+  readonly nodeArgs: readonly string[]
+}
+
+export const TRY_CELL: ICellOptions = {
+  regions: ['lakes-west', 'lakes-east', 'lakes-north'],
+  gatewaysPerRegion: 1,
+  schedulersPerRegion: 1,
+  runnersPerRegion: 4,
+  workersPerRegion: 4,
+  hostsPerRack: 4,
+  slots: 8,
+  worker: { cores: 64, memoryBytes: 128 * 2 ** 30, accelerators: 2 },
+  settings: {},
+  nodeArgs: []
+}
+
+const SHARED_KEY = 'a-shared-key-for-tests-only'
+const OPERATOR_TOKEN = 'an-operator-token-for-tests-only'
+const READY_LIMIT_MS = 20_000
+const POLL_MS = 50
+
+export interface ICellProcess {
+  readonly processId: string
+  readonly region: string
+  readonly role: 'gateway' | 'scheduler'
+  readonly url: string
+  readonly handle: ProcessHandle
+}
+
+export class Cell {
+  public readonly processes: ICellProcess[] = []
+  public readonly hosts: IHostRecord[] = []
+  public storeUrl = ''
+  public hostListUrl = ''
+  private readonly _standIns: ProcessHandle[] = []
+  private readonly _folder = mkdtempSync(join(tmpdir(), 'jackdawreel-'))
+
+  private constructor (public readonly options: ICellOptions) {}
+
+  /** Starts everything; settles when every gateway says that it is healthy. */
+  public static async start (options: Partial<ICellOptions> = {}): Promise<Cell> {
+    const cell = new Cell({ ...TRY_CELL, ...options })
+    await cell._startPlatform()
+    await Promise.all(cell.options.regions.map(async (region) => { await cell._startHosts(region) }))
+    await cell._tellHosts()
+    const { gatewaysPerRegion, schedulersPerRegion, regions } = cell.options
+    for (const region of regions) {
+      for (let index = 0; index < schedulersPerRegion; index++) await cell.startDaemon('scheduler', region, `scheduler-${region}-${index}`)
+      for (let index = 0; index < gatewaysPerRegion; index++) await cell.startDaemon('gateway', region, `gateway-${region}-${index}`)
+    }
+    await cell.untilHealthy()
+    return cell
+  }
+
+  public gateways (): readonly ICellProcess[] {
+    return this.processes.filter((process) => process.role === 'gateway' && process.handle.running)
+  }
+
+  public schedulers (): readonly ICellProcess[] {
+    return this.processes.filter((process) => process.role === 'scheduler' && process.handle.running)
+  }
+
+  /** Starts one gateway or scheduler and waits until it serves. */
+  public async startDaemon (role: 'gateway' | 'scheduler', region: string, processId: string): Promise<ICellProcess> {
+    const file = join(this._folder, `${processId}.ini`)
+    writeFileSync(file, this._ini(role, region, processId))
+    const handle = startProcess(`bin/jackdawreel-${role}.js`, ['--config', file], this.options.nodeArgs)
+    const { url } = await handle.ready
+    const process = { processId, region, role, url, handle }
+    const old = this.processes.findIndex((other) => other.processId === processId)
+    if (old >= 0) this.processes.splice(old, 1)
+    this.processes.push(process)
+    return process
+  }
+
+  /** Waits until every running gateway's health check passes and all runners are in use. */
+  public async untilHealthy (): Promise<void> {
+    const untilMs = performance.now() + READY_LIMIT_MS
+    for (const gateway of this.gateways()) {
+      while (!await isHealthy(gateway.url)) {
+        if (performance.now() > untilMs) throw new Error(`${gateway.processId} is not healthy after ${READY_LIMIT_MS} ms`)
+        await new Promise((resolve) => setTimeout(resolve, POLL_MS))
+      }
+    }
+  }
+
+  public async control (url: string, settings: unknown): Promise<void> {
+    const answer = await request(`${url}/control`, { method: 'POST', body: JSON.stringify(settings) })
+    await answer.body.dump()
+  }
+
+  public async dump<T> (url: string): Promise<T> {
+    const answer = await request(`${url}/dump`)
+    return await answer.body.json() as T
+  }
+
+  /** Stops the daemons gracefully; gives how each ended. */
+  public async stopDaemons (): Promise<ReadonlyMap<string, number | string>> {
+    const ends = new Map<string, number | string>()
+    await Promise.all([...this.gateways(), ...this.schedulers()].map(async ({ processId, handle }) => { ends.set(processId, await handle.stop()) }))
+    return ends
+  }
+
+  /** Ends whatever still runs. */
+  public async dispose (): Promise<void> {
+    const running = [...this.processes.map((process) => process.handle), ...this._standIns].filter((handle) => handle.running)
+    await Promise.all(running.map(async (handle) => await handle.kill()))
+    rmSync(this._folder, { recursive: true, force: true })
+  }
+
+  private async _startPlatform (): Promise<void> {
+    this.storeUrl = (await this._standIn('kv', [])).url
+    this.hostListUrl = (await this._standIn('hostList', ['--lag-ms', '200'])).url
+  }
+
+  private async _startHosts (region: string): Promise<void> {
+    const { runnersPerRegion, workersPerRegion, slots, worker } = this.options
+    if (runnersPerRegion > 0) {
+      const runners = await this._standIn('runner', ['--count', String(runnersPerRegion), '--host-id', `runner-${region}`, '--slots', String(slots)])
+      this._addHosts('runner', region, runners.urls)
+    }
+    if (workersPerRegion === 0) return
+    const capacity = ['--cores', String(worker.cores), '--memory-bytes', String(worker.memoryBytes), '--accelerators', String(worker.accelerators)]
+    const workers = await this._standIn('worker', ['--count', String(workersPerRegion), '--host-id', `worker-${region}`, ...capacity])
+    this._addHosts('worker', region, workers.urls)
+  }
+
+  private async _standIn (name: string, args: readonly string[]): Promise<{ readonly url: string, readonly urls: readonly string[] }> {
+    const handle = startProcess(`test/standins/${name}.js`, args)
+    this._standIns.push(handle)
+    const { url, urls } = await handle.ready
+    return { url, urls: urls ?? [url] }
+  }
+
+  private _addHosts (kind: 'runner' | 'worker', region: string, urls: readonly string[]): void {
+    urls.forEach((url, index) => {
+      const suffix = urls.length > 1 ? `-${index}` : ''
+      this.hosts.push({
+        hostId: `${kind}-${region}${suffix}`,
+        kind,
+        url,
+        region,
+        failureDomain: region,
+        rack: `${region}-rack-${Math.floor(index / this.options.hostsPerRack)}`,
+        state: 'live',
+        slots: this.options.slots,
+        maxConnections: 60,
+        capacity: this.options.worker
+      })
+    })
+  }
+
+  private async _tellHosts (): Promise<void> {
+    await this.control(this.hostListUrl, { put: this.hosts })
+  }
+
+  private _ini (role: 'gateway' | 'scheduler', region: string, processId: string): string {
+    const sections: Record<string, Record<string, string | number>> = {
+      process: { id: processId, role, region, failureDomain: region },
+      cell: { regions: this.options.regions.join(', ') },
+      operator: { listen: '127.0.0.1:0', token: OPERATOR_TOKEN },
+      peer: { listen: '127.0.0.1:0', sharedKey: SHARED_KEY, heartbeatMs: 500, silenceMs: 2000 },
+      store: { url: this.storeUrl, callTimeoutMs: 1000, leaseTtlMs: 3000 },
+      hostList: { url: this.hostListUrl, pollMs: 500 },
+      limits: { drainNoticeMs: 500 },
+      ids: { idShards: 8, storeWritesPerSecond: 200 }
+    }
+    if (role === 'gateway') sections.caller = { listen: '127.0.0.1:0' }
+    for (const [name, keys] of Object.entries(this.options.settings)) {
+      if (name !== 'caller' || role === 'gateway') sections[name] = { ...sections[name], ...keys }
+    }
+    return Object.entries(sections).map(([name, keys]) => `[${name}]\n${lines(keys)}\n`).join('\n')
+  }
+}
+
+function lines (keys: Readonly<Record<string, string | number>>): string {
+  return Object.entries(keys).map(([key, value]) => `${key} = ${value}\n`).join('')
+}
+
+async function isHealthy (url: string): Promise<boolean> {
+  try {
+    const answer = await request(`${url}/v1/health`)
+    await answer.body.dump()
+    return answer.statusCode === 200
+  } catch {
+    return false
+  }
+}
