Retire a surplus connection instead of ending it

Cause: when both sides dial at once and the peer's connection becomes ready here first, our own dial's welcome was answered by ending that connection, while the peer had installed it and could have calls on it: they ended as ambiguous. Ruled out: late replies and heartbeats (the failure came within 10 ms of linking). The test stands unchanged.

--- a/src/peer/PeerHub.ts
+++ b/src/peer/PeerHub.ts
@@ -15,6 +15,7 @@
 import { HandlerTable } from './HandlerTable.js'
 import { AwakeClock } from './HeartbeatMonitor.js'
 import { LinkTable } from './LinkTable.js'
+import type { Admission } from './LinkTable.js'
 import { Opening } from './Opening.js'
 import { PeerCounters } from './PeerCounters.js'
 import type { IDialContext } from './PeerDialler.js'
@@ -202,8 +203,8 @@
 
   private _welcome (peer: IProcessIdentity, welcome: Uint8Array, webSocket: WebSocket, tcp: Socket): void {
     const admission = this._links.admit(peer, false)
-    if (admission.kind === 'refused' || this._closing) {
-      webSocket.send(Handshake.refusal(admission.kind === 'refused' ? admission.reason : 'closing'))
+    if (admission.kind !== 'admitted' || this._closing) {
+      webSocket.send(Handshake.refusal(refusalReason(admission)))
       webSocket.close()
       this._timers.after(CLOSE_FLUSH_MS, () => webSocket.terminate())
       return
@@ -212,12 +213,23 @@
     this._install(new PeerLink(peer, false, new PeerSocket(webSocket, tcp), this._linkContext), admission.replaced, admission.atOnce)
   }
 
+  /**
+   * The peer has installed this connection when it welcomed it, and may have calls on it already. When the one that
+   * the peer dialled became ready first here, ending this one at once would make those calls ambiguous; so it is
+   * retired, and closes when they have their replies.
+   */
   private _onDialled (peer: IProcessIdentity, webSocket: WebSocket, tcp: Socket): void {
     const admission = this._links.admit(peer, true)
     if (admission.kind === 'refused' || this._closing) {
       webSocket.terminate()
       return
     }
+    if (admission.kind === 'surplus') {
+      const surplus = new PeerLink(peer, true, new PeerSocket(webSocket, tcp), this._linkContext)
+      this._open.add(surplus)
+      surplus.retire(admission.standing)
+      return
+    }
     this._install(new PeerLink(peer, true, new PeerSocket(webSocket, tcp), this._linkContext), admission.replaced, admission.atOnce)
   }
 
@@ -266,3 +278,11 @@
     timer?.dispose()
   }
 }
+
+function refusalReason (admission: Admission<PeerLink>): string {
+  switch (admission.kind) {
+    case 'refused': return admission.reason
+    case 'surplus': return 'a link stands already'
+    case 'admitted': return 'closing'
+  }
+}
