Policy: empty hosts for all-at-once jobs instead of waiting for a gap

Ruled out: its turn (the profile was below its floor, so it came first) and the order of tries. Change: a claim on a host that gets nothing new until the claim is met; one group claims at a time and a host is claimed by one group only; work that ends in time is let in.

--- /dev/null
+++ b/bench/decisions/TaskScenarios.ts
@@ -0,0 +1,146 @@
+/**
+ * Scenarios of tasks on 30 workers of 64 cores and 128 GiB.
+ */
+
+import { SeededRandom } from '../../src/common/Random.js'
+import { arrivalsOf, GIB, hostsOf, logNormal, merge, pick, profileOf } from './Arrivals.js'
+
+import type { IRandom, IResources } from '../../src/common/Types.js'
+import type { IStream } from './Arrivals.js'
+import type { IArrival, IScenario } from './Types.js'
+
+const WORKERS = 30
+const WORKER: IResources = { cores: 64, memoryBytes: 128 * GIB, accelerators: 0 }
+const TOTAL_CORES = WORKERS * WORKER.cores
+
+const BATCH = profileOf({ name: 'batch', priorityClass: 'patient' })
+const SERVICE = profileOf({ name: 'service', priorityClass: 'normal', floorShare: 0.1 })
+const WHOLE = profileOf({ name: 'whole', priorityClass: 'normal', allAtOnce: true, weight: 1 })
+const STOPS = profileOf({ name: 'stops', priorityClass: 'urgent', deadlineMs: 10_000 })
+const FILLER = profileOf({ name: 'filler', priorityClass: 'patient', preemptible: true, floorShare: 0.1 })
+
+/** Most tasks are small; the mean is near 2.9 cores. Memory goes from 1 to 4 GiB a core. */
+function mixedSize (random: IRandom): IResources {
+  const cores = pick(random, [[0.5, 30], [1, 25], [2, 18], [4, 14], [8, 9], [16, 3], [32, 1]])
+  return { cores, memoryBytes: Math.round(cores * (1 + 1.8 * random.next()) * GIB), accelerators: 0 }
+}
+
+const MEAN_CORES = (0.5 * 30 + 25 + 2 * 18 + 4 * 14 + 8 * 9 + 16 * 3 + 32) / 100
+
+/** Tasks a second that fill the cores to `load`, at this mean size and run time. */
+function ratePerSecond (load: number, cores: number, runMs: number): number {
+  return load * TOTAL_CORES / cores / (runMs / 1_000)
+}
+
+function stream (changes: Partial<IStream> & Pick<IStream, 'name' | 'profile' | 'perSecond'>): IStream {
+  return {
+    caller: (random) => `caller-${Math.floor(random.next() * 10)}`,
+    fromMs: 0,
+    untilMs: 300_000,
+    runMs: (random) => logNormal(random, 20_000, 1),
+    resources: mixedSize,
+    hasDeadline: false,
+    ...changes
+  }
+}
+
+function scenario (name: string, seed: number, arrivals: readonly IArrival[], changes: Partial<IScenario> = {}): IScenario {
+  return {
+    name,
+    kind: 'resources',
+    hosts: hostsOf(WORKERS, WORKER),
+    arrivals,
+    measuredFromMs: 60_000,
+    untilMs: 300_000,
+    starvedAfterMs: 200_000,
+    seed,
+    ...changes
+  }
+}
+
+function mixed (load: number): IStream {
+  return stream({ name: 'mixed', profile: BATCH, perSecond: ratePerSecond(load, MEAN_CORES, 20_000) })
+}
+
+function mixedSizes (seed: number): IScenario {
+  return scenario('mixed-sizes', seed, arrivalsOf(mixed(1.4), new SeededRandom(seed)))
+}
+
+/** Jobs of 8 to 24 tasks of 8 cores each. */
+function groups (load: number, untilMs = 300_000): IStream {
+  return stream({
+    name: 'whole',
+    profile: WHOLE,
+    perSecond: ratePerSecond(load, 16 * 8, 20_000),
+    untilMs,
+    resources: () => ({ cores: 8, memoryBytes: 12 * GIB, accelerators: 0 }),
+    groupSize: (random) => 8 + Math.floor(17 * random.next())
+  })
+}
+
+function mixedWithGroups (seed: number): IScenario {
+  const random = new SeededRandom(seed)
+  return scenario('mixed-sizes-with-jobs', seed, merge(arrivalsOf(mixed(1.1), random), arrivalsOf(groups(0.3), random)))
+}
+
+/** A job of half the hosts each 30 s, amid small tasks that fill the hosts by themselves. */
+function groupsAmongSmall (seed: number): IScenario {
+  const random = new SeededRandom(seed)
+  const small = stream({
+    name: 'small',
+    profile: SERVICE,
+    perSecond: ratePerSecond(1.1, 1, 3_000),
+    runMs: (r) => logNormal(r, 3_000, 0.7),
+    resources: () => ({ cores: 1, memoryBytes: 2 * GIB, accelerators: 0 })
+  })
+  const large = stream({
+    name: 'whole',
+    profile: WHOLE,
+    perSecond: 1 / 30,
+    untilMs: 250_000,
+    runMs: (r) => logNormal(r, 5_000, 0.3),
+    resources: () => ({ cores: 32, memoryBytes: 60 * GIB, accelerators: 0 }),
+    groupSize: () => WORKERS
+  })
+  return scenario('jobs-among-small-tasks', seed, merge(arrivalsOf(small, random), arrivalsOf(large, random)))
+}
+
+/** Declared run times and sizes are off by up to ten, either way. */
+function wrongSizes (seed: number): IScenario {
+  const random = new SeededRandom(seed)
+  const off = (r: IRandom): number => 10 ** (2 * r.next() - 1)
+  const wrong: IStream = {
+    ...mixed(0.9),
+    declaredRunMs: (runMs, r) => runMs * off(r),
+    usage: (declared, r) => {
+      const factor = Math.min(off(r), WORKER.cores / declared.cores / 2)
+      return { cores: declared.cores * factor, memoryBytes: declared.memoryBytes * Math.min(factor, 1.5), accelerators: 0 }
+    }
+  }
+  return scenario('sizes-off-by-10', seed, arrivalsOf(wrong, random))
+}
+
+function impossible (seed: number): IScenario {
+  const random = new SeededRandom(seed)
+  const never = stream({ name: 'never', profile: BATCH, perSecond: 5, resources: () => ({ cores: 65, memoryBytes: GIB, accelerators: 0 }) })
+  return scenario('can-never-run', seed, merge(arrivalsOf(mixed(0.8), random), arrivalsOf(never, random)))
+}
+
+/** Hosts full of preemptible work of minutes when urgent tasks arrive. */
+function urgentAmongLong (seed: number): IScenario {
+  const random = new SeededRandom(seed)
+  const filler = stream({ name: 'filler', profile: FILLER, perSecond: ratePerSecond(1.5, MEAN_CORES, 120_000), runMs: (r) => logNormal(r, 120_000, 0.5) })
+  const urgent = stream({
+    name: 'stops',
+    profile: STOPS,
+    perSecond: ratePerSecond(0.1, 2, 1_000),
+    runMs: (r) => logNormal(r, 1_000, 0.5),
+    resources: () => ({ cores: 2, memoryBytes: 2 * GIB, accelerators: 0 }),
+    hasDeadline: true
+  })
+  return scenario('urgent-among-long', seed, merge(arrivalsOf(filler, random), arrivalsOf(urgent, random)))
+}
+
+export const TASK_SCENARIOS: readonly ((seed: number) => IScenario)[] = [
+  mixedSizes, mixedWithGroups, groupsAmongSmall, wrongSizes, impossible, urgentAmongLong
+]
--- /dev/null
+++ b/bench/run.ts
@@ -0,0 +1,26 @@
+/**
+ * Runs one bench by its name: `npm run bench -- NAME [arguments]`.
+ */
+
+import { stderr } from 'node:process'
+
+interface IBench {
+  run (args: readonly string[]): Promise<void>
+}
+
+/** A bench is loaded only when it is asked for, so that one of them needs nothing of the others. */
+const BENCHES: Readonly<Record<string, string>> = {
+  decisions: './decisions.js',
+  path: './path.js',
+  slopes: './slopes.js'
+}
+
+const [name = '', ...args] = process.argv.slice(2)
+const file = BENCHES[name]
+if (file === undefined) {
+  stderr.write(`unknown bench "${name}"; there are: ${Object.keys(BENCHES).join(', ')}\n`)
+  process.exitCode = 2
+} else {
+  const bench = await import(file) as IBench
+  await bench.run(args)
+}
--- a/src/common/policy/CapacityLedger.ts
+++ b/src/common/policy/CapacityLedger.ts
@@ -2,7 +2,7 @@
  * What runs where and how much of each host that takes: the only place that counts capacity.
  */
 
-import { addInto, difference, dominantShare, fits, larger, subtractFrom, zeroResources } from './Resources.js'
+import { addInto, CORE_ROUNDING, difference, dominantShare, fits, larger, subtractFrom, zeroResources } from './Resources.js'
 
 import type { IResources, MonotonicMs } from '../Types.js'
 import type { IMutableResources } from './Resources.js'
@@ -42,6 +42,11 @@
     return `${this.config.region}/${this.config.failureDomain}`
   }
 
+  /** Whether any room is held here. */
+  public get hasHolds (): boolean {
+    return this.held.cores > 0 || this.held.memoryBytes > 0 || this.held.accelerators > 0
+  }
+
   /** Room that is neither used nor held. May be negative when reported use exceeds the capacity. */
   public free (): IResources {
     const { capacity } = this.config
@@ -124,9 +129,12 @@
     return dominantShare(part, this.capacity)
   }
 
-  /** Counts an item on a host. Whoever places has looked for room; a takeover counts what already runs. */
-  public start (item: IWorkItem, host: LedgerHost, nowMs: MonotonicMs): IRunningItem {
-    const running: IRunningItem = { item, host, startedAtMs: nowMs, counted: item.resources, isStopping: false }
+  /**
+   * Counts an item on a host, at first for `counted`: what it declared or what its service was seen to use.
+   * Whoever places has looked for room; a takeover counts what already runs, room or not.
+   */
+  public start (item: IWorkItem, host: LedgerHost, counted: IResources, nowMs: MonotonicMs): IRunningItem {
+    const running: IRunningItem = { item, host, startedAtMs: nowMs, counted, isStopping: false }
     this._running.set(item.id, running)
     host.running.set(item.id, running)
     this._use(host, running.counted)
@@ -164,6 +172,7 @@
 
   public releaseHold (host: LedgerHost, need: IResources): void {
     subtractFrom(host.held, need)
+    if (Math.abs(host.held.cores) < CORE_ROUNDING) host.held.cores = 0
     if (this._hosts.has(host.hostId)) this._observer.hostChanged(host)
   }
 
--- /dev/null
+++ b/src/common/policy/DecisionLoop.ts
@@ -0,0 +1,291 @@
+/**
+ * What to do next: give up, start all-at-once jobs, place, preempt, in this order.
+ */
+
+import { classRank } from './FairQueue.js'
+import { PREEMPT_AFTER_MS } from './Preemption.js'
+
+import type { IClock, IResources, MonotonicMs } from '../Types.js'
+import type { IProfile } from '../config/Types.js'
+import type { Admission } from './Admission.js'
+import type { CapacityLedger, LedgerHost } from './CapacityLedger.js'
+import type { FairQueue } from './FairQueue.js'
+import type { GroupBook, IGroup } from './GroupBook.js'
+import type { GroupPlacer } from './GroupPlacer.js'
+import type { HostChooser } from './HostChooser.js'
+import type { HostHealth } from './HostHealth.js'
+import type { Preemption } from './Preemption.js'
+import type { ILaneKey, IQueueEntry, ProfileQueue } from './ProfileQueue.js'
+import type { IStart, RunningWork } from './RunningWork.js'
+import type { EngineDecision, IWorkItem } from './Types.js'
+import type { UseLedger } from './UseLedger.js'
+import type { WorkEstimates } from './WorkEstimates.js'
+
+/** A large item that has waited this long has a host emptied for it, as an all-at-once job of one task does. */
+const GATHER_FOR_ONE_AFTER_MS = 2_000
+
+/** From this share of an average host on, an item counts as large; smaller ones find a gap soon. */
+const LARGE_SHARE_OF_HOST = 0.2
+
+/** What the loop decides with; built by the engine. */
+export interface ILoopParts {
+  readonly clock: IClock
+  readonly ledger: CapacityLedger
+  readonly use: UseLedger
+  readonly queue: FairQueue
+  readonly admission: Admission
+  readonly estimates: WorkEstimates
+  readonly chooser: HostChooser
+  readonly health: HostHealth
+  readonly preemption: Preemption
+  readonly work: RunningWork
+  readonly book: GroupBook
+  readonly groups: GroupPlacer
+  /** The share of the capacity that a profile could have now. */
+  readonly priorRate: (queue: ProfileQueue) => number
+}
+
+export class DecisionLoop {
+  private readonly _ready: EngineDecision[] = []
+  /** Shapes and teams found to have no room since room last came free. */
+  private readonly _blockedShapes = new Set<string>()
+  private readonly _blockedTeams = new Set<string>()
+  /** Stops under way, and the shape of the urgent work that each makes room for. */
+  private readonly _stopping = new Map<string, string>()
+  private readonly _isLaneBlocked = (lane: ILaneKey): boolean => this._blockedShapes.has(lane.shape) || this._blockedTeams.has(lane.team)
+  /** Nothing to decide until then, unless something happens. */
+  private _settledUntilMs: MonotonicMs = -Infinity
+  private _recheckAtMs: MonotonicMs = Infinity
+  private _needsGroupAdvance = false
+
+  public constructor (private readonly _parts: ILoopParts) {}
+
+  public next (): EngineDecision | undefined {
+    if (this._ready.length === 0) this._decide(this._parts.clock.nowMs())
+    return this._ready.shift()
+  }
+
+  public nextWakeAtMs (): MonotonicMs {
+    const nowMs = this._parts.clock.nowMs()
+    if (this._ready.length > 0) return nowMs
+    return this._settledUntilMs > nowMs ? this._settledUntilMs : this._computeWakeAtMs(nowMs)
+  }
+
+  /** Work was added: there may be something to decide. */
+  public noteWork (): void {
+    this._settledUntilMs = -Infinity
+  }
+
+  /** A group was added: it may start or have hosts emptied for it. */
+  public noteGroup (): void {
+    this._needsGroupAdvance = true
+    this.noteWork()
+  }
+
+  /** Room may have come free: what found none is tried again. */
+  public noteRoom (): void {
+    this._blockedShapes.clear()
+    this._blockedTeams.clear()
+    this.noteGroup()
+  }
+
+  public noteEnded (itemId: string): void {
+    this._stopping.delete(itemId)
+    this.noteRoom()
+  }
+
+  /** Moves reservations on without waiting for the next call. */
+  public advanceGroups (): void {
+    this._needsGroupAdvance = true
+    this._advanceGroups(this._parts.clock.nowMs())
+  }
+
+  public startGroup (group: IGroup): readonly { readonly item: IWorkItem, readonly host: LedgerHost }[] {
+    const { book, work } = this._parts
+    const holds = [...group.holds.values()]
+    book.drop(group.groupId)
+    for (const { item, need, host } of holds) work.start(this._startOf(item, need), host)
+    return holds
+  }
+
+  /** Finds the next decisions, if any, and puts them into `_ready`. */
+  private _decide (nowMs: MonotonicMs): void {
+    if (nowMs < this._settledUntilMs) return
+    if (this._settledUntilMs > -Infinity) this.noteRoom()
+    this._recheckAtMs = Infinity
+    if (this._giveUpOne(nowMs) || this._advanceGroups(nowMs) || this._placeOne(nowMs)) return
+    this._settledUntilMs = this._computeWakeAtMs(nowMs)
+  }
+
+  private _giveUpOne (nowMs: MonotonicMs): boolean {
+    const { queue, admission, book } = this._parts
+    const entry = queue.takeExpired(nowMs)
+    if (entry !== undefined) {
+      admission.noteStarted(entry.queue, 0)
+      this._giveUp(entry.item)
+      return true
+    }
+    const group = book.takeExpired(nowMs)
+    if (group === undefined) return false
+    this.noteRoom()
+    if (group.startsItself) for (const { item } of group.tasks) this._giveUp(item)
+    return this._ready.length > 0
+  }
+
+  private _giveUp (item: IWorkItem): void {
+    const { queue, admission, priorRate } = this._parts
+    const profileQueue = queue.profileFor(item.profile)
+    const waitMs = admission.expectedWaitMs(profileQueue, priorRate(profileQueue))
+    this._ready.push({ type: 'giveUp', item, reason: 'deadline', retryAfterMs: admission.spread(waitMs) })
+  }
+
+  private _advanceGroups (nowMs: MonotonicMs): boolean {
+    const { queue, book, groups } = this._parts
+    if (book.groupCount === 0 || !this._needsGroupAdvance) return false
+    this._needsGroupAdvance = false
+    const first = queue.peek(this._isLaneBlocked)
+    const group = groups.advance(nowMs, (candidate) => this._isTurnOf(candidate, first))
+    if (group === undefined) return false
+    this._needsGroupAdvance = true
+    for (const { item, host } of this.startGroup(group)) this._pushPlace(item, host, nowMs)
+    return true
+  }
+
+  /** All-at-once jobs take turns with the other work by the same rules: floor, class, weight. */
+  private _isTurnOf (group: IGroup, first: IQueueEntry | undefined): boolean {
+    const [task] = group.tasks
+    if (first === undefined || task === undefined) return true
+    const { queue } = this._parts
+    const own = queue.profileFor(task.item.profile)
+    if (queue.isBelowFloor(own)) return true
+    const rank = classRank(first.queue.profile.priorityClass)
+    return group.rank < rank || (group.rank === rank && own.virtualMs <= first.queue.virtualMs)
+  }
+
+  private _placeOne (nowMs: MonotonicMs): boolean {
+    for (;;) {
+      const entry = this._parts.queue.peek(this._isLaneBlocked)
+      if (entry === undefined) return false
+      const host = this._chooseFor(entry, nowMs)
+      if (host !== undefined) {
+        this._startEntry(entry, host, nowMs)
+        return true
+      }
+      if (this._ready.length > 0) return true
+    }
+  }
+
+  private _chooseFor (entry: IQueueEntry, nowMs: MonotonicMs): LedgerHost | undefined {
+    const { item, need, line } = entry
+    const { use, chooser } = this._parts
+    if (!use.isWithinQuota([item])) {
+      this._blockedTeams.add(line.lane.team)
+      return undefined
+    }
+    const host = chooser.chooseProbe(item, need, nowMs) ?? chooser.choose(item, need) ?? this._chooseBackfill(entry, nowMs)
+    if (host !== undefined) return host
+    this._blockedShapes.add(line.lane.shape)
+    if (item.profile.priorityClass === 'urgent') this._preemptFor(entry, nowMs)
+    else this._gatherFor(entry, nowMs)
+    return undefined
+  }
+
+  /**
+   * A place in room that is held for an all-at-once job, if the item will have ended before the job starts.
+   *
+   * Made for a large job that gathers room for seconds or minutes: without it, hosts stand idle meanwhile, which shows
+   * as capacity in use that falls with each large job.
+   */
+  private _chooseBackfill (entry: IQueueEntry, nowMs: MonotonicMs): LedgerHost | undefined {
+    const { groups, chooser, estimates, book } = this._parts
+    if (book.groupCount === 0) return undefined
+    const endsAtMs = nowMs + estimates.endsWithinMs(entry.item)
+    return chooser.chooseHeld(entry.item, entry.need, (host) => groups.isOpenUntil(host, endsAtMs))
+  }
+
+  /**
+   * Has a host emptied for one large item, as for an all-at-once job of one task.
+   *
+   * Made for a large item among small ones, which fill each gap before it is large enough: it would wait for ever.
+   */
+  private _gatherFor (entry: IQueueEntry, nowMs: MonotonicMs): void {
+    const { item, need, latestStartAtMs } = entry
+    const { ledger, queue, admission, groups } = this._parts
+    if (ledger.shareOf(need) * ledger.hostCount < LARGE_SHARE_OF_HOST) return
+    if (!groups.canGatherForOne() || this._isTooEarly(item.arrivedAtMs + GATHER_FOR_ONE_AFTER_MS, nowMs)) return
+    queue.remove(item.id)
+    admission.noteStarted(entry.queue, entry.costMs)
+    this.addGroup(item.id, [{ item, need }], latestStartAtMs, true)
+  }
+
+  public addGroup (groupId: string, tasks: IGroup['tasks'], expiresAtMs: MonotonicMs, startsItself: boolean): void {
+    const [first] = tasks
+    if (first === undefined) return
+    const { item } = first
+    const { queue, book } = this._parts
+    const rank = classRank(item.profile.priorityClass)
+    const queuedAtMs = item.arrivedAtMs
+    book.add({
+      groupId, tasks, holds: new Map(), rank, expiresAtMs, startsItself, queuedAtMs, gatheringSinceMs: undefined, startsAtMs: 0
+    })
+    const own = queue.profileFor(item.profile)
+    if (own.queuedCount === 0) queue.catchUp(own)
+    this.noteGroup()
+  }
+
+  private _preemptFor (entry: IQueueEntry, nowMs: MonotonicMs): void {
+    const { item, need, line } = entry
+    if (this._isTooEarly(item.arrivedAtMs + PREEMPT_AFTER_MS, nowMs)) return
+    const { shape } = line.lane
+    if (this._stopsUnderWay(shape) >= line.entries.size) return
+    const victims = this._parts.preemption.choose(item, need, nowMs, (profile, lost) => this._keepsFloor(profile, lost))
+    if (victims.length > 0) this._blockedShapes.delete(shape)
+    for (const victim of victims) {
+      victim.isStopping = true
+      this._stopping.set(victim.item.id, shape)
+      this._ready.push({ type: 'preempt', itemId: victim.item.id, hostId: victim.host.hostId, forItemId: item.id })
+    }
+  }
+
+  private _stopsUnderWay (shape: string): number {
+    let count = 0
+    for (const other of this._stopping.values()) if (other === shape) count += 1
+    return count
+  }
+
+  private _keepsFloor (profile: IProfile, lost: IResources): boolean {
+    const { queue, use, ledger } = this._parts
+    const left = use.profileShare(profile.name, ledger.capacity) - ledger.shareOf(lost)
+    return left >= queue.floorShare(queue.profileFor(profile))
+  }
+
+  /** Whether something is due only later; then it is looked at again at that time. */
+  private _isTooEarly (dueAtMs: MonotonicMs, nowMs: MonotonicMs): boolean {
+    if (dueAtMs <= nowMs) return false
+    this._recheckAtMs = Math.min(this._recheckAtMs, dueAtMs)
+    return true
+  }
+
+  private _startEntry (entry: IQueueEntry, host: LedgerHost, nowMs: MonotonicMs): void {
+    const { queue, work, admission } = this._parts
+    queue.remove(entry.item.id)
+    work.start(entry, host)
+    admission.noteStarted(entry.queue, entry.costMs)
+    this._pushPlace(entry.item, host, nowMs)
+  }
+
+  private _startOf (item: IWorkItem, need: IResources): IStart {
+    const { queue, estimates } = this._parts
+    return { item, need, queue: queue.profileFor(item.profile), costMs: estimates.costMs(item, need) }
+  }
+
+  private _pushPlace (item: IWorkItem, host: LedgerHost, nowMs: MonotonicMs): void {
+    this._ready.push({ type: 'place', item, hostId: host.hostId, waitMs: nowMs - item.arrivedAtMs })
+  }
+
+  private _computeWakeAtMs (nowMs: MonotonicMs): MonotonicMs {
+    const { queue, groups, health } = this._parts
+    const probeAtMs = queue.size > 0 ? Math.max(health.nextProbeAtMs(), nowMs + 1) : Infinity
+    return Math.min(queue.earliestLatestStartMs(), groups.nextWakeAtMs(nowMs), probeAtMs, this._recheckAtMs)
+  }
+}
--- /dev/null
+++ b/src/common/policy/GroupBook.ts
@@ -0,0 +1,156 @@
+/**
+ * The all-at-once jobs that wait, and the places held for them.
+ */
+
+import { fits } from './Resources.js'
+
+import type { IResources, MonotonicMs } from '../Types.js'
+import type { CapacityLedger, LedgerHost } from './CapacityLedger.js'
+import type { IWorkItem } from './Types.js'
+
+export interface IGroupTask {
+  readonly item: IWorkItem
+  readonly need: IResources
+}
+
+export interface IHold extends IGroupTask {
+  readonly host: LedgerHost
+}
+
+export interface IGroup {
+  readonly groupId: string
+  /** The largest first: where it doesn't fit, nothing else needs to be tried. */
+  readonly tasks: IGroupTask[]
+  readonly holds: Map<string, IHold>
+  /** Class rank of its profile; the lowest goes first. */
+  readonly rank: number
+  readonly expiresAtMs: MonotonicMs
+  /** False for a part of a job that spans schedulers: it starts when its coordinator says so. */
+  readonly startsItself: boolean
+  queuedAtMs: MonotonicMs
+  gatheringSinceMs: MonotonicMs | undefined
+  /** By when the hosts that are being emptied for it were expected to have room. */
+  startsAtMs: MonotonicMs
+}
+
+export class GroupBook {
+  private readonly _groups = new Map<string, IGroup>()
+  private readonly _groupOf = new Map<string, IGroup>()
+  private readonly _holding = new Set<IGroup>()
+  private _earliestExpiryMs: MonotonicMs = Infinity
+
+  public constructor (private readonly _ledger: CapacityLedger) {}
+
+  public get itemCount (): number {
+    return this._groupOf.size
+  }
+
+  public get groupCount (): number {
+    return this._groups.size
+  }
+
+  public get earliestExpiryMs (): MonotonicMs {
+    return this._earliestExpiryMs
+  }
+
+  public groups (): IterableIterator<IGroup> {
+    return this._groups.values()
+  }
+
+  /** The groups that hold at least one place. */
+  public holding (): IterableIterator<IGroup> {
+    return this._holding.values()
+  }
+
+  public group (groupId: string): IGroup | undefined {
+    return this._groups.get(groupId)
+  }
+
+  public add (group: IGroup): void {
+    group.tasks.sort((a, b) => this._ledger.shareOf(b.need) - this._ledger.shareOf(a.need))
+    this._groups.set(group.groupId, group)
+    for (const { item } of group.tasks) this._groupOf.set(item.id, group)
+    this._earliestExpiryMs = Math.min(this._earliestExpiryMs, group.expiresAtMs)
+  }
+
+  /** Forgets the group and gives its room back. */
+  public drop (groupId: string): IGroup | undefined {
+    const group = this._groups.get(groupId)
+    if (group === undefined) return undefined
+    this.giveBack(group)
+    this._groups.delete(groupId)
+    for (const { item } of group.tasks) this._groupOf.delete(item.id)
+    return group
+  }
+
+  /** Takes one item out; the rest of its group still starts together. */
+  public cancelItem (itemId: string): boolean {
+    const group = this._groupOf.get(itemId)
+    if (group === undefined) return false
+    this._groupOf.delete(itemId)
+    this._release(group, itemId)
+    group.tasks.splice(group.tasks.findIndex(({ item }) => item.id === itemId), 1)
+    if (group.tasks.length === 0) this.drop(group.groupId)
+    return true
+  }
+
+  /** Places held on a host that is gone or gets nothing new are looked for anew. */
+  public forgetHost (host: LedgerHost): void {
+    for (const group of this._holding) {
+      for (const hold of group.holds.values()) {
+        if (hold.host === host) this._release(group, hold.item.id)
+      }
+    }
+  }
+
+  /** Takes out a group whose time is up. */
+  public takeExpired (nowMs: MonotonicMs): IGroup | undefined {
+    if (nowMs < this._earliestExpiryMs) return undefined
+    this._earliestExpiryMs = Infinity
+    let expired: IGroup | undefined
+    for (const group of this._groups.values()) {
+      if (group.expiresAtMs <= nowMs) expired ??= group
+      if (group !== expired) this._earliestExpiryMs = Math.min(this._earliestExpiryMs, group.expiresAtMs)
+    }
+    return expired === undefined ? undefined : this.drop(expired.groupId)
+  }
+
+  public hold (group: IGroup, task: IGroupTask, host: LedgerHost): void {
+    group.holds.set(task.item.id, { ...task, host })
+    this._holding.add(group)
+    this._ledger.hold(host, task.need)
+  }
+
+  public giveBack (group: IGroup): void {
+    for (const itemId of [...group.holds.keys()]) this._release(group, itemId)
+    group.gatheringSinceMs = undefined
+    group.startsAtMs = 0
+  }
+
+  public isComplete (group: IGroup): boolean {
+    return group.holds.size === group.tasks.length
+  }
+
+  /** Whether every place is held and whatever ran there has ended. */
+  public isReady (group: IGroup): boolean {
+    if (!this.isComplete(group)) return false
+    for (const { host } of group.holds.values()) {
+      if (!fits(host.held, host.unused())) return false
+    }
+    return true
+  }
+
+  /** The items whose places are free for them now. */
+  public readyIds (group: IGroup): readonly string[] {
+    const ready = [...group.holds.values()].filter(({ host }) => fits(host.held, host.unused()))
+    return ready.map(({ item }) => item.id)
+  }
+
+  private _release (group: IGroup, itemId: string): void {
+    const hold = group.holds.get(itemId)
+    if (hold === undefined) return
+    group.holds.delete(itemId)
+    if (group.holds.size === 0) this._holding.delete(group)
+    this._ledger.releaseHold(hold.host, hold.need)
+  }
+}
--- a/src/common/policy/GroupPlacer.ts
+++ b/src/common/policy/GroupPlacer.ts
@@ -1,128 +1,60 @@
 /**
- * All-at-once jobs: their places are held one by one and started together, without two jobs ever waiting for each other.
+ * Finds room for all-at-once jobs: hosts are emptied for one of them at a time, so that no two wait for each other.
  */
 
 import { addInto, difference, dominantShare, fits, zeroResources } from './Resources.js'
 
 import type { MonotonicMs } from '../Types.js'
 import type { CapacityLedger, LedgerHost } from './CapacityLedger.js'
+import type { GroupBook, IGroup, IGroupTask } from './GroupBook.js'
 import type { HostChooser } from './HostChooser.js'
-import type { IWorkItem } from './Types.js'
 import type { UseLedger } from './UseLedger.js'
 
 /** Groups looked at for places that are free anyway; a later small one may start while an early large one waits. */
 const MAX_GROUPS_TRIED = 8
 
-/** How long a group waits for enough room by chance before room is gathered for it, which costs idle room. */
+/** How long a group waits for enough room by chance before hosts are emptied for it, which costs idle room. */
 const GATHER_AFTER_MS = 1_000
 
 /** Gathering that has not come to an end in this time is given up in favour of the next group: its room may never come. */
 const MAX_GATHER_MS = 600_000
 
-export interface IHold {
-  readonly item: IWorkItem
-  readonly host: LedgerHost
-}
-
-export interface IGroup {
-  readonly groupId: string
-  /** The largest first: where it doesn't fit, nothing else needs to be tried. */
-  readonly items: IWorkItem[]
-  readonly holds: Map<string, IHold>
-  /** Class rank of its profile; the lowest goes first. */
-  readonly rank: number
-  readonly expiresAtMs: MonotonicMs
-  /** False for a part of a job that spans schedulers: it starts when its coordinator says so. */
-  readonly startsItself: boolean
-  queuedAtMs: MonotonicMs
-  gatheringSinceMs: MonotonicMs | undefined
-}
+/** Hosts that are emptied for single large items at once, so that they can't idle a large part of the capacity. */
+const MAX_SINGLES_SHARE = 0.25
 
 /** Whether it is this group's turn to have room gathered for it. */
 export type TurnTest = (group: IGroup) => boolean
 
 export class GroupPlacer {
-  private readonly _groups = new Map<string, IGroup>()
-  private readonly _groupOf = new Map<string, IGroup>()
   private _gathering: IGroup | undefined
+  private _singles = 0
+  /** Until when the held room of a host is open to work that ends by then. */
+  private readonly _openUntilMs = new Map<LedgerHost, MonotonicMs>()
 
   public constructor (
+    private readonly _book: GroupBook,
     private readonly _ledger: CapacityLedger,
     private readonly _use: UseLedger,
-    private readonly _chooser: HostChooser
+    private readonly _chooser: HostChooser,
+    private readonly _turnoverPerMs: () => number
   ) {}
 
-  public get itemCount (): number {
-    return this._groupOf.size
-  }
-
-  public get groupCount (): number {
-    return this._groups.size
-  }
-
-  /** The group for which room is being gathered. */
+  /** The group for which hosts are being emptied. */
   public get gathering (): IGroup | undefined {
     return this._gathering
   }
 
-  public group (groupId: string): IGroup | undefined {
-    return this._groups.get(groupId)
-  }
-
-  public has (itemId: string): boolean {
-    return this._groupOf.has(itemId)
-  }
-
-  public add (group: IGroup): void {
-    group.items.sort((a, b) => this._ledger.shareOf(b.resources) - this._ledger.shareOf(a.resources))
-    this._groups.set(group.groupId, group)
-    for (const item of group.items) this._groupOf.set(item.id, group)
-  }
-
-  /** Forgets the group and gives its room back. */
-  public drop (groupId: string): IGroup | undefined {
-    const group = this._groups.get(groupId)
-    if (group === undefined) return undefined
-    this._giveBack(group)
-    this._groups.delete(groupId)
-    for (const item of group.items) this._groupOf.delete(item.id)
-    return group
-  }
-
-  /** Takes one item out; the rest of its group still starts together. */
-  public cancelItem (itemId: string): boolean {
-    const group = this._groupOf.get(itemId)
-    if (group === undefined) return false
-    this._groupOf.delete(itemId)
-    this._release(group, itemId)
-    group.items.splice(group.items.findIndex((item) => item.id === itemId), 1)
-    if (group.items.length === 0) this.drop(group.groupId)
-    return true
-  }
-
-  /** Places held on a host that is gone or gets nothing new are looked for anew. */
-  public forgetHost (host: LedgerHost): void {
-    for (const group of this._groups.values()) {
-      for (const hold of group.holds.values()) {
-        if (hold.host === host) this._release(group, hold.item.id)
-      }
-    }
-  }
-
-  /** Takes out a group whose time is up. */
-  public takeExpired (nowMs: MonotonicMs): IGroup | undefined {
-    for (const group of this._groups.values()) {
-      if (group.expiresAtMs <= nowMs) return this.drop(group.groupId)
-    }
-    return undefined
+  /** Whether one more host may be emptied for a single large item. */
+  public canGatherForOne (): boolean {
+    return this._gathering === undefined && this._singles < Math.max(1, MAX_SINGLES_SHARE * this._ledger.hostCount)
   }
 
   /** When something here is due although no room has come free. */
   public nextWakeAtMs (nowMs: MonotonicMs): MonotonicMs {
-    let wakeAtMs = Infinity
-    for (const group of this._groups.values()) {
+    let wakeAtMs = this._book.earliestExpiryMs
+    for (const group of this._book.groups()) {
       const gatherAtMs = group.queuedAtMs + GATHER_AFTER_MS
-      wakeAtMs = Math.min(wakeAtMs, group.expiresAtMs, gatherAtMs > nowMs ? gatherAtMs : Infinity)
+      if (gatherAtMs > nowMs) wakeAtMs = Math.min(wakeAtMs, gatherAtMs)
     }
     return wakeAtMs
   }
@@ -131,73 +63,107 @@
    * Moves the groups on and gives one that can start itself now.
    *
    * Made for jobs of many tasks among a stream of small ones. Left to chance, a large job never finds all its room at
-   * one moment: it starves, though each small task waits hardly at all. So room that comes free is gathered for one
-   * group at a time. Were it gathered for two, each could hold half and wait for the other for ever, which shows
-   * as hosts held but idle; with one, its wait is bounded by the run times of what is in its way.
+   * one moment: it starves, though each small task waits hardly at all. So hosts are emptied for one group at a
+   * time. Were it done for two, each could hold half and wait for the other for ever, which shows as hosts held but
+   * idle; with one, its wait is bounded by the run times of what is in its way. A single large item needs one
+   * host only and can't be part of such a circle, so a number of them are served at once.
    */
   public advance (nowMs: MonotonicMs, isItsTurn: TurnTest): IGroup | undefined {
     this._stopStalled(nowMs)
+    this._gatherForSingles(nowMs)
     this._startGathering(nowMs, isItsTurn)
-    if (this._gathering !== undefined) this._gather(this._gathering)
+    if (this._gathering !== undefined) this._gather(this._gathering, nowMs)
     this._tryOthers(isItsTurn)
-    for (const group of this._groups.values()) {
-      if (group.startsItself && this.isReady(group)) return group
+    for (const group of this._book.holding()) {
+      if (group.startsItself && this._book.isReady(group)) return group
     }
     return undefined
   }
 
-  /** Whether every place is held and the work let into them meanwhile has ended. */
-  public isReady (group: IGroup): boolean {
-    if (group.holds.size < group.items.length) return false
-    for (const { host } of group.holds.values()) {
-      if (!fits(host.held, host.unused())) return false
-    }
-    return true
+  /** Whether the held room of this host is still open at `atMs`. */
+  public isOpenUntil (host: LedgerHost, atMs: MonotonicMs): boolean {
+    return atMs <= (this._openUntilMs.get(host) ?? 0)
   }
 
-  /** The share of the capacity that the gathering still lacks. */
-  public lackingShare (group: IGroup): number {
-    let share = 0
-    for (const item of group.items) {
-      if (!group.holds.has(item.id)) share += dominantShare(item.resources, this._ledger.capacity)
+  private _stopStalled (nowMs: MonotonicMs): void {
+    if (this._gathering !== undefined && this._book.group(this._gathering.groupId) !== this._gathering) this._gathering = undefined
+    for (const group of this._book.holding()) {
+      if (group.gatheringSinceMs === undefined || nowMs - group.gatheringSinceMs < MAX_GATHER_MS) continue
+      this._book.giveBack(group)
+      group.queuedAtMs = nowMs
+      if (group === this._gathering) this._gathering = undefined
     }
-    return share
   }
 
-  private _stopStalled (nowMs: MonotonicMs): void {
-    const group = this._gathering
-    if (group?.gatheringSinceMs === undefined || nowMs - group.gatheringSinceMs < MAX_GATHER_MS) return
-    this._giveBack(group)
-    group.queuedAtMs = nowMs
+  private _gatherForSingles (nowMs: MonotonicMs): void {
+    this._singles = 0
+    for (const group of this._book.groups()) {
+      if (!isSingle(group)) continue
+      this._singles += 1
+      if (group.holds.size === 0 && nowMs - group.queuedAtMs >= GATHER_AFTER_MS) this._gather(group, nowMs)
+    }
   }
 
   private _startGathering (nowMs: MonotonicMs, isItsTurn: TurnTest): void {
     if (this._gathering !== undefined) return
     let next: IGroup | undefined
-    for (const group of this._groups.values()) {
+    for (const group of this._book.groups()) {
       if (this._mayGather(group, nowMs) && (next === undefined || goesBefore(group, next)) && isItsTurn(group)) next = group
     }
-    if (next === undefined) return
-    next.gatheringSinceMs = nowMs
     this._gathering = next
   }
 
   /** Parts of a job that spans schedulers hold room elsewhere already, so room is gathered for them at once. */
   private _mayGather (group: IGroup, nowMs: MonotonicMs): boolean {
-    if (group.holds.size === group.items.length || !this._isWithinLimits(group)) return false
+    if (this._book.isComplete(group) || isSingle(group) || !this._isWithinLimits(group)) return false
     return !group.startsItself || nowMs - group.queuedAtMs >= GATHER_AFTER_MS
   }
 
-  private _gather (group: IGroup): void {
-    for (const item of group.items) {
-      if (!group.holds.has(item.id) && !this._hold(group, item)) return
+  private _gather (group: IGroup, nowMs: MonotonicMs): void {
+    group.gatheringSinceMs ??= nowMs
+    let hasMore = false
+    for (const task of group.tasks) {
+      if (!group.holds.has(task.item.id)) hasMore = this._claim(group, task, nowMs) || hasMore
+    }
+    if (hasMore) this._reopen()
+    if (group === this._gathering && !group.startsItself && this._book.isReady(group)) this._gathering = undefined
+  }
+
+  /**
+   * Holds room that is free, or else room on a host that gets nothing new until the claim is met. A host is emptied for
+   * one group at a time: two claims on it would each see the other's room as missing and never be met.
+   */
+  private _claim (group: IGroup, task: IGroupTask, nowMs: MonotonicMs): boolean {
+    const isOurs = (host: LedgerHost): boolean => !host.hasHolds || [...group.holds.values()].some((hold) => hold.host === host)
+    const host = this._chooser.choose(task.item, task.need) ?? this._chooser.chooseToDrain(task.item, task.need, isOurs)
+    if (host === undefined) return false
+    this._book.hold(group, task, host)
+    group.startsAtMs = Math.max(group.startsAtMs, nowMs + this._drainMs(host))
+    return true
+  }
+
+  /** How long the host takes to have room for what it holds, if its work ends as fast as work does on all hosts. */
+  private _drainMs (host: LedgerHost): number {
+    const { capacity } = host.config
+    const lacking = dominantShare(difference(host.held, host.unused()), capacity)
+    const used = dominantShare(host.used, capacity)
+    if (lacking <= 0 || used <= 0) return 0
+    const leftShare = Math.max(1 - lacking / used, 0.01)
+    return -Math.log(leftShare) / Math.max(this._turnoverPerMs(), 1e-9)
+  }
+
+  private _reopen (): void {
+    this._openUntilMs.clear()
+    for (const group of this._book.holding()) {
+      for (const { host } of group.holds.values()) {
+        this._openUntilMs.set(host, Math.min(this._openUntilMs.get(host) ?? Infinity, group.startsAtMs))
+      }
     }
-    if (!group.startsItself) this._gathering = undefined
   }
 
   private _tryOthers (isItsTurn: TurnTest): void {
     let tried = 0
-    for (const group of this._groups.values()) {
+    for (const group of this._book.groups()) {
       if (group === this._gathering || group.holds.size > 0) continue
       tried += 1
       if (tried > MAX_GROUPS_TRIED) return
@@ -208,43 +174,30 @@
   /** Enough is free in sum; without this look a large group would be tried in vain each time a task ends. */
   private _couldFit (group: IGroup): boolean {
     const sum = zeroResources()
-    for (const item of group.items) addInto(sum, item.resources)
+    for (const { need } of group.tasks) addInto(sum, need)
     return fits(sum, difference(this._ledger.capacity, this._ledger.used))
   }
 
   private _tryWhole (group: IGroup): void {
-    for (const item of group.items) {
-      if (this._hold(group, item)) continue
-      this._giveBack(group)
-      return
+    for (const task of group.tasks) {
+      const host = this._chooser.choose(task.item, task.need)
+      if (host === undefined) {
+        this._book.giveBack(group)
+        return
+      }
+      this._book.hold(group, task, host)
     }
   }
 
   private _isWithinLimits (group: IGroup): boolean {
-    const [first] = group.items
-    return first !== undefined && this._use.isProfileOpen(first.profile, group.items.length) && this._use.isWithinQuota(group.items)
-  }
-
-  private _hold (group: IGroup, item: IWorkItem): boolean {
-    const host = this._chooser.choose(item)
-    if (host === undefined) return false
-    group.holds.set(item.id, { item, host })
-    this._ledger.hold(host, item.resources)
-    return true
-  }
-
-  private _giveBack (group: IGroup): void {
-    for (const itemId of [...group.holds.keys()]) this._release(group, itemId)
-    group.gatheringSinceMs = undefined
-    if (this._gathering === group) this._gathering = undefined
+    const items = group.tasks.map(({ item }) => item)
+    const [first] = items
+    return first !== undefined && this._use.isProfileOpen(first.profile, items.length) && this._use.isWithinQuota(items)
   }
+}
 
-  private _release (group: IGroup, itemId: string): void {
-    const hold = group.holds.get(itemId)
-    if (hold === undefined) return
-    group.holds.delete(itemId)
-    this._ledger.releaseHold(hold.host, hold.item.resources)
-  }
+function isSingle (group: IGroup): boolean {
+  return group.startsItself && group.tasks.length === 1
 }
 
 function goesBefore (a: IGroup, b: IGroup): boolean {
--- a/src/common/policy/HostIndex.ts
+++ b/src/common/policy/HostIndex.ts
@@ -3,7 +3,7 @@
  */
 
 import { HostGrid } from './HostGrid.js'
-import { difference, NO_RESOURCES } from './Resources.js'
+import { difference, fits, NO_RESOURCES } from './Resources.js'
 
 import type { IResources } from '../Types.js'
 import type { LedgerHost } from './CapacityLedger.js'
@@ -61,7 +61,7 @@
     const free = host.free()
     this._all.set(host, free)
     this._domain(host.domainKey).set(host, free)
-    if (host.held.cores > 0 || host.held.memoryBytes > 0) this._held.set(host, host.unused())
+    if (host.hasHolds) this._held.set(host, host.unused())
     else this._held.delete(host)
   }
 
@@ -75,12 +75,13 @@
     return [...this._byDomain.keys()]
   }
 
-  public find (item: IWorkItem, order: GridOrder): LedgerHost | undefined {
-    return this._all.find(item.resources, order, allowedFor(item))
+  /** A host with room for `need`, which may be more than the item declares. */
+  public find (item: IWorkItem, need: IResources, order: GridOrder): LedgerHost | undefined {
+    return this._all.find(need, order, allowedFor(item))
   }
 
-  public findInDomain (domainKey: string, item: IWorkItem, order: GridOrder): LedgerHost | undefined {
-    return this._byDomain.get(domainKey)?.find(item.resources, order, allowedFor(item))
+  public findInDomain (domainKey: string, item: IWorkItem, need: IResources, order: GridOrder): LedgerHost | undefined {
+    return this._byDomain.get(domainKey)?.find(need, order, allowedFor(item))
   }
 
   /** The free room of one of the emptiest hosts. */
@@ -88,9 +89,18 @@
     return this._all.accelerated.freest() ?? this._all.plain.freest() ?? NO_RESOURCES
   }
 
-  /** A host whose room is held but not used yet, for work that will have ended when the holder starts. */
-  public findHeld (item: IWorkItem): LedgerHost | undefined {
-    return this._held.find(item.resources, 'tightest', allowedFor(item))
+  /** A host whose room is held but not used yet. */
+  public findHeld (item: IWorkItem, need: IResources, isAllowed: HostFilter): LedgerHost | undefined {
+    const allowed = allowedFor(item)
+    return this._held.find(need, 'tightest', (host) => isAllowed(host) && allowed(host))
+  }
+
+  /** One of the emptiest hosts that could hold `need` once the work on it has ended, beside what is held already. */
+  public findToDrain (item: IWorkItem, need: IResources, isAllowed: HostFilter): LedgerHost | undefined {
+    const avoids = allowedFor(item)
+    const allowed: HostFilter = (host) => isAllowed(host) && avoids(host)
+    const grid = need.accelerators > 0 ? this._all.accelerated : this._all.plain
+    return grid.find(NO_RESOURCES, 'freest', (host) => allowed(host) && fits(need, difference(host.config.capacity, host.held)))
   }
 
   private _domain (domainKey: string): GridPair {
--- a/src/common/policy/Preemption.ts
+++ b/src/common/policy/Preemption.ts
@@ -44,7 +44,7 @@
    * Of the hosts looked at, the one where the least run time is lost is taken, and a host's youngest items
    * first. A profile is never brought below its floor, or a stream of urgent work would starve it through the back door.
    */
-  public choose (item: IWorkItem, nowMs: MonotonicMs, keepsFloor: FloorTest): readonly IRunningItem[] {
+  public choose (item: IWorkItem, need: IResources, nowMs: MonotonicMs, keepsFloor: FloorTest): readonly IRunningItem[] {
     let best: readonly IRunningItem[] = []
     let bestLostMs = Infinity
     let tried = 0
@@ -52,7 +52,7 @@
       tried += 1
       if (tried > MAX_HOSTS_TRIED) break
       if (!host.config.accepting || item.avoidHostIds?.includes(host.hostId) === true) continue
-      const victims = victimsOn(host, items, item, keepsFloor)
+      const victims = victimsOn(host, items, need, keepsFloor)
       const lostMs = victims.reduce((sum, victim) => sum + nowMs - victim.startedAtMs, 0)
       if (victims.length === 0 || lostMs >= bestLostMs) continue
       best = victims
@@ -62,7 +62,7 @@
   }
 }
 
-function victimsOn (host: LedgerHost, items: ReadonlySet<IRunningItem>, item: IWorkItem, keepsFloor: FloorTest): readonly IRunningItem[] {
+function victimsOn (host: LedgerHost, items: ReadonlySet<IRunningItem>, need: IResources, keepsFloor: FloorTest): readonly IRunningItem[] {
   const room = { ...host.free() }
   const lost = zeroResources()
   const victims: IRunningItem[] = []
@@ -73,7 +73,7 @@
     if (!keepsFloor(running.item.profile, lost)) return []
     victims.push(running)
     addInto(room, running.counted)
-    if (fits(item.resources, room)) return victims
+    if (fits(need, room)) return victims
   }
   return []
 }
--- a/src/common/policy/ProfileQueue.ts
+++ b/src/common/policy/ProfileQueue.ts
@@ -5,7 +5,7 @@
 
 import BTreeModule from 'sorted-btree'
 
-import type { MonotonicMs } from '../Types.js'
+import type { IResources, MonotonicMs } from '../Types.js'
 import type { IProfile } from '../config/Types.js'
 import type { IWorkItem } from './Types.js'
 
@@ -17,6 +17,8 @@
 
 export interface IQueueEntry {
   readonly item: IWorkItem
+  /** What it is expected to use: as declared, or more where its service was seen to use more. */
+  readonly need: IResources
   readonly queue: ProfileQueue
   readonly line: ICallerLine
   /** The order among the caller's own items: the deadline of urgent ones, the arrival of others. */
@@ -64,6 +66,7 @@
 
 export interface IQueueRequest {
   readonly item: IWorkItem
+  readonly need: IResources
   readonly lane: ILaneKey
   readonly costMs: number
   readonly latestStartAtMs: MonotonicMs
@@ -98,8 +101,8 @@
     const line = this._line(share, request.lane)
     this._sequence += 1
     const orderMs = this.profile.priorityClass === 'urgent' ? item.deadlineAtMs : item.arrivedAtMs
-    const { costMs, latestStartAtMs } = request
-    const entry: IQueueEntry = { item, costMs, latestStartAtMs, queue: this, line, orderMs, sequence: this._sequence }
+    const { need, costMs, latestStartAtMs } = request
+    const entry: IQueueEntry = { item, need, costMs, latestStartAtMs, queue: this, line, orderMs, sequence: this._sequence }
     line.entries.set(entry, undefined)
     this._countQueued(entry, 1)
     return entry
--- a/src/common/policy/Resources.ts
+++ b/src/common/policy/Resources.ts
@@ -14,7 +14,7 @@
 export const NO_RESOURCES: IResources = { cores: 0, memoryBytes: 0, accelerators: 0 }
 
 /** Cores are fractions; sums of them may be off by rounding, which must not refuse an exact fit. */
-const CORE_ROUNDING = 1e-6
+export const CORE_ROUNDING = 1e-6
 
 export function zeroResources (): IMutableResources {
   return { cores: 0, memoryBytes: 0, accelerators: 0 }
--- /dev/null
+++ b/src/common/policy/SizeLearner.ts
@@ -0,0 +1,57 @@
+/**
+ * How much the tasks of each service use beyond what they declare, learnt from reported use.
+ */
+
+import { LRUCache } from 'lru-cache'
+
+import type { IResources } from '../Types.js'
+import type { IWorkItem } from './Types.js'
+
+const MAX_SERVICES = 10_000
+
+/** Reports from which the learnt size is trusted. */
+const MIN_REPORTS = 5
+
+/** The weight of a new report: a service that changes is followed within some tens of tasks. */
+const REPORT_WEIGHT = 0.05
+
+/** A declared size is scaled by no more than this; one report gone wrong must not make a service impossible to place. */
+const MAX_FACTOR = 10
+
+interface IFactors {
+  cores: number
+  memoryBytes: number
+  reports: number
+}
+
+export class SizeLearner {
+  private readonly _services = new LRUCache<string, IFactors>({ max: MAX_SERVICES })
+
+  public note (item: IWorkItem, usage: IResources): void {
+    const factors = this._services.get(item.service) ?? { cores: 1, memoryBytes: 1, reports: 0 }
+    const weight = Math.max(REPORT_WEIGHT, 1 / (factors.reports + 1))
+    factors.cores += weight * (factorOf(usage.cores, item.resources.cores) - factors.cores)
+    factors.memoryBytes += weight * (factorOf(usage.memoryBytes, item.resources.memoryBytes) - factors.memoryBytes)
+    factors.reports += 1
+    this._services.set(item.service, factors)
+  }
+
+  /**
+   * What a task is expected to use before its own report comes.
+   *
+   * Made for services that declare far too little. Reports lag by seconds, and by the declared size a host would be
+   * filled several times over in the meantime: one sees hosts over their capacity though the ledger never was.
+   */
+  public expected (item: IWorkItem): IResources {
+    const factors = this._services.get(item.service)
+    if (factors === undefined || factors.reports < MIN_REPORTS) return item.resources
+    if (factors.cores <= 1 && factors.memoryBytes <= 1) return item.resources
+    const { cores, memoryBytes, accelerators } = item.resources
+    return { cores: cores * Math.max(1, factors.cores), memoryBytes: memoryBytes * Math.max(1, factors.memoryBytes), accelerators }
+  }
+}
+
+/** Use below the declared size counts as declared, as in the ledger. */
+function factorOf (used: number, declared: number): number {
+  return declared <= 0 ? 1 : Math.min(Math.max(used / declared, 1), MAX_FACTOR)
+}
