--- /dev/null
+++ b/src/platform/HostListClient.test.ts
@@ -0,0 +1,37 @@
+/**
+ * The host list's client against the stand-in.
+ */
+
+import test from 'ava'
+
+import { UnreachableError } from '../common/Errors.js'
+import { hostAt, startHostList } from '../../test/standins/inProcess.js'
+import { eventually } from '../../test/support/Eventually.js'
+import { HostListClient } from './HostListClient.js'
+
+test('lists hosts, after the lag, and skips malformed ones', async (t) => {
+  const hostList = await startHostList(t, 50)
+  const client = new HostListClient({ url: hostList.url, callTimeoutMs: 2000 })
+  t.teardown(() => { client.dispose() })
+  const host = hostAt('http://127.0.0.1:1')
+  hostList.standIn.control({ put: [host, { hostId: 'broken' }] })
+  const hosts = await eventually('the host shows up', async () => {
+    const listed = (await client.list())._unsafeUnwrap()
+    return listed.length > 0 && listed
+  })
+  t.deepEqual(hosts, [host])
+  t.is(client.skippedRecords, 1)
+  hostList.standIn.control({ state: { [host.hostId]: 'leaving' } })
+  await eventually('it leaves', async () => (await client.list())._unsafeUnwrap()[0]?.state === 'leaving')
+})
+
+test('a list that is down is an error, not an empty list', async (t) => {
+  // The host list fails for a while. An empty list in its place would take every host out of use at once.
+  const hostList = await startHostList(t, 0)
+  const client = new HostListClient({ url: hostList.url, callTimeoutMs: 2000 })
+  t.teardown(() => { client.dispose() })
+  hostList.standIn.control({ down: true })
+  t.true((await client.list())._unsafeUnwrapErr() instanceof UnreachableError)
+  hostList.server.refuse()
+  t.true((await client.list())._unsafeUnwrapErr() instanceof UnreachableError)
+})
--- a/src/platform/KeyValueClient.ts
+++ b/src/platform/KeyValueClient.ts
@@ -29,7 +29,7 @@
   readonly maxConnections: number
 }
 
-export const KEY_VALUE_DEFAULTS = { callTimeoutMs: 2000, watchWaitMs: 20_000, maxConnections: 4 } as const
+export const KEY_VALUE_DEFAULTS: Omit<IKeyValueClientOptions, 'url'> = { callTimeoutMs: 2000, watchWaitMs: 20_000, maxConnections: 4 }
 
 type CallKind = 'read' | 'write'
 
--- /dev/null
+++ b/test/standins/inProcess.ts
@@ -0,0 +1,60 @@
+/**
+ * Stand-ins inside the test's own process, for tests of one client.
+ */
+
+import { HostListStandIn } from './HostListStandIn.js'
+import { KeyValueStandIn } from './KeyValueStandIn.js'
+import { RunnerStandIn } from './RunnerStandIn.js'
+import { StandInServer } from './StandInServer.js'
+import { WorkerStandIn } from './WorkerStandIn.js'
+
+import type { ExecutionContext } from 'ava'
+import type { HostKind, IHostRecord } from '../../src/platform/Types.js'
+import type { IStandIn } from './StandInServer.js'
+
+export interface IStarted<T> { readonly standIn: T, readonly server: StandInServer, readonly url: string }
+
+async function start<T extends IStandIn> (t: ExecutionContext, standIn: T): Promise<IStarted<T>> {
+  const server = new StandInServer(standIn)
+  const url = await server.listen(0)
+  t.teardown(() => { server.close() })
+  return { standIn, server, url }
+}
+
+export async function startStore (t: ExecutionContext): Promise<IStarted<KeyValueStandIn>> {
+  const started = await start(t, new KeyValueStandIn())
+  started.standIn.onOutage = (outage) => {
+    if (outage === 'refuse') started.server.refuse()
+    else if (outage === 'reset') started.server.cut()
+    else started.server.listen().catch(() => {})
+  }
+  return started
+}
+
+export function startHostList (t: ExecutionContext, lagMs: number): Promise<IStarted<HostListStandIn>> {
+  return start(t, new HostListStandIn(lagMs))
+}
+
+export function startRunner (t: ExecutionContext, slots = 8, maxConnections = 60): Promise<IStarted<RunnerStandIn>> {
+  return start(t, new RunnerStandIn({ hostId: 'runner-0', slots, maxConnections, seed: 1, maxRecords: 10_000 }))
+}
+
+export function startWorker (t: ExecutionContext, clockOffsetMs = 0): Promise<IStarted<WorkerStandIn>> {
+  const capacity = { cores: 8, memoryBytes: 2 ** 30, accelerators: 0 }
+  return start(t, new WorkerStandIn({ hostId: 'worker-0', capacity, clockOffsetMs, clockRate: 1 }))
+}
+
+export function hostAt (url: string, kind: HostKind = 'runner', slots = 8): IHostRecord {
+  return {
+    hostId: `${kind}-0`,
+    kind,
+    url,
+    rack: 'rack-0',
+    region: 'lakes-west',
+    failureDomain: 'lakes-west-a',
+    state: 'live',
+    slots,
+    maxConnections: 60,
+    capacity: { cores: 8, memoryBytes: 2 ** 30, accelerators: 0 }
+  }
+}
