Add membership: one view from the store, the links and gossip

Precedence by incarnation, sequence and state; only the member itself raises the sequence. Own links count more than what others say; absence in the store counts only after the store has been reachable for a while.

--- a/src/common/protocol/Types.ts
+++ b/src/common/protocol/Types.ts
@@ -85,6 +85,36 @@
   readonly state: MemberState
 }
 
+/**
+ * What is said of a member's state. Of two statements about a process the one with the higher incarnation holds, then
+ * the one with the higher sequence, then the graver state.
+ */
+export interface IMemberNews {
+  readonly processId: string
+  readonly incarnation: number
+  /** Raised by the member alone, to refute what others say of it and to say that it leaves. */
+  readonly sequence: number
+  readonly state: MemberState
+}
+
+/** A member with the sequence of its state; the rest never changes within an incarnation. */
+export interface IMemberRecord extends IMember, IMemberNews {}
+
+/** Membership as peers pass it on: changes first, whole records on demand, digests to find what was missed. */
+export interface IMembersCast {
+  readonly news: readonly IMemberNews[]
+  /** Whole records that the receiver asked for, or the sender's own. */
+  readonly records?: readonly IMemberRecord[]
+  /** Processes whose records the sender lacks. */
+  readonly wanted?: readonly string[]
+  /** Hash of the sender's view of all members not dead. */
+  readonly viewHash?: number
+  /** The same by bucket of process ids, when two views were found to differ. */
+  readonly bucketHashes?: readonly number[]
+  /** Buckets of which `news` holds every member that the sender knows. */
+  readonly listedBuckets?: readonly number[]
+}
+
 export interface ITaskSpec {
   readonly taskId: string
   readonly resources: IResources
@@ -175,7 +205,7 @@
 export interface IPeerCasts {
   readonly loadSummary: ILoadSummary
   readonly configEntries: { readonly entries: readonly IConfigEntry[] }
-  readonly members: { readonly members: readonly IMember[] }
+  readonly members: IMembersCast
   readonly taskUpdate: ITaskUpdate
 }
 
--- /dev/null
+++ b/src/peer/MembershipAgent.ts
@@ -0,0 +1,174 @@
+/**
+ * Wires membership to the links: tells it what the links and the store say, sends its casts, and dials whom it
+ * chooses.
+ */
+
+import { Membership } from '../common/membership/Membership.js'
+import type { IOutgoingCast, SelfDescription } from '../common/membership/Membership.js'
+import type { IMembershipOptions } from '../common/membership/Options.js'
+import { MEMBERSHIP_DEFAULTS } from '../common/membership/Options.js'
+import { PEER_SELECTION_DEFAULTS, PeerSelection } from '../common/membership/PeerSelection.js'
+import type { IPeerSelectionOptions } from '../common/membership/PeerSelection.js'
+import type { Event } from '../common/Emitter.js'
+import { DisposableStore } from '../common/Emitter.js'
+import type { IMember, IMembersCast } from '../common/protocol/Types.js'
+import type { IDisposable, IProcessIdentity } from '../common/Types.js'
+import { MemberProber } from './MemberProber.js'
+import type { IPeerEnvironment } from './PeerHubOptions.js'
+import type { IPeerHub } from './Types.js'
+
+/** A process to start from when neither the store nor a peer has told of any. */
+export interface ISeedPeer {
+  readonly processId: string
+  readonly peerUrl: string
+}
+
+export interface IMembershipAgentOptions {
+  readonly membership: Partial<IMembershipOptions>
+  readonly selection: IPeerSelectionOptions
+  /** Dialled while there is no link at all: how a process that starts in an outage of the store finds the others. */
+  readonly seeds: readonly ISeedPeer[]
+  /** Time between probes of a member without a link. */
+  readonly probeMs: number
+  /** How long a probe may take until the member counts as not to be had. */
+  readonly probeTimeoutMs: number
+}
+
+export const MEMBERSHIP_AGENT_DEFAULTS: IMembershipAgentOptions = {
+  membership: {}, selection: PEER_SELECTION_DEFAULTS, seeds: [], probeMs: 10_000, probeTimeoutMs: 4_000
+}
+
+export class MembershipAgent implements IDisposable {
+  /** Fires when a member is new here or its state or incarnation has changed. */
+  public readonly onMember: Event<IMember>
+  private readonly _options: IMembershipAgentOptions
+  private readonly _membership: Membership
+  private readonly _selection: PeerSelection
+  private readonly _prober: MemberProber
+  private readonly _registrations = new DisposableStore()
+  private readonly _dials = new Map<string, IDial>()
+
+  /**
+   * @param _hub the links; to be started by its owner
+   * @param self this process, with the addresses that others reach it at
+   * @param options what differs from `MEMBERSHIP_AGENT_DEFAULTS`
+   */
+  public constructor (
+    private readonly _hub: IPeerHub,
+    self: SelfDescription,
+    options: Partial<IMembershipAgentOptions>,
+    private readonly _environment: IPeerEnvironment
+  ) {
+    this._options = { ...MEMBERSHIP_AGENT_DEFAULTS, ...options }
+    this._membership = new Membership(self, this._options.membership, _environment.clock, _environment.random)
+    this._selection = new PeerSelection(self, this._options.selection)
+    this._prober = new MemberProber(_hub, this._membership, self.processId, this._options, _environment)
+    this.onMember = this._membership.onMember
+  }
+
+  /** Starts to listen, gossip, dial and probe. */
+  public start (): void {
+    const gossipMs = this._options.membership.gossipMs ?? MEMBERSHIP_DEFAULTS.gossipMs
+    this._registrations.add(this._hub.listen('members', (cast, from) => this._onCast(cast, from)))
+    this._registrations.add(this._hub.onLink((link) => this._onLink(link.peer)))
+    this._registrations.add(this._hub.onLost((peer, cause) => {
+      if (cause === 'released') this._membership.linkReleased(peer)
+      else this._membership.linkLost(peer)
+    }))
+    this._registrations.add(this._environment.timers.every(gossipMs, () => this._tick()))
+    this._registrations.add(this._prober)
+    this._prober.start()
+    this._tick()
+  }
+
+  /** All members known, this process included, and dead ones until they are forgotten. */
+  public members (): readonly IMember[] {
+    return this._membership.members()
+  }
+
+  public member (processId: string): IMember | undefined {
+    return this._membership.get(processId)
+  }
+
+  /** Schedulers that may be given new work: alive, linked and not leaving. */
+  public routableSchedulers (): readonly IMember[] {
+    return this.members().filter((member) =>
+      member.role === 'scheduler' && member.state === 'alive' && this._hub.link(member.processId) !== undefined)
+  }
+
+  /** Tells the others at once that this process leaves: it gets no new work. */
+  public leave (): void {
+    this._membership.leave()
+    for (const link of this._hub.links()) {
+      const cast = this._membership.castTo(link.peer.processId)
+      if (cast !== undefined) link.cast('members', cast)
+    }
+  }
+
+  /** The store can or can't be reached. */
+  public storeReachable (reachable: boolean): void {
+    this._membership.storeReachable(reachable)
+  }
+
+  /** The record of a process in the store was written. */
+  public storePresent (member: IMember): void {
+    this._membership.storePresent(member)
+  }
+
+  /** The record of a process in the store has gone. */
+  public storeAbsent (processId: string): void {
+    this._membership.storeAbsent(processId)
+  }
+
+  /** All records in the store, after a start or a gap. */
+  public storeAll (members: readonly IMember[]): void {
+    this._membership.storeAll(members)
+  }
+
+  public dispose (): void {
+    this._registrations.dispose()
+    for (const { registration } of this._dials.values()) registration.dispose()
+    this._dials.clear()
+  }
+
+  private _tick (): void {
+    for (const outgoing of this._membership.tick()) this._send(outgoing)
+    this._dialChosen()
+  }
+
+  private _onLink (peer: IProcessIdentity): void {
+    const cast = this._membership.linkUp(peer)
+    if (cast !== undefined) this._send({ peerId: peer.processId, cast })
+  }
+
+  private _onCast (cast: IMembersCast, from: IProcessIdentity): void {
+    const answer = this._membership.receive(from.processId, cast)
+    if (answer !== undefined) this._send({ peerId: from.processId, cast: answer })
+  }
+
+  private _send ({ peerId, cast }: IOutgoingCast): void {
+    this._hub.link(peerId)?.cast('members', cast)
+  }
+
+  private _dialChosen (): void {
+    const wanted = new Map(this._chosen().map((peer) => [peer.processId, peer.peerUrl]))
+    for (const [processId, dial] of this._dials) {
+      if (wanted.get(processId) === dial.peerUrl) continue
+      dial.registration.dispose()
+      this._dials.delete(processId)
+    }
+    for (const [processId, peerUrl] of wanted) {
+      if (!this._dials.has(processId)) this._dials.set(processId, { peerUrl, registration: this._hub.dial(peerUrl, processId) })
+    }
+  }
+
+  private _chosen (): readonly ISeedPeer[] {
+    const selected = this._selection.select(this.members())
+    return this._hub.links().length > 0 ? selected : [...this._options.seeds, ...selected]
+  }
+}
+
+interface IDial {
+  readonly peerUrl: string
+  readonly registration: IDisposable
+}
--- a/src/peer/PeerHub.test.ts
+++ b/src/peer/PeerHub.test.ts
@@ -60,7 +60,7 @@
   t.deepEqual((await second)._unsafeUnwrap(), { draining: true })
   waiting.get('first')?.()
   t.deepEqual((await first)._unsafeUnwrap(), { draining: false })
-  pair.ab.cast('members', { members: [] })
+  pair.ab.cast('members', { news: [] })
   await until(() => heard.length === 1)
   t.is(heard[0]?.processId, 'a')
   t.true(pair.a.traffic().crossRegionSentBytes > 0)
--- a/src/peer/PeerHub.ts
+++ b/src/peer/PeerHub.ts
@@ -2,6 +2,7 @@
  * All links of one process: listens, dials, keeps one link per peer, and hands messages to their handlers.
  */
 
+import { AwakeClock } from '../common/AwakeClock.js'
 import { Emitter } from '../common/Emitter.js'
 
 import type { ResultAsync } from 'neverthrow'
@@ -13,7 +14,6 @@
 import { DialTable } from './DialTable.js'
 import { Handshake } from './Handshake.js'
 import { HandlerTable } from './HandlerTable.js'
-import { AwakeClock } from './HeartbeatMonitor.js'
 import { LinkTable } from './LinkTable.js'
 import { Opening } from './Opening.js'
 import { PeerCounters } from './PeerCounters.js'
@@ -25,11 +25,16 @@
 import { PeerListener } from './PeerListener.js'
 import { PeerSocket } from './PeerSocket.js'
 import { TrafficMeter } from './TrafficMeter.js'
-import type { IPeerHub, IPeerLink, IPeerTraffic } from './Types.js'
+import type { IPeerHub, IPeerLink, IPeerTraffic, LinkLossCause } from './Types.js'
 
 /** How long a close waits for the peer's side of it after the calls have ended, in milliseconds. */
 const CLOSE_FLUSH_MS = 1_000
 
+interface ILostLink {
+  readonly peer: IProcessIdentity
+  readonly cause: LinkLossCause
+}
+
 export class PeerHub implements IPeerHub, IDisposable {
   private readonly _options: IPeerHubOptions
   private readonly _counters = new PeerCounters()
@@ -40,7 +45,7 @@
   private readonly _openings = new Set<Opening>()
   private readonly _dials: DialTable
   private readonly _linkEmitter = new Emitter<IPeerLink>()
-  private readonly _lostEmitter = new Emitter<IProcessIdentity>()
+  private readonly _lostEmitter = new Emitter<ILostLink>()
   private readonly _traffic: TrafficMeter
   private readonly _listener: PeerListener
   private readonly _linkContext: ILinkContext
@@ -49,7 +54,6 @@
   private _closing = false
 
   public readonly onLink = this._linkEmitter.event
-  public readonly onLost = this._lostEmitter.event
 
   /**
    * @param self this process
@@ -106,6 +110,10 @@
     return this._dials.dial(peerUrl, processId)
   }
 
+  public onLost (listener: (peer: IProcessIdentity, cause: LinkLossCause) => void): IDisposable {
+    return this._lostEmitter.event(({ peer, cause }) => listener(peer, cause))
+  }
+
   public link (processId: string): IPeerLink | undefined {
     return this._links.get(processId)
   }
@@ -238,7 +246,7 @@
     if (!this._links.remove(link)) return
     this._environment.log?.info('peerLost', { peer: link.peer.processId, incarnation: link.peer.incarnation, reason })
     this._dials.noteLost(link.peer.processId)
-    this._lostEmitter.fire(link.peer)
+    this._lostEmitter.fire({ peer: link.peer, cause: link.isReleased ? 'released' : 'failed' })
   }
 
   private _onHandshakeFailed (peer: string, reason: string): void {
--- a/src/peer/PeerLink.ts
+++ b/src/peer/PeerLink.ts
@@ -5,6 +5,7 @@
 import { errAsync, ResultAsync } from 'neverthrow'
 
 import { AmbiguousError, UnreachableError } from '../common/Errors.js'
+import type { AwakeClock } from '../common/AwakeClock.js'
 import type { IPeerCalls, IPeerCasts, PeerCallName, PeerCastName } from '../common/protocol/Types.js'
 import type { IProcessIdentity, MonotonicMs } from '../common/Types.js'
 import { CallTable } from './CallTable.js'
@@ -12,7 +13,6 @@
 import { FrameCodec, FrameKind, wire } from './Frames.js'
 import type { Frame, IBareFrame, WireFrame } from './Frames.js'
 import { HeartbeatMonitor } from './HeartbeatMonitor.js'
-import type { AwakeClock } from './HeartbeatMonitor.js'
 import { InboundCalls } from './InboundCalls.js'
 import type { IInboundContext } from './InboundCalls.js'
 import { PacketBatch } from './PacketBatch.js'
@@ -105,6 +105,7 @@
   }
 
   public close (): void {
+    this._finishing = true
     this.lose('closed here')
   }
 
@@ -142,6 +143,11 @@
     return !this._inbound.isOpen
   }
 
+  /** Whether the link was given up in good order, by us or by the peer. */
+  public get isReleased (): boolean {
+    return this._finishing || !this._peerTakesCalls
+  }
+
   /** Whether no call is in flight in either direction and the peer starts no more, or the link is gone. */
   public get isDrained (): boolean {
     return this._gone || (this.busy === 0 && this._peerRetired)
--- a/src/peer/Types.ts
+++ b/src/peer/Types.ts
@@ -13,6 +13,9 @@
  */
 export type PeerError = UnreachableError | RefusedError | AmbiguousError
 
+/** `released`: one side gave the link up in good order, which says nothing of the peer's health. */
+export type LinkLossCause = 'failed' | 'released'
+
 export interface IPeerHandlers {
   /** What answers each call; a call without a handler is refused. */
   handle<N extends PeerCallName> (
@@ -38,7 +41,7 @@
   link (processId: string): IPeerLink | undefined
   links (): readonly IPeerLink[]
   onLink (listener: (link: IPeerLink) => void): IDisposable
-  onLost (listener: (peer: IProcessIdentity) => void): IDisposable
+  onLost (listener: (peer: IProcessIdentity, cause: LinkLossCause) => void): IDisposable
   /** Bytes sent and received so far, and those to other regions, for the control cost. */
   traffic (): IPeerTraffic
   /** Refuses new links and calls, waits for calls in progress up to `graceMs`, then closes. */
