--- a/src/daemon/DaemonCore.ts
+++ b/src/daemon/DaemonCore.ts
@@ -11,18 +11,22 @@
 import { SeededRandom } from '../common/Random.js'
 import { AttemptIds, IdHasher } from '../common/requests/AttemptIds.js'
 import { SchedulerRouter } from '../common/routing/SchedulerRouter.js'
+import { MembershipAgent } from '../peer/MembershipAgent.js'
 import { PeerHub } from '../peer/PeerHub.js'
 import { ConfigWatcher } from '../platform/config/ConfigWatcher.js'
 import { KEY_VALUE_DEFAULTS, KeyValueClient } from '../platform/KeyValueClient.js'
 import { Logger } from '../platform/Logger.js'
 import { ConfigExchange } from './ConfigExchange.js'
 
+import type { IMember } from '../common/protocol/Types.js'
 import type { IProcessIdentity } from '../common/Types.js'
 import type { ISettings } from '../platform/settings/Types.js'
 
 const MAX_SEED = 0x7fffffff
 const CONFIG_RETRY_MS = 1000
 const NONCE_BYTES = 9
+/** All links among 9 entry hosts, and a sample of other regions beyond that: docs/CAPACITY.md has the bytes. */
+const SELECTION = { maxOwnRegion: 12, perOtherRegion: 4, minPeers: 3 } as const
 
 export class DaemonCore {
   public readonly clock = new SystemClock()
@@ -35,6 +39,7 @@
   public readonly router: SchedulerRouter
   public readonly attemptIds: AttemptIds
   public readonly watcher: ConfigWatcher
+  private _agent: MembershipAgent | undefined
   private readonly _exchange: ConfigExchange
 
   private constructor (public readonly settings: ISettings, public readonly self: IProcessIdentity, public readonly hasher: IdHasher) {
@@ -62,7 +67,25 @@
       region: settings.process.region,
       failureDomain: settings.process.failureDomain
     }
-    return new DaemonCore(settings, self, hasher)
+    const core = new DaemonCore(settings, self, hasher)
+    const peerUrl = await core.hub.start()
+    if (peerUrl.isErr()) throw peerUrl.error
+    return core
+  }
+
+  /** Who is there, as the store, the links and the peers tell. */
+  public get agent (): MembershipAgent {
+    if (this._agent === undefined) throw new Error('join comes first')
+    return this._agent
+  }
+
+  /** Becomes known to the others and looks for them. */
+  public join (operatorUrl: string): void {
+    const { clock, random, log, settings } = this
+    const own: Omit<IMember, 'state'> = { ...this.self, role: settings.process.role, peerUrl: this.hub.url ?? '', operatorUrl }
+    const options = { seeds: settings.peer.seeds, selection: SELECTION }
+    this._agent = this.disposables.add(new MembershipAgent(this.hub, own, options, { clock, timers: clock, random, log }))
+    this._agent.start()
   }
 
   /** Unique for each write of this process, so that it recognises its own after a lost answer. */
--- a/src/daemon/GatewayDaemon.ts
+++ b/src/daemon/GatewayDaemon.ts
@@ -7,7 +7,7 @@
 import { JobFlow } from '../gateway/JobFlow.js'
 import { RequestFlow } from '../gateway/RequestFlow.js'
 import { DaemonCore } from './DaemonCore.js'
-import { MemberDialler } from './MemberDialler.js'
+import { MembersReader } from './MembersFeed.js'
 
 import type { IFlowContext } from '../gateway/Types.js'
 import type { ICallerSettings, ISettings } from '../platform/settings/Types.js'
@@ -16,12 +16,13 @@
 export class GatewayDaemon implements IDaemon {
   private readonly _broker = new ServiceBroker({ logger: false, transporter: null, skipProcessEventRegistration: true })
   private readonly _server: CallerServer
-  private readonly _members: MemberDialler
+  private readonly _members: MembersReader
 
   private constructor (private readonly _core: DaemonCore, caller: ICallerSettings) {
     const { hub, router, config, attemptIds, hasher, clock, random, log, settings } = _core
     const flow: IFlowContext = { hub, router, config, attemptIds, hasher, clock, timers: clock, random, log }
-    this._members = new MemberDialler(hub, _core.store, clock)
+    _core.join('')
+    this._members = new MembersReader(hub, _core.store, clock, _core.agent)
     this._server = new CallerServer({
       broker: this._broker,
       settings: caller,
@@ -41,11 +42,8 @@
   }
 
   public async start (): Promise<string> {
-    const { hub, watcher } = this._core
-    const peerUrl = await hub.start()
-    if (peerUrl.isErr()) throw peerUrl.error
     await this._members.start()
-    await watcher.start()
+    await this._core.watcher.start()
     await this._broker.start()
     return this._server.url
   }
@@ -53,6 +51,7 @@
   public async stop (): Promise<void> {
     const { clock, hub, settings, disposables } = this._core
     this._server.startDraining()
+    this._core.agent.leave()
     await new Promise<void>((resolve) => { clock.after(settings.limits.drainNoticeMs, resolve) })
     await this._server.close(settings.limits.drainMs)
     this._members.dispose()
--- a/src/daemon/SchedulerDaemon.ts
+++ b/src/daemon/SchedulerDaemon.ts
@@ -2,7 +2,7 @@
  * The scheduler process: owns shards, and decides alone about their hosts.
  */
 
-import { NaiveEngine } from '../common/policy/NaiveEngine.js'
+import { DecisionEngine } from '../common/policy/DecisionEngine.js'
 import { createHash32, ShardAssignment } from '../common/state/ShardAssignment.js'
 import { loadChart } from '../platform/ChartLoader.js'
 import { DefaultsSeeder } from '../platform/config/DefaultsSeeder.js'
@@ -20,8 +20,9 @@
 import { adoptedItem } from '../scheduler/requests/AdoptedItem.js'
 import { RequestService } from '../scheduler/requests/RequestService.js'
 import { DaemonCore } from './DaemonCore.js'
-import { MemberDialler } from './MemberDialler.js'
+import { feedFromOwner } from './MembersFeed.js'
 
+import type { IConfigEntry } from '../common/config/Types.js'
 import type { IFinalAnswer } from '../common/Types.js'
 import type { IShardSpec } from '../common/state/Types.js'
 import type { IShardAcquired, IShardLost } from '../scheduler/ownership/index.js'
@@ -35,10 +36,9 @@
 
 export class SchedulerDaemon implements IDaemon {
   private readonly _runnerClient = new RunnerClient()
-  private readonly _engine: NaiveEngine
-  private readonly _taskEngine: NaiveEngine
+  private readonly _engine: DecisionEngine
+  private readonly _taskEngine: DecisionEngine
   private readonly _directory: HostDirectory
-  private readonly _members: MemberDialler
   private readonly _registration: MemberRegistration
   private readonly _claims: ClaimService
   private readonly _owner: ShardOwner
@@ -48,14 +48,13 @@
   private _draining = false
   private _storeReachable = true
 
-  private constructor (private readonly _core: DaemonCore, peerUrl: string, hash: Awaited<ReturnType<typeof createHash32>>) {
+  private constructor (private readonly _core: DaemonCore, hash: Awaited<ReturnType<typeof createHash32>>) {
     const { clock, hub, store, log, self, settings } = _core
-    this._engine = new NaiveEngine(clock)
-    this._taskEngine = new NaiveEngine(clock)
-    this._members = new MemberDialler(hub, store, clock)
+    this._engine = new DecisionEngine(clock, _core.random, { kind: 'slots' })
+    this._taskEngine = new DecisionEngine(clock, _core.random, { kind: 'resources' })
     const hostList = new HostListClient({ url: settings.hostList.url, callTimeoutMs: settings.store.callTimeoutMs })
     this._directory = new HostDirectory(hostList, clock, settings.hostList.pollMs, log)
-    const entry = { ...self, role: 'scheduler' as const, peerUrl, operatorUrl: '', draining: false }
+    const entry = { ...self, role: 'scheduler' as const, peerUrl: hub.url ?? '', operatorUrl: '', draining: false }
     const { leaseTtlMs } = settings.store
     const keepAliveMs = leaseTtlMs / RENEWALS_PER_LEASE
     this._registration = new MemberRegistration(store, clock, entry, { ...DEFAULT_MEMBER_REGISTRATION_OPTIONS, leaseTtlMs, keepAliveMs })
@@ -80,13 +79,10 @@
 
   public static async create (settings: ISettings): Promise<SchedulerDaemon> {
     const core = await DaemonCore.create(settings)
-    const peerUrl = await core.hub.start()
-    if (peerUrl.isErr()) throw peerUrl.error
-    return new SchedulerDaemon(core, peerUrl.value, await createHash32())
+    return new SchedulerDaemon(core, await createHash32())
   }
 
   public async start (): Promise<string> {
-    await this._members.start()
     await this._core.watcher.start()
     await this._seeder().seed()
     this._directory.start()
@@ -98,6 +94,7 @@
   public async stop (): Promise<void> {
     const { clock, hub, settings, disposables } = this._core
     this._draining = true
+    this._core.agent.leave()
     this._load.announce()
     const drained = this._requests.drain()
     const released = this._owner.releaseAll().then(async () => { await this._registration.stop() })
@@ -105,7 +102,6 @@
     await drained
     this._load.dispose()
     this._directory.dispose()
-    this._members.dispose()
     disposables.dispose()
     await hub.close(settings.limits.drainMs)
   }
@@ -154,12 +150,24 @@
       this._owner.setShards(specs)
     })
     this._owner.setShards(idShardSpecs(this._core.settings.ids.idShards))
+    this._core.join('')
+    this._core.disposables.add(feedFromOwner(this._owner, this._core.agent))
     this._owner.onAcquired((shard) => this._acquired(shard))
     this._owner.onLost((shard) => this._lost(shard))
     this._owner.onReachable((reachable) => { this._storeReachable = reachable })
+    this._core.watcher.onApplied((entries) => this._takeTeams(entries))
     this._claims.onLost(({ shardId, epoch }) => this._owner.fenced(shardId, epoch + 1))
   }
 
+  private _takeTeams (entries: readonly IConfigEntry[]): void {
+    for (const { name } of entries.filter((entry) => entry.kind === 'team')) {
+      const team = this._core.config.team(name)
+      if (team === undefined) continue
+      this._engine.putTeam(team)
+      this._taskEngine.putTeam(team)
+    }
+  }
+
   private async _acquired (shard: IShardAcquired): Promise<void> {
     this._core.log.info('shard.acquired', { shardId: shard.shardId, epoch: shard.epoch })
     if (shard.kind === 'ids') {
--- a/src/platform/settings/SettingsFields.ts
+++ b/src/platform/settings/SettingsFields.ts
@@ -5,7 +5,7 @@
 import { isIP } from 'node:net'
 import * as z from 'zod'
 
-import type { IListenAddress } from './Types.js'
+import type { IListenAddress, ISeedSettings } from './Types.js'
 
 const MAX_PORT = 65_535
 const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/
@@ -49,6 +49,22 @@
     .describe(`must be ip:port, for example 10.0.0.7:7100 or [fd00::7]:7100, with a port from 0 to ${MAX_PORT}`)
 }
 
+/** Processes to turn to first, as `id@ip:port` with commas between. */
+export function seedList () {
+  return z.string()
+    .transform((text, context) => {
+      const seeds = text.split(',').map(seed => parseSeed(seed.trim()))
+      return seeds.some(seed => seed === undefined) ? failed(context) : seeds as readonly ISeedSettings[]
+    })
+    .describe('must be id@ip:port with commas between, for example scheduler-1@10.0.0.7:7101')
+}
+
+function parseSeed (text: string): ISeedSettings | undefined {
+  const [processId = '', address = ''] = text.split('@')
+  const isValid = NAME_PATTERN.test(processId) && parseListen(address) !== undefined
+  return isValid ? { processId, peerUrl: `ws://${address}` } : undefined
+}
+
 export function httpUrl () {
   return z.string().refine(isIpUrl).describe('must be a URL by IP number, for example http://10.0.0.9:2379')
 }
--- a/src/platform/settings/SettingsSchema.ts
+++ b/src/platform/settings/SettingsSchema.ts
@@ -5,7 +5,7 @@
 import * as z from 'zod'
 import { LOG_LEVELS } from '../../common/observability/Types.js'
 import { SETTINGS_DEFAULTS } from './SettingsDefaults.js'
-import { httpUrl, listenAddress, nameList, oneOf, secret, simpleName, wholeNumber } from './SettingsFields.js'
+import { httpUrl, listenAddress, nameList, oneOf, secret, seedList, simpleName, wholeNumber } from './SettingsFields.js'
 
 const KIB = 1024
 const MIB = 1024 * KIB
@@ -41,7 +41,8 @@
     silenceMs: wholeNumber(100, 300_000, 'milliseconds').default(peer.silenceMs),
     callTimeoutMs: wholeNumber(50, 300_000, 'milliseconds').default(peer.callTimeoutMs),
     loadSummaryMs: wholeNumber(50, 60_000, 'milliseconds').default(peer.loadSummaryMs),
-    maxMessageBytes: wholeNumber(MIB, 128 * MIB, 'bytes').default(peer.maxMessageBytes)
+    maxMessageBytes: wholeNumber(MIB, 128 * MIB, 'bytes').default(peer.maxMessageBytes),
+    seeds: seedList().default([])
   }),
   store: z.strictObject({
     url: httpUrl(),
--- a/src/platform/settings/Types.ts
+++ b/src/platform/settings/Types.ts
@@ -42,6 +42,13 @@
   readonly token: string
 }
 
+/** A process that a starting one may turn to. */
+export interface ISeedSettings {
+  readonly processId: string
+  /** `ws://ip:port`. */
+  readonly peerUrl: string
+}
+
 /** The links between the system's own processes. */
 export interface IPeerSettings {
   readonly listen: IListenAddress
@@ -55,6 +62,8 @@
   readonly loadSummaryMs: number
   /** The largest message taken from a peer, in bytes. */
   readonly maxMessageBytes: number
+  /** Whom to ask first when the store can't tell who is there. */
+  readonly seeds: readonly ISeedSettings[]
 }
 
 export interface IStoreSettings {
--- a/src/scheduler/requests/Dispatcher.ts
+++ b/src/scheduler/requests/Dispatcher.ts
@@ -2,6 +2,7 @@
  * Sends one placed request to its runner and decides what its end means: an answer, another host, or unknown.
  */
 
+import { RetryBudget } from '../../common/policy/RetryBudget.js'
 import { AmbiguousError, FencedError, RefusedError } from '../../common/Errors.js'
 
 import type { IWorkItem } from '../../common/policy/Types.js'
@@ -31,6 +32,9 @@
 }
 
 export class Dispatcher {
+  /** By service, so that one that fails doesn't use up the retries of the others. */
+  private readonly _budgets = new Map<string, RetryBudget>()
+
   public constructor (private readonly _context: IRequestContext, private readonly _events: IDispatchEvents) {}
 
   /** Never rejects. */
@@ -62,6 +66,7 @@
   private _answered (dispatch: IDispatch, answer: IRunnerAnswer): void {
     const failed = answer.status >= FIRST_SERVER_ERROR_STATUS
     this._context.engine.finished(dispatch.item.id, failed ? 'failed' : 'succeeded', this._serviceMs(dispatch))
+    if (!failed) this._budget(dispatch.pending.ask.service).noteSuccess()
     if (failed && this._mayRetry(dispatch)) this._requeue(dispatch)
     else this._events.onAnswer(dispatch.pending.ask.attemptId, this._done(dispatch, answer))
     this._events.onPlaceFree()
@@ -107,8 +112,17 @@
 
   private _mayRetry (dispatch: IDispatch): boolean {
     const { ask, deadlineAtMs } = dispatch.pending
-    const attempts = dispatch.item.avoidHostIds?.length ?? 0
-    return ask.idempotent && attempts < dispatch.item.profile.maxRetries && this._context.clock.nowMs() < deadlineAtMs
+    if (!ask.idempotent || this._context.clock.nowMs() >= deadlineAtMs) return false
+    const attempts = (dispatch.item.avoidHostIds?.length ?? 0) + 1
+    return this._budget(ask.service).tryTake(dispatch.item, attempts).isOk()
+  }
+
+  private _budget (service: string): RetryBudget {
+    const known = this._budgets.get(service)
+    if (known !== undefined) return known
+    const budget = new RetryBudget()
+    this._budgets.set(service, budget)
+    return budget
   }
 
   private _requeue (dispatch: IDispatch): void {
--- a/src/scheduler/requests/RequestService.ts
+++ b/src/scheduler/requests/RequestService.ts
@@ -22,6 +22,7 @@
   private readonly _pending = new Map<string, IPendingRequest>()
   private readonly _answers: AnswerCache
   private readonly _dispatcher: Dispatcher
+  private readonly _runnerProfiles = new WeakMap<IProfile, IProfile>()
   private _wake: IDisposable | undefined
   private _draining = false
 
@@ -148,7 +149,7 @@
   private async _queue (ask: ISubmitRequest, profile: IProfile, profileRevision: number, team: string): Promise<IFinalAnswer> {
     const nowMs = this._context.clock.nowMs()
     const deadlineAtMs = nowMs + ask.remainingMs
-    const item = toItem(ask, profile, team, nowMs, deadlineAtMs)
+    const item = toItem(ask, this._runnerProfile(profile), team, nowMs, deadlineAtMs)
     const decision = this._context.engine.admit(item)
     if (!decision.admitted) return this._refused(decision.reason, decision.detail, decision.retryAfterMs)
     return await new Promise<IFinalAnswer>((resolve) => {
@@ -157,6 +158,16 @@
     })
   }
 
+  /** A call to a runner can't be stopped half-way, so it is never preempted, whatever its profile says of tasks. */
+  private _runnerProfile (profile: IProfile): IProfile {
+    let derived = this._runnerProfiles.get(profile)
+    if (derived === undefined) {
+      derived = { ...profile, preemptible: false }
+      this._runnerProfiles.set(profile, derived)
+    }
+    return derived
+  }
+
   private _requeue (item: IWorkItem): void {
     const attemptId = attemptOf(item.id)
     const pending = this._pending.get(attemptId)
