--- /dev/null
+++ b/bench/path.ts
@@ -0,0 +1,173 @@
+/**
+ * `npm run bench -- path`: what the path through gateway and scheduler costs against a direct call to the same runner,
+ * and what the processes take. All figures come from one run on real processes.
+ */
+
+import { build } from 'hdr-histogram-js'
+import { Pool } from 'undici'
+
+import { CallerClient } from '../test/support/CallerClient.js'
+import { Cell } from '../test/support/Cell.js'
+import { configureExamples } from '../test/support/Configure.js'
+import { processorMs, residentBytes } from '../test/support/ProcessStats.js'
+
+import type { Histogram } from 'hdr-histogram-js'
+
+const BODY = Buffer.alloc(1024, 7)
+const MEASURE_MS = 5000
+const WARM_UP_MS = 2000
+const IDLE_MS = 5000
+const CONCURRENCY = 128
+const MIB = 2 ** 20
+const US_PER_MS = 1000
+
+type Send = (number: number) => Promise<boolean>
+
+interface ILoadResult {
+  readonly perSecond: number
+  readonly failed: number
+  readonly latencyUs: Histogram
+}
+
+/** Closed loop: `concurrency` callers, each sends again when it has its answer. */
+async function closedLoop (send: Send, concurrency: number, durationMs: number): Promise<ILoadResult> {
+  const latencyUs = build()
+  const untilMs = performance.now() + durationMs
+  const startedAtMs = performance.now()
+  let number = 0
+  let failed = 0
+  const caller = async (): Promise<void> => {
+    while (performance.now() < untilMs) {
+      const sentAtMs = performance.now()
+      if (!await send(number++)) failed += 1
+      latencyUs.recordValue(Math.round((performance.now() - sentAtMs) * US_PER_MS))
+    }
+  }
+  await Promise.all(Array.from({ length: concurrency }, caller))
+  return { perSecond: latencyUs.totalCount / (performance.now() - startedAtMs) * 1000, failed, latencyUs }
+}
+
+/** Open loop at a fixed rate; latency counts from the time at which a request was due, so that stalls show. */
+async function openLoop (send: Send, perSecond: number, durationMs: number): Promise<ILoadResult> {
+  const latencyUs = build()
+  const startedAtMs = performance.now()
+  const pending: Array<Promise<void>> = []
+  const total = Math.round(perSecond * durationMs / 1000)
+  let failed = 0
+  for (let number = 0; number < total;) {
+    const dueUntil = Math.min(total, (performance.now() - startedAtMs) / 1000 * perSecond)
+    for (; number < dueUntil; number++) {
+      const dueAtMs = startedAtMs + number / perSecond * 1000
+      pending.push(send(number).then((isDone) => {
+        if (!isDone) failed += 1
+        latencyUs.recordValue(Math.max(1, Math.round((performance.now() - dueAtMs) * US_PER_MS)))
+      }))
+    }
+    await new Promise((resolve) => setTimeout(resolve, 1))
+  }
+  await Promise.all(pending)
+  return { perSecond: total / (performance.now() - startedAtMs) * 1000, failed, latencyUs }
+}
+
+function directSend (url: string, connections: number): { readonly send: Send, readonly close: () => Promise<void> } {
+  const pool = new Pool(url, { connections, pipelining: 1 })
+  const send: Send = async (number) => {
+    const answer = await pool.request({
+      method: 'POST',
+      path: '/run/chip-lookup',
+      body: BODY,
+      headers: { 'x-shard-id': 'direct', 'x-epoch': '1', 'x-attempt-id': `direct-${number}`, 'x-request-id': `${number}`, 'x-caller': 'bench' }
+    })
+    await answer.body.arrayBuffer()
+    return answer.statusCode === 200
+  }
+  return { send, close: async () => { await pool.close() } }
+}
+
+function print (line: Readonly<Record<string, unknown>>): void {
+  process.stdout.write(JSON.stringify(line) + '\n')
+}
+
+function ms (histogram: Histogram, percentile: number): number {
+  return histogram.getValueAtPercentile(percentile) / US_PER_MS
+}
+
+async function measureIdle (cell: Cell): Promise<void> {
+  const before = cell.processes.map(({ handle }) => processorMs(handle.pid))
+  await new Promise((resolve) => setTimeout(resolve, IDLE_MS))
+  cell.processes.forEach(({ processId, role, handle }, index) => {
+    const share = (processorMs(handle.pid) - (before[index] ?? 0)) / IDLE_MS
+    print({ bench: 'path', measure: 'idle', role, processId, processorShare: share, residentMiB: residentBytes(handle.pid) / MIB })
+  })
+}
+
+async function measureSpeed (cell: Cell): Promise<void> {
+  const runner = cell.hosts[0]
+  const client = new CallerClient(cell.gateways()[0]?.url ?? '', CONCURRENCY)
+  const direct = directSend(runner?.url ?? '', runner?.slots ?? 1)
+  const viaCell: Send = async (number) => {
+    const reply = await client.send({ service: 'chip-lookup', caller: `bench-${number % 8}`, requestId: `${number}`, body: BODY })
+    return reply.outcome === 'done'
+  }
+  await closedLoop(viaCell, CONCURRENCY, WARM_UP_MS)
+  await closedLoop(direct.send, runner?.slots ?? 1, WARM_UP_MS)
+  const directFull = await closedLoop(direct.send, runner?.slots ?? 1, MEASURE_MS)
+  const before = cell.processes.map(({ handle }) => processorMs(handle.pid))
+  const full = await closedLoop(viaCell, CONCURRENCY, MEASURE_MS)
+  print({
+    bench: 'path',
+    measure: 'saturation',
+    perSecond: full.perSecond,
+    failed: full.failed,
+    directPerSecond: directFull.perSecond,
+    ratio: full.perSecond / directFull.perSecond,
+    cores: Object.fromEntries(cell.processes.map(({ processId, handle }, index) =>
+      [processId, (processorMs(handle.pid) - (before[index] ?? 0)) / MEASURE_MS])),
+    residentMiB: Object.fromEntries(cell.processes.map(({ processId, handle }) => [processId, residentBytes(handle.pid) / MIB]))
+  })
+  await measureHalfLoad(viaCell, direct.send, full.perSecond / 2)
+  await direct.close()
+  await client.close()
+}
+
+async function measureHalfLoad (viaCell: Send, direct: Send, perSecond: number): Promise<void> {
+  const directHalf = await openLoop(direct, perSecond, MEASURE_MS)
+  const half = await openLoop(viaCell, perSecond, MEASURE_MS)
+  const added = (percentile: number): number => ms(half.latencyUs, percentile) - ms(directHalf.latencyUs, percentile)
+  print({
+    bench: 'path',
+    measure: 'half load',
+    perSecond: half.perSecond,
+    failed: half.failed,
+    p50Ms: ms(half.latencyUs, 50),
+    p99Ms: ms(half.latencyUs, 99),
+    directP50Ms: ms(directHalf.latencyUs, 50),
+    directP99Ms: ms(directHalf.latencyUs, 99),
+    addedP50Ms: added(50),
+    addedP99Ms: added(99),
+    ratioP50: ms(half.latencyUs, 50) / ms(directHalf.latencyUs, 50),
+    ratioP99: ms(half.latencyUs, 99) / ms(directHalf.latencyUs, 99)
+  })
+}
+
+/** One gateway and one scheduler with thirty runners for speed; then a cell of today's size for what idling costs. */
+export async function run (): Promise<void> {
+  const small = await Cell.start({
+    regions: ['lakes-west'], runnersPerRegion: 30, workersPerRegion: 0, hostsPerRack: 30, runnerProcesses: 4
+  })
+  try {
+    await configureExamples(small.storeUrl)
+    await small.untilServed()
+    await measureSpeed(small)
+  } finally {
+    await small.dispose()
+  }
+  const today = await Cell.start({ gatewaysPerRegion: 3, schedulersPerRegion: 3, runnersPerRegion: 10, workersPerRegion: 10, hostsPerRack: 8 })
+  try {
+    await configureExamples(today.storeUrl)
+    await today.untilServed()
+    await measureIdle(today)
+  } finally {
+    await today.dispose()
+  }
+}
--- a/scripts/try.ts
+++ b/scripts/try.ts
@@ -13,7 +13,6 @@
 
 const SERVICES = ['chip-lookup', 'neighbour-broadcast', 'sighting-sweep', 'pivot-stop', 'pivot-start', 'season-budget', 'sector-sweep']
 const BODY_BYTES = 1024 * 1024
-const CONFIG_LIMIT_MS = 5000
 
 let served = 0
 let failed = 0
@@ -59,24 +58,12 @@
   }
 }
 
-async function untilConfigured (clients: readonly CallerClient[]): Promise<void> {
-  const untilMs = performance.now() + CONFIG_LIMIT_MS
-  for (const client of clients) {
-    for (let number = 0; ; number++) {
-      const reply = await client.send({ service: 'sector-sweep', caller: 'warm-up', requestId: `warm-up-${number}`, idempotent: true })
-      if (reply.outcome === 'done') break
-      if (performance.now() > untilMs) throw new Error(`not served after ${CONFIG_LIMIT_MS} ms: ${reply.status} ${reply.body.toString()}`)
-      await new Promise((resolve) => setTimeout(resolve, 50))
-    }
-  }
-}
-
 async function main (): Promise<void> {
   const cell = await Cell.start()
   try {
     await configureExamples(cell.storeUrl)
     const clients = cell.gateways().slice(0, 2).map((gateway) => new CallerClient(gateway.url))
-    await untilConfigured(clients)
+    await cell.untilServed()
     await sendAll(clients)
     await sendRepeat(clients[0] as CallerClient, clients[1] as CallerClient)
     await sendBadInput(clients[0] as CallerClient)
--- a/test/support/Cell.ts
+++ b/test/support/Cell.ts
@@ -8,6 +8,7 @@
 import { join } from 'node:path'
 import { request } from 'undici'
 
+import { CallerClient } from './CallerClient.js'
 import { startProcess } from './Processes.js'
 
 import type { IHostRecord } from '../../src/platform/Types.js'
@@ -18,6 +19,8 @@
   readonly gatewaysPerRegion: number
   readonly schedulersPerRegion: number
   readonly runnersPerRegion: number
+  /** Processes that the runners of a region are spread over; one saturates at some ten thousand calls a second. */
+  readonly runnerProcesses: number
   readonly workersPerRegion: number
   readonly hostsPerRack: number
   readonly slots: number
@@ -32,6 +35,7 @@
   gatewaysPerRegion: 1,
   schedulersPerRegion: 1,
   runnersPerRegion: 4,
+  runnerProcesses: 1,
   workersPerRegion: 4,
   hostsPerRack: 4,
   slots: 8,
@@ -110,6 +114,21 @@
     }
   }
 
+  /** Waits until the first gateway of each region gets a request served, which needs the configuration and an owner. */
+  public async untilServed (service = 'sector-sweep'): Promise<void> {
+    const untilMs = performance.now() + READY_LIMIT_MS
+    for (const region of this.options.regions) {
+      const client = new CallerClient(this.gateways().find((gateway) => gateway.region === region)?.url ?? '', 1)
+      for (let number = 0; ; number++) {
+        const reply = await client.send({ service, caller: 'warm-up', requestId: `warm-up-${region}-${number}`, idempotent: true })
+        if (reply.outcome === 'done') break
+        if (performance.now() > untilMs) throw new Error(`${region} is not served: ${reply.status} ${reply.body.toString()}`)
+        await new Promise((resolve) => setTimeout(resolve, POLL_MS))
+      }
+      await client.close()
+    }
+  }
+
   public async control (url: string, settings: unknown): Promise<void> {
     const answer = await request(`${url}/control`, { method: 'POST', body: JSON.stringify(settings) })
     await answer.body.dump()
@@ -140,10 +159,11 @@
   }
 
   private async _startHosts (region: string): Promise<void> {
-    const { runnersPerRegion, workersPerRegion, slots, worker } = this.options
+    const { runnersPerRegion, runnerProcesses, workersPerRegion, slots, worker } = this.options
     if (runnersPerRegion > 0) {
-      const runners = await this._standIn('runner', ['--count', String(runnersPerRegion), '--host-id', `runner-${region}`, '--slots', String(slots)])
-      this._addHosts('runner', region, runners.urls)
+      const count = ['--count', String(runnersPerRegion / runnerProcesses), '--slots', String(slots)]
+      const starts = Array.from({ length: runnerProcesses }, async () => await this._standIn('runner', [...count, '--host-id', `runner-${region}`]))
+      this._addHosts('runner', region, (await Promise.all(starts)).flatMap(({ urls }) => urls))
     }
     if (workersPerRegion === 0) return
     const capacity = ['--cores', String(worker.cores), '--memory-bytes', String(worker.memoryBytes), '--accelerators', String(worker.accelerators)]
