Policy: let claims of all-at-once jobs move to room that comes free

Cause: of sixteen hosts that are emptied for a job, one runs on for a minute, and the others stand idle until then; and a second job could not start to claim before the first had started. Change: a claim that is not met moves to a host with room; a job with all its claims no longer keeps the next from claiming; held room is bounded by share.

--- a/src/common/policy/CapacityLedger.ts
+++ b/src/common/policy/CapacityLedger.ts
@@ -66,6 +66,7 @@
 export class CapacityLedger {
   public readonly capacity: IMutableResources = zeroResources()
   public readonly used: IMutableResources = zeroResources()
+  public readonly held: IMutableResources = zeroResources()
   private readonly _hosts = new Map<string, LedgerHost>()
   private readonly _running = new Map<string, IRunningItem>()
   private readonly _shapes = new Map<string, { readonly capacity: IResources, hosts: number }>()
@@ -167,11 +168,13 @@
 
   public hold (host: LedgerHost, need: IResources): void {
     addInto(host.held, need)
+    addInto(this.held, need)
     this._observer.hostChanged(host)
   }
 
   public releaseHold (host: LedgerHost, need: IResources): void {
     subtractFrom(host.held, need)
+    subtractFrom(this.held, need)
     if (Math.abs(host.held.cores) < CORE_ROUNDING) host.held.cores = 0
     if (this._hosts.has(host.hostId)) this._observer.hostChanged(host)
   }
--- a/src/common/policy/GroupBook.ts
+++ b/src/common/policy/GroupBook.ts
@@ -121,6 +121,14 @@
     this._ledger.hold(host, task.need)
   }
 
+  /** Moves a hold to another host. */
+  public move (group: IGroup, hold: IHold, host: LedgerHost): void {
+    const { item, need } = hold
+    this._ledger.releaseHold(hold.host, need)
+    group.holds.set(item.id, { item, need, host })
+    this._ledger.hold(host, need)
+  }
+
   public giveBack (group: IGroup): void {
     for (const itemId of [...group.holds.keys()]) this._release(group, itemId)
     group.gatheringSinceMs = undefined
--- a/src/common/policy/GroupPlacer.ts
+++ b/src/common/policy/GroupPlacer.ts
@@ -19,15 +19,17 @@
 /** Gathering that has not come to an end in this time is given up in favour of the next group: its room may never come. */
 const MAX_GATHER_MS = 600_000
 
-/** Hosts that are emptied for single large items at once, so that they can't idle a large part of the capacity. */
-const MAX_SINGLES_SHARE = 0.25
+/** While this share of the capacity is held, no further hosts are emptied: held room is mostly idle. */
+const MAX_HELD_SHARE = 0.25
+
+/** The same for single large items, which come more often than jobs do. */
+const MAX_HELD_SHARE_FOR_ONE = 0.05
 
 /** Whether it is this group's turn to have room gathered for it. */
 export type TurnTest = (group: IGroup) => boolean
 
 export class GroupPlacer {
   private _gathering: IGroup | undefined
-  private _singles = 0
   /** Until when the held room of a host is open to work that ends by then. */
   private readonly _openUntilMs = new Map<LedgerHost, MonotonicMs>()
 
@@ -46,7 +48,7 @@
 
   /** Whether one more host may be emptied for a single large item. */
   public canGatherForOne (): boolean {
-    return this._gathering === undefined && this._singles < Math.max(1, MAX_SINGLES_SHARE * this._ledger.hostCount)
+    return this._gathering === undefined && this._ledger.shareOf(this._ledger.held) < MAX_HELD_SHARE_FOR_ONE
   }
 
   /** When something here is due although no room has come free. */
@@ -63,16 +65,17 @@
    * Moves the groups on and gives one that can start itself now.
    *
    * Made for jobs of many tasks among a stream of small ones. Left to chance, a large job never finds all its room at
-   * one moment: it starves, though each small task waits hardly at all. So hosts are emptied for one group at a
-   * time. Were it done for two, each could hold half and wait for the other for ever, which shows as hosts held but
-   * idle; with one, its wait is bounded by the run times of what is in its way. A single large item needs one
-   * host only and can't be part of such a circle, so a number of them are served at once.
+   * one moment: it starves, though each small task waits hardly at all. So hosts are claimed and emptied for it. Only
+   * one group at a time has part of its claims: were there two, each could hold half and wait for the other for ever,
+   * which shows as hosts held but idle. A group with all its claims waits for running work alone, so its wait is
+   * bounded by run times, and the next group may claim meanwhile.
    */
   public advance (nowMs: MonotonicMs, isItsTurn: TurnTest): IGroup | undefined {
     this._stopStalled(nowMs)
     this._gatherForSingles(nowMs)
     this._startGathering(nowMs, isItsTurn)
     if (this._gathering !== undefined) this._gather(this._gathering, nowMs)
+    this._improveClaims()
     this._tryOthers(isItsTurn)
     for (const group of this._book.holding()) {
       if (group.startsItself && this._book.isReady(group)) return group
@@ -96,16 +99,13 @@
   }
 
   private _gatherForSingles (nowMs: MonotonicMs): void {
-    this._singles = 0
     for (const group of this._book.groups()) {
-      if (!isSingle(group)) continue
-      this._singles += 1
-      if (group.holds.size === 0 && nowMs - group.queuedAtMs >= GATHER_AFTER_MS) this._gather(group, nowMs)
+      if (isSingle(group) && group.holds.size === 0 && nowMs - group.queuedAtMs >= GATHER_AFTER_MS) this._gather(group, nowMs)
     }
   }
 
   private _startGathering (nowMs: MonotonicMs, isItsTurn: TurnTest): void {
-    if (this._gathering !== undefined) return
+    if (this._gathering !== undefined || this._ledger.shareOf(this._ledger.held) >= MAX_HELD_SHARE) return
     let next: IGroup | undefined
     for (const group of this._book.groups()) {
       if (this._mayGather(group, nowMs) && (next === undefined || goesBefore(group, next)) && isItsTurn(group)) next = group
@@ -126,7 +126,7 @@
       if (!group.holds.has(task.item.id)) hasMore = this._claim(group, task, nowMs) || hasMore
     }
     if (hasMore) this._reopen()
-    if (group === this._gathering && !group.startsItself && this._book.isReady(group)) this._gathering = undefined
+    if (group === this._gathering && this._book.isComplete(group)) this._gathering = undefined
   }
 
   /**
@@ -142,6 +142,23 @@
     return true
   }
 
+  /**
+   * Moves claims from hosts that are still being emptied to room that has come free elsewhere.
+   *
+   * Made for run times with a long tail: of sixteen hosts, one runs something for a minute more, and the fifteen that
+   * have been emptied would stand idle until then.
+   */
+  private _improveClaims (): void {
+    for (const group of this._book.holding()) {
+      for (const hold of group.holds.values()) {
+        if (fits(hold.host.held, hold.host.unused())) continue
+        const host = this._chooser.choose(hold.item, hold.need)
+        if (host === undefined) break
+        this._book.move(group, hold, host)
+      }
+    }
+  }
+
   /** How long the host takes to have room for what it holds, if its work ends as fast as work does on all hosts. */
   private _drainMs (host: LedgerHost): number {
     const { capacity } = host.config
