Operator interface: own listener, token, typed routes, configuration over HTTP

moleculer-web routes, parses and answers; the listener is ours, because moleculer-web waits for ever when the address is taken, and because the token is checked before a byte of the body is read.

--- a/src/common/observability/OutcomeCounters.ts
+++ b/src/common/observability/OutcomeCounters.ts
@@ -4,7 +4,8 @@
 
 import { LatencyHistogram } from './LatencyHistogram.js'
 
-import type { IOutcomeRecord, IOutcomeRow } from './Types.js'
+import type { FinalOutcome, IFinalAnswer } from '../Types.js'
+import type { IOutcomeRow } from './Types.js'
 
 /** The row of all callers that have none of their own. */
 export const OTHER_CALLERS = 'others'
@@ -40,10 +41,15 @@
    */
   public constructor (private readonly _maxRows: number) {}
 
-  public note (record: IOutcomeRecord): void {
-    const row = this._rowOf(record)
-    row.counts[countOf(record)] += 1
-    if (record.waitMs !== undefined) row.waits.record(record.waitMs)
+  /**
+   * Counts the final answer of one request.
+   *
+   * @param late that it was answered at its deadline or after; in doubt yes, so that the count is in the caller's favour
+   */
+  public noteOutcome (service: string, caller: string, answer: Pick<IFinalAnswer, 'outcome' | 'waitMs'>, late: boolean): void {
+    const row = this._rowOf(service, caller)
+    row.counts[countOf(answer.outcome, late)] += 1
+    if (answer.waitMs !== undefined) row.waits.record(answer.waitMs)
   }
 
   /** The rows with the most outcomes first; `service` and `limit` narrow them down. */
@@ -53,7 +59,7 @@
     return chosen.sort((a, b) => totalOf(b) - totalOf(a)).slice(0, limit).map(row => row.toPlain())
   }
 
-  private _rowOf ({ service, caller }: IOutcomeRecord): OutcomeRow {
+  private _rowOf (service: string, caller: string): OutcomeRow {
     if (caller === OTHER_CALLERS) return this._othersOf(service)
     const key = `${service}\n${caller}`
     const known = this._rows.get(key)
@@ -82,10 +88,9 @@
   }
 }
 
-/** An answer that arrives at its deadline or after counts as late: in doubt, the count is in the caller's favour. */
-function countOf (record: IOutcomeRecord): Count {
-  if (record.outcome !== 'done') return record.outcome
-  return record.elapsedMs >= record.deadlineMs ? 'late' : 'completed'
+function countOf (outcome: FinalOutcome, late: boolean): Count {
+  if (outcome !== 'done') return outcome
+  return late ? 'late' : 'completed'
 }
 
 function totalOf (row: OutcomeRow): number {
--- a/src/common/observability/Types.ts
+++ b/src/common/observability/Types.ts
@@ -2,7 +2,6 @@
  * What a process tells its operators: log events, counters and dumps.
  */
 
-import type { FinalOutcome } from '../Types.js'
 import type { ILatencyBucket } from './LatencyHistogram.js'
 
 export const LOG_LEVELS = ['debug', 'info', 'warn', 'error'] as const
@@ -30,19 +29,6 @@
   error (event: string, fields?: ILogFields): void
 }
 
-/** How one request ended, as its caller saw it. */
-export interface IOutcomeRecord {
-  readonly service: string
-  readonly caller: string
-  readonly outcome: FinalOutcome
-  /** From the arrival of the request to its answer, in milliseconds. */
-  readonly elapsedMs: number
-  /** The caller's deadline, or that of the profile, in milliseconds from arrival. */
-  readonly deadlineMs: number
-  /** From arrival to dispatch, in milliseconds; absent for work that was never dispatched. */
-  readonly waitMs?: number | undefined
-}
-
 /** What a service gave to one caller since the process started. */
 export interface IOutcomeRow {
   readonly service: string
--- /dev/null
+++ b/src/platform/DumpOnSignal.ts
@@ -0,0 +1,28 @@
+/**
+ * Writes the state dump into the log when the process gets SIGUSR2, for the case that its operator listener doesn't
+ * answer.
+ */
+
+import type { DumpRegistry } from '../common/observability/DumpRegistry.js'
+import type { ILogger } from '../common/observability/Types.js'
+import type { IDisposable } from '../common/Types.js'
+
+const SIGNAL = 'SIGUSR2'
+
+export class DumpOnSignal implements IDisposable {
+  private readonly _listener = () => this._write()
+
+  public constructor (private readonly _registry: DumpRegistry, private readonly _logger: ILogger) {
+    process.on(SIGNAL, this._listener)
+  }
+
+  public dispose (): void {
+    process.off(SIGNAL, this._listener)
+  }
+
+  private _write (): void {
+    for (const section of this._registry.names()) {
+      this._logger.warn('process.dump', { section, state: JSON.stringify(this._registry.dump(section)?.[section]) })
+    }
+  }
+}
--- /dev/null
+++ b/src/platform/HttpListener.ts
@@ -0,0 +1,73 @@
+/**
+ * One HTTP listener with its limits. moleculer-web can listen by itself, but waits for ever when the address is taken;
+ * here that is an error that the process can report.
+ */
+
+import { createServer } from 'node:http'
+import { ResultAsync, err, ok } from 'neverthrow'
+import { UnreachableError } from '../common/Errors.js'
+
+import type { RequestListener, Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import type { Result } from 'neverthrow'
+import type { IListenAddress } from './settings/Types.js'
+
+export interface IHttpLimits {
+  readonly maxHeaderBytes: number
+  readonly maxHeaderCount: number
+  readonly maxConnections: number
+  /** How long a client may take to send its headers, in milliseconds. */
+  readonly headersTimeoutMs: number
+  /** How long a client may take to send a whole request, in milliseconds. */
+  readonly requestTimeoutMs: number
+}
+
+/** How often slow senders are looked for, per time that they are allowed. */
+const CHECKS_PER_TIMEOUT = 2
+
+export class HttpListener {
+  private readonly _server: Server
+
+  public constructor (limits: IHttpLimits, handler: RequestListener) {
+    this._server = createServer({
+      maxHeaderSize: limits.maxHeaderBytes,
+      headersTimeout: limits.headersTimeoutMs,
+      requestTimeout: Math.max(limits.requestTimeoutMs, limits.headersTimeoutMs),
+      connectionsCheckingInterval: limits.headersTimeoutMs / CHECKS_PER_TIMEOUT
+    }, handler)
+    this._server.maxHeadersCount = limits.maxHeaderCount
+    this._server.maxConnections = limits.maxConnections
+  }
+
+  /** Binds, and gives the base URL with the port that was taken. */
+  public listen (address: IListenAddress): ResultAsync<string, UnreachableError> {
+    return new ResultAsync(this._listen(address))
+  }
+
+  /** Takes no new connections, and cuts those that are still open after `graceMs`. */
+  public async close (graceMs: number): Promise<void> {
+    const cut = setTimeout(() => this._server.closeAllConnections(), graceMs)
+    await new Promise<void>(resolve => { this._server.close(() => resolve()) })
+    clearTimeout(cut)
+  }
+
+  private async _listen (address: IListenAddress): Promise<Result<string, UnreachableError>> {
+    return await new Promise(resolve => {
+      const failed = (cause: Error) => resolve(err(notBound(address, cause)))
+      this._server.once('error', failed)
+      this._server.listen(address.port, address.ip, () => {
+        this._server.off('error', failed)
+        resolve(ok(urlOf(this._server.address() as AddressInfo)))
+      })
+    })
+  }
+}
+
+function urlOf (address: AddressInfo): string {
+  const ip = address.family === 'IPv6' ? `[${address.address}]` : address.address
+  return `http://${ip}:${address.port}`
+}
+
+function notBound ({ ip, port }: IListenAddress, cause: Error): UnreachableError {
+  return new UnreachableError('http.listen', `${ip}:${port}`, cause.message, { cause })
+}
--- /dev/null
+++ b/src/platform/OperatorServer.test.ts
@@ -0,0 +1,129 @@
+import { createConnection } from 'node:net'
+import test from 'ava'
+import fc from 'fast-check'
+import { request } from 'undici'
+import { ScriptedStore } from '../../test/support/ScriptedStore.js'
+import { SystemClock } from '../common/Clock.js'
+import { ConfigReplica } from '../common/config/ConfigReplica.js'
+import { URGENT_PROFILE } from '../common/config/DefaultProfiles.js'
+import { SilentLogger } from '../common/observability/SilentLogger.js'
+import { createBroker } from './Broker.js'
+import { ConfigEditor } from './config/ConfigEditor.js'
+import { ConfigRoutes } from './ConfigRoutes.js'
+import { OperatorServer } from './OperatorServer.js'
+import { okReply } from './OperatorRoutes.js'
+import { SETTINGS_DEFAULTS } from './settings/SettingsDefaults.js'
+
+import type { ExecutionContext } from 'ava'
+import type { ILimitSettings } from './settings/Types.js'
+
+const SEED = 20_261_202
+const TOKEN = 'a-token-of-the-test'
+const LIMITS: ILimitSettings = { ...SETTINGS_DEFAULTS.limits, headersTimeoutMs: 200 }
+const LISTEN = { ip: '127.0.0.1', port: 0 }
+
+async function setUp (t: ExecutionContext) {
+  const store = new ScriptedStore()
+  const editor = new ConfigEditor(store, new ConfigReplica(), new SystemClock(), {
+    newNonce: () => Math.random().toString(), retryPauseMs: 1, maxAttempts: 2, maxHistory: 10
+  })
+  const routes = new ConfigRoutes(editor, new ConfigReplica(), async () => [{ processId: 'p', region: 'r', revision: 1 }])
+  const logger = new SilentLogger()
+  const broker = createBroker('gateway-1', logger)
+  const handlers = {
+    ...routes.handlers(),
+    dump: ({ query }: { readonly query: object }) => okReply({ query }),
+    metrics: () => { throw new Error('broken') }
+  }
+  const server = new OperatorServer(broker, { listen: LISTEN, token: TOKEN }, LIMITS, handlers, logger)
+  await broker.start()
+  const url = (await server.listen())._unsafeUnwrap()
+  t.teardown(async () => {
+    await server.close()
+    await broker.stop()
+  })
+  const call = async (method: 'GET' | 'PUT' | 'POST' | 'DELETE', path: string, options: { body?: string, ifMatch?: number, token?: string } = {}) => {
+    const { body, ifMatch, token = TOKEN } = options
+    const headers = {
+      authorization: `Bearer ${token}`,
+      ...(body === undefined ? {} : { 'content-type': 'application/json' }),
+      ...(ifMatch === undefined ? {} : { 'if-match': `"${ifMatch}"` })
+    }
+    const answer = await request(url + path, { method, headers, ...(body === undefined ? {} : { body }) })
+    return { status: answer.statusCode, json: await answer.body.json() as Record<string, any> }
+  }
+  return { store, url, call }
+}
+
+test('asks for the token before anything else', async t => {
+  const { call } = await setUp(t)
+  for (const token of ['', 'wrong', `${TOKEN}x`]) t.is((await call('GET', '/v1/dump', { token })).status, 401)
+  t.is((await call('PUT', '/v1/config/profile/urgent', { token: 'wrong', body: 'x'.repeat(1_000_000) })).status, 401)
+  t.deepEqual(await call('GET', '/v1/dump?section=links'), { status: 200, json: { query: { section: 'links' } } })
+})
+
+test('a profile is put, read, rolled back, deleted and listed over its history', async t => {
+  const { call } = await setUp(t)
+  const path = '/v1/config/profile/urgent'
+  const put = (ifMatch: number, weight: number) => call('PUT', path, { ifMatch, body: JSON.stringify({ ...URGENT_PROFILE, weight }) })
+  t.is((await put(0, 1)).json['entry'].revision, 1)
+  t.is((await put(1, 2)).status, 200)
+  const conflict = await put(1, 3)
+  t.is(conflict.status, 409)
+  t.is(conflict.json['current'].value.weight, 2)
+  t.is((await call('POST', `${path}/rollback`, { ifMatch: 2, body: '{"toRevision":1}' })).json['entry'].value.weight, 1)
+  t.like(await call('GET', path), { json: { source: 'store', entry: { revision: 3, writer: 'unnamed' } } })
+  t.is((await call('DELETE', path, { ifMatch: 3 })).json['entry'].deleted, true)
+  t.is((await call('GET', `${path}/history`)).json['entries'].length, 4)
+  t.is((await call('GET', `${path}/everywhere`)).json['places'][0].revision, 1)
+})
+
+test('says what is wrong with a request', async t => {
+  const { call, store } = await setUp(t)
+  const path = '/v1/config/profile/urgent'
+  t.is((await call('PUT', path, { body: '{}' })).status, 428)
+  const invalid = await call('PUT', path, { ifMatch: 0, body: '{"name":"urgent"}' })
+  t.is(invalid.status, 400)
+  t.is(invalid.json['problems'].length, 12)
+  t.is((await call('PUT', path, { ifMatch: 0, body: '{broken' })).status, 400)
+  t.is((await call('PUT', path, { ifMatch: 0, body: `"${'x'.repeat(70_000)}"` })).status, 413)
+  t.is((await call('GET', '/v1/config/colour/red')).json['error'], 'unknownKind')
+  t.is((await call('GET', '/v1/nothing')).json['error'], 'notFound')
+  t.is((await call('GET', '/v1/jobs')).json['error'], 'notHere')
+  t.is((await call('GET', '/v1/metrics')).json['error'], 'internal')
+  store.isDown = true
+  t.is((await call('PUT', path, { ifMatch: 0, body: JSON.stringify(URGENT_PROFILE) })).json['error'], 'storeUnavailable')
+})
+
+test('any path, query and body gets a JSON answer below 500', async t => {
+  const { call } = await setUp(t)
+  const segment = fc.constantFrom('v1', 'config', 'profile', 'urgent', 'history', 'rollback', '%', '%00', '..', '__proto__', 'constructor', '%2f', '')
+  const path = fc.tuple(fc.array(segment, { maxLength: 5 }), fc.constantFrom('', '?section=a&section=b', '?__proto__[x]=1', '?a[b][c]=1', '?%'))
+  const method = fc.constantFrom<'GET' | 'PUT' | 'POST' | 'DELETE'>('GET', 'PUT', 'POST', 'DELETE')
+  const body = fc.oneof(fc.constant(undefined), fc.json(), fc.string())
+  await fc.assert(fc.asyncProperty(method, path, body, fc.option(fc.nat(), { nil: undefined }), async (verb, [segments, query], text, ifMatch) => {
+    const options = { ...(text === undefined || verb === 'GET' ? {} : { body: text }), ...(ifMatch === undefined ? {} : { ifMatch }) }
+    const { status, json } = await call(verb, `/${segments.join('/')}${query}`, options)
+    t.true(status < 500, `${verb} /${segments.join('/')}${query} gave ${status}`)
+    t.is(typeof json, 'object')
+  }), { seed: SEED, numRuns: 200 })
+})
+
+// A client opens a connection and sends its headers a byte at a time, or none at all. Without a limit, a few hundred
+// of them keep operators out.
+test('a slow sender is cut off', async t => {
+  const { url } = await setUp(t)
+  const socket = createConnection(Number(new URL(url).port), '127.0.0.1')
+  socket.on('error', () => {})
+  socket.write('GET /v1/dump HTTP/1.1\r\nauth')
+  await new Promise(resolve => { socket.once('close', resolve).resume() })
+  t.pass()
+})
+
+test('an address that is taken is an error and not a wait', async t => {
+  const { url } = await setUp(t)
+  const logger = new SilentLogger()
+  const listen = { ip: '127.0.0.1', port: Number(new URL(url).port) }
+  const server = new OperatorServer(createBroker('gateway-2', logger), { listen, token: TOKEN }, LIMITS, {}, logger)
+  t.regex((await server.listen())._unsafeUnwrapErr().message, /EADDRINUSE/)
+})
