--- /dev/null
+++ b/src/common/policy/DecisionEngine.ts
@@ -0,0 +1,277 @@
+/**
+ * The decision engine of one scheduler: takes events in and hands them to the class that each concerns.
+ */
+
+import { Admission } from './Admission.js'
+import { CapacityLedger } from './CapacityLedger.js'
+import { DecisionLoop } from './DecisionLoop.js'
+import { classRank, FairQueue } from './FairQueue.js'
+import { GroupBook } from './GroupBook.js'
+import { GroupPlacer } from './GroupPlacer.js'
+import { HostChooser } from './HostChooser.js'
+import { coreLevel, memoryLevel } from './HostGrid.js'
+import { HostHealth } from './HostHealth.js'
+import { HostIndex } from './HostIndex.js'
+import { Preemption } from './Preemption.js'
+import { RunningWork } from './RunningWork.js'
+import { UseLedger } from './UseLedger.js'
+import { WorkEstimates } from './WorkEstimates.js'
+
+import type { IClock, IRandom, IResources, MonotonicMs } from '../Types.js'
+import type { ITeamConfig } from '../config/Types.js'
+import type { IHostObserver, LedgerHost } from './CapacityLedger.js'
+import type { IGroupTask } from './GroupBook.js'
+import type { ILaneKey, ProfileQueue } from './ProfileQueue.js'
+import type { AdmitDecision, AttemptEnd, EngineDecision, IDecisionEngine, IEngineHost, IEngineLoad, IWorkItem } from './Types.js'
+import type { CapacityKind } from './UseLedger.js'
+
+/** Lines of each kind in a dump. */
+const MAX_DUMPED = 100
+
+export interface IEngineOptions {
+  /** What hosts offer: slots on runners, resources on workers. */
+  readonly kind: CapacityKind
+}
+
+export class DecisionEngine implements IDecisionEngine, IHostObserver {
+  private readonly _ledger = new CapacityLedger(this)
+  private readonly _index = new HostIndex()
+  private readonly _health = new HostHealth()
+  private readonly _estimates = new WorkEstimates(this._ledger)
+  private readonly _book = new GroupBook(this._ledger)
+  private readonly _use: UseLedger
+  private readonly _queue: FairQueue
+  private readonly _admission: Admission
+  private readonly _work: RunningWork
+  private readonly _groups: GroupPlacer
+  private readonly _loop: DecisionLoop
+
+  public constructor (private readonly _clock: IClock, random: IRandom, options: IEngineOptions = { kind: 'resources' }) {
+    const preemption = new Preemption()
+    const chooser = new HostChooser(options.kind, this._ledger, this._index, this._health)
+    this._use = new UseLedger(options.kind)
+    this._queue = new FairQueue(this._use, this._ledger.capacity)
+    this._admission = new Admission(_clock, random)
+    this._work = new RunningWork(_clock, this._ledger, this._use, this._queue, chooser, preemption)
+    this._groups = new GroupPlacer(this._book, this._ledger, this._use, chooser, () => this._work.turnoverPerMs())
+    this._loop = new DecisionLoop({
+      clock: _clock,
+      ledger: this._ledger,
+      use: this._use,
+      queue: this._queue,
+      admission: this._admission,
+      estimates: this._estimates,
+      chooser,
+      health: this._health,
+      preemption,
+      work: this._work,
+      book: this._book,
+      groups: this._groups,
+      priorRate: (queue) => this._priorRate(queue)
+    })
+  }
+
+  public hostChanged (host: LedgerHost): void {
+    this._index.update(host, host.config.accepting && !this._health.isOnProbation(host.hostId))
+  }
+
+  public hostRemoved (host: LedgerHost): void {
+    this._index.remove(host)
+    this._book.forgetHost(host)
+  }
+
+  public putHost (host: IEngineHost): void {
+    this._health.addHost(host.hostId)
+    const known = this._ledger.host(host.hostId)
+    if (known !== undefined) this._index.remove(known)
+    this._ledger.putHost(host)
+    if (known !== undefined && !host.accepting) this._book.forgetHost(known)
+    this._loop.noteRoom()
+  }
+
+  public removeHost (hostId: string): readonly string[] {
+    const lost = this._work.removeHost(hostId)
+    this._health.removeHost(hostId)
+    for (const { item } of lost) this._loop.noteEnded(item.id)
+    this._loop.noteRoom()
+    return lost.map((running) => running.item.id)
+  }
+
+  public adopt (item: IWorkItem, hostId: string): void {
+    const host = this._ledger.host(hostId)
+    if (host === undefined || this._ledger.runningItem(item.id) !== undefined) return
+    const need = item.resources
+    this._work.start({ item, need, queue: this._queue.profileFor(item.profile), costMs: this._estimates.costMs(item, need) }, host)
+  }
+
+  public admit (item: IWorkItem): AdmitDecision {
+    const impossible = this._whyImpossible([item])
+    if (impossible !== undefined) return impossible
+    const queue = this._queue.profileFor(item.profile)
+    const need = this._estimates.need(item)
+    const costMs = this._estimates.costMs(item, need)
+    const latestStartAtMs = this._estimates.latestStartAtMs(item)
+    const slackMs = latestStartAtMs - this._clock.nowMs()
+    const decision = this._admission.decide({ item, queue, costMs, slackMs, totalQueued: this._queuedCount(), priorRate: this._priorRate(queue) })
+    if (!decision.admitted) return decision
+    this._queue.add({ item, need, lane: laneOf(item, need), costMs, latestStartAtMs })
+    this._admission.noteQueued(queue)
+    this._loop.noteWork()
+    return decision
+  }
+
+  public admitGroup (groupId: string, items: readonly IWorkItem[]): AdmitDecision {
+    const impossible = this._whyImpossible(items)
+    if (impossible !== undefined) return impossible
+    const expiresAtMs = items.reduce((earliest, item) => Math.min(earliest, this._estimates.latestStartAtMs(item)), Infinity)
+    const tasks = this._tasksOf(items)
+    this._loop.addGroup(groupId, tasks, expiresAtMs, true)
+    const share = tasks.reduce((sum, { need }) => sum + this._ledger.shareOf(need), 0)
+    return { admitted: true, expectedWaitMs: share / this._work.turnoverPerMs() }
+  }
+
+  public cancel (itemId: string): 'queued' | 'running' | 'absent' {
+    if (this._ledger.runningItem(itemId) !== undefined) return 'running'
+    const entry = this._queue.remove(itemId)
+    if (entry !== undefined) {
+      this._admission.noteStarted(entry.queue, 0)
+      return 'queued'
+    }
+    if (!this._book.cancelItem(itemId)) return 'absent'
+    this._loop.noteRoom()
+    return 'queued'
+  }
+
+  public next (): EngineDecision | undefined {
+    return this._loop.next()
+  }
+
+  public nextWakeAtMs (): MonotonicMs {
+    return this._loop.nextWakeAtMs()
+  }
+
+  public finished (itemId: string, end: AttemptEnd, serviceMs: number): void {
+    const running = this._work.end(itemId, serviceMs)
+    if (running === undefined) return
+    const { item, host } = running
+    if (end === 'succeeded') this._estimates.noteRun(item, serviceMs)
+    if (this._health.note(host.hostId, item, end, this._clock.nowMs())) {
+      this.hostChanged(host)
+      this._book.forgetHost(host)
+    }
+    this._loop.noteEnded(itemId)
+  }
+
+  public reportUsage (itemId: string, usage: IResources): void {
+    const item = this._work.reportUsage(itemId, usage)
+    if (item === undefined) return
+    this._estimates.noteUsage(item, usage)
+    this._loop.noteRoom()
+  }
+
+  public reserve (groupId: string, items: readonly IWorkItem[], expiresAtMs: MonotonicMs): readonly string[] {
+    this.dropReservation(groupId)
+    if (this._whyImpossible(items) !== undefined) return []
+    this._loop.addGroup(groupId, this._tasksOf(items), expiresAtMs, false)
+    this._loop.advanceGroups()
+    return this.reservedIds(groupId)
+  }
+
+  public reservedIds (groupId: string): readonly string[] {
+    const group = this._book.group(groupId)
+    return group === undefined || group.expiresAtMs <= this._clock.nowMs() ? [] : this._book.readyIds(group)
+  }
+
+  public startReserved (groupId: string): readonly { readonly item: IWorkItem, readonly hostId: string }[] | undefined {
+    const group = this._book.group(groupId)
+    if (group === undefined || group.expiresAtMs <= this._clock.nowMs() || !this._book.isReady(group)) return undefined
+    return this._loop.startGroup(group).map(({ item, host }) => ({ item, hostId: host.hostId }))
+  }
+
+  public dropReservation (groupId: string): void {
+    if (this._book.drop(groupId) !== undefined) this._loop.noteRoom()
+  }
+
+  public putTeam (team: ITeamConfig): void {
+    this._use.putTeam(team)
+    this._loop.noteRoom()
+  }
+
+  public load (): IEngineLoad {
+    return {
+      queued: this._queuedCount(),
+      running: this._ledger.runningCount,
+      capacity: { ...this._ledger.capacity },
+      used: { ...this._ledger.used },
+      largestFree: this._index.largestFree(),
+      expectedWaitMs: this._expectedWaits()
+    }
+  }
+
+  public dump (): Readonly<Record<string, unknown>> {
+    return {
+      engine: 'decisions',
+      hosts: this._ledger.hostCount,
+      onProbation: this._health.hostsOnProbation().slice(0, MAX_DUMPED),
+      groups: this._book.groupCount,
+      gathering: this._groups.gathering?.groupId,
+      servicesLearnt: this._estimates.serviceCount,
+      load: this.load(),
+      profiles: [...this._queue.profiles()].slice(0, MAX_DUMPED).map((queue) => this._dumpProfile(queue))
+    }
+  }
+
+  private _dumpProfile (queue: ProfileQueue): Readonly<Record<string, unknown>> {
+    const { name } = queue.profile
+    return {
+      profile: name,
+      queued: queue.queuedCount,
+      callers: queue.activeCallers,
+      running: this._use.profileCount(name),
+      share: this._use.profileShare(name, this._ledger.capacity),
+      expectedWaitMs: this._admission.expectedWaitMs(queue, this._priorRate(queue))
+    }
+  }
+
+  private _queuedCount (): number {
+    return this._queue.size + this._book.itemCount
+  }
+
+  private _tasksOf (items: readonly IWorkItem[]): IGroupTask[] {
+    return items.map((item) => ({ item, need: this._estimates.need(item) }))
+  }
+
+  private _whyImpossible (items: readonly IWorkItem[]): AdmitDecision | undefined {
+    if (this._ledger.hostCount === 0) return this._admission.refuse('noUpstream', 'no host is known')
+    const tooLarge = items.find((item) => !this._ledger.isFeasible(item.resources))
+    if (tooLarge !== undefined) return this._admission.refuse('infeasible', `no accepting host is large enough for ${tooLarge.id}`)
+    if (!this._use.couldEverRun(items)) return this._admission.refuse('quota', 'larger than the quota of its team')
+    return undefined
+  }
+
+  /** The share that the profile could have: what profiles that go before it don't use, and its floor in any case. */
+  private _priorRate (queue: ProfileQueue): number {
+    const rank = classRank(queue.profile.priorityClass)
+    let others = 0
+    for (const other of this._queue.profiles()) {
+      if (other === queue || classRank(other.profile.priorityClass) > rank) continue
+      others += this._use.profileShare(other.profile.name, this._ledger.capacity)
+    }
+    return Math.max(1 - others, this._queue.floorShare(queue))
+  }
+
+  private _expectedWaits (): Readonly<Record<'urgent' | 'normal' | 'patient', number>> {
+    const waits = { urgent: 0, normal: 0, patient: 0 }
+    for (const queue of this._queue.profiles()) {
+      const { priorityClass } = queue.profile
+      waits[priorityClass] = Math.max(waits[priorityClass], this._admission.expectedWaitMs(queue, this._priorRate(queue)))
+    }
+    return waits
+  }
+}
+
+/** Two levels of room an octave and the exact number of accelerators; work that avoids hosts is a shape of its own. */
+function laneOf (item: IWorkItem, need: IResources): ILaneKey {
+  const avoided = item.avoidHostIds?.join() ?? ''
+  return { shape: `${coreLevel(need.cores)}/${memoryLevel(need.memoryBytes)}/${need.accelerators}/${avoided}`, team: item.team }
+}
--- a/src/peer/PeerHub.ts
+++ b/src/peer/PeerHub.ts
@@ -2,6 +2,7 @@
  * All links of one process: listens, dials, keeps one link per peer, and hands messages to their handlers.
  */
 
+import { AwakeClock } from '../common/AwakeClock.js'
 import { Emitter } from '../common/Emitter.js'
 
 import type { ResultAsync } from 'neverthrow'
@@ -10,13 +11,13 @@
 import type { UnreachableError } from '../common/Errors.js'
 import type { IPeerCalls, IPeerCasts, PeerCallName, PeerCastName } from '../common/protocol/Types.js'
 import type { IDisposable, IProcessIdentity, ITimers } from '../common/Types.js'
+import { DialTable } from './DialTable.js'
 import { Handshake } from './Handshake.js'
 import { HandlerTable } from './HandlerTable.js'
-import { AwakeClock } from './HeartbeatMonitor.js'
 import { LinkTable } from './LinkTable.js'
+import type { Admission } from './LinkTable.js'
 import { Opening } from './Opening.js'
 import { PeerCounters } from './PeerCounters.js'
-import { PeerDialler } from './PeerDialler.js'
 import type { IDialContext } from './PeerDialler.js'
 import { PEER_HUB_DEFAULTS } from './PeerHubOptions.js'
 import type { IPeerEnvironment, IPeerHubOptions, PeerHubSettings } from './PeerHubOptions.js'
@@ -25,14 +26,14 @@
 import { PeerListener } from './PeerListener.js'
 import { PeerSocket } from './PeerSocket.js'
 import { TrafficMeter } from './TrafficMeter.js'
-import type { IPeerHub, IPeerLink, IPeerTraffic } from './Types.js'
+import type { IPeerHub, IPeerLink, IPeerTraffic, LinkLossCause } from './Types.js'
 
 /** How long a close waits for the peer's side of it after the calls have ended, in milliseconds. */
 const CLOSE_FLUSH_MS = 1_000
 
-interface IDial {
-  readonly dialler: PeerDialler
-  users: number
+interface ILostLink {
+  readonly peer: IProcessIdentity
+  readonly cause: LinkLossCause
 }
 
 export class PeerHub implements IPeerHub, IDisposable {
@@ -43,19 +44,17 @@
   /** Every connection that is not gone, those included that are being replaced. */
   private readonly _open = new Set<PeerLink>()
   private readonly _openings = new Set<Opening>()
-  private readonly _dials = new Map<string, IDial>()
+  private readonly _dials: DialTable
   private readonly _linkEmitter = new Emitter<IPeerLink>()
-  private readonly _lostEmitter = new Emitter<IProcessIdentity>()
+  private readonly _lostEmitter = new Emitter<ILostLink>()
   private readonly _traffic: TrafficMeter
   private readonly _listener: PeerListener
   private readonly _linkContext: ILinkContext
-  private readonly _dialContext: IDialContext
   private readonly _heartbeat: IDisposable
   private _url: string | undefined
   private _closing = false
 
   public readonly onLink = this._linkEmitter.event
-  public readonly onLost = this._lostEmitter.event
 
   /**
    * @param self this process
@@ -72,7 +71,7 @@
     this._traffic = new TrafficMeter(self.region)
     const awake = new AwakeClock(_environment.clock, this._options.heartbeatMs)
     this._linkContext = this._createLinkContext(awake)
-    this._dialContext = this._createDialContext()
+    this._dials = new DialTable(this._createDialContext())
     this._listener = new PeerListener(this._options, _environment, this._counters, (webSocket, tcp) => this._onAccepted(webSocket, tcp))
     this._heartbeat = this._timers.every(this._options.heartbeatMs, () => this._tick(awake))
   }
@@ -105,21 +104,15 @@
   }
 
   /**
-   * Keeps a link to this address until disposed. Several users may dial the same process; it is let go when the last
-   * one disposes. A link that the peer dialled stays.
+   * Keeps a link to this address until disposed. Several users may dial the same process. After the last one has
+   * disposed, the link is let go as soon as it is idle; a link that the peer dialled stays.
    */
   public dial (peerUrl: string, processId: string): IDisposable {
-    const dial = this._dialFor(peerUrl, processId)
-    dial.users += 1
-    dial.dialler.start()
-    let disposed = false
-    return {
-      dispose: () => {
-        if (disposed) return
-        disposed = true
-        this._endDial(dial, processId)
-      }
-    }
+    return this._dials.dial(peerUrl, processId)
+  }
+
+  public onLost (listener: (peer: IProcessIdentity, cause: LinkLossCause) => void): IDisposable {
+    return this._lostEmitter.event(({ peer, cause }) => listener(peer, cause))
   }
 
   public link (processId: string): IPeerLink | undefined {
@@ -139,8 +132,8 @@
     this._stopOpening()
     const links = [...this._open]
     for (const link of links) link.stopTakingCalls()
-    await this._within(graceMs, links.map((link) => link.whenIdle()))
-    const gone = links.map((link) => link.whenGone())
+    await this._within(graceMs, this._whenAllDrained(links))
+    const gone = Promise.all(links.map((link) => link.whenGone()))
     for (const link of links) link.finish()
     await this._within(CLOSE_FLUSH_MS, gone)
     this.dispose()
@@ -184,33 +177,20 @@
 
   private _tick (awake: AwakeClock): void {
     awake.tick()
-    for (const link of [...this._open]) link.tick()
-  }
-
-  private _dialFor (peerUrl: string, processId: string): IDial {
-    const existing = this._dials.get(processId)
-    if (existing?.dialler.peerUrl === peerUrl) return existing
-    // A restarted process has a new address: those who dialled the old one are served by the new dial.
-    existing?.dialler.dispose()
-    const dial = { dialler: new PeerDialler(peerUrl, processId, this._dialContext), users: existing?.users ?? 0 }
-    this._dials.set(processId, dial)
-    return dial
+    for (const link of [...this._open]) {
+      link.tick()
+      if (this._isUnwanted(link)) this._letGo(link)
+    }
   }
 
-  private _endDial (dial: IDial, processId: string): void {
-    const current = this._dials.get(processId) ?? dial
-    current.users -= 1
-    if (current.users > 0) return
-    current.dialler.dispose()
-    this._dials.delete(processId)
-    const link = this._links.get(processId)
-    if (link?.dialledBySelf === true) this._letGo(link)
+  private _isUnwanted (link: PeerLink): boolean {
+    return link.dialledBySelf && !link.isDraining && link.busy === 0 && !this._dials.has(link.peer.processId)
   }
 
   private async _letGo (link: PeerLink): Promise<void> {
     link.stopTakingCalls()
-    await link.whenIdle()
-    if (!this._dials.has(link.peer.processId)) link.finish()
+    await link.whenDrained()
+    link.finish()
   }
 
   private _onAccepted (webSocket: WebSocket, tcp: Socket): void {
@@ -231,8 +211,8 @@
 
   private _welcome (peer: IProcessIdentity, welcome: Uint8Array, webSocket: WebSocket, tcp: Socket): void {
     const admission = this._links.admit(peer, false)
-    if (admission.kind === 'refused' || this._closing) {
-      webSocket.send(Handshake.refusal(admission.kind === 'refused' ? admission.reason : 'closing'))
+    if (admission.kind !== 'admitted' || this._closing) {
+      webSocket.send(Handshake.refusal(refusalReason(admission)))
       webSocket.close()
       this._timers.after(CLOSE_FLUSH_MS, () => webSocket.terminate())
       return
@@ -241,12 +221,23 @@
     this._install(new PeerLink(peer, false, new PeerSocket(webSocket, tcp), this._linkContext), admission.replaced, admission.atOnce)
   }
 
+  /**
+   * The peer has installed this connection when it welcomed it, and may have calls on it already. When the one that
+   * the peer dialled became ready first here, ending this one at once would make those calls ambiguous; so it is
+   * retired, and closes when they have their replies.
+   */
   private _onDialled (peer: IProcessIdentity, webSocket: WebSocket, tcp: Socket): void {
     const admission = this._links.admit(peer, true)
     if (admission.kind === 'refused' || this._closing) {
       webSocket.terminate()
       return
     }
+    if (admission.kind === 'surplus') {
+      const surplus = new PeerLink(peer, true, new PeerSocket(webSocket, tcp), this._linkContext)
+      this._open.add(surplus)
+      surplus.retire(admission.standing)
+      return
+    }
     this._install(new PeerLink(peer, true, new PeerSocket(webSocket, tcp), this._linkContext), admission.replaced, admission.atOnce)
   }
 
@@ -256,7 +247,7 @@
     this._open.add(link)
     this._links.set(link)
     if (replaced !== undefined && !atOnce) replaced.retire(link)
-    this._dials.get(processId)?.dialler.noteLinked()
+    this._dials.noteLinked(processId)
     this._environment.log?.info('peerLinked', { peer: processId, incarnation, dialledBySelf: link.dialledBySelf })
     this._linkEmitter.fire(link)
   }
@@ -266,8 +257,8 @@
     this._traffic.addEnded(link)
     if (!this._links.remove(link)) return
     this._environment.log?.info('peerLost', { peer: link.peer.processId, incarnation: link.peer.incarnation, reason })
-    this._dials.get(link.peer.processId)?.dialler.noteLost()
-    this._lostEmitter.fire(link.peer)
+    this._dials.noteLost(link.peer.processId)
+    this._lostEmitter.fire({ peer: link.peer, cause: link.isReleased ? 'released' : 'failed' })
   }
 
   private _onHandshakeFailed (peer: string, reason: string): void {
@@ -278,15 +269,28 @@
   private _stopOpening (): void {
     this._closing = true
     this._listener.close()
-    for (const { dialler } of this._dials.values()) dialler.dispose()
+    this._dials.dispose()
     for (const opening of this._openings) opening.dispose()
     this._openings.clear()
   }
 
-  private async _within (limitMs: number, waits: ReadonlyArray<Promise<void>>): Promise<void> {
+  /** A handler in progress on one link may still make a call on another one that was drained before. */
+  private async _whenAllDrained (links: readonly PeerLink[]): Promise<void> {
+    while (!links.every((link) => link.isDrained)) await Promise.all(links.map((link) => link.whenDrained()))
+  }
+
+  private async _within (limitMs: number, wait: Promise<unknown>): Promise<void> {
     let timer: IDisposable | undefined
     const limit = new Promise<void>((resolve) => { timer = this._timers.after(limitMs, resolve) })
-    await Promise.race([limit, Promise.all(waits)])
+    await Promise.race([limit, wait])
     timer?.dispose()
   }
 }
+
+function refusalReason (admission: Admission<PeerLink>): string {
+  switch (admission.kind) {
+    case 'refused': return admission.reason
+    case 'surplus': return 'a link stands already'
+    case 'admitted': return 'closing'
+  }
+}
