Proofs of the request path between processes, and truthful answers after a retry

Cause: an idempotent request whose first dispatch was cut was queued again; when the second could not be placed in time, its answer was 'not run', although the first had run. The same in the gateway, when a second scheduler refused after the link to the first was lost. Change: a request remembers the answer of a dispatch that ran or may have run, and a later 'not run' no longer replaces it.

--- a/src/gateway/RequestFlow.ts
+++ b/src/gateway/RequestFlow.ts
@@ -34,7 +34,7 @@
       const schedulerId = this._context.router.choose({ profile: request.profile, excluded })
       if (schedulerId === undefined) break
       excluded.add(schedulerId)
-      answer = await this._attempt(request, schedulerId)
+      answer = notUnsaid(answer, await this._attempt(request, schedulerId))
       if (!this._mayTryAnother(request, answer)) break
     }
     return answer
@@ -92,3 +92,8 @@
     }
   }
 }
+
+/** After an attempt that may have run, a later one that did not run leaves the outcome unknown. */
+function notUnsaid (earlier: IFinalAnswer, answer: IFinalAnswer): IFinalAnswer {
+  return earlier.outcome === 'unknown' && answer.outcome !== 'done' ? earlier : answer
+}
--- a/src/scheduler/requests/Dispatcher.ts
+++ b/src/scheduler/requests/Dispatcher.ts
@@ -67,8 +67,7 @@
     const failed = answer.status >= FIRST_SERVER_ERROR_STATUS
     this._context.engine.finished(dispatch.item.id, failed ? 'failed' : 'succeeded', this._serviceMs(dispatch))
     if (!failed) this._budget(dispatch.pending.ask.service).noteSuccess()
-    if (failed && this._mayRetry(dispatch)) this._requeue(dispatch)
-    else this._events.onAnswer(dispatch.pending.ask.attemptId, this._done(dispatch, answer))
+    this._retryOrAnswer(dispatch, this._done(dispatch, answer), failed)
     this._events.onPlaceFree()
   }
 
@@ -89,14 +88,16 @@
   /** It may have run. Only idempotent work is sent again; the slot stays counted until the runner says it is free. */
   private _ambiguous (dispatch: IDispatch): void {
     this._context.runners.settleLater(dispatch.hostId, dispatch.item.id, dispatch.item.id)
-    if (this._mayRetry(dispatch)) {
-      this._requeue(dispatch)
-      return
-    }
     const expired = this._context.clock.nowMs() >= dispatch.pending.deadlineAtMs
-    this._events.onAnswer(dispatch.pending.ask.attemptId, {
+    this._retryOrAnswer(dispatch, {
       outcome: 'unknown', reason: expired ? 'upstreamTimeout' : 'upstreamCut', upstream: dispatch.hostId, waitMs: this._waitMs(dispatch)
-    })
+    }, true)
+  }
+
+  private _retryOrAnswer (dispatch: IDispatch, answer: IFinalAnswer, failed: boolean): void {
+    dispatch.pending.earlierAnswer = answer
+    if (failed && this._mayRetry(dispatch)) this._requeue(dispatch)
+    else this._events.onAnswer(dispatch.pending.ask.attemptId, answer)
   }
 
   /** Provably not run: any request may go to another host. */
--- a/src/scheduler/requests/RequestService.ts
+++ b/src/scheduler/requests/RequestService.ts
@@ -185,7 +185,8 @@
     const pending = this._pending.get(attemptId)
     if (pending === undefined) return
     this._pending.delete(attemptId)
-    pending.answer({ ...answer, profileRevision: pending.profileRevision })
+    const truthful = answer.outcome === 'notRun' ? pending.earlierAnswer ?? answer : answer
+    pending.answer({ ...truthful, profileRevision: pending.profileRevision })
   }
 
   private _refused (reason: OutcomeReason, detail: string, retryAfterMs: number): IFinalAnswer {
--- a/src/scheduler/requests/Types.ts
+++ b/src/scheduler/requests/Types.ts
@@ -39,6 +39,11 @@
 export interface IPendingRequest {
   /** Its item in the engine; a dispatch to a further host is a new one. */
   itemId: string
+  /**
+   * The answer of an earlier dispatch that ran or may have run. Once there is one, "not run" is no longer true,
+   * whatever becomes of later dispatches: a caller who was told so would find that the work had happened.
+   */
+  earlierAnswer?: IFinalAnswer
   readonly ask: ISubmitRequest
   readonly arrivedAtMs: number
   readonly deadlineAtMs: number
--- /dev/null
+++ b/test/prove/run.ts
@@ -0,0 +1,28 @@
+/**
+ * `npm run prove [-- NAME …] [--long]`: runs the proofs one after the other and prints a JSON line for each.
+ */
+
+import { parseArgs } from 'node:util'
+
+import { REQUEST_PROOFS } from './RequestProofs.js'
+
+import type { IProof } from './Types.js'
+
+const LONG_SCALE = 5
+
+const PROOFS: readonly IProof[] = [...REQUEST_PROOFS]
+
+const { values, positionals } = parseArgs({ options: { long: { type: 'boolean', default: false } }, allowPositionals: true })
+const wanted = PROOFS.filter((proof) => positionals.length === 0 || positionals.includes(proof.name))
+const unknown = positionals.filter((name) => !PROOFS.some((proof) => proof.name === name))
+if (unknown.length > 0) {
+  process.stderr.write(`no proof named ${unknown.join(', ')}; there are ${PROOFS.map((proof) => proof.name).join(', ')}\n`)
+  process.exit(2)
+}
+for (const proof of wanted) {
+  const { checked, violations, notes } = await proof.run(values.long ? LONG_SCALE : 1)
+  process.stdout.write(JSON.stringify({
+    name: proof.name, property: proof.property, failure: proof.failure, checked, violations: violations.length, ...notes, first: violations
+  }) + '\n')
+  if (violations.length > 0 || checked === 0) process.exitCode = 1
+}
--- a/test/support/CallerClient.ts
+++ b/test/support/CallerClient.ts
@@ -67,4 +67,9 @@
   public async close (): Promise<void> {
     await this._pool.close()
   }
+
+  /** Drops everything at once. */
+  public destroy (): void {
+    this._pool.destroy().catch(() => {})
+  }
 }
