--- a/test/support/Cell.ts
+++ b/test/support/Cell.ts
@@ -47,6 +47,7 @@
 const SHARED_KEY = 'a-shared-key-for-tests-only'
 const OPERATOR_TOKEN = 'an-operator-token-for-tests-only'
 const READY_LIMIT_MS = 20_000
+const SPREAD_LIMIT_MS = 60_000
 const POLL_MS = 50
 
 export interface ICellProcess {
@@ -129,6 +130,15 @@
     }
   }
 
+  /** Waits until every rack is owned by a scheduler of its region: the first to start takes all, and hands over by and by. */
+  public async untilSpread (): Promise<void> {
+    const untilMs = performance.now() + SPREAD_LIMIT_MS
+    while (!await this._isSpread()) {
+      if (performance.now() > untilMs) throw new Error(`shards are not spread after ${SPREAD_LIMIT_MS} ms`)
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS))
+    }
+  }
+
   public async control (url: string, settings: unknown): Promise<void> {
     const answer = await request(`${url}/control`, { method: 'POST', body: JSON.stringify(settings) })
     await answer.body.dump()
@@ -153,6 +163,15 @@
     rmSync(this._folder, { recursive: true, force: true })
   }
 
+  private async _isSpread (): Promise<boolean> {
+    const { records } = await this.dump<{ readonly records: ReadonlyArray<{ readonly key: string, readonly value: string }> }>(this.storeUrl)
+    const owners = new Map(records.map(({ key, value }) => [key, (JSON.parse(value) as { readonly owner?: string }).owner]))
+    return this.hosts.every((host) => {
+      const owner = this.processes.find(({ processId }) => processId === owners.get(`shards/${host.kind}s/${host.rack}`))
+      return owner?.region === host.region
+    })
+  }
+
   private async _startPlatform (): Promise<void> {
     this.storeUrl = (await this._standIn('kv', [])).url
     this.hostListUrl = (await this._standIn('hostList', ['--lag-ms', '200'])).url
