Policy: keep other work from all hosts for a short while when a job gathers room

Change: room is gathered from all hosts for up to 30 s, work of higher class, below its floor or ending in time goes on; chosen hosts are emptied only after that.

--- a/bench/decisions/TaskScenarios.ts
+++ b/bench/decisions/TaskScenarios.ts
@@ -66,15 +66,15 @@
   return scenario('mixed-sizes', seed, arrivalsOf(mixed(1.4), new SeededRandom(seed)))
 }
 
-/** Jobs of 8 to 24 tasks of 8 cores each. */
+/** Jobs of 8 to 96 tasks of 8 cores, up to two fifths of all cores; the mean is near 35 tasks. */
 function groups (load: number, untilMs = 300_000): IStream {
   return stream({
     name: 'whole',
     profile: WHOLE,
-    perSecond: ratePerSecond(load, 16 * 8, 20_000),
+    perSecond: ratePerSecond(load, 35.4 * 8, 20_000),
     untilMs,
     resources: () => ({ cores: 8, memoryBytes: 12 * GIB, accelerators: 0 }),
-    groupSize: (random) => 8 + Math.floor(17 * random.next())
+    groupSize: (random) => Math.floor(8 * 12 ** random.next())
   })
 }
 
--- a/src/common/policy/DecisionEngine.ts
+++ b/src/common/policy/DecisionEngine.ts
@@ -270,8 +270,12 @@
   }
 }
 
-/** Two levels of room an octave and the exact number of accelerators; work that avoids hosts is a shape of its own. */
+/**
+ * Two levels of room an octave and the exact number of accelerators. Urgent work and work that avoids hosts are apart,
+ * because what keeps other work of the same size out need not hold for them.
+ */
 function laneOf (item: IWorkItem, need: IResources): ILaneKey {
   const avoided = item.avoidHostIds?.join() ?? ''
-  return { shape: `${coreLevel(need.cores)}/${memoryLevel(need.memoryBytes)}/${need.accelerators}/${avoided}`, team: item.team }
+  const rank = classRank(item.profile.priorityClass)
+  return { shape: `${rank}/${coreLevel(need.cores)}/${memoryLevel(need.memoryBytes)}/${need.accelerators}/${avoided}`, team: item.team }
 }
--- a/src/common/policy/DecisionLoop.ts
+++ b/src/common/policy/DecisionLoop.ts
@@ -182,7 +182,8 @@
       this._blockedTeams.add(line.lane.team)
       return undefined
     }
-    const host = chooser.chooseProbe(item, need, nowMs) ?? chooser.choose(item, need) ?? this._chooseBackfill(entry, nowMs)
+    const free = this._isKeptOut(entry, nowMs) ? undefined : chooser.chooseProbe(item, need, nowMs) ?? chooser.choose(item, need)
+    const host = free ?? this._chooseBackfill(entry, nowMs)
     if (host !== undefined) return host
     this._blockedShapes.add(line.lane.shape)
     if (item.profile.priorityClass === 'urgent') this._preemptFor(entry, nowMs)
@@ -190,6 +191,15 @@
     return undefined
   }
 
+  /** Whether hosts are closed for a job that goes before this item, and the item would still run when the job starts. */
+  private _isKeptOut (entry: IQueueEntry, nowMs: MonotonicMs): boolean {
+    const { groups, queue, estimates } = this._parts
+    const group = groups.gathering
+    if (group === undefined || !groups.isClosing(nowMs)) return false
+    if (classRank(entry.queue.profile.priorityClass) < group.rank || queue.isBelowFloor(entry.queue)) return false
+    return nowMs + estimates.endsWithinMs(entry.item) > group.startsAtMs
+  }
+
   /**
    * A place in room that is held for an all-at-once job, if the item will have ended before the job starts.
    *
--- a/src/common/policy/GroupPlacer.ts
+++ b/src/common/policy/GroupPlacer.ts
@@ -19,10 +19,10 @@
 /** Gathering that has not come to an end in this time is given up in favour of the next group: its room may never come. */
 const MAX_GATHER_MS = 600_000
 
-/** While this share of the capacity is held, no further hosts are emptied: held room is mostly idle. */
-const MAX_HELD_SHARE = 0.25
+/** For so long other work may be kept from all hosts; where run times are longer, chosen hosts are emptied instead. */
+const MAX_CLOSED_MS = 30_000
 
-/** The same for single large items, which come more often than jobs do. */
+/** While this share of the capacity is held, no further hosts are emptied for single items: held room is mostly idle. */
 const MAX_HELD_SHARE_FOR_ONE = 0.05
 
 /** Whether it is this group's turn to have room gathered for it. */
@@ -51,9 +51,21 @@
     return this._gathering === undefined && this._ledger.shareOf(this._ledger.held) < MAX_HELD_SHARE_FOR_ONE
   }
 
+  /**
+   * Whether other work is kept from all hosts so that room comes together for a job.
+   *
+   * Made for large jobs amid tasks that run for seconds: what ends on any host then counts towards the job, so the
+   * hosts are idle for the shortest time. Emptying a few chosen hosts takes longer, since the last of them decides.
+   */
+  public isClosing (nowMs: MonotonicMs): boolean {
+    const sinceMs = this._gathering?.gatheringSinceMs
+    return sinceMs !== undefined && nowMs - sinceMs < MAX_CLOSED_MS
+  }
+
   /** When something here is due although no room has come free. */
   public nextWakeAtMs (nowMs: MonotonicMs): MonotonicMs {
     let wakeAtMs = this._book.earliestExpiryMs
+    if (this.isClosing(nowMs)) wakeAtMs = Math.min(wakeAtMs, (this._gathering?.gatheringSinceMs ?? nowMs) + MAX_CLOSED_MS)
     for (const group of this._book.groups()) {
       const gatherAtMs = group.queuedAtMs + GATHER_AFTER_MS
       if (gatherAtMs > nowMs) wakeAtMs = Math.min(wakeAtMs, gatherAtMs)
@@ -65,10 +77,10 @@
    * Moves the groups on and gives one that can start itself now.
    *
    * Made for jobs of many tasks among a stream of small ones. Left to chance, a large job never finds all its room at
-   * one moment: it starves, though each small task waits hardly at all. So hosts are claimed and emptied for it. Only
-   * one group at a time has part of its claims: were there two, each could hold half and wait for the other for ever,
+   * one moment: it starves, though each small task waits hardly at all. So room is gathered for it as it comes free. Only
+   * one group at a time holds part of its room: were there two, each could hold half and wait for the other for ever,
    * which shows as hosts held but idle. A group with all its claims waits for running work alone, so its wait is
-   * bounded by run times, and the next group may claim meanwhile.
+   * bounded by run times, and the next group may gather meanwhile.
    */
   public advance (nowMs: MonotonicMs, isItsTurn: TurnTest): IGroup | undefined {
     this._stopStalled(nowMs)
@@ -105,12 +117,15 @@
   }
 
   private _startGathering (nowMs: MonotonicMs, isItsTurn: TurnTest): void {
-    if (this._gathering !== undefined || this._ledger.shareOf(this._ledger.held) >= MAX_HELD_SHARE) return
+    if (this._gathering !== undefined) return
     let next: IGroup | undefined
     for (const group of this._book.groups()) {
       if (this._mayGather(group, nowMs) && (next === undefined || goesBefore(group, next)) && isItsTurn(group)) next = group
     }
+    if (next === undefined) return
     this._gathering = next
+    next.gatheringSinceMs = nowMs
+    next.startsAtMs = nowMs + this._comesFreeInMs(this._lackingShare(next), this._ledger.shareOf(this._ledger.used))
   }
 
   /** Parts of a job that spans schedulers hold room elsewhere already, so room is gathered for them at once. */
@@ -121,11 +136,11 @@
 
   private _gather (group: IGroup, nowMs: MonotonicMs): void {
     group.gatheringSinceMs ??= nowMs
-    let hasMore = false
+    const before = group.holds.size
     for (const task of group.tasks) {
-      if (!group.holds.has(task.item.id)) hasMore = this._claim(group, task, nowMs) || hasMore
+      if (!group.holds.has(task.item.id) && !this._claim(group, task, nowMs)) break
     }
-    if (hasMore) this._reopen()
+    if (group.holds.size > before) this._reopen()
     if (group === this._gathering && this._book.isComplete(group)) this._gathering = undefined
   }
 
@@ -134,14 +149,19 @@
    * one group at a time: two claims on it would each see the other's room as missing and never be met.
    */
   private _claim (group: IGroup, task: IGroupTask, nowMs: MonotonicMs): boolean {
-    const isOurs = (host: LedgerHost): boolean => !host.hasHolds || [...group.holds.values()].some((hold) => hold.host === host)
-    const host = this._chooser.choose(task.item, task.need) ?? this._chooser.chooseToDrain(task.item, task.need, isOurs)
+    const free = this._chooser.choose(task.item, task.need)
+    const host = free ?? (this.isClosing(nowMs) && group === this._gathering ? undefined : this._hostToEmpty(group, task))
     if (host === undefined) return false
     this._book.hold(group, task, host)
-    group.startsAtMs = Math.max(group.startsAtMs, nowMs + this._drainMs(host))
+    if (free === undefined) group.startsAtMs = Math.max(group.startsAtMs, nowMs + this._drainMs(host))
     return true
   }
 
+  private _hostToEmpty (group: IGroup, task: IGroupTask): LedgerHost | undefined {
+    const isOurs = (host: LedgerHost): boolean => !host.hasHolds || [...group.holds.values()].some((hold) => hold.host === host)
+    return this._chooser.chooseToDrain(task.item, task.need, isOurs)
+  }
+
   /**
    * Moves claims from hosts that are still being emptied to room that has come free elsewhere.
    *
@@ -149,26 +169,43 @@
    * have been emptied would stand idle until then.
    */
   private _improveClaims (): void {
-    for (const group of this._book.holding()) {
-      for (const hold of group.holds.values()) {
-        if (fits(hold.host.held, hold.host.unused())) continue
-        const host = this._chooser.choose(hold.item, hold.need)
-        if (host === undefined) break
-        this._book.move(group, hold, host)
-      }
+    let hasMoved = false
+    for (const group of this._book.holding()) hasMoved = this._improveClaimsOf(group) || hasMoved
+    if (hasMoved) this._reopen()
+  }
+
+  private _improveClaimsOf (group: IGroup): boolean {
+    let hasMoved = false
+    for (const hold of group.holds.values()) {
+      if (fits(hold.host.held, hold.host.unused())) continue
+      const host = this._chooser.choose(hold.item, hold.need)
+      if (host === undefined) break
+      this._book.move(group, hold, host)
+      hasMoved = true
     }
+    return hasMoved
   }
 
-  /** How long the host takes to have room for what it holds, if its work ends as fast as work does on all hosts. */
+  /** How long the host takes to have room for what it holds. */
   private _drainMs (host: LedgerHost): number {
     const { capacity } = host.config
     const lacking = dominantShare(difference(host.held, host.unused()), capacity)
-    const used = dominantShare(host.used, capacity)
+    return this._comesFreeInMs(lacking, dominantShare(host.used, capacity))
+  }
+
+  /** How long until `lacking` of what is `used` has come free, if work ends as fast as it does now. */
+  private _comesFreeInMs (lacking: number, used: number): number {
     if (lacking <= 0 || used <= 0) return 0
     const leftShare = Math.max(1 - lacking / used, 0.01)
     return -Math.log(leftShare) / Math.max(this._turnoverPerMs(), 1e-9)
   }
 
+  private _lackingShare (group: IGroup): number {
+    const sum = zeroResources()
+    for (const { need } of group.tasks) addInto(sum, need)
+    return this._ledger.shareOf(difference(sum, difference(this._ledger.capacity, this._ledger.used)))
+  }
+
   private _reopen (): void {
     this._openUntilMs.clear()
     for (const group of this._book.holding()) {
