Policy: leave a margin between the wait that is admitted and the deadline

Ruled out: the promises to those who come back (all were met). Change: newcomers beyond the unpromised share are admitted up to 0.7 of the allowed wait.

--- a/bench/decisions/VirtualRun.ts
+++ b/bench/decisions/VirtualRun.ts
@@ -59,14 +59,17 @@
   private readonly _capacity = zeroResources()
   private readonly _inUse = zeroResources()
   private readonly _usedIntegral = zeroResources()
+  private _overUsedCoresMs = 0
   private _integratedToMs = 0
   private _lostAfterFirstSecond = 0
   private _placedOnFaultyAfterHeal = 0
   private _placed = 0
   private _order = 0
+  private readonly _reportsUsage: boolean
   private _wakeAtMs = Infinity
 
   public constructor (private readonly _scenario: IScenario, private readonly _engine: IDecisionEngine, private readonly _clock: VirtualClock) {
+    this._reportsUsage = _scenario.arrivals.some(({ work }) => work.some(({ usage }) => usage !== undefined))
     for (const host of _scenario.hosts) this._putHost(host)
     this.outcomes = new Outcomes(this._capacity)
     for (const arrival of _scenario.arrivals) this._at(arrival.atMs, () => this._arrive(arrival))
@@ -105,6 +108,7 @@
       : { lostAfterFirstSecondShare: round(this._lostAfterFirstSecond / this._placed, 5), placedAfterHeal: this._placedOnFaultyAfterHeal }
     return {
       useShare: round(this.useShare(), 4),
+      overUsedShare: round(this._overUsedCoresMs / this._capacity.cores / (this._scenario.untilMs - this._scenario.measuredFromMs), 4),
       ...this.outcomes.summary(this._scenario.untilMs - this._scenario.measuredFromMs),
       ...faulty
     }
@@ -300,11 +304,19 @@
     if (host !== undefined && used !== undefined && !fits(used, host.capacity)) this.outcomes.overCapacity += 1
   }
 
+  /** Cores that tasks want beyond what their hosts have: what reported sizes can't foresee. */
+  private _overUsedCores (): number {
+    let cores = 0
+    for (const host of this._scenario.hosts) cores += Math.max(0, (this._used.get(host.hostId)?.cores ?? 0) - host.capacity.cores)
+    return cores
+  }
+
   private _integrateTo (atMs: number): void {
     const fromMs = Math.max(this._integratedToMs, this._scenario.measuredFromMs)
     const elapsedMs = atMs - fromMs
     this._integratedToMs = atMs
     if (elapsedMs <= 0) return
+    if (this._reportsUsage) this._overUsedCoresMs += this._overUsedCores() * elapsedMs
     this._usedIntegral.cores += this._inUse.cores * elapsedMs
     this._usedIntegral.memoryBytes += this._inUse.memoryBytes * elapsedMs
     this._usedIntegral.accelerators += this._inUse.accelerators * elapsedMs
--- a/src/common/policy/Admission.ts
+++ b/src/common/policy/Admission.ts
@@ -15,6 +15,9 @@
 /** While the wait is below this share of what the deadline allows, newcomers are taken in whatever was promised to others. */
 const UNPROMISED_SHARE = 0.3
 
+/** Newcomers beyond that are taken in as long as the wait with all promises stays below this share. */
+const NEWCOMER_SHARE = 0.7
+
 /** Those who come back find room as long as the wait stays below this share: the rest covers an error in the rate. */
 const RETURNER_SHARE = 0.9
 
@@ -72,7 +75,7 @@
     if (isReturner && waitMs <= RETURNER_SHARE * request.slackMs) return { admitted: true, expectedWaitMs: waitMs }
     if (waitMs <= UNPROMISED_SHARE * request.slackMs) return { admitted: true, expectedWaitMs: waitMs }
     const promisedWaitMs = this._waitMs(request, perMs, state.promised)
-    if (promisedWaitMs <= request.slackMs) return { admitted: true, expectedWaitMs: waitMs }
+    if (promisedWaitMs <= NEWCOMER_SHARE * request.slackMs) return { admitted: true, expectedWaitMs: waitMs }
     return this._refuseLate(request, state, promisedWaitMs, nowMs)
   }
 
--- a/src/common/policy/DecisionEngine.ts
+++ b/src/common/policy/DecisionEngine.ts
@@ -163,10 +163,10 @@
   }
 
   public reportUsage (itemId: string, usage: IResources): void {
-    const item = this._work.reportUsage(itemId, usage)
-    if (item === undefined) return
-    this._estimates.noteUsage(item, usage)
-    this._loop.noteRoom()
+    const report = this._work.reportUsage(itemId, usage)
+    if (report === undefined) return
+    this._estimates.noteUsage(report.item, usage)
+    if (report.hasFreedRoom) this._loop.noteRoom()
   }
 
   public reserve (groupId: string, items: readonly IWorkItem[], expiresAtMs: MonotonicMs): readonly string[] {
--- a/src/common/policy/RunningWork.ts
+++ b/src/common/policy/RunningWork.ts
@@ -3,6 +3,7 @@
  */
 
 import { DrainRate } from './DrainRate.js'
+import { fits } from './Resources.js'
 
 import type { IClock, IResources } from '../Types.js'
 import type { CapacityLedger, IRunningItem, LedgerHost } from './CapacityLedger.js'
@@ -21,6 +22,11 @@
   readonly costMs: number
 }
 
+export interface IReport {
+  readonly item: IWorkItem
+  readonly hasFreedRoom: boolean
+}
+
 export class RunningWork {
   private readonly _starts = new Map<string, IStart>()
   private readonly _released = new DrainRate()
@@ -61,13 +67,13 @@
     return lost
   }
 
-  public reportUsage (itemId: string, usage: IResources): IWorkItem | undefined {
+  public reportUsage (itemId: string, usage: IResources): IReport | undefined {
     const running = this._ledger.runningItem(itemId)
     if (running === undefined) return undefined
     const before = running.counted
     this._ledger.reportUsage(itemId, usage)
     this._use.recount(running.item, before, running.counted)
-    return running.item
+    return { item: running.item, hasFreedRoom: !fits(before, running.counted) }
   }
 
   /** The share of what is in use that comes free per millisecond. */
