Policy: keep the last free slots from callers far above their share, and room from long work that urgent work will want

One caller with 90% of the demand: the others waited for the next slot to come free, p50 0.8 ms and p99 6.3 ms, against 0 alone. Ruled out: more weight in the fair queue (they came first already). Change: the last 2% of free slots go to callers below twice their even share. Urgent tasks amid long ones: each place one left went to a long task and was taken back by a stop. Change: as much room as urgent work used of late is kept from work that runs over 5 s.

--- a/src/common/policy/DecisionEngine.ts
+++ b/src/common/policy/DecisionEngine.ts
@@ -28,6 +28,9 @@
 /** Lines of each kind in a dump. */
 const MAX_DUMPED = 100
 
+/** Free slots below this share are kept from callers far above their even share: of 240, four. Costs that much use at most. */
+const HEADROOM_SHARE = 0.02
+
 export interface IEngineOptions {
   /** What hosts offer: slots on runners, resources on workers. */
   readonly kind: CapacityKind
@@ -50,7 +53,7 @@
     const preemption = new Preemption()
     const chooser = new HostChooser(options.kind, this._ledger, this._index, this._health)
     this._use = new UseLedger(options.kind)
-    this._queue = new FairQueue(this._use, this._ledger.capacity)
+    this._queue = new FairQueue(this._use, this._ledger.capacity, () => options.kind === 'slots' && this._isScarce())
     this._admission = new Admission(_clock, random)
     this._work = new RunningWork(_clock, this._ledger, this._use, this._queue, chooser, preemption)
     this._groups = new GroupPlacer(this._book, this._ledger, this._use, chooser, () => this._work.turnoverPerMs())
@@ -114,7 +117,7 @@
     const slackMs = latestStartAtMs - this._clock.nowMs()
     const decision = this._admission.decide({ item, queue, costMs, slackMs, totalQueued: this._queuedCount(), priorRate: this._priorRate(queue) })
     if (!decision.admitted) return decision
-    this._queue.add({ item, need, lane: laneOf(item, need), costMs, latestStartAtMs })
+    this._queue.add({ item, need, lane: laneOf(item, need, this._estimates.isLong(item)), costMs, latestStartAtMs })
     this._admission.noteQueued(queue)
     this._loop.noteWork()
     return decision
@@ -233,6 +236,11 @@
     }
   }
 
+  private _isScarce (): boolean {
+    const { capacity, used } = this._ledger
+    return capacity.cores - used.cores <= HEADROOM_SHARE * capacity.cores
+  }
+
   private _queuedCount (): number {
     return this._queue.size + this._book.itemCount
   }
@@ -272,10 +280,10 @@
 
 /**
  * Two levels of room an octave and the exact number of accelerators. Urgent work and work that avoids hosts are apart,
- * because what keeps other work of the same size out need not hold for them.
+ * because what keeps other work of the same size out need not hold for them; so is work that runs long.
  */
-function laneOf (item: IWorkItem, need: IResources): ILaneKey {
+function laneOf (item: IWorkItem, need: IResources, isLong: boolean): ILaneKey {
   const avoided = item.avoidHostIds?.join() ?? ''
   const rank = classRank(item.profile.priorityClass)
-  return { shape: `${rank}/${coreLevel(need.cores)}/${memoryLevel(need.memoryBytes)}/${need.accelerators}/${avoided}`, team: item.team }
+  return { shape: `${rank}${isLong ? 'long' : ''}/${coreLevel(need.cores)}/${memoryLevel(need.memoryBytes)}/${need.accelerators}/${avoided}`, team: item.team }
 }
--- a/src/common/policy/DecisionLoop.ts
+++ b/src/common/policy/DecisionLoop.ts
@@ -191,12 +191,14 @@
     return undefined
   }
 
-  /** Whether hosts are closed for a job that goes before this item, and the item would still run when the job starts. */
+  /** Whether room is kept for urgent work, or for a job that goes before this item and would start while it still runs. */
   private _isKeptOut (entry: IQueueEntry, nowMs: MonotonicMs): boolean {
-    const { groups, queue, estimates } = this._parts
+    const { groups, queue, estimates, work } = this._parts
+    if (queue.isBelowFloor(entry.queue)) return false
+    if (estimates.isLong(entry.item) && work.isKeptForUrgent(entry.need)) return true
     const group = groups.gathering
     if (group === undefined || !groups.isClosing(nowMs)) return false
-    if (classRank(entry.queue.profile.priorityClass) < group.rank || queue.isBelowFloor(entry.queue)) return false
+    if (classRank(entry.queue.profile.priorityClass) < group.rank) return false
     return nowMs + estimates.endsWithinMs(entry.item) > group.startsAtMs
   }
 
--- a/src/common/policy/FairQueue.ts
+++ b/src/common/policy/FairQueue.ts
@@ -32,7 +32,12 @@
   private readonly _byLatestStart = new BTree<IQueueEntry, undefined>(undefined, compareLatestStart)
   private readonly _classVirtualMs = [0, 0, 0]
 
-  public constructor (private readonly _use: UseLedger, private readonly _capacity: IResources) {}
+  /** @param _isScarce whether so little is free that callers above their share have to leave it to the others */
+  public constructor (
+    private readonly _use: UseLedger,
+    private readonly _capacity: IResources,
+    private readonly _isScarce: () => boolean
+  ) {}
 
   public get size (): number {
     return this._entries.size
@@ -94,7 +99,7 @@
   public isBelowFloor (queue: ProfileQueue): boolean {
     const { name } = queue.profile
     if (this._use.profileCount(name) === 0) return true
-    return this._use.profileShare(name, this._capacity) < this.floorShare(queue)
+    return this._use.profileShare(name, this._capacity) <= this.floorShare(queue)
   }
 
   public floorShare (queue: ProfileQueue): number {
@@ -139,7 +144,7 @@
     for (const queue of this._profiles.values()) {
       if (!this._mayStart(queue) || !this.isBelowFloor(queue)) continue
       const filled = this._use.profileShare(queue.profile.name, this._capacity) / this.floorShare(queue)
-      const entry = filled < bestFilled ? queue.peek(isBlocked) : undefined
+      const entry = filled < bestFilled ? queue.peek(isBlocked, false) : undefined
       if (entry === undefined) continue
       best = entry
       bestFilled = filled
@@ -148,10 +153,11 @@
   }
 
   private _peekByClass (isBlocked: LaneFilter): IQueueEntry | undefined {
+    const isScarce = this._isScarce()
     let best: IQueueEntry | undefined
     for (const queue of this._profiles.values()) {
       if (!this._mayStart(queue) || (best !== undefined && !goesBefore(queue, best.queue))) continue
-      best = queue.peek(isBlocked) ?? best
+      best = queue.peek(isBlocked, isScarce) ?? best
     }
     return best
   }
--- a/src/common/policy/ProfileQueue.ts
+++ b/src/common/policy/ProfileQueue.ts
@@ -15,6 +15,15 @@
 /** Idle callers are looked through once this many new ones have come, so that the cost of a look is spread over them. */
 const SWEEP_AFTER_CALLERS = 1_000
 
+/**
+ * How many times its even share a caller runs before the last free slots are kept from it. Callers with like demand differ by
+ * less: with 1 instead of 2, urgent requests of callers just above the average waited for seconds behind patient ones.
+ */
+const FAR_ABOVE = 2
+
+/** Callers above their share that are passed over in one look; more of them than this can't all be far above it. */
+const MAX_PASSED_OVER = 16
+
 export interface IQueueEntry {
   readonly item: IWorkItem
   /** What it is expected to use: as declared, or more where its service was seen to use more. */
@@ -81,6 +90,8 @@
   private readonly _lanes = new Map<string, ILane>()
   private _callerVirtualMs = 0
   private _activeCallers = 0
+  private _presentCallers = 0
+  private _runningCount = 0
   private _sequence = 0
   private _sweepAtCallers = SWEEP_AFTER_CALLERS
 
@@ -121,12 +132,18 @@
     if (line.entries.isEmpty) this._dropLine(line)
   }
 
-  /** The next entry of the caller that was served least, among the lanes that are not blocked. */
-  public peek (isBlocked: LaneFilter): IQueueEntry | undefined {
+  /**
+   * The next entry of the caller that was served least, among the lanes that are not blocked.
+   *
+   * @param isScarce when set, callers that run far more than their even share are passed over. Made for one caller that
+   * could fill every slot: the others would wait for a slot to come free each time, though they use little. With the last few
+   * slots left to them they are served at once, as if they were alone.
+   */
+  public peek (isBlocked: LaneFilter, isScarce: boolean): IQueueEntry | undefined {
     let best: ICallerLine | undefined
     for (const lane of this._lanes.values()) {
       if (isBlocked(lane)) continue
-      const line = lane.lines.minKey()
+      const line = isScarce ? this._firstWithinShare(lane) : lane.lines.minKey()
       if (line !== undefined && (best === undefined || compareLines(line, best) < 0)) best = line
     }
     return best?.entries.minKey()
@@ -136,7 +153,7 @@
   public charge (caller: string, costMs: number): void {
     const share = this._share(caller)
     this._callerVirtualMs = Math.max(this._callerVirtualMs, share.virtualMs)
-    share.runningCount += 1
+    this._countRunning(share, 1)
     this._moveTo(share, share.virtualMs + costMs)
   }
 
@@ -149,10 +166,21 @@
   public settle (caller: string, estimatedMs: number, actualMs: number): void {
     const share = this._callers.get(caller)
     if (share === undefined) return
-    share.runningCount -= 1
+    this._countRunning(share, -1)
     this._moveTo(share, share.virtualMs + actualMs - estimatedMs)
   }
 
+  private _firstWithinShare (lane: ILane): ICallerLine | undefined {
+    const allowed = 1 + FAR_ABOVE * this._runningCount / Math.max(1, this._presentCallers)
+    let looks = 0
+    for (const line of lane.lines.keys()) {
+      looks += 1
+      if (line.share.runningCount <= allowed) return line
+      if (looks >= MAX_PASSED_OVER) return undefined
+    }
+    return undefined
+  }
+
   private _share (caller: string): ICallerShare {
     const known = this._callers.get(caller)
     if (known !== undefined) return known
@@ -206,15 +234,24 @@
     for (const line of share.lines) line.lane.lines.set(line, undefined)
   }
 
+  private _countRunning (share: ICallerShare, sign: 1 | -1): void {
+    const wasPresent = isPresent(share)
+    share.runningCount += sign
+    this._runningCount += sign
+    this._presentCallers += Number(isPresent(share)) - Number(wasPresent)
+  }
+
   private _countQueued (entry: IQueueEntry, sign: 1 | -1): void {
     const { share } = entry.line
     const before = share.queuedCount
+    const wasPresent = isPresent(share)
     share.queuedCount += sign
     share.queuedCostMs += sign * entry.costMs
     this.queuedCount += sign
     this.queuedCostMs += sign * entry.costMs
     if (before === 0) this._activeCallers += 1
     if (share.queuedCount === 0) this._activeCallers -= 1
+    this._presentCallers += Number(isPresent(share)) - Number(wasPresent)
   }
 
   /** Forgets callers that have nothing here and owe nothing. */
@@ -227,6 +264,10 @@
   }
 }
 
+function isPresent (share: ICallerShare): boolean {
+  return share.queuedCount > 0 || share.runningCount > 0
+}
+
 function compareEntries (a: IQueueEntry, b: IQueueEntry): number {
   return a.orderMs === b.orderMs ? a.sequence - b.sequence : a.orderMs - b.orderMs
 }
--- a/src/common/policy/RunningWork.ts
+++ b/src/common/policy/RunningWork.ts
@@ -4,6 +4,7 @@
 
 import { DrainRate } from './DrainRate.js'
 import { fits } from './Resources.js'
+import { UrgentReserve } from './UrgentReserve.js'
 
 import type { IClock, IResources } from '../Types.js'
 import type { CapacityLedger, IRunningItem, LedgerHost } from './CapacityLedger.js'
@@ -30,6 +31,7 @@
 export class RunningWork {
   private readonly _starts = new Map<string, IStart>()
   private readonly _released = new DrainRate()
+  private readonly _reserve = new UrgentReserve()
 
   public constructor (
     private readonly _clock: IClock,
@@ -47,6 +49,7 @@
     const nowMs = this._clock.nowMs()
     const running = this._ledger.start(item, host, need, nowMs)
     this._use.add(item, running.counted)
+    this._noteUrgent(item, running.counted, 1)
     this._chooser.noteStarted(item, host, nowMs)
     this._preemption.noteStarted(running)
     this._queue.charge({ queue, costMs }, item.caller)
@@ -82,9 +85,20 @@
     return inUse <= 0 ? Infinity : this._released.perMs(0, this._clock.nowMs()) / inUse
   }
 
+  /** Whether work that needs this and runs long would take room that urgent work is likely to want again. */
+  public isKeptForUrgent (need: IResources): boolean {
+    const used = this._ledger.shareOf(this._ledger.used) + this._ledger.shareOf(need)
+    return used > 1 - this._reserve.shareToKeep(this._clock.nowMs())
+  }
+
+  private _noteUrgent (item: IWorkItem, counted: IResources, sign: 1 | -1): void {
+    if (item.profile.priorityClass === 'urgent') this._reserve.add(sign * this._ledger.shareOf(counted), this._clock.nowMs())
+  }
+
   private _settle (running: IRunningItem, serviceMs: number): void {
     const { item, host, counted } = running
     this._use.remove(item, counted)
+    this._noteUrgent(item, counted, -1)
     this._chooser.noteEnded(item, host)
     this._preemption.noteEnded(running)
     const start = this._starts.get(item.id)
--- a/src/common/policy/WorkEstimates.ts
+++ b/src/common/policy/WorkEstimates.ts
@@ -15,6 +15,9 @@
 /** Work is let into gathered room if this share of its kind has ended by the time the room is needed. */
 const BACKFILL_CONFIDENCE = 0.95
 
+/** Work that may run longer than this is kept out of room that urgent work is likely to want again. */
+const LONG_RUN_MS = 5_000
+
 export class WorkEstimates {
   private readonly _runTimes = new RunTimeLearner()
   private readonly _sizes = new SizeLearner()
@@ -52,6 +55,10 @@
     return item.deadlineAtMs - runMs
   }
 
+  public isLong (item: IWorkItem): boolean {
+    return item.profile.priorityClass !== 'urgent' && this.endsWithinMs(item) > LONG_RUN_MS
+  }
+
   /** By when it will almost certainly have ended, if started now. */
   public endsWithinMs (item: IWorkItem): number {
     return this._runTimes.quantileMs(item, BACKFILL_CONFIDENCE)
