--- a/src/common/protocol/Types.ts
+++ b/src/common/protocol/Types.ts
@@ -147,6 +147,14 @@
   readonly tasks: readonly IPlaceTask[]
   /** The reservation goes by itself after this time. */
   readonly expiresMs: number
+  /** Counts the tries of the job; a scheduler holds places for one try and acts on no command of another. */
+  readonly tryNumber?: number
+}
+
+/** Names a reservation: of a job, and of which try. */
+export interface IReservationRef {
+  readonly jobId: string
+  readonly tryNumber?: number
 }
 
 export interface IReserveReply {
@@ -169,8 +177,8 @@
   readonly placeTask: { readonly ask: IPlaceTask, readonly reply: { readonly accepted: boolean } }
   readonly cancelTask: { readonly ask: { readonly jobId: string, readonly taskId: string }, readonly reply: { readonly known: boolean } }
   readonly reserve: { readonly ask: IReserveRequest, readonly reply: IReserveReply }
-  readonly startReserved: { readonly ask: { readonly jobId: string }, readonly reply: { readonly started: boolean } }
-  readonly dropReservation: { readonly ask: { readonly jobId: string }, readonly reply: { readonly dropped: boolean } }
+  readonly startReserved: { readonly ask: IReservationRef, readonly reply: { readonly started: boolean } }
+  readonly dropReservation: { readonly ask: IReservationRef, readonly reply: { readonly dropped: boolean } }
   readonly configSince: { readonly ask: { readonly digest: string }, readonly reply: { readonly entries: readonly IConfigEntry[] } }
   readonly dump: { readonly ask: { readonly section?: string }, readonly reply: { readonly json: string } }
   readonly drain: { readonly ask: { readonly hostId?: string }, readonly reply: { readonly draining: boolean } }
--- a/src/common/state/ShardOwnership.ts
+++ b/src/common/state/ShardOwnership.ts
@@ -32,6 +32,16 @@
   readonly record: IShardRecord
 }
 
+/** All that a `ShardOwnership` remembers, as plain data. */
+export interface IOwnershipSnapshot {
+  readonly state: OwnershipState
+  readonly record: IShardRecord | undefined
+  readonly modRevision: number
+  readonly write: IRecordWrite | undefined
+  readonly heldEpoch: number
+  readonly fencedEpoch: number
+}
+
 const EVENT_BY_OUTCOME: Readonly<Record<WriteOutcome, OwnershipEvent>> = {
   ok: 'WRITE_OK',
   nothing: 'WRITE_NOTHING',
@@ -40,6 +50,9 @@
   conflict: 'READ_BACK'
 }
 
+/** States in which a write is under way or in doubt. */
+const WRITING: ReadonlySet<OwnershipState> = new Set(['taking', 'confirming', 'releasing'])
+
 const HELD: ReadonlySet<OwnershipState> = new Set(['recovering', 'serving', 'releasing'])
 
 /** Where the record of a shard stands. */
@@ -50,19 +63,37 @@
 export class ShardOwnership {
   private _state: OwnershipState
   private _record: IShardRecord | undefined
-  private _modRevision = 0
+  private _modRevision: number
   private _write: IRecordWrite | undefined
-  private _heldEpoch = 0
+  private _heldEpoch: number
   /** The highest epoch that a host or a log has been seen to hold; the next one must be higher. */
-  private _fencedEpoch = 0
+  private _fencedEpoch: number
 
   public constructor (
     private readonly _chart: ChartTable,
     private readonly _self: IOwner,
     private readonly _spec: IShardSpec,
-    private readonly _nonce: () => string
+    private readonly _nonce: () => string,
+    from?: IOwnershipSnapshot
   ) {
-    this._state = _chart.initial as OwnershipState
+    this._state = from?.state ?? _chart.initial as OwnershipState
+    this._record = from?.record
+    this._modRevision = from?.modRevision ?? 0
+    this._write = from?.write
+    this._heldEpoch = from?.heldEpoch ?? 0
+    this._fencedEpoch = from?.fencedEpoch ?? 0
+  }
+
+  /** For the dump of a process, and for the specification, which explores states. */
+  public snapshot (): IOwnershipSnapshot {
+    return {
+      state: this._state,
+      record: this._record,
+      modRevision: this._modRevision,
+      write: this._write,
+      heldEpoch: this._heldEpoch,
+      fencedEpoch: this._fencedEpoch
+    }
   }
 
   public get state (): OwnershipState {
@@ -119,7 +150,7 @@
 
   /** Reports how a write went. After `confirming` or `releasing`, read the record next and report it to `observe`. */
   public wrote (write: IRecordWrite, outcome: WriteOutcome, modRevision: number): OwnershipChange | undefined {
-    if (write !== this._write) return undefined
+    if (write.record.nonce !== this._write?.record.nonce) return undefined
     if (outcome === 'ok') this._see(write.record, modRevision)
     return this._step(EVENT_BY_OUTCOME[outcome])
   }
@@ -181,6 +212,7 @@
   private _step (event: OwnershipEvent): OwnershipChange | undefined {
     const heldBefore = this.held
     this._state = this._chart.next(this._state, event) as OwnershipState
+    if (!WRITING.has(this._state)) this._write = undefined
     if (this.held === heldBefore) return undefined
     if (this.held) return this._acquired()
     return this._lost(event)
--- a/src/scheduler/ownership/ClaimService.test.ts
+++ b/src/scheduler/ownership/ClaimService.test.ts
@@ -39,7 +39,16 @@
   t.deepEqual(await Promise.all(then as Promise<unknown>[]), [
     { decision: 'claimed', holder: 'h1' }, { decision: 'blocked' }, { released: true }, { decision: 'granted' }, { decision: 'blocked' }
   ])
-  t.deepEqual(await service.claim({ ...ask('old', 'h1', 'other'), ageMs: 400_000 }), { decision: 'blocked' })
+})
+
+// A request waited so long that the log has forgotten its claim. Found by the specification: were its attempt blocked
+// now, the caller would hear "not run" of work that ran; were it granted, the work could run twice.
+test('an attempt older than the age limit gets no claim, and is not called blocked', async (t) => {
+  const service = setUp('p1', new MemoryStore(), new ManualClock())
+  await service.takeOver(SHARD, 1)
+  const old = { ...ask('a'), ageMs: 400_000 }
+  t.deepEqual(await service.claim(old), { decision: 'blocked' })
+  t.deepEqual(await service.block(old), { decision: 'claimed', holder: 'h1' })
 })
 
 // The store goes down. A caller must hear at once that its request was not run, and not after a store timeout.
--- a/src/scheduler/ownership/Slice.ts
+++ b/src/scheduler/ownership/Slice.ts
@@ -24,6 +24,10 @@
 /** `tooLarge`: no commit could hold it. */
 export type JobOutcome = AppendOutcome | 'tooLarge'
 
+function isTooOld (request: IClaimRequest): boolean {
+  return (request.ageMs ?? 0) > MAX_ATTEMPT_AGE_MS
+}
+
 export class Slice implements IDisposable {
   private readonly _onLost = new Emitter<void>()
   public readonly onLost = this._onLost.event
@@ -58,7 +62,7 @@
   }
 
   public async claim (request: IClaimRequest): Promise<ClaimReply> {
-    if ((request.ageMs ?? 0) > MAX_ATTEMPT_AGE_MS) return { decision: 'blocked' }
+    if (isTooOld(request)) return { decision: 'blocked' }
     if (!this.available) return this._unavailable()
     const { claimKey: key, attemptId, holder } = request
     const decided = this._tables.claims.decideClaim(key, attemptId, holder)
@@ -69,6 +73,8 @@
   }
 
   public async block (request: IClaimRequest): Promise<BlockReply> {
+    // Its claim may have been forgotten after the retention: that none is known doesn't mean that it never ran.
+    if (isTooOld(request)) return { decision: 'claimed', holder: request.holder }
     if (!this.available) return this._unavailable()
     const { claimKey: key, attemptId } = request
     const decided = this._tables.claims.decideBlock(key, attemptId)
--- a/src/scheduler/ownership/index.ts
+++ b/src/scheduler/ownership/index.ts
@@ -30,7 +30,8 @@
  * of time, because a store outage holds them up.
  *
  * Whoever asks for a claim dispatches only on `granted`, and only if the answer came in time and its attempt is
- * still wanted; otherwise it sends `release`. After `unavailable` it answers "not run" and doesn't dispatch.
+ * still wanted. Otherwise, and after `unavailable`, it answers "not run", doesn't dispatch, and sends `release` to the
+ * shard's owner until that answers: the claim may have become durable after all, and would keep repeats from running.
  */
 
 import type { IShardSpec } from '../../common/state/Types.js'
