Jobs on workers: worker sessions, placing of tasks, owners of jobs

An attempt is told as over only when the host has said so, its lease has lapsed on the host's clock, or its host is known to be gone. The owner of a job starts a next attempt only then; for tasks that it has lost track of it asks every scheduler, and waits until each worker shard's owner has heard all its hosts.

Ruled out: storing each task's start and end (7,400/s at the target size against several hundred writes); starting anew after a silence by our own clock, since a renewal may still be on its way.

Additive to src/common/protocol/Types.ts: the calls placeGroup and tasksOf, the state unsure of a task's place, ownerEpoch and avoidHostIds of IPlaceTask, attempt and onlyIfQueued of cancelTask, reason and retryAfterMs of the reply.

--- a/src/common/protocol/Types.ts
+++ b/src/common/protocol/Types.ts
@@ -4,7 +4,7 @@
  */
 
 import type { IConfigEntry } from '../config/Types.js'
-import type { IFinalAnswer, ILocation, IProcessIdentity, IResources } from '../Types.js'
+import type { IFinalAnswer, ILocation, IProcessIdentity, IResources, OutcomeReason } from '../Types.js'
 
 export interface ISubmitRequest {
   /**
@@ -141,7 +141,11 @@
 export interface ITaskPlace {
   readonly taskId: string
   readonly attempt: number
-  readonly state: 'queued' | 'reserved' | 'running' | 'succeeded' | 'failed' | 'stopped'
+  /**
+   * `stopped`: this attempt is over without a result, or will never run. `unsure`: its host has changed hands or can't
+   * be asked, so that it may still run.
+   */
+  readonly state: 'queued' | 'reserved' | 'running' | 'unsure' | 'succeeded' | 'failed' | 'stopped'
   readonly hostId?: string
   readonly shardId?: string
 }
@@ -169,6 +173,35 @@
   readonly attempt: number
   /** The process that hears what becomes of it. */
   readonly jobOwner: string
+  /** The epoch under which it owns the job's id shard: a scheduler refuses one older than it has heard of. */
+  readonly ownerEpoch?: number
+  /** Hosts on which an attempt of this task has failed. */
+  readonly avoidHostIds?: readonly string[]
+}
+
+/** Asks the addressed scheduler to start these tasks together on its workers, when it has room for all of them. */
+export interface IPlaceGroup {
+  readonly jobId: string
+  readonly tasks: readonly IPlaceTask[]
+}
+
+export interface IPlaceReply {
+  readonly accepted: boolean
+  readonly reason?: OutcomeReason
+  readonly retryAfterMs?: number
+}
+
+/** Asks for all tasks of one id shard's jobs that the addressed scheduler holds. */
+export interface ITasksOfAsk {
+  readonly idShard: string
+  /** The epoch of the asking owner: from now on commands of an older one are refused. */
+  readonly ownerEpoch: number
+}
+
+export interface ITasksOfReply {
+  /** Worker shards that it owns and whose hosts have all told it what they run, or are gone. */
+  readonly settledShards: readonly string[]
+  readonly tasks: readonly ITaskUpdate[]
 }
 
 /** Asks the addressed scheduler to hold places for tasks of an all-at-once job, without starting them. */
@@ -184,6 +217,15 @@
   readonly reservedTaskIds: readonly string[]
 }
 
+export interface ICancelTask {
+  readonly jobId: string
+  readonly taskId: string
+  /** Only this attempt; absent: whichever is held. */
+  readonly attempt?: number
+  /** Leaves it alone once it has been sent to a host; to move queued work. */
+  readonly onlyIfQueued?: boolean
+}
+
 /** Calls: a name, what is asked, what is answered. */
 export interface IPeerCalls {
   readonly submit: { readonly ask: ISubmitRequest, readonly reply: IFinalAnswer }
@@ -196,8 +238,10 @@
   readonly submitJob: { readonly ask: IJobSpec, readonly reply: IFinalAnswer }
   readonly jobStatus: { readonly ask: { readonly jobId: string }, readonly reply: { readonly status?: IJobStatus, readonly owner: boolean } }
   readonly cancelJob: { readonly ask: { readonly jobId: string }, readonly reply: { readonly status?: IJobStatus, readonly owner: boolean } }
-  readonly placeTask: { readonly ask: IPlaceTask, readonly reply: { readonly accepted: boolean } }
-  readonly cancelTask: { readonly ask: { readonly jobId: string, readonly taskId: string }, readonly reply: { readonly known: boolean } }
+  readonly placeTask: { readonly ask: IPlaceTask, readonly reply: IPlaceReply }
+  readonly placeGroup: { readonly ask: IPlaceGroup, readonly reply: IPlaceReply }
+  readonly cancelTask: { readonly ask: ICancelTask, readonly reply: { readonly known: boolean } }
+  readonly tasksOf: { readonly ask: ITasksOfAsk, readonly reply: ITasksOfReply }
   readonly reserve: { readonly ask: IReserveRequest, readonly reply: IReserveReply }
   readonly startReserved: { readonly ask: { readonly jobId: string }, readonly reply: { readonly started: boolean } }
   readonly dropReservation: { readonly ask: { readonly jobId: string }, readonly reply: { readonly dropped: boolean } }
--- /dev/null
+++ b/src/common/state/TaskLeases.ts
@@ -0,0 +1,133 @@
+/**
+ * The leases of the tasks on one host, as the owner of its shard sees them, and the one question that matters: may
+ * the next attempt of a task start?
+ *
+ * It may in two cases only:
+ * 1. The host itself has said, under our epoch, that the attempt has ended or that it doesn't know it. Under our
+ *    epoch no start or renewal of an earlier owner can arrive any more.
+ * 2. The host has been fenced under our epoch, and its clock has for certain passed the latest expiry that any
+ *    command could have carried: ours, whether answered or not, and the earlier owners', which end at the latest
+ *    `leaseMs` after the fence on the host's clock, since they too count from answers of this host.
+ *
+ * It may not while the host hasn't been fenced under our epoch, however long ago it was heard of: an earlier owner
+ * that is cut off from the store but not from the host may go on renewing. Nor does our own clock count: the time
+ * of sending bounds nothing, because a renewal may still be on its way.
+ */
+
+import type { MonotonicMs } from '../Types.js'
+import { HostClock } from './HostClock.js'
+import type { IHostClockSnapshot } from './HostClock.js'
+
+export interface ITaskLeasesOptions {
+  /** How far ahead of the host's clock a lease is set, in milliseconds. */
+  readonly leaseMs: number
+  /** The most that two clocks run apart, as a share of the time that passes. */
+  readonly maxDrift: number
+}
+
+/** `ended`: the host said so. `lapsed`: its lease has. `unfenced`, `leased`: not yet. */
+export type NextAttempt = 'ended' | 'lapsed' | 'unfenced' | 'leased'
+
+/** What the host says of one attempt. */
+export interface IAttemptReport {
+  readonly taskId: string
+  readonly attempt: number
+  readonly running: boolean
+}
+
+interface IAttempt {
+  readonly attempt: number
+  readonly ended: boolean
+  /** The host's clock at which its lease ends at the latest, by anything that was ever sent. */
+  readonly expiresHostMs: number
+}
+
+export interface ITaskLeasesSnapshot {
+  readonly clock: IHostClockSnapshot | undefined
+  readonly fenced: boolean
+  readonly inheritedUntilHostMs: number
+  readonly attempts: readonly (readonly [string, IAttempt])[]
+}
+
+export class TaskLeases {
+  private readonly _clock: HostClock
+  private _fenced: boolean
+  private _inheritedUntilHostMs: number
+  private readonly _attempts: Map<string, IAttempt>
+
+  public constructor (private readonly _options: ITaskLeasesOptions, from?: ITaskLeasesSnapshot) {
+    this._clock = new HostClock(_options.maxDrift, from?.clock)
+    this._fenced = from?.fenced ?? false
+    this._inheritedUntilHostMs = from?.inheritedUntilHostMs ?? 0
+    this._attempts = new Map(from?.attempts)
+  }
+
+  public get fenced (): boolean {
+    return this._fenced
+  }
+
+  public snapshot (): ITaskLeasesSnapshot {
+    return {
+      clock: this._clock.snapshot(),
+      fenced: this._fenced,
+      inheritedUntilHostMs: this._inheritedUntilHostMs,
+      attempts: [...this._attempts]
+    }
+  }
+
+  /** The host has accepted our epoch and listed all that it runs. */
+  public noteFenced (clock: IHostClockSnapshot, reports: readonly IAttemptReport[]): void {
+    this._fenced = true
+    this._inheritedUntilHostMs = clock.hostMs + this._options.leaseMs
+    this.noteList(clock, reports)
+  }
+
+  /**
+   * What runs on the host and what has ended there. An attempt of ours that isn't on it stays as it is: its start
+   * may still be on its way.
+   */
+  public noteList (clock: IHostClockSnapshot, reports: readonly IAttemptReport[]): void {
+    this._clock.observe(clock)
+    for (const report of reports) this._noteReport(report)
+  }
+
+  /** Expiry for a start or a renewal that is sent now, on the host's clock; undefined before the host was heard of. */
+  public expiryFor (nowMs: MonotonicMs): number | undefined {
+    const hostMs = this._clock.earliestMs(nowMs)
+    return hostMs === undefined ? undefined : hostMs + this._options.leaseMs
+  }
+
+  /** Note it before sending: the command counts even if its answer never comes. */
+  public noteSent (taskId: string, attempt: number, expiresHostMs: number): void {
+    const known = this._attempts.get(taskId)
+    const same = known?.attempt === attempt ? known : undefined
+    this._attempts.set(taskId, {
+      attempt,
+      ended: same?.ended ?? false,
+      expiresHostMs: Math.max(same?.expiresHostMs ?? 0, expiresHostMs)
+    })
+  }
+
+  /** Whether an attempt after `attempt` may start, here or on another host. */
+  public nextAttempt (taskId: string, attempt: number, nowMs: MonotonicMs): NextAttempt {
+    if (!this._fenced) return 'unfenced'
+    const known = this._attempts.get(taskId)
+    if (known !== undefined && known.attempt > attempt) return 'leased'
+    // Neither listed at the fence nor sent by us: it isn't there, and no earlier owner can start it any more.
+    if (known === undefined || known.attempt < attempt || known.ended) return 'ended'
+    const hostMs = this._clock.earliestMs(nowMs)
+    return hostMs !== undefined && hostMs > known.expiresHostMs ? 'lapsed' : 'leased'
+  }
+
+  /** Forgets a task that has a later attempt elsewhere. */
+  public forget (taskId: string): void {
+    this._attempts.delete(taskId)
+  }
+
+  private _noteReport (report: IAttemptReport): void {
+    const known = this._attempts.get(report.taskId)
+    if (known !== undefined && known.attempt > report.attempt) return
+    const expiresHostMs = known?.attempt === report.attempt ? known.expiresHostMs : this._inheritedUntilHostMs
+    this._attempts.set(report.taskId, { attempt: report.attempt, ended: !report.running, expiresHostMs })
+  }
+}
--- /dev/null
+++ b/src/scheduler/jobs/Types.ts
@@ -0,0 +1,113 @@
+/**
+ * What the parts of the jobs' side need of each other and of the rest of the scheduler, each passed in.
+ */
+
+import type { ResultAsync } from 'neverthrow'
+import type { IDisposable, IProcessIdentity, IResources } from '../../common/Types.js'
+import type { IConfigReplica } from '../../common/config/Types.js'
+import type { ILogger } from '../../common/observability/Types.js'
+import type { IDecisionEngine } from '../../common/policy/Types.js'
+import type { IJobSpec, ILoadSummary, IPeerCalls, IPeerCasts, JobState, PeerCallName } from '../../common/protocol/Types.js'
+import type { ChartTable } from '../../common/state/ChartTable.js'
+import type { IJobRecord } from '../../common/state/JobTable.js'
+import type { IClock, IRandom, ITimers } from '../../common/Types.js'
+import type { PeerError } from '../../peer/Types.js'
+import type { IHostRecord, IWorkerClient, TaskEnd } from '../../platform/Types.js'
+import type { IHostDirectory, IShardEvents } from '../hosts/Types.js'
+
+/** One attempt of one task, as its host knows it. */
+export interface IAttempt {
+  readonly jobId: string
+  /** Unique within the job only. */
+  readonly taskId: string
+  readonly attempt: number
+}
+
+/** An attempt to start on a host. */
+export interface IAttemptStart extends IAttempt {
+  readonly service: string
+  readonly resources: IResources
+  readonly runMs?: number | undefined
+}
+
+/** How an attempt ended: by its host's word, or `lost`: its lease has lapsed, or its host is gone or has forgotten it. */
+export type AttemptOutcome = TaskEnd | 'lost'
+
+/** What a worker session tells of its host. */
+export interface IWorkerEvents {
+  /** The host accepts our epoch, and runs these attempts, which an earlier owner started. */
+  onAdopted (hostId: string, running: ReadonlyArray<IAttemptStart>): void
+  onRunning (hostId: string, attempt: IAttempt): void
+  onEnded (hostId: string, attempt: IAttempt, outcome: AttemptOutcome): void
+  /** For certain it never ran and never will. */
+  onNotStarted (hostId: string, attempt: IAttempt): void
+  onUsage (hostId: string, attempt: IAttempt, usage: IResources): void
+  /** Its capacity, or whether it takes new work, has changed. */
+  onHostChanged (hostId: string): void
+  /** A newer epoch holds the host. */
+  onFenced (hostId: string, shardId: string, currentEpoch: number): void
+}
+
+export interface IWorkerPoolContext {
+  readonly client: IWorkerClient
+  readonly engine: IDecisionEngine
+  readonly directory: IHostDirectory
+  readonly shards: IShardEvents
+  readonly clock: IClock
+  readonly timers: ITimers
+  readonly log: ILogger
+}
+
+/** The log of the id shards that this process owns; `ClaimService` is one. */
+export interface IJobLog {
+  owns (idShard: string): boolean
+  acceptJob (idShard: string, job: IJobSpec): Promise<'durable' | 'dropped' | 'inDoubt' | 'lost' | 'tooLarge'>
+  endJob (idShard: string, jobId: string, state: JobState): Promise<'durable' | 'dropped' | 'inDoubt' | 'lost'>
+  job (idShard: string, jobId: string): IJobRecord | undefined
+}
+
+/** Calls and casts to schedulers by process id, this one included. */
+export interface IJobPeers {
+  readonly self: IProcessIdentity
+  /** This process and all that it has a link to. */
+  processIds (): readonly string[]
+  /** Whether the process has been heard of so lately that it can't have been replaced; always true of this one. */
+  heardLately (processId: string): boolean
+  call<N extends PeerCallName> (processId: string, name: N, ask: IPeerCalls[N]['ask'], timeoutMs: number):
+  ResultAsync<IPeerCalls[N]['reply'], PeerError>
+  cast (processId: string, name: 'taskUpdate', cast: IPeerCasts['taskUpdate']): void
+  onLost (listener: (peer: IProcessIdentity) => void): IDisposable
+}
+
+/** Who owns which shard, as far as this process has heard; `SchedulerRouter` is one. */
+export interface IShardView {
+  ownerOf (shardId: string): string | undefined
+  summaries (): readonly ILoadSummary[]
+}
+
+export interface ITaskServiceContext {
+  readonly engine: IDecisionEngine
+  readonly peers: IJobPeers
+  readonly shards: IShardView
+  readonly config: IConfigReplica
+  readonly idShardOf: (jobId: string) => string
+  readonly clock: IClock
+  readonly timers: ITimers
+  readonly log: ILogger
+}
+
+export interface IJobOwnerContext {
+  readonly jobLog: IJobLog
+  readonly peers: IJobPeers
+  readonly shards: IShardView
+  readonly config: IConfigReplica
+  /** All hosts of the cell; empty until the host list has been read. */
+  readonly hosts: () => readonly IHostRecord[]
+  readonly idShardOf: (jobId: string) => string
+  /** `charts/task.json`. */
+  readonly taskChart: ChartTable
+  readonly clock: IClock
+  readonly timers: ITimers
+  readonly random: IRandom
+  readonly log: ILogger
+}
