--- a/src/common/protocol/Types.ts
+++ b/src/common/protocol/Types.ts
@@ -196,6 +196,10 @@
   readonly idShard: string
   /** The epoch of the asking owner: from now on commands of an older one are refused. */
   readonly ownerEpoch: number
+  /** The asking process, which from now on hears what becomes of them. */
+  readonly jobOwner: string
+  /** Of these jobs it also tells tasks that have ended lately; absent: of all. */
+  readonly endedOf?: readonly string[]
 }
 
 export interface ITasksOfReply {
--- a/src/scheduler/jobs/HeldTasks.ts
+++ b/src/scheduler/jobs/HeldTasks.ts
@@ -71,12 +71,16 @@
     this._ended.set(itemIdOf({ jobId, taskId: place.taskId, attempt: place.attempt }), { jobId, place })
   }
 
-  public ended (attempt: IAttempt): IEndedTask | undefined {
+  public endOf (attempt: IAttempt): IEndedTask | undefined {
     return this._ended.get(itemIdOf(attempt))
   }
 
-  public endedValues (): Iterable<IEndedTask> {
-    return this._ended.values()
+  /** Those that have ended lately, of these jobs or of all. */
+  public ended (jobIds: readonly string[] | undefined): readonly IEndedTask[] {
+    const ended = [...this._ended.values()]
+    if (jobIds === undefined) return ended
+    const asked = new Set(jobIds)
+    return ended.filter(({ jobId }) => asked.has(jobId))
   }
 }
 
--- a/src/scheduler/jobs/JobOwner.ts
+++ b/src/scheduler/jobs/JobOwner.ts
@@ -11,18 +11,16 @@
 import { JobAdmission } from './JobAdmission.js'
 import { JobRun } from './JobRun.js'
 import { SchedulerChoice } from './SchedulerChoice.js'
-import { TaskLocator } from './TaskLocator.js'
 import { TaskSender } from './TaskSender.js'
+import { TaskSurvey } from './TaskSurvey.js'
 
 import type { IJobSpec, IJobStatus, ITaskUpdate, JobState } from '../../common/protocol/Types.js'
 import type { IDisposable, IFinalAnswer } from '../../common/Types.js'
 import type { IJobRules } from './JobRun.js'
-import type { IMissingTask } from './TaskLocator.js'
 import type { IJobOwnerContext } from './Types.js'
 
 /** Level-triggered: whatever news was missed, what has to be done next is seen again after this time. */
 const SWEEP_MS = 250
-const LOCATE_EVERY_MS = 1000
 const NOT_STORED_YET = 'its tasks are being stopped; that it is cancelled is not stored yet'
 
 export interface IJobReply {
@@ -31,23 +29,11 @@
   readonly owner: boolean
 }
 
-interface IOwnedIds {
-  readonly epoch: number
-  /**
-   * Whether everybody has been asked since the takeover. Tasks of jobs that ended or were cancelled just before may run
-   * on, long-running ones for ever, and only their hosts and schedulers know of them; when they tell, they are stopped.
-   */
-  isSurveyed: boolean
-  isLocating: boolean
-  locatedAtMs: number
-}
-
 export class JobOwner implements IDisposable {
-  private readonly _owned = new Map<string, IOwnedIds>()
+  private readonly _owned = new Map<string, TaskSurvey>()
   private readonly _runs = new Map<string, JobRun>()
   private readonly _admission: JobAdmission
   private readonly _sender: TaskSender
-  private readonly _locator: TaskLocator
   private readonly _registrations: readonly IDisposable[]
 
   public constructor (private readonly _context: IJobOwnerContext) {
@@ -55,7 +41,6 @@
     const choice = new SchedulerChoice(peers.self.region, shards, hosts, random)
     this._admission = new JobAdmission(_context)
     this._sender = new TaskSender(_context, choice)
-    this._locator = new TaskLocator({ peers, shards, hosts })
     this._registrations = [
       peers.onLost((peer) => { this._schedulerLost(peer.processId) }),
       timers.every(SWEEP_MS, () => { this._sweep() })
@@ -75,9 +60,9 @@
   /** An id shard is ours: these are its accepted jobs that haven't ended. */
   public takeOver (idShard: string, epoch: number, jobs: readonly IJobSpec[]): void {
     this.drop(idShard)
-    this._owned.set(idShard, { epoch, isSurveyed: false, isLocating: false, locatedAtMs: -Infinity })
+    this._owned.set(idShard, this._survey(idShard, epoch))
     for (const job of jobs) this._run(job, epoch).markRecovered(this._context.clock.nowMs())
-    this._advanceAll(idShard)
+    this._owned.get(idShard)?.tick()
   }
 
   /** An id shard is ours no longer: its jobs go on under its next owner. */
@@ -162,21 +147,17 @@
   private _schedulerLost (processId: string): void {
     const nowMs = this._context.clock.nowMs()
     for (const run of this._runs.values()) run.schedulerLost(processId, nowMs)
+    for (const survey of this._owned.values()) survey.hasten()
   }
 
   private _sweep (): void {
-    for (const idShard of this._owned.keys()) this._locate(idShard)
+    for (const survey of this._owned.values()) survey.tick()
     for (const run of [...this._runs.values()]) {
       this._sender.shift(run)
       this._advance(run)
     }
   }
 
-  private _advanceAll (idShard: string): void {
-    this._locate(idShard)
-    for (const run of [...this._runs.values()]) this._advance(run)
-  }
-
   /** Does what is to be done next for a job. */
   private _advance (run: JobRun): void {
     this._sender.send(run, () => { this._advance(run) })
@@ -199,33 +180,16 @@
     if (outcome === 'durable') run.storedEnd = end
   }
 
-  /** Asks where the missing tasks of an id shard's jobs are. */
-  private async _locate (idShard: string): Promise<void> {
-    const owned = this._owned.get(idShard)
-    const nowMs = this._context.clock.nowMs()
-    if (owned === undefined || owned.isLocating || nowMs - owned.locatedAtMs < LOCATE_EVERY_MS) return
-    const missing = this._missing(idShard)
-    if (missing.length === 0 && owned.isSurveyed) return
-    owned.isLocating = true
-    const { isComplete, absent } = await this._locator.locate(idShard, owned.epoch, missing, (from, reply) => {
-      for (const update of reply.tasks) this.onTaskUpdate(update, from)
+  private _survey (idShard: string, epoch: number): TaskSurvey {
+    const { peers, shards, hosts, clock } = this._context
+    return new TaskSurvey(idShard, epoch, {
+      peers,
+      shards,
+      hosts,
+      clock,
+      runs: () => [...this._runs.values()].filter((run) => this._context.idShardOf(run.job.jobId) === idShard),
+      onTaskUpdate: (update, from) => { this.onTaskUpdate(update, from) }
     })
-    owned.isLocating = false
-    owned.isSurveyed ||= isComplete
-    owned.locatedAtMs = this._context.clock.nowMs()
-    if (this._owned.get(idShard) !== owned) return
-    for (const { run, task } of absent) run.absent(task, this._context.clock.nowMs())
-  }
-
-  private _missing (idShard: string): readonly IMissingTask[] {
-    const missing: IMissingTask[] = []
-    for (const run of this._runs.values()) {
-      if (this._context.idShardOf(run.job.jobId) !== idShard) continue
-      for (const task of run.tasks) {
-        if (task.isMissing) missing.push({ run, task, attempt: task.attempt })
-      }
-    }
-    return missing
   }
 
   private _endedStatus (idShard: string, jobId: string): IJobStatus | undefined {
--- a/src/scheduler/jobs/Jobs.test.ts
+++ b/src/scheduler/jobs/Jobs.test.ts
@@ -245,11 +245,13 @@
 })
 
 test('the owner of a job dies: the next one finds its tasks and carries it on', async (t) => {
-  // Only the store and the hosts know of the job now. Tasks that run must be found, those that waited must be placed
-  // again, and none may run twice.
+  // Only the store and the hosts know of the job now. Tasks that run must be found, those that have ended must not run
+  // again, those that waited must be placed again, and none may run twice at once.
   const cell = await started(3, 1)
-  await cell.scheduler(0).jobs.submit(jobOf(20, 6000))
+  await cell.scheduler(0).jobs.submit(jobOf(20, 1500))
   await cell.advance(WHILE_MS)
+  t.true(cell.workers.runs().some((run) => run.end === 'succeeded'))
+  t.true(cell.workers.running().length > 0)
   cell.scheduler(0).die()
   await cell.advance(WHILE_MS)
   cell.scheduler(1).take('workers/r0', 2)
--- a/src/scheduler/jobs/index.ts
+++ b/src/scheduler/jobs/index.ts
@@ -6,8 +6,8 @@
  *     const peers = new JobPeers(hub, clock)
  *     const idShardOf = (jobId: string): string => hasher.idShard(jobId)
  *     const tasks = new TaskService({ engine: taskEngine, peers, shards: router, config, idShardOf, clock, timers, log })
- *     const pool = new WorkerPool({ client: new WorkerClient(), engine: taskEngine, directory, shards, clock, timers, log }, tasks)
- *     tasks.setPool(pool)
+ *     const pool = new WorkerPool({ client: new WorkerClient(), engine: taskEngine, directory, shards, clock, timers, log }, tasks.runner)
+ *     tasks.runner.setPool(pool)
  *     const jobs = new JobOwner({
  *       jobLog: claims, peers, shards: router, config, hosts: () => directory.hosts, idShardOf, taskChart: loadChart('task'),
  *       clock, timers, random, log
--- a/test/support/JobsCell.ts
+++ b/test/support/JobsCell.ts
@@ -80,8 +80,8 @@
     const shards = { onAcquired: this.acquired.event, onLost: this.dropped.event, noteFenced: (shardId: string) => { this.lose(shardId) } }
     const common = { peers: this, shards: _cell.view, config, idShardOf: () => ID_SHARD, clock, timers: clock, log: new SilentLogger() }
     this.tasks = new TaskService({ ...common, engine: this._engine })
-    this._pool = new WorkerPool({ ...common, client: workers, engine: this._engine, directory, shards }, this.tasks)
-    this.tasks.setPool(this._pool)
+    this._pool = new WorkerPool({ ...common, client: workers, engine: this._engine, directory, shards }, this.tasks.runner)
+    this.tasks.runner.setPool(this._pool)
     const taskChart = loadChart('task')._unsafeUnwrap()
     this.jobs = new JobOwner({ ...common, jobLog: log, hosts: () => directory.hosts, taskChart, random: new SeededRandom(2) })
   }
