--- a/src/platform/OperatorServer.test.ts
+++ b/src/platform/OperatorServer.test.ts
@@ -1,59 +1,13 @@
 import { createConnection } from 'node:net'
 import test from 'ava'
 import fc from 'fast-check'
-import { request } from 'undici'
-import { ScriptedStore } from '../../test/support/ScriptedStore.js'
-import { SystemClock } from '../common/Clock.js'
-import { ConfigReplica } from '../common/config/ConfigReplica.js'
+import { OPERATOR_TOKEN as TOKEN, TEST_LIMITS, startOperator as setUp } from '../../test/support/OperatorFixture.js'
 import { URGENT_PROFILE } from '../common/config/DefaultProfiles.js'
 import { SilentLogger } from '../common/observability/SilentLogger.js'
 import { createBroker } from './Broker.js'
-import { ConfigEditor } from './config/ConfigEditor.js'
-import { ConfigRoutes } from './ConfigRoutes.js'
 import { OperatorServer } from './OperatorServer.js'
-import { okReply } from './OperatorRoutes.js'
-import { SETTINGS_DEFAULTS } from './settings/SettingsDefaults.js'
-
-import type { ExecutionContext } from 'ava'
-import type { ILimitSettings } from './settings/Types.js'
 
 const SEED = 20_261_202
-const TOKEN = 'a-token-of-the-test'
-const LIMITS: ILimitSettings = { ...SETTINGS_DEFAULTS.limits, headersTimeoutMs: 200 }
-const LISTEN = { ip: '127.0.0.1', port: 0 }
-
-async function setUp (t: ExecutionContext) {
-  const store = new ScriptedStore()
-  const editor = new ConfigEditor(store, new ConfigReplica(), new SystemClock(), {
-    newNonce: () => Math.random().toString(), retryPauseMs: 1, maxAttempts: 2, maxHistory: 10
-  })
-  const routes = new ConfigRoutes(editor, new ConfigReplica(), async () => [{ processId: 'p', region: 'r', revision: 1 }])
-  const logger = new SilentLogger()
-  const broker = createBroker('gateway-1', logger)
-  const handlers = {
-    ...routes.handlers(),
-    dump: ({ query }: { readonly query: object }) => okReply({ query }),
-    metrics: () => { throw new Error('broken') }
-  }
-  const server = new OperatorServer(broker, { listen: LISTEN, token: TOKEN }, LIMITS, handlers, logger)
-  await broker.start()
-  const url = (await server.listen())._unsafeUnwrap()
-  t.teardown(async () => {
-    await server.close()
-    await broker.stop()
-  })
-  const call = async (method: 'GET' | 'PUT' | 'POST' | 'DELETE', path: string, options: { body?: string, ifMatch?: number, token?: string } = {}) => {
-    const { body, ifMatch, token = TOKEN } = options
-    const headers = {
-      authorization: `Bearer ${token}`,
-      ...(body === undefined ? {} : { 'content-type': 'application/json' }),
-      ...(ifMatch === undefined ? {} : { 'if-match': `"${ifMatch}"` })
-    }
-    const answer = await request(url + path, { method, headers, ...(body === undefined ? {} : { body }) })
-    return { status: answer.statusCode, json: await answer.body.json() as Record<string, any> }
-  }
-  return { store, url, call }
-}
 
 test('asks for the token before anything else', async t => {
   const { call } = await setUp(t)
@@ -124,6 +78,6 @@
   const { url } = await setUp(t)
   const logger = new SilentLogger()
   const listen = { ip: '127.0.0.1', port: Number(new URL(url).port) }
-  const server = new OperatorServer(createBroker('gateway-2', logger), { listen, token: TOKEN }, LIMITS, {}, logger)
+  const server = new OperatorServer(createBroker('gateway-2', logger), { listen, token: TOKEN }, TEST_LIMITS, {}, logger)
   t.regex((await server.listen())._unsafeUnwrapErr().message, /EADDRINUSE/)
 })
--- /dev/null
+++ b/test/support/OperatorFixture.ts
@@ -0,0 +1,65 @@
+/**
+ * An operator listener over a store in memory, for tests of both of its sides.
+ */
+
+import { request } from 'undici'
+import { SystemClock } from '../../src/common/Clock.js'
+import { ConfigReplica } from '../../src/common/config/ConfigReplica.js'
+import { SilentLogger } from '../../src/common/observability/SilentLogger.js'
+import { createBroker } from '../../src/platform/Broker.js'
+import { ConfigEditor } from '../../src/platform/config/ConfigEditor.js'
+import { ConfigRoutes } from '../../src/platform/ConfigRoutes.js'
+import { okReply } from '../../src/platform/OperatorRoutes.js'
+import { OperatorServer } from '../../src/platform/OperatorServer.js'
+import { SETTINGS_DEFAULTS } from '../../src/platform/settings/SettingsDefaults.js'
+import { ScriptedStore } from './ScriptedStore.js'
+
+import type { ExecutionContext } from 'ava'
+import type { OperatorHandlers } from '../../src/platform/OperatorRoutes.js'
+import type { ILimitSettings } from '../../src/platform/settings/Types.js'
+
+export const OPERATOR_TOKEN = 'a-token-of-the-test'
+export const TEST_LIMITS: ILimitSettings = { ...SETTINGS_DEFAULTS.limits, headersTimeoutMs: 200 }
+
+type Method = 'GET' | 'PUT' | 'POST' | 'DELETE'
+
+interface ICallOptions {
+  readonly body?: string
+  readonly ifMatch?: number
+  readonly token?: string
+}
+
+/** Stops with the test. */
+export async function startOperator (t: ExecutionContext, more: OperatorHandlers = {}) {
+  const store = new ScriptedStore()
+  const editor = new ConfigEditor(store, new ConfigReplica(), new SystemClock(), {
+    newNonce: () => Math.random().toString(), retryPauseMs: 1, maxAttempts: 2, maxHistory: 10
+  })
+  const routes = new ConfigRoutes(editor, new ConfigReplica(), async () => [{ processId: 'p', region: 'r', revision: 1 }])
+  const broker = createBroker('gateway-1', new SilentLogger())
+  const handlers: OperatorHandlers = {
+    ...routes.handlers(),
+    dump: ({ query }) => okReply({ query }),
+    metrics: () => { throw new Error('broken') },
+    ...more
+  }
+  const settings = { listen: { ip: '127.0.0.1', port: 0 }, token: OPERATOR_TOKEN }
+  const server = new OperatorServer(broker, settings, TEST_LIMITS, handlers, new SilentLogger())
+  await broker.start()
+  const url = (await server.listen())._unsafeUnwrap()
+  t.teardown(async () => {
+    await server.close()
+    await broker.stop()
+  })
+  return { store, url, call: async (method: Method, path: string, options?: ICallOptions) => await call(url + path, method, options) }
+}
+
+async function call (url: string, method: Method, { body, ifMatch, token = OPERATOR_TOKEN }: ICallOptions = {}) {
+  const headers = {
+    authorization: `Bearer ${token}`,
+    ...(body === undefined ? {} : { 'content-type': 'application/json' }),
+    ...(ifMatch === undefined ? {} : { 'if-match': `"${ifMatch}"` })
+  }
+  const answer = await request(url, { method, headers, ...(body === undefined ? {} : { body }) })
+  return { status: answer.statusCode, json: await answer.body.json() as Record<string, any> }
+}
