Wire membership to the links; drain a surplus connection instead of cutting it

When both sides dial at once, the side that drops the surplus connection could cut a call that the other had just sent on it: seen in one of some twenty runs of the test, as an ambiguous error without any failure. It is now retired like a connection in use.

Records read from the store are no longer passed on as news: at 900 members every start made everybody tell everybody, 3,255 bytes/s a member and 127 rounds until a joining process was known.

--- a/src/common/membership/Membership.ts
+++ b/src/common/membership/Membership.ts
@@ -142,9 +142,12 @@
     return this._round()
   }
 
+  /**
+   * Not passed on as news: the others read the same store, or find the difference by comparing views. A process that
+   * starts would otherwise tell everybody about everybody.
+   */
   private _putFromStore (member: IMember): void {
-    if (member.processId === this._self.processId) return
-    if (this._view.put({ ...member, sequence: 0 }) === 'applied') this._gossip.spread(member.processId)
+    if (member.processId !== this._self.processId) this._view.put({ ...member, sequence: 0 })
   }
 
   private _onOwnNews (news: IMemberNews): void {
--- a/src/common/membership/PeerSelection.ts
+++ b/src/common/membership/PeerSelection.ts
@@ -8,7 +8,9 @@
 import { hash32 } from './Hash.js'
 
 export interface IPeerSelectionOptions {
-  /** Schedulers of the own region; up to this many there, it is all of them. */
+  /** With up to this many schedulers everybody links to all of them: an idle link costs about 100 bytes/s. */
+  readonly fullMeshUpTo: number
+  /** Schedulers of the own region, in a larger cell; up to this many there, it is all of them. */
   readonly maxOwnRegion: number
   /** Schedulers of each other region. */
   readonly perOtherRegion: number
@@ -16,7 +18,9 @@
   readonly minPeers: number
 }
 
-export const PEER_SELECTION_DEFAULTS: IPeerSelectionOptions = { maxOwnRegion: 12, perOtherRegion: 2, minPeers: 3 }
+export const PEER_SELECTION_DEFAULTS: IPeerSelectionOptions = {
+  fullMeshUpTo: 20, maxOwnRegion: 8, perOtherRegion: 1, minPeers: 3
+}
 
 export class PeerSelection {
   public constructor (private readonly _self: IProcessIdentity, private readonly _options: IPeerSelectionOptions) {}
@@ -34,6 +38,7 @@
   }
 
   private _selectFrom (candidates: readonly IMember[]): readonly IMember[] {
+    if (candidates.length <= this._options.fullMeshUpTo) return candidates
     const byRegion = new Map<string, IMember[]>()
     for (const member of candidates) {
       const region = byRegion.get(member.region)
--- a/src/peer/LinkTable.ts
+++ b/src/peer/LinkTable.ts
@@ -13,6 +13,8 @@
 export type Admission<T extends IConnection> =
   /** `replaced` has to go: at once when `atOnce`, else when its calls have ended. */
   | { readonly kind: 'admitted', readonly replaced?: T, readonly atOnce: boolean }
+  /** A better connection stands: `kept`. */
+  | { readonly kind: 'surplus', readonly kept: T }
   | { readonly kind: 'refused', readonly reason: string }
 
 export class LinkTable<T extends IConnection> {
@@ -54,7 +56,7 @@
     if (peer.incarnation > existing.peer.incarnation) return { kind: 'admitted', replaced: existing, atOnce: true }
     if (dialledBySelf === existing.dialledBySelf) return { kind: 'admitted', replaced: existing, atOnce: true }
     if (this._isPreferred(peer, dialledBySelf)) return { kind: 'admitted', replaced: existing, atOnce: false }
-    return { kind: 'refused', reason: 'a link stands already' }
+    return { kind: 'surplus', kept: existing }
   }
 
   private _isPreferred (peer: IProcessIdentity, dialledBySelf: boolean): boolean {
--- a/src/peer/PeerHub.ts
+++ b/src/peer/PeerHub.ts
@@ -210,23 +210,38 @@
 
   private _welcome (peer: IProcessIdentity, welcome: Uint8Array, webSocket: WebSocket, tcp: Socket): void {
     const admission = this._links.admit(peer, false)
-    if (admission.kind === 'refused' || this._closing) {
-      webSocket.send(Handshake.refusal(admission.kind === 'refused' ? admission.reason : 'closing'))
-      webSocket.close()
-      this._timers.after(CLOSE_FLUSH_MS, () => webSocket.terminate())
+    if (admission.kind !== 'admitted' || this._closing) {
+      this._refuse(webSocket, admission.kind === 'refused' ? admission.reason : 'not needed now')
       return
     }
     webSocket.send(welcome)
-    this._install(new PeerLink(peer, false, new PeerSocket(webSocket, tcp), this._linkContext), admission.replaced, admission.atOnce)
+    this._install(this._createLink(peer, false, webSocket, tcp), admission.replaced, admission.atOnce)
+  }
+
+  private _refuse (webSocket: WebSocket, reason: string): void {
+    webSocket.send(Handshake.refusal(reason))
+    webSocket.close()
+    this._timers.after(CLOSE_FLUSH_MS, () => webSocket.terminate())
   }
 
   private _onDialled (peer: IProcessIdentity, webSocket: WebSocket, tcp: Socket): void {
     const admission = this._links.admit(peer, true)
-    if (admission.kind === 'refused' || this._closing) {
-      webSocket.terminate()
-      return
-    }
-    this._install(new PeerLink(peer, true, new PeerSocket(webSocket, tcp), this._linkContext), admission.replaced, admission.atOnce)
+    if (admission.kind === 'refused' || this._closing) webSocket.terminate()
+    else if (admission.kind === 'surplus') this._retireAtOnce(this._createLink(peer, true, webSocket, tcp), admission.kept)
+    else this._install(this._createLink(peer, true, webSocket, tcp), admission.replaced, admission.atOnce)
+  }
+
+  private _createLink (peer: IProcessIdentity, dialledBySelf: boolean, webSocket: WebSocket, tcp: Socket): PeerLink {
+    return new PeerLink(peer, dialledBySelf, new PeerSocket(webSocket, tcp), this._linkContext)
+  }
+
+  /**
+   * The peer has welcomed a connection that we no longer need, and may have sent calls on it already. If we just
+   * closed it, they would end as ambiguous although nothing failed; so it is drained like one that was in use.
+   */
+  private _retireAtOnce (link: PeerLink, kept: PeerLink): void {
+    this._open.add(link)
+    link.retire(kept)
   }
 
   private _install (link: PeerLink, replaced: PeerLink | undefined, atOnce: boolean): void {
--- a/test/support/MembershipCluster.ts
+++ b/test/support/MembershipCluster.ts
@@ -23,6 +23,8 @@
   readonly membership: Membership
   readonly selection: PeerSelection
   state: 'running' | 'paused' | 'killed'
+  /** Whom it chooses to link to; absent after a change of its members. */
+  chosen: ReadonlyMap<string, IMember> | undefined
 }
 
 interface ILinkState {
@@ -56,7 +58,8 @@
       processId, incarnation, region, failureDomain: `${region}-1`, role, peerUrl: `ws://10.0.0.1:7000/${processId}`, operatorUrl: 'http://10.0.0.1:7001'
     }
     const membership = new Membership(self, this._options, this.clock, new SeededRandom(this._random.next() * 2 ** 31))
-    const node: INode = { self, membership, selection: new PeerSelection(self, PEER_SELECTION_DEFAULTS), state: 'running' }
+    const node: INode = { self, membership, selection: new PeerSelection(self, PEER_SELECTION_DEFAULTS), state: 'running', chosen: undefined }
+    membership.onMember(() => { node.chosen = undefined })
     const before = this.nodes.get(processId)
     if (before !== undefined) before.state = 'killed'
     this.nodes.set(processId, node)
@@ -142,14 +145,12 @@
   }
 
   private _isChosen (a: INode, b: INode): boolean {
-    const chooses = (one: INode, other: INode): boolean =>
-      one.selection.select(one.membership.members()).some((member) => member.processId === other.self.processId)
-    return chooses(a, b) || chooses(b, a)
+    return chosenBy(a).has(b.self.processId) || chosenBy(b).has(a.self.processId)
   }
 
   private _openLinks (): void {
     for (const node of this.running()) {
-      for (const member of node.selection.select(node.membership.members())) this._open(node, member, 0)
+      for (const member of chosenBy(node).values()) this._open(node, member, 0)
       if ((this.round + node.self.processId.length) % PROBE_ROUNDS === 0) this._probe(node)
     }
   }
@@ -189,6 +190,11 @@
   }
 }
 
+function chosenBy (node: INode): ReadonlyMap<string, IMember> {
+  node.chosen ??= new Map(node.selection.select(node.membership.members()).map((member) => [member.processId, member]))
+  return node.chosen
+}
+
 function linkKey (a: string, b: string): string {
   return a < b ? `${a} ${b}` : `${b} ${a}`
 }
