--- a/src/peer/PeerHub.ts
+++ b/src/peer/PeerHub.ts
@@ -2,9 +2,6 @@
  * All links of one process: listens, dials, keeps one link per peer, and hands messages to their handlers.
  */
 
-import { AwakeClock } from '../common/AwakeClock.js'
-import { Emitter } from '../common/Emitter.js'
-
 import type { ResultAsync } from 'neverthrow'
 import type { Socket } from 'node:net'
 import type { WebSocket } from 'ws'
@@ -14,47 +11,30 @@
 import { DialTable } from './DialTable.js'
 import { Handshake } from './Handshake.js'
 import { HandlerTable } from './HandlerTable.js'
-import { LinkTable } from './LinkTable.js'
+import { LinkSet } from './LinkSet.js'
 import { Opening } from './Opening.js'
 import { PeerCounters } from './PeerCounters.js'
 import type { IDialContext } from './PeerDialler.js'
 import { PEER_HUB_DEFAULTS } from './PeerHubOptions.js'
 import type { IPeerEnvironment, IPeerHubOptions, PeerHubSettings } from './PeerHubOptions.js'
-import { PeerLink } from './PeerLink.js'
-import type { ILinkContext } from './PeerLink.js'
 import { PeerListener } from './PeerListener.js'
-import { PeerSocket } from './PeerSocket.js'
-import { TrafficMeter } from './TrafficMeter.js'
 import type { IPeerHub, IPeerLink, IPeerTraffic, LinkLossCause } from './Types.js'
 
-/** How long a close waits for the peer's side of it after the calls have ended, in milliseconds. */
-const CLOSE_FLUSH_MS = 1_000
-
-interface ILostLink {
-  readonly peer: IProcessIdentity
-  readonly cause: LinkLossCause
-}
+/** How long a refused peer has to read why, in milliseconds. */
+const REFUSAL_MS = 1_000
 
 export class PeerHub implements IPeerHub, IDisposable {
   private readonly _options: IPeerHubOptions
   private readonly _counters = new PeerCounters()
   private readonly _handlers = new HandlerTable()
-  private readonly _links: LinkTable<PeerLink>
-  /** Every connection that is not gone, those included that are being replaced. */
-  private readonly _open = new Set<PeerLink>()
+  private readonly _links: LinkSet
   private readonly _openings = new Set<Opening>()
   private readonly _dials: DialTable
-  private readonly _linkEmitter = new Emitter<IPeerLink>()
-  private readonly _lostEmitter = new Emitter<ILostLink>()
-  private readonly _traffic: TrafficMeter
   private readonly _listener: PeerListener
-  private readonly _linkContext: ILinkContext
   private readonly _heartbeat: IDisposable
   private _url: string | undefined
   private _closing = false
 
-  public readonly onLink = this._linkEmitter.event
-
   /**
    * @param self this process
    * @param settings the shared key and what differs from `PEER_HUB_DEFAULTS`
@@ -66,13 +46,20 @@
     private readonly _environment: IPeerEnvironment
   ) {
     this._options = { ...PEER_HUB_DEFAULTS, ...settings }
-    this._links = new LinkTable(self.processId)
-    this._traffic = new TrafficMeter(self.region)
-    const awake = new AwakeClock(_environment.clock, this._options.heartbeatMs)
-    this._linkContext = this._createLinkContext(awake)
+    this._links = new LinkSet({
+      self,
+      selfId: self.processId,
+      options: this._options,
+      environment: _environment,
+      counters: this._counters,
+      handlers: this._handlers,
+      isWanted: (processId) => this._dials.has(processId)
+    })
     this._dials = new DialTable(this._createDialContext())
     this._listener = new PeerListener(this._options, _environment, this._counters, (webSocket, tcp) => this._onAccepted(webSocket, tcp))
-    this._heartbeat = this._timers.every(this._options.heartbeatMs, () => this._tick(awake))
+    this._heartbeat = this._timers.every(this._options.heartbeatMs, () => this._links.tick())
+    this._links.onLink((link) => this._dials.noteLinked(link.peer.processId))
+    this._links.onLost(({ peer }) => this._dials.noteLost(peer.processId))
   }
 
   /** Binds the listen address and accepts peers; gives `ws://ip:port`. */
@@ -110,8 +97,12 @@
     return this._dials.dial(peerUrl, processId)
   }
 
+  public onLink (listener: (link: IPeerLink) => void): IDisposable {
+    return this._links.onLink(listener)
+  }
+
   public onLost (listener: (peer: IProcessIdentity, cause: LinkLossCause) => void): IDisposable {
-    return this._lostEmitter.event(({ peer, cause }) => listener(peer, cause))
+    return this._links.onLost(({ peer, cause }) => listener(peer, cause))
   }
 
   public link (processId: string): IPeerLink | undefined {
@@ -123,18 +114,13 @@
   }
 
   public traffic (): IPeerTraffic {
-    return this._traffic.total(this._open)
+    return this._links.traffic()
   }
 
   public async close (graceMs: number): Promise<void> {
     if (this._closing) return
     this._stopOpening()
-    const links = [...this._open]
-    for (const link of links) link.stopTakingCalls()
-    await this._within(graceMs, this._whenAllDrained(links))
-    const gone = Promise.all(links.map((link) => link.whenGone()))
-    for (const link of links) link.finish()
-    await this._within(CLOSE_FLUSH_MS, gone)
+    await this._links.drain(graceMs)
     this.dispose()
   }
 
@@ -142,27 +128,13 @@
   public dispose (): void {
     this._stopOpening()
     this._heartbeat.dispose()
-    for (const link of [...this._open]) link.lose('closed here')
-    this._linkEmitter.dispose()
-    this._lostEmitter.dispose()
+    this._links.dispose()
   }
 
   private get _timers (): ITimers {
     return this._environment.timers
   }
 
-  private _createLinkContext (awake: AwakeClock): ILinkContext {
-    return {
-      selfId: this.self.processId,
-      options: this._options,
-      environment: this._environment,
-      counters: this._counters,
-      handlers: this._handlers,
-      awake,
-      onGone: (link, reason) => this._onGone(link, reason)
-    }
-  }
-
   private _createDialContext (): IDialContext {
     return {
       self: this.self,
@@ -174,24 +146,6 @@
     }
   }
 
-  private _tick (awake: AwakeClock): void {
-    awake.tick()
-    for (const link of [...this._open]) {
-      link.tick()
-      if (this._isUnwanted(link)) this._letGo(link)
-    }
-  }
-
-  private _isUnwanted (link: PeerLink): boolean {
-    return link.dialledBySelf && !link.isDraining && link.busy === 0 && !this._dials.has(link.peer.processId)
-  }
-
-  private async _letGo (link: PeerLink): Promise<void> {
-    link.stopTakingCalls()
-    await link.whenDrained()
-    link.finish()
-  }
-
   private _onAccepted (webSocket: WebSocket, tcp: Socket): void {
     const handshake = new Handshake('listener', this.self, this._options.sharedKey)
     const opening = new Opening(webSocket, tcp, handshake, this._options, this._timers, {
@@ -215,53 +169,20 @@
       return
     }
     webSocket.send(welcome)
-    this._install(this._createLink(peer, false, webSocket, tcp), admission.replaced, admission.atOnce)
+    this._links.install(admission, this._links.create(peer, false, webSocket, tcp))
   }
 
   private _refuse (webSocket: WebSocket, reason: string): void {
     webSocket.send(Handshake.refusal(reason))
     webSocket.close()
-    this._timers.after(CLOSE_FLUSH_MS, () => webSocket.terminate())
+    this._timers.after(REFUSAL_MS, () => webSocket.terminate())
   }
 
   private _onDialled (peer: IProcessIdentity, webSocket: WebSocket, tcp: Socket): void {
     const admission = this._links.admit(peer, true)
     if (admission.kind === 'refused' || this._closing) webSocket.terminate()
-    else if (admission.kind === 'surplus') this._retireAtOnce(this._createLink(peer, true, webSocket, tcp), admission.kept)
-    else this._install(this._createLink(peer, true, webSocket, tcp), admission.replaced, admission.atOnce)
-  }
-
-  private _createLink (peer: IProcessIdentity, dialledBySelf: boolean, webSocket: WebSocket, tcp: Socket): PeerLink {
-    return new PeerLink(peer, dialledBySelf, new PeerSocket(webSocket, tcp), this._linkContext)
-  }
-
-  /**
-   * The peer has welcomed a connection that we no longer need, and may have sent calls on it already. If we just
-   * closed it, they would end as ambiguous although nothing failed; so it is drained like one that was in use.
-   */
-  private _retireAtOnce (link: PeerLink, kept: PeerLink): void {
-    this._open.add(link)
-    link.retire(kept)
-  }
-
-  private _install (link: PeerLink, replaced: PeerLink | undefined, atOnce: boolean): void {
-    const { processId, incarnation } = link.peer
-    if (replaced !== undefined && atOnce) replaced.lose('replaced by a newer connection')
-    this._open.add(link)
-    this._links.set(link)
-    if (replaced !== undefined && !atOnce) replaced.retire(link)
-    this._dials.noteLinked(processId)
-    this._environment.log?.info('peerLinked', { peer: processId, incarnation, dialledBySelf: link.dialledBySelf })
-    this._linkEmitter.fire(link)
-  }
-
-  private _onGone (link: PeerLink, reason: string): void {
-    this._open.delete(link)
-    this._traffic.addEnded(link)
-    if (!this._links.remove(link)) return
-    this._environment.log?.info('peerLost', { peer: link.peer.processId, incarnation: link.peer.incarnation, reason })
-    this._dials.noteLost(link.peer.processId)
-    this._lostEmitter.fire({ peer: link.peer, cause: link.isReleased ? 'released' : 'failed' })
+    else if (admission.kind === 'surplus') this._links.retire(this._links.create(peer, true, webSocket, tcp), admission.kept)
+    else this._links.install(admission, this._links.create(peer, true, webSocket, tcp))
   }
 
   private _onHandshakeFailed (peer: string, reason: string): void {
@@ -276,16 +197,4 @@
     for (const opening of this._openings) opening.dispose()
     this._openings.clear()
   }
-
-  /** A handler in progress on one link may still make a call on another one that was drained before. */
-  private async _whenAllDrained (links: readonly PeerLink[]): Promise<void> {
-    while (!links.every((link) => link.isDrained)) await Promise.all(links.map((link) => link.whenDrained()))
-  }
-
-  private async _within (limitMs: number, wait: Promise<unknown>): Promise<void> {
-    let timer: IDisposable | undefined
-    const limit = new Promise<void>((resolve) => { timer = this._timers.after(limitMs, resolve) })
-    await Promise.race([limit, wait])
-    timer?.dispose()
-  }
 }
