--- a/src/daemon/DaemonCore.ts
+++ b/src/daemon/DaemonCore.ts
@@ -25,8 +25,6 @@
 const MAX_SEED = 0x7fffffff
 const CONFIG_RETRY_MS = 1000
 const NONCE_BYTES = 9
-/** All links among 9 entry hosts, and a sample of other regions beyond that: docs/CAPACITY.md has the bytes. */
-const SELECTION = { maxOwnRegion: 12, perOtherRegion: 4, minPeers: 3 } as const
 
 export class DaemonCore {
   public readonly clock = new SystemClock()
@@ -83,8 +81,8 @@
   public join (operatorUrl: string): void {
     const { clock, random, log, settings } = this
     const own: Omit<IMember, 'state'> = { ...this.self, role: settings.process.role, peerUrl: this.hub.url ?? '', operatorUrl }
-    const options = { seeds: settings.peer.seeds, selection: SELECTION }
-    this._agent = this.disposables.add(new MembershipAgent(this.hub, own, options, { clock, timers: clock, random, log }))
+    const environment = { clock, timers: clock, random, log }
+    this._agent = this.disposables.add(new MembershipAgent(this.hub, own, { seeds: settings.peer.seeds }, environment))
     this._agent.start()
   }
 
--- a/src/gateway/CallerServer.ts
+++ b/src/gateway/CallerServer.ts
@@ -2,16 +2,15 @@
  * The callers' side of a gateway: requests, jobs and the health check over HTTP, by moleculer-web.
  */
 
-import { createServer } from 'node:http'
 import ApiGateway from 'moleculer-web'
 import { answerBody, answerHeaders, answerStatus, HEADER_OUTCOME } from '../common/requests/AnswerHeaders.js'
 import { parseName, parseRequestHead } from '../common/requests/RequestParser.js'
+import { HttpListener } from '../platform/HttpListener.js'
 import { readBody } from './BodyReader.js'
 import { parseJob } from './JobFlow.js'
 import { route } from './RouteRequest.js'
 
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
 import type { ServiceBroker, ServiceSchema } from 'moleculer'
 import type { IBadInput } from '../common/requests/Types.js'
 import type { IConfigReplica } from '../common/config/Types.js'
@@ -25,7 +24,6 @@
 
 const MAX_JOB_BYTES = 1024 * 1024
 const OVERLOADED_RETRY_MS = 500
-const SWEEP_MS = 100
 
 /** What moleculer-web adds to a request. */
 interface IApiRequest extends IncomingMessage {
@@ -47,22 +45,24 @@
 }
 
 export class CallerServer {
-  private _server: Server | undefined
+  private readonly _listener: HttpListener
   private _draining = false
   private _inFlight = 0
 
   public constructor (private readonly _context: ICallerServerContext) {
-    _context.broker.createService(this._schema())
+    const service = _context.broker.createService(this._schema()) as unknown as { readonly httpHandler: RequestListener }
+    this._listener = new HttpListener({ ..._context.limits, requestTimeoutMs: _context.settings.requestTimeoutMs }, service.httpHandler)
   }
 
   public get inFlight (): number {
     return this._inFlight
   }
 
-  /** The bound address, once the broker has started. */
-  public get url (): string {
-    const address = this._server?.address() as AddressInfo
-    return `http://${address.address}:${address.port}`
+  /** Binds the address of the settings; gives the base URL. */
+  public async listen (): Promise<string> {
+    const url = await this._listener.listen(this._context.settings.listen)
+    if (url.isErr()) throw url.error
+    return url.value
   }
 
   /** From now on the health check fails and answers close their connections; requests are still taken. */
@@ -77,23 +77,16 @@
    * earlier would cut off callers that it still sends here.
    */
   public async close (graceMs: number): Promise<void> {
-    const untilMs = this._context.clock.nowMs() + graceMs
-    this._server?.close()
-    while (this._inFlight > 0 && this._context.clock.nowMs() < untilMs) {
-      this._server?.closeIdleConnections()
-      await new Promise((resolve) => setTimeout(resolve, SWEEP_MS))
-    }
-    this._server?.closeAllConnections()
+    await this._listener.close(graceMs)
   }
 
   private _schema (): ServiceSchema {
-    const self = this
     return {
       name: 'callers',
       mixins: [ApiGateway as unknown as ServiceSchema],
       settings: {
-        ip: this._context.settings.listen.ip,
-        port: this._context.settings.listen.port,
+        // The listener is ours; moleculer-web routes and answers.
+        server: false,
         path: '/v1',
         logRequest: null,
         logResponse: null,
@@ -110,30 +103,10 @@
             'DELETE jobs/:jobId': (request: IApiRequest, response: ServerResponse) => this._counted(() => this._job(request, response, 'cancel'))
           }
         }]
-      },
-      methods: {
-        createServer () {
-          self._server = self._createServer(this.httpHandler)
-          this.server = self._server
-          this.isHTTPS = false
-        }
       }
     }
   }
 
-  private _createServer (handler: (request: IncomingMessage, response: ServerResponse) => void): Server {
-    const { limits, settings } = this._context
-    const server = createServer({
-      maxHeaderSize: limits.maxHeaderBytes,
-      headersTimeout: limits.headersTimeoutMs,
-      requestTimeout: settings.requestTimeoutMs,
-      connectionsCheckingInterval: limits.headersTimeoutMs / 2
-    }, handler)
-    server.maxHeadersCount = limits.maxHeaderCount
-    server.maxConnections = limits.maxConnections
-    return server
-  }
-
   private async _counted (serve: () => Promise<void>): Promise<void> {
     this._inFlight += 1
     try {
--- a/src/platform/ConfigRoutes.ts
+++ b/src/platform/ConfigRoutes.ts
@@ -44,7 +44,7 @@
   public handlers (): OperatorHandlers {
     return {
       configList: request => this._list(request),
-      configGet: named((thing) => this._get(thing)),
+      configGet: named((thing, { query }) => query['source'] === 'replica' ? this._getReplica(thing) : this._get(thing)),
       configPut: this._edit((target, request) => this._editor.put(target, request.body)),
       configDelete: this._edit(target => this._editor.delete(target)),
       configRollback: named((thing, request) => this._rollback(thing, request)),
@@ -63,6 +63,12 @@
     return okReply({ entries: [...entries].sort((a, b) => a.name.localeCompare(b.name)) })
   }
 
+  /** What this process decides by; 404 when it doesn't know the thing. */
+  private async _getReplica ({ kind, name }: INamed): Promise<IOperatorReply> {
+    const entry = this._replica.get(kind, name)
+    return entry === undefined ? faultReply(404, 'notFound', `there is no ${kind} ${name}`) : okReply({ entry, source: 'replica' })
+  }
+
   /** What the store holds; while it is out of reach, what this process decides by. */
   private async _get ({ kind, name }: INamed): Promise<IOperatorReply> {
     const stored = await this._editor.current(kind, name)
--- a/src/scheduler/hosts/HostDirectory.ts
+++ b/src/scheduler/hosts/HostDirectory.ts
@@ -13,6 +13,8 @@
   private readonly _onChange = new Emitter<readonly IHostRecord[]>()
   public readonly onChange = this._onChange.event
   private _hosts: readonly IHostRecord[] = []
+  private _listed: readonly IHostRecord[] = []
+  private readonly _drained = new Set<string>()
   private _fingerprint = ''
   private _timer: IDisposable | undefined
   private _polling = false
@@ -38,6 +40,12 @@
     this._onChange.dispose()
   }
 
+  /** An operator takes a host out of use here: it counts as leaving, whatever the list says. */
+  public drain (hostId: string): void {
+    this._drained.add(hostId)
+    this._take(this._listed)
+  }
+
   /** One poll; a slow answer is not overtaken by the next poll. */
   public async poll (): Promise<void> {
     if (this._polling) return
@@ -47,7 +55,9 @@
     listed.match((hosts) => this._take(hosts), (error) => this._log.warn('host-list.unavailable', { step: error.step, peer: error.peer }))
   }
 
-  private _take (hosts: readonly IHostRecord[]): void {
+  private _take (listed: readonly IHostRecord[]): void {
+    this._listed = listed
+    const hosts = listed.map((host) => this._drained.has(host.hostId) && host.state === 'live' ? { ...host, state: 'leaving' as const } : host)
     const fingerprint = JSON.stringify(hosts)
     if (fingerprint === this._fingerprint) return
     this._fingerprint = fingerprint
