Jobs in the try-out; an oversize body gets its answer

Cause: the gateway closed the connection with unread bytes of the body, so that the sender saw a broken pipe in place of the 413.

--- a/scripts/try.ts
+++ b/scripts/try.ts
@@ -9,6 +9,7 @@
 import { Cell } from '../test/support/Cell.js'
 import { configureExamples } from '../test/support/Configure.js'
 
+import type { IJobSpec, ITaskSpec, JobState } from '../src/common/protocol/Types.js'
 import type { ICall, IReply } from '../test/support/CallerClient.js'
 
 const SERVICES = ['chip-lookup', 'neighbour-broadcast', 'sighting-sweep', 'pivot-stop', 'pivot-start', 'season-budget', 'sector-sweep']
@@ -44,6 +45,32 @@
   for (const reply of replies) report('repeated pivot-start', same, reply)
 }
 
+function job (jobId: string, service: string, longRunning: boolean, taskCount: number, task: Omit<ITaskSpec, 'taskId'>): IJobSpec {
+  const tasks = Array.from({ length: taskCount }, (_, index) => ({ taskId: `task-${index}`, ...task }))
+  return { jobId, service, caller: 'planner', longRunning, tasks }
+}
+
+/** Submits a job, waits for a state, and reports how long that took and how many hosts it runs on. */
+async function tryJob (client: CallerClient, kind: string, spec: IJobSpec, state: JobState): Promise<void> {
+  const submitted = await client.submitJob(spec)
+  const status = await client.untilJob(spec.jobId, (each) => each.state === state)
+  const hosts = new Set(status?.tasks.map((task) => task.hostId)).size
+  report(kind, submitted.status === 202 && status?.state === state, { ...submitted, region: submitted.region ?? '' }, { state: status?.state, hosts })
+}
+
+async function sendJobs (client: CallerClient): Promise<void> {
+  const resources = { cores: 40, memoryBytes: 2 ** 30, accelerators: 2 }
+  await tryJob(client, 'all-at-once job', job('gang-1', 'match-model', false, 6, { resources, runMs: 60_000 }), 'running')
+  const small = { cores: 1, memoryBytes: 2 ** 20, accelerators: 0 }
+  await tryJob(client, 'batch job', job('batch-1', 'season-budget', false, 10, { resources: small, runMs: 200 }), 'succeeded')
+  await tryJob(client, 'long-running service', job('service-1', 'chip-lookup', true, 2, { resources: small }), 'running')
+  for (const jobId of ['gang-1', 'service-1']) {
+    const cancelled = await client.cancelJob(jobId)
+    const status = await client.untilJob(jobId, (each) => each.state === 'cancelled')
+    report('cancelled job', status?.state === 'cancelled', cancelled, { state: status?.state })
+  }
+}
+
 async function sendBadInput (client: CallerClient): Promise<void> {
   const headers = { 'x-jackdawreel-caller': 'c', 'x-jackdawreel-request-id': 'bad' }
   const cases: ReadonlyArray<readonly [string, number, Record<string, string>, string, Buffer | string]> = [
@@ -66,6 +93,7 @@
     await cell.untilServed()
     await sendAll(clients)
     await sendRepeat(clients[0] as CallerClient, clients[1] as CallerClient)
+    await sendJobs(clients[0] as CallerClient)
     await sendBadInput(clients[0] as CallerClient)
     await Promise.all(clients.map(async (client) => { await client.close() }))
     for (const [processId, end] of await cell.stopDaemons()) {
--- a/src/gateway/BodyReader.ts
+++ b/src/gateway/BodyReader.ts
@@ -27,10 +27,8 @@
   let bytes = 0
   request.on('data', (chunk: Buffer) => {
     bytes += chunk.byteLength
-    if (bytes > maxBytes) {
-      request.pause()
-      resolve(oversize(maxBytes))
-    } else chunks.push(chunk)
+    if (bytes > maxBytes) resolve(oversize(maxBytes))
+    else chunks.push(chunk)
   })
   request.once('end', () => resolve(ok(Buffer.concat(chunks))))
   request.once('error', () => resolve(err({ status: CUT_STATUS, field: 'body', message: 'was cut short' })))
--- a/src/gateway/CallerServer.ts
+++ b/src/gateway/CallerServer.ts
@@ -3,10 +3,11 @@
  */
 
 import ApiGateway from 'moleculer-web'
-import { answerBody, answerHeaders, answerStatus, HEADER_OUTCOME } from '../common/requests/AnswerHeaders.js'
+import { answerBody, answerHeaders, answerStatus, HEADER_OUTCOME, HEADER_REASON } from '../common/requests/AnswerHeaders.js'
 import { parseName, parseRequestHead } from '../common/requests/RequestParser.js'
 import { HttpListener } from '../platform/HttpListener.js'
 import { readBody } from './BodyReader.js'
+import { lingeringEnd } from './lingeringEnd.js'
 import { parseJob } from './JobFlow.js'
 import { route } from './RouteRequest.js'
 
@@ -167,11 +168,11 @@
   }
 
   private _sendBadInput (request: IncomingMessage, response: ServerResponse, fault: IBadInput): void {
-    // Bytes of a body that nobody will read would be taken for the connection's next request.
-    const headers: Record<string, string> = request.complete ? {} : { connection: 'close' }
-    this._sendJson(response, fault.status, { outcome: 'refused', reason: 'badInput', field: fault.field, detail: `${fault.field} ${fault.message}` }, {
-      [HEADER_OUTCOME]: 'refused', 'x-jackdawreel-reason': 'badInput', ...headers
-    })
+    const text = JSON.stringify({ outcome: 'refused', reason: 'badInput', field: fault.field, detail: `${fault.field} ${fault.message}` })
+    const headers = { 'content-type': 'application/json', [HEADER_OUTCOME]: 'refused', [HEADER_REASON]: 'badInput' }
+    if (request.complete) return this._send(response, fault.status, headers, text)
+    response.writeHead(fault.status, { ...headers, 'content-length': String(Buffer.byteLength(text)), connection: 'close' })
+    lingeringEnd(request, response, text)
   }
 
   private _sendJson (response: ServerResponse, status: number, value: unknown, headers: Readonly<Record<string, string>> = {}): void {
--- a/test/support/CallerClient.ts
+++ b/test/support/CallerClient.ts
@@ -4,6 +4,10 @@
 
 import { Pool } from 'undici'
 
+import type { IJobSpec, IJobStatus } from '../../src/common/protocol/Types.js'
+
+const JOB_POLL_MS = 25
+
 export interface ICall {
   readonly service: string
   readonly caller: string
@@ -64,6 +68,30 @@
     }
   }
 
+  public async submitJob (job: IJobSpec): Promise<IReply> {
+    return await this.raw('POST', '/v1/jobs', { 'content-type': 'application/json' }, JSON.stringify(job))
+  }
+
+  /** Undefined while the owner of the job can't be asked. */
+  public async jobStatus (jobId: string): Promise<IJobStatus | undefined> {
+    const reply = await this.raw('GET', `/v1/jobs/${jobId}`)
+    return reply.status === 200 ? JSON.parse(reply.body.toString()) as IJobStatus : undefined
+  }
+
+  public async cancelJob (jobId: string): Promise<IReply> {
+    return await this.raw('DELETE', `/v1/jobs/${jobId}`)
+  }
+
+  /** The status once it satisfies `isReached`, or the last one when `limitMs` has passed. */
+  public async untilJob (jobId: string, isReached: (status: IJobStatus) => boolean, limitMs = 10_000): Promise<IJobStatus | undefined> {
+    const untilMs = performance.now() + limitMs
+    for (;;) {
+      const status = await this.jobStatus(jobId)
+      if ((status !== undefined && isReached(status)) || performance.now() > untilMs) return status
+      await new Promise((resolve) => setTimeout(resolve, JOB_POLL_MS))
+    }
+  }
+
   public async close (): Promise<void> {
     await this._pool.close()
   }
