--- a/src/daemon/GatewayDaemon.ts
+++ b/src/daemon/GatewayDaemon.ts
@@ -17,7 +17,7 @@
 import type { IFlowContext, IOutcomeSink } from '../gateway/Types.js'
 import type { IFinalAnswer } from '../common/Types.js'
 import type { ICallerSettings, ISettings } from '../platform/settings/Types.js'
-import type { IDaemon } from './Types.js'
+import type { IDaemon, IDaemonAddresses } from './Types.js'
 
 /** Rows of services and callers; beyond it callers are counted together. A row takes about 1 KB. */
 const MAX_OUTCOME_ROWS = 2000
@@ -71,14 +71,15 @@
     if (answer.serviceMs !== undefined) this._serviceTimes.record(service, answer.serviceMs)
   }
 
-  public async start (): Promise<string> {
+  public async start (): Promise<IDaemonAddresses> {
     const { hub, store, clock, watcher } = this._core
     await this._broker.start()
-    this._core.join(await this._operator.listen())
+    const operatorUrl = await this._operator.listen()
+    this._core.join(operatorUrl)
     this._members = new MembersReader(hub, store, clock, this._core.agent)
     await this._members.start()
     await watcher.start()
-    return await this._server.listen()
+    return { url: await this._server.listen(), operatorUrl }
   }
 
   public async stop (): Promise<void> {
--- a/src/daemon/SchedulerDaemon.ts
+++ b/src/daemon/SchedulerDaemon.ts
@@ -35,7 +35,7 @@
 import type { IShardSpec } from '../common/state/Types.js'
 import type { IShardAcquired, IShardLost } from '../scheduler/ownership/index.js'
 import type { ISettings } from '../platform/settings/Types.js'
-import type { IDaemon } from './Types.js'
+import type { IDaemon, IDaemonAddresses } from './Types.js'
 
 /** Releasing the shards waits for the store; in an outage the lease has to lapse instead. */
 const RELEASE_LIMIT_MS = 5000
@@ -107,13 +107,13 @@
     return daemon
   }
 
-  public async start (): Promise<string> {
+  public async start (): Promise<IDaemonAddresses> {
     await this._core.watcher.start()
     await this._seeder().seed()
     this._directory.start()
     this._registration.start()
     this._owner.start()
-    return this._core.hub.url ?? ''
+    return { url: this._core.hub.url ?? '', operatorUrl: this._registration.entry.operatorUrl }
   }
 
   public async stop (): Promise<void> {
--- a/src/daemon/runDaemon.ts
+++ b/src/daemon/runDaemon.ts
@@ -18,10 +18,10 @@
   const { values } = parseArgs({ options: { config: { type: 'string' } } })
   const settings = loadSettings(values.config)
   const daemon = await orExit(EXIT_START, async () => await create(settings))
-  const url = await orExit(EXIT_START, async () => await daemon.start())
+  const addresses = await orExit(EXIT_START, async () => await daemon.start())
   process.once('SIGTERM', () => { stop(daemon) })
   process.once('SIGINT', () => { stop(daemon) })
-  process.stdout.write(JSON.stringify({ ready: true, url, processId: settings.process.id }) + '\n')
+  process.stdout.write(JSON.stringify({ ready: true, ...addresses, processId: settings.process.id }) + '\n')
 }
 
 function loadSettings (path: string | undefined): ISettings {
--- /dev/null
+++ b/test/prove/ConfigProofs.ts
@@ -0,0 +1,174 @@
+/**
+ * Proofs on configuration: accepted changes are in force everywhere and never revert.
+ */
+
+import { request } from 'undici'
+
+import { OPERATOR_TOKEN } from '../support/Cell.js'
+import { sleep, withCell } from './Harness.js'
+
+import type { Cell } from '../support/Cell.js'
+import type { IProof, IVerdict } from './Types.js'
+
+const PROFILE = 'patient'
+const OPERATORS = 4
+const POLL_MS = 50
+const IN_FORCE_LIMIT_MS = 2000
+const IN_FORCE_IN_OUTAGE_LIMIT_MS = 5000
+const RACE_MS = 8000
+const HEADERS = { authorization: `Bearer ${OPERATOR_TOKEN}` }
+
+interface IAccepted {
+  readonly revision: number
+  readonly atMs: number
+  readonly weight: number
+}
+
+interface IEntryReply {
+  readonly entry?: { readonly revision: number, readonly value: { readonly weight: number } }
+}
+
+/** Follows the revision that each process decides by, and notes when it was first seen to have each. */
+class RevisionWatch {
+  public readonly violations: string[] = []
+  public observations = 0
+  private readonly _firstSeenMs = new Map<string, Map<number, number>>()
+  private readonly _highest = new Map<string, number>()
+  private readonly _timer: NodeJS.Timeout
+
+  public constructor (private readonly _cell: Cell) {
+    this._timer = setInterval(() => { this._poll() }, POLL_MS)
+  }
+
+  public stop (): void {
+    clearInterval(this._timer)
+  }
+
+  /** Forgets what a process had, when it was killed; what it shows next must still be the newest accepted. */
+  public restarted (processId: string, atLeast: number): void {
+    this._highest.set(processId, atLeast)
+  }
+
+  /** When a process had this revision or a later one. */
+  public inForceAtMs (processId: string, revision: number): number {
+    const seen = [...this._firstSeenMs.get(processId) ?? []].filter(([each]) => each >= revision).map(([, atMs]) => atMs)
+    return Math.min(...seen)
+  }
+
+  private async _poll (): Promise<void> {
+    await Promise.all(this._cell.processes.filter(({ handle }) => handle.running).map(async ({ processId, operatorUrl }) => {
+      const reply = await askReplica(operatorUrl)
+      if (reply?.entry !== undefined) this._see(processId, reply.entry.revision)
+    }))
+  }
+
+  private _see (processId: string, revision: number): void {
+    this.observations += 1
+    const highest = this._highest.get(processId) ?? 0
+    if (revision < highest) this.violations.push(`${processId} went back from revision ${highest} to ${revision}`)
+    this._highest.set(processId, Math.max(highest, revision))
+    const seen = this._firstSeenMs.get(processId) ?? new Map<number, number>()
+    if (!seen.has(revision)) seen.set(revision, performance.now())
+    this._firstSeenMs.set(processId, seen)
+  }
+}
+
+async function askReplica (operatorUrl: string): Promise<IEntryReply | undefined> {
+  try {
+    const answer = await request(`${operatorUrl}/v1/config/profile/${PROFILE}?source=replica`, { headers: HEADERS })
+    return await answer.body.json() as IEntryReply
+  } catch {
+    return undefined
+  }
+}
+
+/** Reads, edits and puts, over and over; gives what was accepted. */
+async function operate (cell: Cell, operator: number, untilMs: number): Promise<readonly IAccepted[]> {
+  const accepted: IAccepted[] = []
+  for (let edit = 1; performance.now() < untilMs; edit++) {
+    const process = cell.processes[(operator + edit) % cell.processes.length]
+    const change = process === undefined ? undefined : await putOnce(process.operatorUrl, operator + edit / 1000)
+    if (change !== undefined) accepted.push(change)
+    await sleep(20 * operator)
+  }
+  return accepted
+}
+
+async function putOnce (operatorUrl: string, weight: number): Promise<IAccepted | undefined> {
+  try {
+    const path = `${operatorUrl}/v1/config/profile/${PROFILE}`
+    const seen = await (await request(path, { headers: HEADERS })).body.json() as IEntryReply
+    if (seen.entry === undefined) return undefined
+    const headers = { ...HEADERS, 'if-match': String(seen.entry.revision), 'content-type': 'application/json' }
+    const answer = await request(path, { method: 'PUT', headers, body: JSON.stringify({ ...seen.entry.value, weight }) })
+    const reply = await answer.body.json() as IEntryReply
+    return answer.statusCode === 200 && reply.entry !== undefined ? { revision: reply.entry.revision, atMs: performance.now(), weight } : undefined
+  } catch {
+    return undefined
+  }
+}
+
+function checkInForce (cell: Cell, watch: RevisionWatch, accepted: readonly IAccepted[], limitMs: number): void {
+  for (const { revision, atMs } of accepted) {
+    for (const { processId } of cell.processes) {
+      const tookMs = watch.inForceAtMs(processId, revision) - atMs
+      if (!(tookMs <= limitMs)) watch.violations.push(`${processId} had revision ${revision} ${tookMs.toFixed(0)} ms after it was accepted`)
+    }
+  }
+}
+
+/** No two accepted changes share a revision: each would have overwritten the other unseen. */
+function checkDistinct (watch: RevisionWatch, accepted: readonly IAccepted[]): void {
+  const byRevision = new Map<number, IAccepted>()
+  for (const change of accepted) {
+    const other = byRevision.get(change.revision)
+    if (other !== undefined) watch.violations.push(`revision ${change.revision} was accepted twice, with weights ${other.weight} and ${change.weight}`)
+    byRevision.set(change.revision, change)
+  }
+}
+
+/** A change is accepted and the store goes down in the same moment; later a process restarts while it is still down. */
+async function changeThenOutage (cell: Cell, watch: RevisionWatch): Promise<readonly IAccepted[]> {
+  const last = await putOnce(cell.gateways()[0]?.operatorUrl ?? '', 7)
+  await cell.control(cell.storeUrl, { outage: 'refuse' })
+  if (last === undefined) {
+    watch.violations.push('a change was not accepted with the store up')
+    return []
+  }
+  await sleep(IN_FORCE_IN_OUTAGE_LIMIT_MS)
+  checkInForce(cell, watch, [last], IN_FORCE_IN_OUTAGE_LIMIT_MS)
+  for (const victim of [cell.schedulers()[1], cell.gateways()[1]]) {
+    if (victim === undefined) continue
+    await victim.handle.kill()
+    watch.restarted(victim.processId, last.revision)
+    const restarted = await cell.startDaemon(victim.role, victim.region, victim.processId)
+    const reply = await askReplica(restarted.operatorUrl)
+    if ((reply?.entry?.revision ?? 0) < last.revision) watch.violations.push(`${victim.processId} restarted with revision ${reply?.entry?.revision}`)
+  }
+  await cell.control(cell.storeUrl, { outage: 'none' })
+  await sleep(IN_FORCE_LIMIT_MS)
+  return [last]
+}
+
+async function race (cell: Cell, scale: number): Promise<IVerdict> {
+  const watch = new RevisionWatch(cell)
+  await cell.control(cell.storeUrl, { loseAnswers: 0.2, seed: 18 })
+  const untilMs = performance.now() + RACE_MS * scale
+  const accepted = (await Promise.all(Array.from({ length: OPERATORS }, async (_, index) => await operate(cell, index + 1, untilMs)))).flat()
+  await sleep(IN_FORCE_LIMIT_MS + POLL_MS)
+  checkInForce(cell, watch, accepted, IN_FORCE_LIMIT_MS)
+  checkDistinct(watch, accepted)
+  await cell.control(cell.storeUrl, { loseAnswers: 0 })
+  await changeThenOutage(cell, watch)
+  watch.stop()
+  return { checked: accepted.length, violations: watch.violations.slice(0, 10), notes: { observations: watch.observations } }
+}
+
+const profiles: IProof = {
+  name: 'profiles',
+  property: 'an accepted change is in force everywhere within 2 s and never reverts',
+  failure: 'four operators race on one profile; the store loses a fifth of its answers, then goes down; processes restart meanwhile',
+  run: async (scale) => await withCell({ runnersPerRegion: 1 }, async (cell) => await race(cell, scale))
+}
+
+export const CONFIG_PROOFS: readonly IProof[] = [profiles]
--- a/test/prove/RequestProofs.ts
+++ b/test/prove/RequestProofs.ts
@@ -2,37 +2,13 @@
  * Proofs on the request path: capacity, whole answers, truthful "not run", at most once.
  */
 
-import { Cell } from '../support/Cell.js'
-import { configureExamples } from '../support/Configure.js'
+import { NON_IDEMPOTENT, setRunners, sleep, verdict, withCell } from './Harness.js'
 import { Judge } from './Judge.js'
 import { DEFAULT_LOAD, Load } from './Load.js'
 
-import type { ICellOptions } from '../support/Cell.js'
+import type { Cell } from '../support/Cell.js'
 import type { ILoadOptions } from './Load.js'
-import type { IProof, IVerdict, OnCell } from './Types.js'
-
-export const NON_IDEMPOTENT = ['pivot-start', 'neighbour-broadcast'] as const
-
-export async function sleep (durationMs: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, durationMs))
-}
-
-/** A configured cell with requests served in each region and shards spread. */
-export async function withCell (options: Partial<ICellOptions>, body: OnCell): Promise<IVerdict> {
-  const cell = await Cell.start({ workersPerRegion: 0, ...options })
-  try {
-    await configureExamples(cell.storeUrl)
-    await cell.untilServed()
-    await cell.untilSpread()
-    return await body(cell)
-  } finally {
-    await cell.dispose()
-  }
-}
-
-async function setRunners (cell: Cell, control: unknown): Promise<void> {
-  await Promise.all(cell.hosts.filter((host) => host.kind === 'runner').map(async (host) => { await cell.control(host.url, control) }))
-}
+import type { IProof } from './Types.js'
 
 /** Runs load while `harm` does its work; gives the judge and the requests that never ended. */
 async function underLoad (cell: Cell, options: Partial<ILoadOptions>, harm: () => Promise<void>): Promise<{ judge: Judge, open: Load['records'] }> {
@@ -44,10 +20,6 @@
   return { judge, open: [...open] }
 }
 
-function verdict (judge: Judge, checked: number): IVerdict {
-  return { checked, violations: judge.violations, notes: { ...judge.outcomes(), noUpstreamSeconds: judge.timesOf('noUpstream') } }
-}
-
 /**
  * A scheduler dies with its queue and its calls in flight, or stands still for longer than its lease while others take
  * its shards over, and then goes on as if nothing had been. Its runners still work on what it sent them. Callers notice
--- a/test/prove/run.ts
+++ b/test/prove/run.ts
@@ -4,13 +4,15 @@
 
 import { parseArgs } from 'node:util'
 
+import { CONFIG_PROOFS } from './ConfigProofs.js'
+import { LIFECYCLE_PROOFS } from './LifecycleProofs.js'
 import { REQUEST_PROOFS } from './RequestProofs.js'
 
 import type { IProof } from './Types.js'
 
 const LONG_SCALE = 5
 
-const PROOFS: readonly IProof[] = [...REQUEST_PROOFS]
+const PROOFS: readonly IProof[] = [...REQUEST_PROOFS, ...LIFECYCLE_PROOFS, ...CONFIG_PROOFS]
 
 const { values, positionals } = parseArgs({ options: { long: { type: 'boolean', default: false } }, allowPositionals: true })
 const wanted = PROOFS.filter((proof) => positionals.length === 0 || positionals.includes(proof.name))
--- a/test/support/Cell.ts
+++ b/test/support/Cell.ts
@@ -45,7 +45,7 @@
 }
 
 const SHARED_KEY = 'a-shared-key-for-tests-only'
-const OPERATOR_TOKEN = 'an-operator-token-for-tests-only'
+export const OPERATOR_TOKEN = 'an-operator-token-for-tests-only'
 const READY_LIMIT_MS = 20_000
 const SPREAD_LIMIT_MS = 60_000
 const POLL_MS = 50
@@ -55,6 +55,7 @@
   readonly region: string
   readonly role: 'gateway' | 'scheduler'
   readonly url: string
+  readonly operatorUrl: string
   readonly handle: ProcessHandle
 }
 
@@ -96,8 +97,8 @@
     const file = join(this._folder, `${processId}.ini`)
     writeFileSync(file, this._ini(role, region, processId))
     const handle = startProcess(`bin/jackdawreel-${role}.js`, ['--config', file], this.options.nodeArgs)
-    const { url } = await handle.ready
-    const process = { processId, region, role, url, handle }
+    const { url, operatorUrl } = await handle.ready
+    const process = { processId, region, role, url, operatorUrl: String(operatorUrl), handle }
     const old = this.processes.findIndex((other) => other.processId === processId)
     if (old >= 0) this.processes.splice(old, 1)
     this.processes.push(process)
@@ -230,6 +231,8 @@
       limits: { drainNoticeMs: 500 },
       ids: { idShards: 8, storeWritesPerSecond: 200 }
     }
+    const seeds = this.schedulers().map((scheduler) => `${scheduler.processId}@${scheduler.url.slice('ws://'.length)}`)
+    if (seeds.length > 0) sections.peer = { ...sections.peer, seeds: seeds.join(', ') }
     if (role === 'gateway') sections.caller = { listen: '127.0.0.1:0' }
     for (const [name, keys] of Object.entries(this.options.settings)) {
       if (name !== 'caller' || role === 'gateway') sections[name] = { ...sections[name], ...keys }
