--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -9,6 +9,7 @@
 import { SeededRandom } from '../src/common/Random.js'
 import { RandomPlacingEngine, StrictPriorityEngine, ThresholdEngine } from './decisions/Baselines.js'
 import { REQUEST_SCENARIOS } from './decisions/RequestScenarios.js'
+import { measureCancelWave, measureSpeed } from './decisions/Speed.js'
 import { TASK_SCENARIOS } from './decisions/TaskScenarios.js'
 import { VirtualClock, VirtualRun } from './decisions/VirtualRun.js'
 
@@ -39,6 +40,8 @@
       if (policy === undefined || policy === name) runOne(scenario, name, factory)
     }
   }
+  if ('cancel-wave-real-time'.includes(only)) measureCancelWave(seed)
+  if ('speed'.includes(only)) measureSpeed(seed)
 }
 
 function runOne (scenario: IScenario, policy: string, factory: EngineFactory): void {
--- a/src/common/policy/GroupPlacer.ts
+++ b/src/common/policy/GroupPlacer.ts
@@ -25,11 +25,15 @@
 /** While this share of the capacity is held, no further hosts are emptied for single items: held room is mostly idle. */
 const MAX_HELD_SHARE_FOR_ONE = 0.05
 
+/** Single items for which hosts are emptied at once: each is looked at whenever a task ends. */
+const MAX_SINGLES = 32
+
 /** Whether it is this group's turn to have room gathered for it. */
 export type TurnTest = (group: IGroup) => boolean
 
 export class GroupPlacer {
   private _gathering: IGroup | undefined
+  private _singles = 0
   /** Until when the held room of a host is open to work that ends by then. */
   private readonly _openUntilMs = new Map<LedgerHost, MonotonicMs>()
 
@@ -48,7 +52,8 @@
 
   /** Whether one more host may be emptied for a single large item. */
   public canGatherForOne (): boolean {
-    return this._gathering === undefined && this._ledger.shareOf(this._ledger.held) < MAX_HELD_SHARE_FOR_ONE
+    if (this._gathering !== undefined || this._singles >= MAX_SINGLES) return false
+    return this._ledger.shareOf(this._ledger.held) < MAX_HELD_SHARE_FOR_ONE
   }
 
   /**
@@ -111,8 +116,11 @@
   }
 
   private _gatherForSingles (nowMs: MonotonicMs): void {
+    this._singles = 0
     for (const group of this._book.groups()) {
-      if (isSingle(group) && group.holds.size === 0 && nowMs - group.queuedAtMs >= GATHER_AFTER_MS) this._gather(group, nowMs)
+      if (!isSingle(group)) continue
+      this._singles += 1
+      if (group.holds.size === 0 && nowMs - group.queuedAtMs >= GATHER_AFTER_MS) this._gather(group, nowMs)
     }
   }
 
