--- /dev/null
+++ b/src/common/policy/Admission.test.ts
@@ -0,0 +1,100 @@
+import test from 'ava'
+
+import { decisions, engineWith, host, profile, work } from '../../../test/policy/TestWork.js'
+
+import type { AdmitDecision, IWorkItem } from './Types.js'
+
+const SERVICE_MS = 100
+
+/** A host of one slot that always has work, so that the drain rate is ten requests a second. */
+function busyEngine (): { admit: (id: string) => AdmitDecision, pass: (ms: number) => void, given: string[] } {
+  const { clock, engine } = engineWith('slots', host('h1', { cores: 1, memoryBytes: 0, accelerators: 0 }))
+  const given: string[] = []
+  let running: IWorkItem | undefined
+  let endsAtMs = 0
+  const carryOut = (): void => {
+    for (const decision of decisions(engine)) {
+      if (decision.type === 'giveUp') given.push(decision.item.id)
+      if (decision.type !== 'place') continue
+      running = decision.item
+      endsAtMs = clock.nowMs() + SERVICE_MS
+    }
+  }
+  const admit = (id: string): AdmitDecision => {
+    const arrivedAtMs = clock.nowMs()
+    const decision = engine.admit(work(id, { profile: profile({ deadlineMs: 2_000 }), arrivedAtMs, deadlineAtMs: arrivedAtMs + 2_000 }))
+    carryOut()
+    return decision
+  }
+  const pass = (ms: number): void => {
+    for (let i = 0; i < ms; i += 10) {
+      clock.advance(10)
+      if (running !== undefined && clock.nowMs() >= endsAtMs) {
+        const { id } = running
+        running = undefined
+        engine.finished(id, 'succeeded', SERVICE_MS)
+      }
+      carryOut()
+    }
+  }
+  return { admit, pass, given }
+}
+
+/*
+ * Requests arrive at several times the rate at which the host serves them. Callers would wait until their deadlines and get nothing;
+ * instead the surplus is refused at once, and whoever is let in is served in time.
+ */
+test('the surplus is refused at once and what is admitted is served in time', (t) => {
+  const { admit, pass, given } = busyEngine()
+  let refused = 0
+  for (let i = 0; i < 200; i++) {
+    if (!admit(`r${i}`).admitted) refused += 1
+    pass(30)
+  }
+  t.true(refused > 100 && refused < 150, `${refused} of 200 refused`)
+  t.deepEqual(given, [])
+})
+
+/*
+ * A refused caller does as told and comes back later, while new callers keep arriving. If the room went to the newcomers, the same
+ * caller would be refused again each time, however often it returned.
+ */
+test('a refused request that comes back when told to is admitted', (t) => {
+  const { admit, pass } = busyEngine()
+  const due: { readonly id: string, readonly atMs: number }[] = []
+  let nowMs = 0
+  let met = 0
+  let returned = 0
+  for (let i = 0; i < 600; i++) {
+    const decision = i < 200 ? admit(`r${i}`) : undefined
+    if (decision?.admitted === false) due.push({ id: `r${i}`, atMs: nowMs + decision.retryAfterMs })
+    pass(30)
+    nowMs += 30
+    for (const { id } of due.filter(({ atMs }) => atMs > nowMs - 30 && atMs <= nowMs)) {
+      returned += 1
+      if (admit(`${id}#1`).admitted) met += 1
+    }
+  }
+  t.true(returned > 50)
+  t.true(met / returned >= 0.9, `${met} of ${returned} met`)
+})
+
+test('times to come back are spread', (t) => {
+  const { admit } = busyEngine()
+  const times = new Set<number>()
+  for (let i = 0; i < 100; i++) {
+    const decision = admit(`r${i}`)
+    if (!decision.admitted) times.add(decision.retryAfterMs)
+  }
+  t.true(times.size > 20)
+})
+
+test('what can never run is refused with the reason', (t) => {
+  const { engine } = engineWith('resources', host('h1'))
+  engine.putTeam({ name: 'small', maxSlots: 1, maxCores: 2, maxAccelerators: 0 })
+  const large = engine.admit(work('large', { resources: { cores: 9, memoryBytes: 0, accelerators: 0 } }))
+  t.like(large, { admitted: false, reason: 'infeasible' })
+  const overQuota = engine.admit(work('quota', { team: 'small', resources: { cores: 3, memoryBytes: 0, accelerators: 0 } }))
+  t.like(overQuota, { admitted: false, reason: 'quota' })
+  t.like(engineWith('slots').engine.admit(work('nowhere')), { admitted: false, reason: 'noUpstream' })
+})
--- /dev/null
+++ b/src/common/policy/DecisionEngine.test.ts
@@ -0,0 +1,166 @@
+import test from 'ava'
+
+import { cores, decisions, engineWith, host, placed, profile, work } from '../../../test/policy/TestWork.js'
+
+import type { DecisionEngine } from './DecisionEngine.js'
+import type { IWorkItem } from './Types.js'
+
+const URGENT = profile({ priorityClass: 'urgent' })
+const PATIENT = profile({ priorityClass: 'patient', preemptible: true })
+
+function admitAll (engine: DecisionEngine, ...items: readonly IWorkItem[]): void {
+  for (const item of items) engine.admit(item)
+}
+
+function named (count: number, prefix: string, changes: Partial<IWorkItem> = {}): readonly IWorkItem[] {
+  return Array.from({ length: count }, (_, i) => work(`${prefix}${i}`, changes))
+}
+
+test('requests go to the host with the fewest in flight, tasks to the tightest', (t) => {
+  const slots = engineWith('slots', host('h1', cores(2)), host('h2', cores(4)))
+  admitAll(slots.engine, ...named(3, 's'))
+  t.deepEqual(placed(slots.engine), { s0: 'h2', s1: 'h2', s2: 'h1' })
+  const tasks = engineWith('resources', host('h1', cores(2)), host('h2', cores(4)))
+  admitAll(tasks.engine, ...named(3, 's'))
+  t.deepEqual(Object.values(placed(tasks.engine)).sort(), ['h1', 'h1', 'h2'])
+})
+
+test('plain work leaves the hosts with accelerators to accelerator work', (t) => {
+  const { engine } = engineWith('resources', host('gpu', { cores: 8, memoryBytes: 8, accelerators: 1 }), host('plain', { cores: 2, memoryBytes: 8, accelerators: 0 }))
+  admitAll(engine, ...named(4, 'p'))
+  t.deepEqual(placed(engine), { p0: 'plain', p1: 'plain' })
+  engine.admit(work('a', { resources: { cores: 1, memoryBytes: 1, accelerators: 1 } }))
+  t.deepEqual(placed(engine), { a: 'gpu', p2: 'gpu', p3: 'gpu' }, 'once the accelerator is taken, the rest of its host is open to all')
+})
+
+test('a service to be spread uses each failure domain', (t) => {
+  const domains = ['a', 'b', 'c'].map((failureDomain) => host(failureDomain, cores(8), { failureDomain }))
+  const { engine } = engineWith('resources', ...domains)
+  admitAll(engine, ...named(3, 's', { profile: profile({ spread: 'failureDomain' }) }))
+  t.deepEqual(Object.values(placed(engine)).sort(), ['a', 'b', 'c'])
+})
+
+test('team quotas and the running limit of a profile hold', (t) => {
+  const { engine } = engineWith('resources', host('h1', cores(64)))
+  engine.putTeam({ name: 'team', maxSlots: 100, maxCores: 3, maxAccelerators: 0 })
+  admitAll(engine, ...named(5, 'q'), ...named(5, 'l', { team: 'other', profile: profile({ name: 'limited', maxRunning: 2 }) }))
+  const running = Object.keys(placed(engine))
+  t.is(running.filter((id) => id.startsWith('q')).length, 3)
+  t.is(running.filter((id) => id.startsWith('l')).length, 2)
+  engine.finished('q0', 'succeeded', 10)
+  t.is(Object.keys(placed(engine)).length, 1)
+})
+
+test('a host that is leaving keeps what runs there and gets nothing new', (t) => {
+  const { engine } = engineWith('slots', host('h1', cores(2)))
+  admitAll(engine, ...named(3, 's'))
+  t.is(Object.keys(placed(engine)).length, 2)
+  engine.putHost(host('h1', cores(2), { accepting: false }))
+  engine.finished('s0', 'succeeded', 10)
+  t.deepEqual(placed(engine), {})
+  t.is(engine.load().running, 1)
+})
+
+/*
+ * A task declares one core and takes six. The host shows less room than the declared sizes say, and whatever was placed by those
+ * would run out of cores: its neighbours slow down.
+ */
+test('the larger of declared and reported use is counted', (t) => {
+  const { engine } = engineWith('resources', host('h1', cores(8)))
+  admitAll(engine, work('liar'))
+  placed(engine)
+  engine.reportUsage('liar', cores(6))
+  admitAll(engine, ...named(4, 's'))
+  t.is(Object.keys(placed(engine)).length, 2)
+  engine.reportUsage('liar', cores(0.1))
+  t.is(engine.load().used.cores, 3, 'a report below the declared size frees no more than what was over it')
+})
+
+test('a request that can no longer end in time is given up, at the time that was announced', (t) => {
+  const { clock, engine } = engineWith('slots', host('h1', cores(1)))
+  admitAll(engine, work('first'), work('late', { deadlineAtMs: 1_000 }))
+  placed(engine)
+  clock.advance(engine.nextWakeAtMs())
+  t.like(decisions(engine)[0], { type: 'giveUp', reason: 'deadline' })
+  t.true(clock.nowMs() <= 1_000)
+})
+
+/*
+ * All slots are held by patient work that runs for minutes when an urgent stop arrives. Without a stop of patient work the pivot
+ * would be in the ditch before a slot comes free.
+ */
+test('urgent work preempts patient work, which keeps its floor', (t) => {
+  const { clock, engine } = engineWith('slots', host('h1', cores(4)))
+  const patient = { ...PATIENT, floorShare: 0.5 }
+  admitAll(engine, ...named(4, 'p', { profile: patient, declaredRunMs: 600_000 }))
+  placed(engine)
+  admitAll(engine, ...named(4, 'u', { profile: URGENT, deadlineAtMs: 60_000 }))
+  t.deepEqual(decisions(engine), [])
+  clock.advance(engine.nextWakeAtMs())
+  const stopped = decisions(engine).flatMap((decision) => decision.type === 'preempt' ? [decision.itemId] : [])
+  t.is(stopped.length, 2)
+  for (const id of stopped) engine.finished(id, 'stopped', 100)
+  t.deepEqual(Object.keys(placed(engine)).sort(), ['u0', 'u1'])
+  clock.advance(1_000)
+  t.deepEqual(decisions(engine), [], 'below its floor nothing more of it is stopped')
+})
+
+/*
+ * A host answers each request with an error within a millisecond, so it is always the freest. Callers see errors in far greater a
+ * share than one host of ten could cause.
+ */
+test('a host that fails everything gets probes only, until it has healed', (t) => {
+  const hosts = Array.from({ length: 10 }, (_, i) => host(`h${i}`, cores(4)))
+  const { clock, engine } = engineWith('slots', ...hosts)
+  let isBroken = true
+  let lost = 0
+  let placedOnBroken = 0
+  for (let i = 0; i < 4_000; i++) {
+    engine.admit(work(`r${i}`, { arrivedAtMs: clock.nowMs() }))
+    for (const [id, hostId] of Object.entries(placed(engine))) {
+      const fails = hostId === 'h0' && isBroken
+      if (fails) lost += 1
+      if (hostId === 'h0') placedOnBroken += 1
+      engine.finished(id, fails ? 'failed' : 'succeeded', 1)
+    }
+    clock.advance(5)
+    if (i === 2_000) {
+      isBroken = false
+      placedOnBroken = 0
+    }
+  }
+  t.true(lost > 0 && lost <= 20, `${lost} lost`)
+  t.true(placedOnBroken > 20, `${placedOnBroken} placed after it had healed`)
+})
+
+test('a service that fails everywhere puts no host on probation', (t) => {
+  const { clock, engine } = engineWith('slots', ...Array.from({ length: 10 }, (_, i) => host(`h${i}`, cores(4))))
+  for (let i = 0; i < 500; i++) {
+    engine.admit(work(`r${i}`))
+    for (const id of Object.keys(placed(engine))) engine.finished(id, 'failed', 1)
+    clock.advance(5)
+  }
+  t.deepEqual(engine.dump()['onProbation'], [])
+})
+
+test('work found at a takeover is counted, also beyond the capacity', (t) => {
+  const { engine } = engineWith('slots', host('h1', cores(1)))
+  for (const item of named(2, 's')) engine.adopt(item, 'h1')
+  engine.admit(work('new'))
+  engine.finished('s0', 'succeeded', 1)
+  t.deepEqual(placed(engine), {})
+  engine.finished('s1', 'succeeded', 1)
+  t.deepEqual(placed(engine), { new: 'h1' })
+})
+
+/*
+ * The host of a task's first attempt failed it. Were it placed there again, its retries would all be used up on one bad host; but with
+ * no other host left, waiting for one would never end.
+ */
+test('a retry avoids the host that failed it as long as there is another', (t) => {
+  const { engine } = engineWith('slots', host('h1', cores(4)), host('h2', cores(1)))
+  admitAll(engine, work('a', { avoidHostIds: ['h1'] }), work('b', { avoidHostIds: ['h1'] }))
+  t.deepEqual(placed(engine), { a: 'h2' })
+  engine.removeHost('h2')
+  t.deepEqual(placed(engine), { b: 'h1' })
+})
--- a/src/common/policy/DecisionLoop.ts
+++ b/src/common/policy/DecisionLoop.ts
@@ -4,6 +4,7 @@
 
 import { classRank } from './FairQueue.js'
 import { PREEMPT_AFTER_MS } from './Preemption.js'
+import { addInto } from './Resources.js'
 
 import type { IClock, IResources, MonotonicMs } from '../Types.js'
 import type { IProfile } from '../config/Types.js'
@@ -265,9 +266,15 @@
     return count
   }
 
+  /** Whether the profile keeps its floor without `lost` and without what is being stopped already. */
   private _keepsFloor (profile: IProfile, lost: IResources): boolean {
     const { queue, use, ledger } = this._parts
-    const left = use.profileShare(profile.name, ledger.capacity) - ledger.shareOf(lost)
+    const leaving = { ...lost }
+    for (const itemId of this._stopping.keys()) {
+      const running = ledger.runningItem(itemId)
+      if (running?.item.profile.name === profile.name) addInto(leaving, running.counted)
+    }
+    const left = use.profileShare(profile.name, ledger.capacity) - ledger.shareOf(leaving)
     return left >= queue.floorShare(queue.profileFor(profile))
   }
 
@@ -278,11 +285,13 @@
     return true
   }
 
+  /** An accelerator that is taken opens what its host kept for it, so its start may make room for plain work. */
   private _startEntry (entry: IQueueEntry, host: LedgerHost, nowMs: MonotonicMs): void {
     const { queue, work, admission } = this._parts
     queue.remove(entry.item.id)
     work.start(entry, host)
     admission.noteStarted(entry.queue, entry.costMs)
+    if (entry.need.accelerators > 0) this.noteRoom()
     this._pushPlace(entry.item, host, nowMs)
   }
 
--- /dev/null
+++ b/src/common/policy/GroupPlacer.test.ts
@@ -0,0 +1,113 @@
+import test from 'ava'
+
+import { cores, decisions, engineWith, host, placed, work } from '../../../test/policy/TestWork.js'
+
+import type { DecisionEngine } from './DecisionEngine.js'
+import type { IWorkItem } from './Types.js'
+
+function tasks (prefix: string, count: number, changes: Partial<IWorkItem> = {}): readonly IWorkItem[] {
+  return Array.from({ length: count }, (_, i) => work(`${prefix}${i}`, { resources: cores(4), ...changes }))
+}
+
+function finish (engine: DecisionEngine, ...ids: readonly string[]): void {
+  for (const id of ids) engine.finished(id, 'succeeded', 1_000)
+}
+
+test('a job starts with all its tasks or with none', (t) => {
+  const { engine } = engineWith('resources', host('h1', cores(8)))
+  engine.admit(work('small', { resources: cores(8) }))
+  placed(engine)
+  engine.admitGroup('job', tasks('j', 2))
+  t.deepEqual(placed(engine), {})
+  finish(engine, 'small')
+  t.deepEqual(Object.keys(placed(engine)), ['j0', 'j1'])
+})
+
+/*
+ * Small tasks keep coming and each takes the gap that the last one leaves. A job that waits for enough room at one moment would wait
+ * for ever, although every small task is served at once.
+ */
+test('a job among a stream of small tasks starts within the run time of what is in its way', (t) => {
+  const { clock, engine } = engineWith('resources', host('h1', cores(8)), host('h2', cores(8)))
+  const ends = new Map<string, number>()
+  let startedAtMs = Infinity
+  for (let i = 0; i < 400; i++) {
+    for (let k = 0; k < 2; k++) engine.admit(work(`s${i}-${k}`, { arrivedAtMs: clock.nowMs(), service: 'small', declaredRunMs: 1_000 }))
+    if (i === 50) engine.admitGroup('job', tasks('j', 3, { arrivedAtMs: clock.nowMs(), declaredRunMs: 1_000 }))
+    for (const id of Object.keys(placed(engine))) {
+      ends.set(id, clock.nowMs() + 1_000)
+      if (id === 'j0') startedAtMs = clock.nowMs()
+    }
+    clock.advance(100)
+    for (const [id, atMs] of ends) if (atMs <= clock.nowMs() && ends.delete(id)) finish(engine, id)
+  }
+  t.true(startedAtMs <= 5_000 + 1_000 + 2_000, `started at ${startedAtMs} ms, came at 5000 ms`)
+})
+
+/*
+ * Two jobs each need two thirds of the room. If each held a half and waited for the rest, neither would ever start and the hosts would
+ * stand idle.
+ */
+test('two jobs that can not run side by side start one after the other', (t) => {
+  const { clock, engine } = engineWith('resources', host('h1', cores(8)), host('h2', cores(8)))
+  for (const item of tasks('s', 4)) engine.admit(item)
+  placed(engine)
+  engine.admitGroup('a', tasks('a', 3))
+  engine.admitGroup('b', tasks('b', 3))
+  clock.advance(2_000)
+  t.deepEqual(placed(engine), {})
+  for (const id of ['s0', 's1', 's2', 's3']) {
+    finish(engine, id)
+    clock.advance(10)
+  }
+  t.deepEqual(Object.keys(placed(engine)).sort(), ['a0', 'a1', 'a2'])
+  finish(engine, 'a0', 'a1', 'a2')
+  t.deepEqual(Object.keys(placed(engine)).sort(), ['b0', 'b1', 'b2'])
+})
+
+test('a reservation waits for room, starts when told to and gives back what it held when dropped', (t) => {
+  const { engine } = engineWith('resources', host('h1', cores(8)))
+  engine.admit(work('small', { resources: cores(4) }))
+  placed(engine)
+  t.deepEqual(engine.reserve('r', tasks('r', 2), 10_000), ['r0'])
+  t.is(engine.startReserved('r'), undefined)
+  finish(engine, 'small')
+  decisions(engine)
+  t.deepEqual([...engine.reservedIds('r')].sort(), ['r0', 'r1'])
+  t.deepEqual(engine.startReserved('r')?.map(({ hostId }) => hostId), ['h1', 'h1'])
+  engine.reserve('again', tasks('again', 1), 10_000)
+  engine.dropReservation('again')
+  finish(engine, 'r0')
+  engine.admit(work('next', { resources: cores(4) }))
+  t.deepEqual(placed(engine), { next: 'h1' })
+})
+
+/*
+ * The coordinator of a job that spans schedulers dies after it has reserved here. Without an expiry the room would be held for ever and
+ * nobody would use it.
+ */
+test('a reservation that runs out gives its room back and can no longer start', (t) => {
+  const { clock, engine } = engineWith('resources', host('h1', cores(8)))
+  t.is(engine.reserve('r', tasks('r', 2), 5_000).length, 2)
+  engine.admit(work('next', { resources: cores(8) }))
+  t.deepEqual(placed(engine), {})
+  t.true(engine.nextWakeAtMs() <= 5_000)
+  clock.advance(5_000)
+  t.is(engine.startReserved('r'), undefined)
+  t.deepEqual(placed(engine), { next: 'h1' })
+})
+
+/*
+ * A host on which places are held for a job is lost before the job starts. Its tasks would be started on a host that is gone.
+ */
+test('places held on a lost host are found elsewhere', (t) => {
+  const { engine } = engineWith('resources', host('h1', cores(4)), host('h2', cores(4)), host('h3', cores(4)))
+  engine.reserve('r', tasks('r', 2), 10_000)
+  const held = engine.reservedIds('r')
+  t.is(held.length, 2)
+  engine.removeHost('h1')
+  engine.removeHost('h2')
+  engine.putHost(host('h4', cores(4)))
+  decisions(engine)
+  t.deepEqual(engine.startReserved('r')?.map(({ hostId }) => hostId).sort(), ['h3', 'h4'])
+})
--- a/src/common/policy/HostGrid.ts
+++ b/src/common/policy/HostGrid.ts
@@ -25,6 +25,9 @@
  */
 const MAX_LOOKED_AT = 32
 
+/** Of hosts with as many slots free, the one with the fewest in flight is preferred: a tie-break, below one slot. */
+const IN_FLIGHT_WEIGHT = 1e-6
+
 /** Which of the hosts with room to prefer. */
 export type GridOrder =
   /** The one that is left with the least: keeps large places whole. */
@@ -157,8 +160,9 @@
     for (let i = 0; i < count; i++) {
       const entry = entries[(this._rotation + i) % entries.length]
       if (entry === undefined || !fits(need, entry.free) || !isAllowed(entry.host)) continue
-      const left = dominantShare(entry.free, entry.host.config.capacity)
-      const score = order === 'tightest' ? left : -entry.free.cores
+      const score = order === 'tightest'
+        ? dominantShare(entry.free, entry.host.config.capacity)
+        : entry.host.running.size * IN_FLIGHT_WEIGHT - entry.free.cores
       if (score < bestScore) {
         best = entry.host
         bestScore = score
--- a/src/common/policy/HostHealth.ts
+++ b/src/common/policy/HostHealth.ts
@@ -17,9 +17,9 @@
 /** Counts halve in this time, so that a host is judged by its last half minute. */
 const HALF_LIFE_MS = 10_000
 
-/** The first probe comes soon, for a short fault; the pause doubles up to the last, for a long one. */
+/** The first probe comes soon, for a short fault; the pause doubles up to this, so a healed host is back within some seconds. */
 const FIRST_PROBE_AFTER_MS = 500
-const MAX_PROBE_PAUSE_MS = 15_000
+const MAX_PROBE_PAUSE_MS = 5_000
 
 /** Successful probes in a row that end a probation; one could be luck. */
 const PROBES_TO_HEAL = 3
--- /dev/null
+++ b/src/common/policy/Learners.test.ts
@@ -0,0 +1,59 @@
+import test from 'ava'
+
+import { cores, profile, work } from '../../../test/policy/TestWork.js'
+import { RetryBudget } from './RetryBudget.js'
+import { RunTimeLearner } from './RunTimeLearner.js'
+import { SizeLearner } from './SizeLearner.js'
+import { UrgentReserve } from './UrgentReserve.js'
+
+test('run times are taken as declared until they have been seen', (t) => {
+  const learner = new RunTimeLearner()
+  const item = work('a', { declaredRunMs: 10_000 })
+  t.is(learner.meanMs(item), 10_000)
+  for (let i = 0; i < 100; i++) learner.note('service', i < 95 ? 100 : 2_000)
+  t.is(Math.round(learner.meanMs(item)), 195)
+  t.true(learner.quantileMs(item, 0.5) >= 100 && learner.quantileMs(item, 0.5) < 142)
+  t.true(learner.quantileMs(item, 0.99) >= 2_000 && learner.quantileMs(item, 0.99) < 2_829)
+})
+
+test('run times follow a service that changes', (t) => {
+  const learner = new RunTimeLearner()
+  for (let i = 0; i < 5_000; i++) learner.note('service', 100)
+  for (let i = 0; i < 5_000; i++) learner.note('service', 1_000)
+  t.true(learner.meanMs(work('a')) > 950)
+})
+
+test('sizes are scaled by what a service was seen to use beyond its declared size', (t) => {
+  const learner = new SizeLearner()
+  for (let i = 0; i < 50; i++) learner.note(work('a'), cores(4))
+  t.is(Math.round(learner.expected(work('b', { resources: cores(2) })).cores), 8)
+  for (let i = 0; i < 50; i++) learner.note(work('a', { service: 'modest' }), cores(0.1))
+  t.is(learner.expected(work('b', { service: 'modest' })).cores, 1)
+})
+
+/*
+ * An upstream starts to fail all requests. With a fixed number of retries each, its load would treble just then.
+ */
+test('retries dry up when nothing succeeds and come back with successes', (t) => {
+  const budget = new RetryBudget()
+  const item = work('a')
+  const granted = Array.from({ length: 100 }, () => budget.tryTake(item, 1)).filter((result) => result.isOk()).length
+  t.is(granted, 10)
+  for (let i = 0; i < 20; i++) budget.noteSuccess()
+  t.true(budget.tryTake(item, 1).isOk())
+})
+
+test('no retries for work that must not run twice, nor beyond the limit of its profile', (t) => {
+  const budget = new RetryBudget()
+  t.true(budget.tryTake(work('a', { idempotent: false }), 1).isErr())
+  t.true(budget.tryTake(work('a', { profile: profile({ maxRetries: 1 }) }), 2).isErr())
+})
+
+test('the room that urgent work used is kept for a while', (t) => {
+  const reserve = new UrgentReserve()
+  reserve.add(0.2, 0)
+  t.is(reserve.shareToKeep(0), 0)
+  reserve.add(-0.2, 1_000)
+  t.true(reserve.shareToKeep(1_000) > 0.19)
+  t.true(reserve.shareToKeep(31_000) < 0.11)
+})
