--- a/src/scheduler/jobs/Jobs.test.ts
+++ b/src/scheduler/jobs/Jobs.test.ts
@@ -311,3 +311,17 @@
   t.is(cell.workers.running().length, 8)
   checkAlways(t, cell)
 })
+
+test('news that gets lost is noticed', async (t) => {
+  // A link is overfull and drops the news that tasks have ended. The job would be shown as running for ever, and what
+  // comes after it would never start.
+  const cell = await started(2, 1)
+  await cell.scheduler(0).jobs.submit(jobOf(8, 1000))
+  await cell.advance(500)
+  cell.scheduler(1).losesNews = true
+  await cell.advance(3000)
+  t.is(cell.status(), 'running')
+  await cell.advance(70_000)
+  t.is(cell.status(), 'succeeded')
+  t.is(cell.workers.runs().length, 8)
+})
--- a/test/support/JobsCell.ts
+++ b/test/support/JobsCell.ts
@@ -70,6 +70,8 @@
   public readonly dropped = new Emitter<IOwnedShard>()
   public readonly onLost = this.lost.event
   public isAlive = true
+  /** Its news gets lost, as on a link that is overfull. */
+  public losesNews = false
   private readonly _engine: DecisionEngine
   private readonly _pool: WorkerPool
 
@@ -150,7 +152,7 @@
 
   public cast (processId: string, _name: 'taskUpdate', cast: IPeerCasts['taskUpdate']): void {
     const to = this._cell.schedulers.find((scheduler) => scheduler.isAlive && scheduler.self.processId === processId)
-    if (to !== undefined && this.isAlive) queueMicrotask(() => { to.jobs.onTaskUpdate(cast, this.self.processId) })
+    if (to !== undefined && this.isAlive && !this.losesNews) queueMicrotask(() => { to.jobs.onTaskUpdate(cast, this.self.processId) })
   }
 
   private _answer (name: PeerCallName, ask: unknown): unknown {
@@ -166,7 +168,7 @@
 export class JobsCell {
   public readonly clock = new ManualClock()
   public readonly workers = new FakeWorkers(this.clock)
-  public readonly config = new ConfigReplica()
+  public readonly config = testConfig()
   public readonly log = new FakeJobLog()
   public readonly schedulers: FakeScheduler[] = []
   public readonly view: IShardView
@@ -181,7 +183,6 @@
     this.clock.every(SUMMARY_MS, () => { this.announce() })
     const hosts = (): readonly IHostRecord[] => this._hosts
     this.directory = { get hosts () { return hosts() }, onChange: this._changed.event }
-    this._configure()
     this._hosts = Array.from({ length: schedulers * hostsPerRack }, (_, index) => workerHost(`w${index}`, `r${Math.floor(index / hostsPerRack)}`, CAPACITY))
     for (const [index, host] of this._hosts.entries()) this.workers.add(host, index * CLOCK_STEP_MS)
     for (let index = 0; index < schedulers; index += 1) this.schedulers.push(new FakeScheduler(`s${index}`, this))
@@ -218,18 +219,21 @@
     owners.sort((a, b) => (b.owned.get(shardId) ?? 0) - (a.owned.get(shardId) ?? 0))
     return owners[0]?.self.processId
   }
+}
 
-  private _configure (): void {
-    const entry = (kind: ConfigKind, name: string, value: IConfigEntry['value']): IConfigEntry => ({
-      kind, name, revision: 1, deleted: false, ...(value === undefined ? {} : { value }), writer: 'test', nonce: name, changedAt: 0
-    })
-    this.config.apply([
-      entry('profile', 'patient', PATIENT_PROFILE),
-      entry('profile', 'all-at-once', ALL_AT_ONCE_PROFILE),
-      entry('service', 'season-budget', { name: 'season-budget', profile: 'patient', team: 'water' }),
-      entry('service', 'sector-sweep', { name: 'sector-sweep', profile: 'all-at-once', team: 'water' })
-    ])
-  }
+/** Two services: one whose jobs' tasks run each by itself, and one whose jobs start all at once. */
+export function testConfig (): ConfigReplica {
+  const config = new ConfigReplica()
+  const entry = (kind: ConfigKind, name: string, value: NonNullable<IConfigEntry['value']>): IConfigEntry => ({
+    kind, name, revision: 1, deleted: false, value, writer: 'test', nonce: name, changedAt: 0
+  })
+  config.apply([
+    entry('profile', 'patient', PATIENT_PROFILE),
+    entry('profile', 'all-at-once', ALL_AT_ONCE_PROFILE),
+    entry('service', 'season-budget', { name: 'season-budget', profile: 'patient', team: 'water' }),
+    entry('service', 'sector-sweep', { name: 'sector-sweep', profile: 'all-at-once', team: 'water' })
+  ])
+  return config
 }
 
 /** A job of tasks of one size. */
