--- a/src/scheduler/jobs/TaskRun.ts
+++ b/src/scheduler/jobs/TaskRun.ts
@@ -77,8 +77,8 @@
     this.isMissing = this._state === 'unsure' || this._state === 'stopping'
   }
 
-  /** Begins the next attempt, at this scheduler. */
-  public begin (scheduler: string, nowMs: MonotonicMs): void {
+  /** Begins the next attempt, at this scheduler, or at one that a reservation is still looking for. */
+  public begin (scheduler: string | undefined, nowMs: MonotonicMs): void {
     this._attempt = this._nextAttempt
     this._nextAttempt += 1
     this.scheduler = scheduler
--- a/src/scheduler/jobs/TaskSender.ts
+++ b/src/scheduler/jobs/TaskSender.ts
@@ -4,6 +4,7 @@
  */
 
 import { AmbiguousError } from '../../common/Errors.js'
+import { GroupReserver } from './GroupReserver.js'
 
 import type { IPlaceReply, IPlaceTask, ITaskPlace } from '../../common/protocol/Types.js'
 import type { PeerError } from '../../peer/Types.js'
@@ -21,7 +22,11 @@
 const MAX_SHIFTS = 16
 
 export class TaskSender {
-  public constructor (private readonly _context: IJobOwnerContext, private readonly _choice: SchedulerChoice) {}
+  private readonly _reserver: GroupReserver
+
+  public constructor (private readonly _context: IJobOwnerContext, private readonly _choice: SchedulerChoice) {
+    this._reserver = new GroupReserver(_context)
+  }
 
   /** Places what is ready; `onChange` is called when an answer has changed something. */
   public send (run: JobRun, onChange: () => void): void {
@@ -86,7 +91,8 @@
   private async _sendGroup (run: JobRun, tasks: readonly TaskRun[], onChange: () => void): Promise<void> {
     const scheduler = this._choice.forGroup(tasks.map((task) => task.spec.resources))
     if (scheduler === undefined) {
-      this._postpone(tasks)
+      await this._reserveGroup(run, tasks)
+      onChange()
       return
     }
     const nowMs = this._context.clock.nowMs()
@@ -99,6 +105,17 @@
     if (reply.isErr() || !reply.value.accepted) onChange()
   }
 
+  private async _reserveGroup (run: JobRun, tasks: readonly TaskRun[]): Promise<void> {
+    const schedulers = this._choice.withWorkers()
+    if (schedulers.length === 0) {
+      this._postpone(tasks)
+      return
+    }
+    const nowMs = this._context.clock.nowMs()
+    for (const task of tasks) task.begin(undefined, nowMs)
+    await this._reserver.place(run, tasks, tasks.map((task) => this._toAsk(run, task)), schedulers)
+  }
+
   private _placed (run: JobRun, tasks: readonly TaskRun[], reply: IPlaceReply): void {
     if (reply.accepted) return
     const nowMs = this._context.clock.nowMs()
--- a/src/scheduler/jobs/TaskService.ts
+++ b/src/scheduler/jobs/TaskService.ts
@@ -5,6 +5,8 @@
 
 import { HeldTasks, placeOf } from './HeldTasks.js'
 import { OwnerEpochs } from './OwnerEpochs.js'
+import { Reservations } from './Reservations.js'
+import { itemIdOf } from './TaskIds.js'
 import { TaskRunner } from './TaskRunner.js'
 import { toWorkItem } from './WorkItems.js'
 
@@ -22,20 +24,23 @@
   public readonly epochs: OwnerEpochs
   /** What the pool of workers tells its news to. */
   public readonly runner: TaskRunner
+  public readonly reservations: Reservations
   private _isDraining = false
 
   public constructor (private readonly _context: ITaskServiceContext) {
     this.epochs = new OwnerEpochs(_context.shards)
     this.runner = new TaskRunner(_context, this.held, this.epochs)
+    this.reservations = new Reservations(_context, this)
   }
 
   public dispose (): void {
     this.runner.dispose()
+    this.reservations.dispose()
   }
 
   /** Queues one task, or says why not. A repeat of the same attempt is answered like the first. */
   public place (ask: IPlaceTask): IPlaceReply {
-    const known = this._known(ask)
+    const known = this.answerKnown(ask)
     if (known !== undefined) return known
     const item = this.toItem(ask)
     if (item === undefined) return unknownService()
@@ -48,7 +53,7 @@
 
   /** Queues tasks that start together or not at all. */
   public placeGroup (ask: IPlaceGroup): IPlaceReply {
-    const known = ask.tasks.map((task) => this._known(task))
+    const known = ask.tasks.map((task) => this.answerKnown(task))
     if (known.length > 0 && known.every((reply) => reply?.accepted === true)) return { accepted: true }
     const refused = known.find((reply) => reply !== undefined)
     if (refused !== undefined) return refused.accepted ? { accepted: false, reason: 'duplicate' } : refused
@@ -93,6 +98,10 @@
     return toWorkItem(ask, this._context.config, this._context.clock.nowMs())
   }
 
+  public itemIdOf (ask: IPlaceTask): string {
+    return itemIdOf({ jobId: ask.jobId, taskId: ask.task.taskId, attempt: ask.attempt })
+  }
+
   public hold (ask: IPlaceTask, item: IWorkItem): void {
     const { jobId, attempt, jobOwner: placedBy } = ask
     const { taskId } = ask.task
@@ -100,7 +109,7 @@
   }
 
   /** An answer for an attempt that needs no decision: refused by epoch, held already, or over already. */
-  private _known (ask: IPlaceTask): IPlaceReply | undefined {
+  public answerKnown (ask: IPlaceTask): IPlaceReply | undefined {
     if (this._isDraining) return { accepted: false, reason: 'draining', retryAfterMs: DRAINING_RETRY_MS }
     if (!this.epochs.accept(this._context.idShardOf(ask.jobId), ask.ownerEpoch ?? 0, ask.jobOwner)) return { accepted: false, reason: 'duplicate' }
     const attempt = { jobId: ask.jobId, taskId: ask.task.taskId, attempt: ask.attempt }
--- a/test/support/JobsCell.ts
+++ b/test/support/JobsCell.ts
@@ -72,6 +72,8 @@
   public isAlive = true
   /** Its news gets lost, as on a link that is overfull. */
   public losesNews = false
+  /** Its reservations are gone when they are to be started. */
+  public losesReservations = false
   private readonly _engine: DecisionEngine
   private readonly _pool: WorkerPool
 
@@ -159,6 +161,9 @@
     switch (name) {
       case 'placeTask': return this.tasks.place(ask as IPeerCalls['placeTask']['ask'])
       case 'placeGroup': return this.tasks.placeGroup(ask as IPeerCalls['placeGroup']['ask'])
+      case 'reserve': return this.tasks.reservations.reserve(ask as IPeerCalls['reserve']['ask'])
+      case 'startReserved': return this.losesReservations ? { started: false } : this.tasks.reservations.start(ask as IPeerCalls['startReserved']['ask'])
+      case 'dropReservation': return this.tasks.reservations.drop(ask as IPeerCalls['dropReservation']['ask'])
       case 'cancelTask': return this.tasks.cancel(ask as IPeerCalls['cancelTask']['ask'])
       default: return this.tasks.tasksOf(ask as IPeerCalls['tasksOf']['ask'])
     }
