--- a/src/peer/CallTable.ts
+++ b/src/peer/CallTable.ts
@@ -7,9 +7,11 @@
 
 import type { Result } from 'neverthrow'
 import { AmbiguousError, RefusedError, UnreachableError } from '../common/Errors.js'
+import { misfit, replyShape } from '../common/protocol/Shapes.js'
 import type { IDisposable, ITimers } from '../common/Types.js'
 import { FailureKind } from './Frames.js'
 import type { IFailureFrame } from './Frames.js'
+import type { PeerCounters } from './PeerCounters.js'
 import type { PeerError } from './Types.js'
 
 /** Timeouts are rounded up to this, so that the runtime keeps few timer lists at thousands of calls a second. */
@@ -20,18 +22,28 @@
 export type CallResult = Result<unknown, PeerError>
 
 interface IPendingCall {
+  readonly name: string
   readonly step: string
   readonly settle: (result: CallResult) => void
   readonly timer: IDisposable
 }
 
+/** The step of a call in its errors. */
+export function callStep (name: string): string {
+  return `peer.${name}`
+}
+
 export class CallTable {
   private readonly _pending = new Map<number, IPendingCall>()
   private _lastId = 0
   /** Calls up to this id have been handed to the socket. */
   private _sentUpToId = 0
 
-  public constructor (private readonly _peer: string, private readonly _timers: ITimers) {}
+  public constructor (
+    private readonly _peer: string,
+    private readonly _timers: ITimers,
+    private readonly _counters: Pick<PeerCounters, 'misshapenMessages'>
+  ) {}
 
   public get size (): number {
     return this._pending.size
@@ -43,12 +55,12 @@
   }
 
   /** Enters a call under `nextId`. `settle` is called once: by the reply, the timeout or the loss of the link. */
-  public add (step: string, timeoutMs: number, settle: (result: CallResult) => void): void {
+  public add (name: string, timeoutMs: number, settle: (result: CallResult) => void): void {
     this._lastId += 1
     const callId = this._lastId
     const delayMs = Math.max(1, Math.ceil(Math.min(timeoutMs, MAX_TIMER_MS) / TIMER_STEP_MS)) * TIMER_STEP_MS
     const timer = this._timers.after(delayMs, () => this._expire(callId, timeoutMs))
-    this._pending.set(callId, { step, settle, timer })
+    this._pending.set(callId, { name, step: callStep(name), settle, timer })
   }
 
   /** Notes that all calls entered so far have been handed to the socket. */
@@ -56,9 +68,15 @@
     this._sentUpToId = this._lastId
   }
 
-  /** Ends a call with its reply; false when no such call waits. */
+  /** Ends a call with its reply; false when no such call waits. A misshapen reply tells nothing of what was done. */
   public reply (callId: number, reply: unknown): boolean {
-    return this._end(callId, () => ok(reply))
+    return this._end(callId, ({ name, step }) => {
+      const shape = replyShape(name)
+      const fault = shape === undefined ? undefined : misfit(shape, reply)
+      if (fault === undefined) return ok(reply)
+      this._counters.misshapenMessages += 1
+      return err(new AmbiguousError(step, this._peer, `misshapen reply: ${fault}`))
+    })
   }
 
   /** Ends a call with the peer's refusal; false when no such call waits. */
--- a/src/peer/InboundCalls.ts
+++ b/src/peer/InboundCalls.ts
@@ -2,7 +2,9 @@
  * The peer's calls on one link: runs their handlers and sends back what came of each.
  */
 
+import { askShape, castShape, misfit } from '../common/protocol/Shapes.js'
 import type { IProcessIdentity } from '../common/Types.js'
+import { callStep } from './CallTable.js'
 import { FailureKind, wire } from './Frames.js'
 import type { ICallFrame, ICastFrame, WireFrame } from './Frames.js'
 import { failureOf } from './HandlerTable.js'
@@ -41,11 +43,14 @@
     if (this.handling >= this._context.options.maxCallsInFlight) return this._fail(callId, FailureKind.NotRun, name, 'too many calls in flight')
     const handler = this._context.handlers.handler(name)
     if (handler === undefined) return this._fail(callId, FailureKind.Refused, name, 'no handler')
+    const fault = this._misfit(askShape(name), frame.ask)
+    if (fault !== undefined) return this._fail(callId, FailureKind.Refused, name, `misshapen: ${fault}`)
     this.handling += 1
     this._run(handler, frame)
   }
 
   public onCast (frame: ICastFrame): void {
+    if (this._misfit(castShape(frame.name), frame.cast) !== undefined) return
     try {
       this._context.handlers.deliver(frame.name, frame.cast, this._peer)
     } catch (error) {
@@ -71,11 +76,17 @@
   }
 
   private _fail (callId: number, failure: FailureKind, name: string, message: string): void {
-    this._send(wire.failure(callId, failure, `peer.${name}`, this._context.selfId, message))
+    this._send(wire.failure(callId, failure, callStep(name), this._context.selfId, message))
+  }
+
+  private _misfit (shape: ReturnType<typeof askShape>, value: unknown): string | undefined {
+    const fault = shape === undefined ? 'unknown name' : misfit(shape, value)
+    if (fault !== undefined) this._context.counters.misshapenMessages += 1
+    return fault
   }
 
   private _noteBroken (name: string, error: unknown): void {
     this._context.counters.brokenHandlers += 1
-    this._context.environment.log?.warn('peerHandlerBroken', { step: `peer.${name}`, peer: this._peer.processId, error: String(error) })
+    this._context.environment.log?.warn('peerHandlerBroken', { step: callStep(name), peer: this._peer.processId, error: String(error) })
   }
 }
--- a/src/peer/PeerLink.ts
+++ b/src/peer/PeerLink.ts
@@ -8,7 +8,7 @@
 import type { AwakeClock } from '../common/AwakeClock.js'
 import type { IPeerCalls, IPeerCasts, PeerCallName, PeerCastName } from '../common/protocol/Types.js'
 import type { IProcessIdentity, MonotonicMs } from '../common/Types.js'
-import { CallTable } from './CallTable.js'
+import { CallTable, callStep } from './CallTable.js'
 import type { CallResult } from './CallTable.js'
 import { FrameCodec, FrameKind, wire } from './Frames.js'
 import type { Frame, IBareFrame, WireFrame } from './Frames.js'
@@ -53,7 +53,7 @@
     const { options, environment } = _context
     this.lastHeardMs = environment.clock.nowMs()
     this._codec = new FrameCodec(options.maxFrameBytes)
-    this._calls = new CallTable(peer.processId, environment.timers)
+    this._calls = new CallTable(peer.processId, environment.timers, _context.counters)
     this._inbound = new InboundCalls(peer, _context, (frame) => this._enqueue(frame), () => this._noteProgress())
     this._monitor = new HeartbeatMonitor(_context.awake, options.silenceLimitMs)
     this._batch = new PacketBatch((packet) => this._sendPacket(packet))
@@ -76,7 +76,7 @@
   public call<N extends PeerCallName> (name: N, ask: IPeerCalls[N]['ask'], timeoutMs: number):
   ResultAsync<IPeerCalls[N]['reply'], PeerError> {
     if (this._successor !== undefined) return this._successor.call(name, ask, timeoutMs)
-    const step = `peer.${name}`
+    const step = callStep(name)
     const refusal = this._whyNotCall() ?? this._enqueue(wire.call(this._calls.nextId, name, ask))
     if (refusal !== undefined) {
       this._context.counters.refusedCalls += 1
@@ -85,7 +85,7 @@
     if (this._gone) return errAsync(new AmbiguousError(step, this.peer.processId, 'link lost while it was sent'))
     // The peer's handler gave the reply under the same name, and both run the same protocol version.
     return new ResultAsync(new Promise<CallResult>((resolve) => {
-      this._calls.add(step, timeoutMs, (result) => {
+      this._calls.add(name, timeoutMs, (result) => {
         resolve(result)
         this._noteProgress()
       })
