--- a/src/peer/Frames.ts
+++ b/src/peer/Frames.ts
@@ -8,6 +8,8 @@
 
 import type { Result } from 'neverthrow'
 
+import { PacketScanner } from './PacketScanner.js'
+
 /** Raised with every change that an older process could misread; the handshake compares it. */
 export const PROTOCOL_VERSION = 1
 
@@ -66,6 +68,8 @@
   // Bodies are copied out: a queued body of 1 KB would otherwise keep a socket's whole chunk of 64 KB alive.
   private readonly _decoder = new Unpackr({ sequential: true, copyBuffers: true })
 
+  private readonly _scanner = new PacketScanner()
+
   public constructor (private readonly _maxFrameBytes: number) {}
 
   /**
@@ -89,6 +93,8 @@
 
   /** Decodes all frames of a packet and checks their shape; any fault makes the whole packet an error. */
   public decode (packet: Uint8Array): Result<readonly Frame[], string> {
+    const scanned = this._scanner.scan(packet)
+    if (scanned.isErr()) return err(scanned.error)
     const frames: Frame[] = []
     let fault: string | undefined
     try {
--- a/src/peer/Handshake.ts
+++ b/src/peer/Handshake.ts
@@ -9,11 +9,13 @@
  *
  * A proof is an HMAC over the role, both nonces and both identities. The role keeps a proof from being sent back to
  * its maker; the nonces keep one from being used again; the identities keep it from vouching for somebody else.
+ *
+ * The messages are JSON, not msgpack as on a proven link: a stranger could make the msgpack decoder reserve hundreds
+ * of megabytes with five bytes, and JSON takes memory only in proportion to its text.
  */
 
 import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto'
 
-import { Packr } from 'msgpackr'
 import { z } from 'zod'
 
 import type { IProcessIdentity } from '../common/Types.js'
@@ -37,8 +39,8 @@
   region: z.string().max(MAX_ID_LENGTH),
   failureDomain: z.string().max(MAX_ID_LENGTH)
 })
-const nonceShape = z.instanceof(Uint8Array).refine((bytes) => bytes.length === NONCE_BYTES)
-const proofShape = z.instanceof(Uint8Array).refine((bytes) => bytes.length === PROOF_BYTES)
+const nonceShape = bytesShape(NONCE_BYTES)
+const proofShape = bytesShape(PROOF_BYTES)
 const helloShape = z.strictObject({ version: z.number(), identity: identityShape, nonce: nonceShape })
 const challengeShape = helloShape.extend({ proof: proofShape })
 const answerShape = z.strictObject({ proof: proofShape })
@@ -49,8 +51,6 @@
   readonly nonce: Uint8Array
 }
 
-const codec = new Packr({ useRecords: false, copyBuffers: true })
-
 export class Handshake {
   private readonly _nonce: Uint8Array = randomBytes(NONCE_BYTES)
   private _peer: IHello | undefined
@@ -66,12 +66,12 @@
 
   /** The first message of the dialler. */
   public hello (): Uint8Array {
-    return codec.pack({ version: PROTOCOL_VERSION, identity: plainIdentity(this._self), nonce: this._nonce })
+    return encode({ version: PROTOCOL_VERSION, identity: plainIdentity(this._self), nonce: toText(this._nonce) })
   }
 
   /** Tells a dialler that has proved itself why there will be no link. */
   public static refusal (reason: string): Uint8Array {
-    return codec.pack({ refused: reason.slice(0, MAX_ID_LENGTH) })
+    return encode({ refused: reason.slice(0, MAX_ID_LENGTH) })
   }
 
   /** Takes the other side's next message. After `proven` or `failed` nothing more may come. */
@@ -96,9 +96,12 @@
     this._peer = hello.data
     this._phase = 'answer'
     const challenge = {
-      version: PROTOCOL_VERSION, identity: plainIdentity(this._self), nonce: this._nonce, proof: this._proof('listener', hello.data)
+      version: PROTOCOL_VERSION,
+      identity: plainIdentity(this._self),
+      nonce: toText(this._nonce),
+      proof: toText(this._proof('listener', hello.data))
     }
-    return { kind: 'send', bytes: codec.pack(challenge) }
+    return { kind: 'send', bytes: encode(challenge) }
   }
 
   private _onChallenge (message: unknown): HandshakeStep {
@@ -110,14 +113,14 @@
     if (this._expectedProcessId !== undefined && processId !== this._expectedProcessId) return failed(`${processId} answered`)
     this._peer = challenge.data
     this._phase = 'answer'
-    return { kind: 'send', bytes: codec.pack({ proof: this._proof('dialler', challenge.data) }) }
+    return { kind: 'send', bytes: encode({ proof: toText(this._proof('dialler', challenge.data)) }) }
   }
 
   private _onAnswer (message: unknown): HandshakeStep {
     const answer = answerShape.safeParse(message)
     if (!answer.success || this._peer === undefined) return failed('malformed answer')
     if (!timingSafeEqual(this._proof('dialler', this._peer), answer.data.proof)) return failed('wrong key')
-    return { kind: 'proven', peer: this._peer.identity, bytes: codec.pack({}) }
+    return { kind: 'proven', peer: this._peer.identity, bytes: encode({}) }
   }
 
   private _onVerdict (message: unknown): HandshakeStep {
@@ -141,9 +144,22 @@
   }
 }
 
+/** Bytes of a fixed size, in base64. */
+function bytesShape (size: number): z.ZodType<Uint8Array> {
+  return z.base64().transform((text): Uint8Array => Buffer.from(text, 'base64')).refine((bytes) => bytes.length === size)
+}
+
+function toText (bytes: Uint8Array): string {
+  return Buffer.from(bytes).toString('base64')
+}
+
+function encode (message: object): Uint8Array {
+  return Buffer.from(JSON.stringify(message))
+}
+
 function decode (bytes: Uint8Array): unknown {
   try {
-    return codec.unpack(bytes)
+    return JSON.parse(Buffer.from(bytes).toString()) as unknown
   } catch {
     return undefined
   }
