--- a/src/common/observability/PlainCopier.ts
+++ b/src/common/observability/PlainCopier.ts
@@ -66,6 +66,7 @@
         copies.set(CUT_MARK, `${size - copies.size} more`)
         break
       }
+      if (item === undefined) continue
       const name = this._text(String(key))
       copies.set(name, this.copy(item))
     }
--- a/src/common/protocol/Types.ts
+++ b/src/common/protocol/Types.ts
@@ -3,7 +3,7 @@
  * links in `src/peer` carry them and know nothing of their meaning.
  */
 
-import type { IConfigEntry } from '../config/Types.js'
+import type { ConfigKind, IConfigEntry } from '../config/Types.js'
 import type { IFinalAnswer, ILocation, IProcessIdentity, IResources } from '../Types.js'
 
 export interface ISubmitRequest {
@@ -202,6 +202,8 @@
   readonly startReserved: { readonly ask: { readonly jobId: string }, readonly reply: { readonly started: boolean } }
   readonly dropReservation: { readonly ask: { readonly jobId: string }, readonly reply: { readonly dropped: boolean } }
   readonly configSince: { readonly ask: { readonly digest: string }, readonly reply: { readonly entries: readonly IConfigEntry[] } }
+  /** Which revision of a configured thing the asked process decides by; absent when it doesn't know the thing. */
+  readonly revisionOf: { readonly ask: { readonly kind: ConfigKind, readonly name: string }, readonly reply: { readonly revision?: number } }
   readonly dump: { readonly ask: { readonly section?: string }, readonly reply: { readonly json: string } }
   readonly drain: { readonly ask: { readonly hostId?: string }, readonly reply: { readonly draining: boolean } }
 }
--- a/src/daemon/GatewayDaemon.ts
+++ b/src/daemon/GatewayDaemon.ts
@@ -2,26 +2,36 @@
  * The gateway process: takes callers' requests and jobs, and holds nothing that can't be lost with its connections.
  */
 
-import { ServiceBroker } from 'moleculer'
+import { OutcomeCounters } from '../common/observability/OutcomeCounters.js'
 import { CallerServer } from '../gateway/CallerServer.js'
 import { JobFlow } from '../gateway/JobFlow.js'
 import { RequestFlow } from '../gateway/RequestFlow.js'
+import { createBroker } from '../platform/Broker.js'
+import { outcomeHandlers } from '../platform/StateRoutes.js'
 import { DaemonCore } from './DaemonCore.js'
 import { MembersReader } from './MembersFeed.js'
+import { OperatorSide } from './OperatorSide.js'
 
+import type { ServiceBroker } from 'moleculer'
+import type { IFinalAnswer } from '../common/Types.js'
 import type { IFlowContext } from '../gateway/Types.js'
 import type { ICallerSettings, ISettings } from '../platform/settings/Types.js'
 import type { IDaemon } from './Types.js'
 
+/** Callers with a row of their own in the outcomes, 3 KB each. */
+const MAX_OUTCOME_ROWS = 1000
+
 export class GatewayDaemon implements IDaemon {
-  private readonly _broker = new ServiceBroker({ logger: false, transporter: null, skipProcessEventRegistration: true })
+  private readonly _outcomes = new OutcomeCounters(MAX_OUTCOME_ROWS)
   private readonly _server: CallerServer
   private readonly _members: MembersReader
 
-  private constructor (private readonly _core: DaemonCore, caller: ICallerSettings) {
+  private constructor (
+    private readonly _core: DaemonCore, private readonly _broker: ServiceBroker, private readonly _operator: OperatorSide, caller: ICallerSettings
+  ) {
     const { hub, router, config, attemptIds, hasher, clock, random, log, settings } = _core
     const flow: IFlowContext = { hub, router, config, attemptIds, hasher, clock, timers: clock, random, log }
-    _core.join('')
+    _core.join(_operator.url)
     this._members = new MembersReader(hub, _core.store, clock, _core.agent)
     this._server = new CallerServer({
       broker: this._broker,
@@ -30,15 +40,19 @@
       requests: new RequestFlow(flow),
       jobs: new JobFlow(flow),
       config,
-      outcomes: { noteOutcome: () => {} },
+      outcomes: { noteOutcome: (service, name, answer, late) => this._noteOutcome(service, name, answer, late) },
       clock,
       log,
       isReady: () => config.entries().length > 0 && router.summaries().length > 0
     })
+    _operator.add(outcomeHandlers(_core.self.processId, this._outcomes))
+    _operator.dumps.register('requests', () => ({ inFlight: this._server.inFlight }))
   }
 
   public static async create (settings: ISettings, caller: ICallerSettings): Promise<GatewayDaemon> {
-    return new GatewayDaemon(await DaemonCore.create(settings), caller)
+    const core = await DaemonCore.create(settings)
+    const broker = createBroker(core.self.processId, core.log)
+    return new GatewayDaemon(core, broker, await OperatorSide.create(core, broker), caller)
   }
 
   public async start (): Promise<string> {
@@ -57,6 +71,13 @@
     this._members.dispose()
     disposables.dispose()
     await hub.close(settings.limits.drainMs)
+    await this._operator.close()
     await this._broker.stop()
   }
+
+  private _noteOutcome (service: string, caller: string, answer: IFinalAnswer, late: boolean): void {
+    this._outcomes.noteOutcome(service, caller, answer, late)
+    if (answer.waitMs !== undefined) this._operator.waitTimes.record(service, answer.waitMs)
+    if (answer.serviceMs !== undefined) this._operator.serviceTimes.record(service, answer.serviceMs)
+  }
 }
--- a/src/daemon/SchedulerDaemon.ts
+++ b/src/daemon/SchedulerDaemon.ts
@@ -7,6 +7,7 @@
 import { loadChart } from '../platform/ChartLoader.js'
 import { DefaultsSeeder } from '../platform/config/DefaultsSeeder.js'
 import { HostListClient } from '../platform/HostListClient.js'
+import { okReply } from '../platform/OperatorRoutes.js'
 import { RunnerClient } from '../platform/RunnerClient.js'
 import { HostDirectory } from '../scheduler/hosts/HostDirectory.js'
 import { RunnerPool } from '../scheduler/hosts/RunnerPool.js'
@@ -21,6 +22,7 @@
 import { RequestService } from '../scheduler/requests/RequestService.js'
 import { DaemonCore } from './DaemonCore.js'
 import { feedFromOwner } from './MembersFeed.js'
+import { OperatorSide } from './OperatorSide.js'
 
 import type { IConfigEntry } from '../common/config/Types.js'
 import type { IFinalAnswer } from '../common/Types.js'
@@ -48,13 +50,13 @@
   private _draining = false
   private _storeReachable = true
 
-  private constructor (private readonly _core: DaemonCore, hash: Awaited<ReturnType<typeof createHash32>>) {
+  private constructor (private readonly _core: DaemonCore, private readonly _operator: OperatorSide, hash: Awaited<ReturnType<typeof createHash32>>) {
     const { clock, hub, store, log, self, settings } = _core
     this._engine = new DecisionEngine(clock, _core.random, { kind: 'slots' })
     this._taskEngine = new DecisionEngine(clock, _core.random, { kind: 'resources' })
     const hostList = new HostListClient({ url: settings.hostList.url, callTimeoutMs: settings.store.callTimeoutMs })
     this._directory = new HostDirectory(hostList, clock, settings.hostList.pollMs, log)
-    const entry = { ...self, role: 'scheduler' as const, peerUrl: hub.url ?? '', operatorUrl: '', draining: false }
+    const entry = { ...self, role: 'scheduler' as const, peerUrl: hub.url ?? '', operatorUrl: _operator.url, draining: false }
     const { leaseTtlMs } = settings.store
     const keepAliveMs = leaseTtlMs / RENEWALS_PER_LEASE
     this._registration = new MemberRegistration(store, clock, entry, { ...DEFAULT_MEMBER_REGISTRATION_OPTIONS, leaseTtlMs, keepAliveMs })
@@ -75,11 +77,12 @@
     this._load = this._createLoadReporter()
     this._follow()
     this._handle()
+    this._serveOperators()
   }
 
   public static async create (settings: ISettings): Promise<SchedulerDaemon> {
     const core = await DaemonCore.create(settings)
-    return new SchedulerDaemon(core, await createHash32())
+    return new SchedulerDaemon(core, await OperatorSide.create(core), await createHash32())
   }
 
   public async start (): Promise<string> {
@@ -104,6 +107,7 @@
     this._directory.dispose()
     disposables.dispose()
     await hub.close(settings.limits.drainMs)
+    await this._operator.close()
   }
 
   private _seeder (): DefaultsSeeder {
@@ -143,6 +147,19 @@
     }, (summary) => router.noteSummary(summary))
   }
 
+  private _serveOperators (): void {
+    const { dumps } = this._operator
+    dumps.register('shards', () => this._owner.held())
+    dumps.register('hosts', () => this._runners.dump())
+    dumps.register('requests', () => ({ inFlight: this._requests.inFlight, draining: this._draining, storeReachable: this._storeReachable }))
+    dumps.register('engine', () => this._engine.dump())
+    dumps.register('taskEngine', () => this._taskEngine.dump())
+    this._operator.add({
+      shards: () => okReply({ shards: this._owner.held().map(shard => ({ ...shard, owner: this._core.self.processId })) }),
+      hosts: () => okReply({ hosts: this._runners.dump().map(host => ({ ...host, scheduler: this._core.self.processId })) })
+    })
+  }
+
   private _follow (): void {
     this._directory.onChange((hosts) => {
       const racks = new Map(hosts.map((host) => [shardOfHost(host), host]))
@@ -150,7 +167,7 @@
       this._owner.setShards(specs)
     })
     this._owner.setShards(idShardSpecs(this._core.settings.ids.idShards))
-    this._core.join('')
+    this._core.join(this._operator.url)
     this._core.disposables.add(feedFromOwner(this._owner, this._core.agent))
     this._owner.onAcquired((shard) => this._acquired(shard))
     this._owner.onLost((shard) => this._lost(shard))
--- a/src/platform/StateRoutes.ts
+++ b/src/platform/StateRoutes.ts
@@ -1,5 +1,5 @@
 /**
- * The observing part of the operators' HTTP interface that every process has: dump, metrics and outcomes.
+ * The observing part of the operators' HTTP interface that processes have: dump, metrics and outcomes.
  */
 
 import { faultReply, okReply } from './OperatorRoutes.js'
@@ -19,21 +19,21 @@
   readonly metrics: ProcessMetrics
   /** Times by name, for example of each service. */
   readonly times: Readonly<Record<string, LatencyTable>>
-  /** Absent in a process that answers no callers. */
-  readonly outcomes?: OutcomeCounters
 }
 
 export function stateHandlers (sources: IStateSources): OperatorHandlers {
-  const { processId, metrics, outcomes } = sources
+  const { processId, metrics } = sources
   return {
     dump: request => dump(sources, request),
-    metrics: () => okReply({ processId, process: metrics.current(), times: summaries(sources) }),
-    ...(outcomes === undefined
-      ? {}
-      : { outcomes: ({ query }: IOperatorRequest) => okReply({ processId, rows: outcomes.rows(query['service'], MAX_OUTCOME_ROWS) }) })
+    metrics: () => okReply({ processId, process: metrics.current(), times: summaries(sources) })
   }
 }
 
+/** For processes that answer callers. */
+export function outcomeHandlers (processId: string, outcomes: OutcomeCounters): OperatorHandlers {
+  return { outcomes: ({ query }) => okReply({ processId, rows: outcomes.rows(query['service'], MAX_OUTCOME_ROWS) }) }
+}
+
 function dump ({ processId, dumps }: IStateSources, { query }: IOperatorRequest): IOperatorReply {
   const sections = dumps.dump(query['section'])
   if (sections !== undefined) return okReply({ processId, sections })
