--- a/src/common/policy/DecisionLoop.ts
+++ b/src/common/policy/DecisionLoop.ts
@@ -182,7 +182,8 @@
       this._blockedTeams.add(line.lane.team)
       return undefined
     }
-    const host = chooser.chooseProbe(item, need, nowMs) ?? chooser.choose(item, need) ?? this._chooseBackfill(entry, nowMs)
+    const free = this._isKeptOut(entry, nowMs) ? undefined : chooser.chooseProbe(item, need, nowMs) ?? chooser.choose(item, need)
+    const host = free ?? this._chooseBackfill(entry, nowMs)
     if (host !== undefined) return host
     this._blockedShapes.add(line.lane.shape)
     if (item.profile.priorityClass === 'urgent') this._preemptFor(entry, nowMs)
@@ -190,6 +191,17 @@
     return undefined
   }
 
+  /** Whether room is kept for urgent work, or for a job that goes before this item and would start while it still runs. */
+  private _isKeptOut (entry: IQueueEntry, nowMs: MonotonicMs): boolean {
+    const { groups, queue, estimates, work } = this._parts
+    if (queue.isBelowFloor(entry.queue)) return false
+    if (estimates.isLong(entry.item) && work.isKeptForUrgent(entry.need)) return true
+    const group = groups.gathering
+    if (group === undefined || !groups.isClosing(nowMs)) return false
+    if (classRank(entry.queue.profile.priorityClass) < group.rank) return false
+    return nowMs + estimates.endsWithinMs(entry.item) > group.startsAtMs
+  }
+
   /**
    * A place in room that is held for an all-at-once job, if the item will have ended before the job starts.
    *
--- a/src/platform/config/ConfigEditor.test.ts
+++ b/src/platform/config/ConfigEditor.test.ts
@@ -71,6 +71,14 @@
   t.is((await editor.put(urgent(0), URGENT_PROFILE))._unsafeUnwrap().revision, 1)
 })
 
+// The store loses the answer to every write for a while, those to the history included.
+test('an edit is accepted while every answer to a write is lost', async t => {
+  const { store, editor } = setUp()
+  await editor.put(urgent(0), URGENT_PROFILE)
+  store.writeFaults = ['answerLost', 'answerLost', 'answerLost', 'answerLost', 'answerLost', 'answerLost']
+  t.is((await editor.put(urgent(1), URGENT_PROFILE))._unsafeUnwrap().revision, 2)
+})
+
 // The write itself is lost, or so slow that it arrives after it was repeated. The repeated one takes effect once:
 // the operator gets one revision, not two.
 test('a lost or late write is repeated and takes effect once', async t => {
--- /dev/null
+++ b/test/OperatorPath.test.ts
@@ -0,0 +1,64 @@
+import test from 'ava'
+import { KEY_VALUE_DEFAULTS, KeyValueClient } from '../src/platform/KeyValueClient.js'
+import { SeededRandom } from '../src/common/Random.js'
+import { SystemClock } from '../src/common/Clock.js'
+import { EXIT } from '../src/operator/ExitCodes.js'
+import { Program } from '../src/operator/Program.js'
+import { Cell, OPERATOR_TOKEN } from './support/Cell.js'
+import { configureExamples } from './support/Configure.js'
+
+import type { ExecutionContext } from 'ava'
+import type { IMember } from '../src/common/protocol/Types.js'
+
+const SMALL_CELL = { regions: ['okanagan'], runnersPerRegion: 2, workersPerRegion: 0 }
+const POLL_MS = 50
+
+async function setUp (t: ExecutionContext) {
+  const cell = await Cell.start(SMALL_CELL)
+  t.teardown(async () => {
+    await cell.stopDaemons()
+    await cell.dispose()
+  })
+  await configureExamples(cell.storeUrl)
+  await cell.untilServed()
+  const environment = {
+    JACKDAWREEL_OPERATOR: await operatorUrlOf(cell), JACKDAWREEL_GATEWAY: cell.gateways()[0]?.url, JACKDAWREEL_TOKEN: OPERATOR_TOKEN, USER: 'ann'
+  }
+  const run = async (...args: readonly string[]) => {
+    const lines: string[] = []
+    const add = (line: string) => { lines.push(line) }
+    const console = { print: add, warn: add, printBytes: () => {}, readInput: async () => new Uint8Array(0) }
+    return { code: await new Program(console, environment).run(args), text: lines.join('\n') }
+  }
+  return { cell, run }
+}
+
+/** The scheduler's entry in the store says where it listens. */
+async function operatorUrlOf (cell: Cell): Promise<string> {
+  const store = new KeyValueClient({ ...KEY_VALUE_DEFAULTS, url: cell.storeUrl }, new SystemClock(), new SeededRandom(1))
+  const range = (await store.range('members/'))._unsafeUnwrap()
+  store.dispose()
+  return (JSON.parse(range.records[0]?.value ?? '{}') as IMember).operatorUrl
+}
+
+// The store takes each change and loses its answer, as it does on a bad day. The operator must not be told that a
+// change failed which every process obeys a moment later; and while the store is gone, looking goes on and an edit is
+// refused as not done.
+test('an operator edits a profile through lost answers and an outage, and sees it in force and requests counted', async t => {
+  const { cell, run } = await setUp(t)
+  await cell.control(cell.storeUrl, { loseAnswers: 1 })
+  t.like(await run('profile', 'put', 'urgent', '--set', 'deadlineMs=4000'), { code: EXIT.done, text: 'accepted: profile urgent is at revision 2' })
+  await cell.control(cell.storeUrl, { loseAnswers: 0, outage: 'hang' })
+  while (true) {
+    const { text } = await run('profile', 'get', 'urgent', '--everywhere', '--json')
+    const { places } = JSON.parse(text) as { readonly places: ReadonlyArray<{ readonly revision?: number }> }
+    if (places.length === 2 && places.every(place => place.revision === 2)) break
+    await new Promise(resolve => setTimeout(resolve, POLL_MS))
+  }
+  const shown = await run('profile', 'get', 'urgent')
+  t.regex(shown.text, /the store is out of reach: .*\n(.*\n)*deadlineMs +4000/)
+  t.like(await run('profile', 'put', 'urgent', '--set', 'deadlineMs=3000'), { code: EXIT.refused })
+  t.is((await run('submit', 'pivot-stop', '--idempotent', '--caller', 'crew-7')).code, EXIT.done)
+  t.regex((await run('outcomes', '--everywhere', '--caller', 'crew-7')).text, /pivot-stop +crew-7 +1 +0 +0 +0 +0/)
+  t.regex((await run('hosts', '--everywhere')).text, /runner-okanagan-1 .*ready/)
+})
