--- a/test/OperatorPath.test.ts
+++ b/test/OperatorPath.test.ts
@@ -61,4 +61,5 @@
   t.is((await run('submit', 'pivot-stop', '--idempotent', '--caller', 'crew-7')).code, EXIT.done)
   t.regex((await run('outcomes', '--everywhere', '--caller', 'crew-7')).text, /pivot-stop +crew-7 +1 +0 +0 +0 +0/)
   t.regex((await run('hosts', '--everywhere')).text, /runner-okanagan-1 .*ready/)
+  await cell.control(cell.storeUrl, { outage: 'none' })
 })
