--- a/src/platform/config/ConfigRecords.ts
+++ b/src/platform/config/ConfigRecords.ts
@@ -66,6 +66,8 @@
       const written = await this._store.compareAndSwap(key, 0, encodeEntry(entry))
       if (written.isOk() || written.error instanceof ConflictError) return ok(undefined)
       if (!(written.error instanceof AmbiguousError)) return err(written.error)
+      const kept = await this._read(key)
+      if (kept.isOk() && kept.value.entry !== undefined) return ok(undefined)
       if (attempt === ARCHIVE_ATTEMPTS) return err(notChanged(key, written.error))
     }
   }
@@ -94,5 +96,5 @@
 
 /** The entry itself wasn't touched yet, so what is ambiguous about its history leaves the edit undone for certain. */
 function notChanged (key: string, cause: AmbiguousError): UnreachableError {
-  return new UnreachableError('config.archive', key, 'the store did not confirm the history; nothing was changed', { cause })
+  return new UnreachableError('config.archive', key, 'the store did not confirm the history', { cause })
 }
