--- a/src/common/protocol/Shapes.ts
+++ b/src/common/protocol/Shapes.ts
@@ -24,12 +24,13 @@
 const identity = { processId: id, incarnation: count, ...location }
 const resources = z.object({ cores: amount, memoryBytes: amount, accelerators: amount })
 
+const outcomeReason = z.enum([
+  'overloaded', 'quota', 'deadline', 'infeasible', 'storeUnavailable', 'noUpstream', 'upstreamRefused', 'upstreamCut',
+  'upstreamTimeout', 'linkLost', 'cancelled', 'draining', 'duplicate', 'internal'
+])
 const finalAnswer = z.object({
   outcome: z.enum(['done', 'refused', 'notRun', 'unknown']),
-  reason: z.enum([
-    'overloaded', 'quota', 'deadline', 'infeasible', 'storeUnavailable', 'noUpstream', 'upstreamRefused', 'upstreamCut',
-    'upstreamTimeout', 'linkLost', 'cancelled', 'draining', 'duplicate', 'internal'
-  ]).exactOptional(),
+  reason: outcomeReason.exactOptional(),
   detail: text.exactOptional(),
   retryAfterMs: durationMs.exactOptional(),
   status: count.exactOptional(),
@@ -71,7 +72,7 @@
 const taskPlace = z.object({
   taskId: id,
   attempt: count,
-  state: z.enum(['queued', 'reserved', 'running', 'succeeded', 'failed', 'stopped']),
+  state: z.enum(['queued', 'reserved', 'running', 'unsure', 'succeeded', 'failed', 'stopped']),
   hostId: id.exactOptional(),
   shardId: id.exactOptional()
 })
@@ -86,7 +87,19 @@
 })
 const ofJob = z.object({ jobId: id })
 const jobReply = z.object({ status: jobStatus.exactOptional(), owner: z.boolean() })
-const placeTask = z.object({ jobId: id, service: id, caller: id, task: taskSpec, attempt: count, jobOwner: id })
+const placeTask = z.object({
+  jobId: id,
+  service: id,
+  caller: id,
+  task: taskSpec,
+  attempt: count,
+  jobOwner: id,
+  ownerEpoch: count.exactOptional(),
+  avoidHostIds: z.array(id).exactOptional()
+})
+const placeReply = z.object({ accepted: z.boolean(), reason: outcomeReason.exactOptional(), retryAfterMs: durationMs.exactOptional() })
+const taskUpdate = z.object({ jobId: id, place: taskPlace })
+const reservationRef = z.object({ jobId: id, tryNumber: count.exactOptional() })
 
 const configValue = z.object({ name: id })
 const configEntry = z.object({
@@ -145,14 +158,22 @@
   submitJob: { ask: jobSpec, reply: finalAnswer },
   jobStatus: { ask: ofJob, reply: jobReply },
   cancelJob: { ask: ofJob, reply: jobReply },
-  placeTask: { ask: placeTask, reply: z.object({ accepted: z.boolean() }) },
-  cancelTask: { ask: z.object({ jobId: id, taskId: id }), reply: z.object({ known: z.boolean() }) },
+  placeTask: { ask: placeTask, reply: placeReply },
+  placeGroup: { ask: z.object({ jobId: id, tasks: z.array(placeTask) }), reply: placeReply },
+  cancelTask: {
+    ask: z.object({ jobId: id, taskId: id, attempt: count.exactOptional(), onlyIfQueued: z.boolean().exactOptional() }),
+    reply: z.object({ known: z.boolean() })
+  },
+  tasksOf: {
+    ask: z.object({ idShard: id, ownerEpoch: count, jobOwner: id, endedOf: z.array(id).exactOptional() }),
+    reply: z.object({ settledShards: z.array(id), tasks: z.array(taskUpdate) })
+  },
   reserve: {
-    ask: z.object({ jobId: id, tasks: z.array(placeTask), expiresMs: durationMs }),
+    ask: z.object({ jobId: id, tasks: z.array(placeTask), expiresMs: durationMs, tryNumber: count.exactOptional() }),
     reply: z.object({ reservedTaskIds: z.array(id) })
   },
-  startReserved: { ask: ofJob, reply: z.object({ started: z.boolean() }) },
-  dropReservation: { ask: ofJob, reply: z.object({ dropped: z.boolean() }) },
+  startReserved: { ask: reservationRef, reply: z.object({ started: z.boolean() }) },
+  dropReservation: { ask: reservationRef, reply: z.object({ dropped: z.boolean() }) },
   configSince: { ask: z.object({ digest: id }), reply: z.object({ entries: z.array(configEntry) }) },
   dump: { ask: z.object({ section: id.exactOptional() }), reply: z.object({ json: z.string() }) },
   drain: { ask: z.object({ hostId: id.exactOptional() }), reply: z.object({ draining: z.boolean() }) }
@@ -163,7 +184,7 @@
   loadSummary,
   configEntries: z.object({ entries: z.array(configEntry) }),
   members: membersCast,
-  taskUpdate: z.object({ jobId: id, place: taskPlace })
+  taskUpdate
 }
 
 type Shape = z.ZodType<unknown>
--- a/test/OperatorPath.test.ts
+++ b/test/OperatorPath.test.ts
@@ -46,9 +46,9 @@
 // refused as not done.
 test('an operator edits a profile through lost answers and an outage, and sees it in force and requests counted', async t => {
   const { cell, run } = await setUp(t)
-  await cell.control(cell.storeUrl, { loseAnswers: 1 })
+  await cell.control(cell.storeControlUrl, { loseAnswers: 1 })
   t.like(await run('profile', 'put', 'urgent', '--set', 'deadlineMs=4000'), { code: EXIT.done, text: 'accepted: profile urgent is at revision 2' })
-  await cell.control(cell.storeUrl, { loseAnswers: 0, outage: 'hang' })
+  await cell.control(cell.storeControlUrl, { loseAnswers: 0, outage: 'hang' })
   while (true) {
     const { text } = await run('profile', 'get', 'urgent', '--everywhere', '--json')
     const { places } = JSON.parse(text) as { readonly places: ReadonlyArray<{ readonly revision?: number }> }
@@ -61,5 +61,5 @@
   t.is((await run('submit', 'pivot-stop', '--idempotent', '--caller', 'crew-7')).code, EXIT.done)
   t.regex((await run('outcomes', '--everywhere', '--caller', 'crew-7')).text, /pivot-stop +crew-7 +1 +0 +0 +0 +0/)
   t.regex((await run('hosts', '--everywhere')).text, /runner-okanagan-1 .*ready/)
-  await cell.control(cell.storeUrl, { outage: 'none' })
+  await cell.control(cell.storeControlUrl, { outage: 'none' })
 })
--- a/test/prove/ConfigProofs.ts
+++ b/test/prove/ConfigProofs.ts
@@ -130,7 +130,7 @@
 /** A change is accepted and the store goes down in the same moment; later a process restarts while it is still down. */
 async function changeThenOutage (cell: Cell, watch: RevisionWatch): Promise<readonly IAccepted[]> {
   const last = await putOnce(cell.gateways()[0]?.operatorUrl ?? '', 7)
-  await cell.control(cell.storeUrl, { outage: 'refuse' })
+  await cell.control(cell.storeControlUrl, { outage: 'refuse' })
   if (last === undefined) {
     watch.violations.push('a change was not accepted with the store up')
     return []
@@ -145,20 +145,20 @@
     const reply = await askReplica(restarted.operatorUrl)
     if ((reply?.entry?.revision ?? 0) < last.revision) watch.violations.push(`${victim.processId} restarted with revision ${reply?.entry?.revision}`)
   }
-  await cell.control(cell.storeUrl, { outage: 'none' })
+  await cell.control(cell.storeControlUrl, { outage: 'none' })
   await sleep(IN_FORCE_LIMIT_MS)
   return [last]
 }
 
 async function race (cell: Cell, scale: number): Promise<IVerdict> {
   const watch = new RevisionWatch(cell)
-  await cell.control(cell.storeUrl, { loseAnswers: 0.2, seed: 18 })
+  await cell.control(cell.storeControlUrl, { loseAnswers: 0.2, seed: 18 })
   const untilMs = performance.now() + RACE_MS * scale
   const accepted = (await Promise.all(Array.from({ length: OPERATORS }, async (_, index) => await operate(cell, index + 1, untilMs)))).flat()
   await sleep(IN_FORCE_LIMIT_MS + POLL_MS)
   checkInForce(cell, watch, accepted, IN_FORCE_LIMIT_MS)
   checkDistinct(watch, accepted)
-  await cell.control(cell.storeUrl, { loseAnswers: 0 })
+  await cell.control(cell.storeControlUrl, { loseAnswers: 0 })
   await changeThenOutage(cell, watch)
   watch.stop()
   return { checked: accepted.length, violations: watch.violations.slice(0, 10), notes: { observations: watch.observations } }
--- a/test/prove/RequestProofs.ts
+++ b/test/prove/RequestProofs.ts
@@ -97,11 +97,11 @@
     await setRunners(cell, { services: { '*': { runMs: 50, cutRate: 0.05 } } })
     const options = { perSecond: 200, services: NON_IDEMPOTENT, repeatShare: 0.7, deadlineMs: 2500, seed: 14 }
     const { judge, open } = await underLoad(cell, options, async () => {
-      await cell.control(cell.storeUrl, { loseAnswers: 0.2, seed: 14 })
+      await cell.control(cell.storeControlUrl, { loseAnswers: 0.2, seed: 14 })
       await killAndPause(cell, scale)
-      await cell.control(cell.storeUrl, { outage: 'hang' })
+      await cell.control(cell.storeControlUrl, { outage: 'hang' })
       await sleep(2500)
-      await cell.control(cell.storeUrl, { outage: 'none', loseAnswers: 0 })
+      await cell.control(cell.storeControlUrl, { outage: 'none', loseAnswers: 0 })
       await sleep(3000)
     })
     judge.checkAtMostOnce(NON_IDEMPOTENT).checkNotRun().checkWhole().checkEnded(open, () => false)
--- a/test/support/Cell.ts
+++ b/test/support/Cell.ts
@@ -59,10 +59,18 @@
   readonly handle: ProcessHandle
 }
 
+interface IStandInUrls {
+  readonly url: string
+  readonly urls: readonly string[]
+  readonly controlUrl?: string
+}
+
 export class Cell {
   public readonly processes: ICellProcess[] = []
   public readonly hosts: IHostRecord[] = []
   public storeUrl = ''
+  /** Answers also while the store itself refuses connections. */
+  public storeControlUrl = ''
   public hostListUrl = ''
   private readonly _standIns: ProcessHandle[] = []
   private readonly _folder = mkdtempSync(join(tmpdir(), 'jackdawreel-'))
@@ -174,7 +182,9 @@
   }
 
   private async _startPlatform (): Promise<void> {
-    this.storeUrl = (await this._standIn('kv', [])).url
+    const store = await this._standIn('kv', [])
+    this.storeUrl = store.url
+    this.storeControlUrl = store.controlUrl ?? ''
     this.hostListUrl = (await this._standIn('hostList', ['--lag-ms', '200'])).url
   }
 
@@ -191,11 +201,11 @@
     this._addHosts('worker', region, workers.urls)
   }
 
-  private async _standIn (name: string, args: readonly string[]): Promise<{ readonly url: string, readonly urls: readonly string[] }> {
+  private async _standIn (name: string, args: readonly string[]): Promise<IStandInUrls> {
     const handle = startProcess(`test/standins/${name}.js`, args)
     this._standIns.push(handle)
-    const { url, urls } = await handle.ready
-    return { url, urls: urls ?? [url] }
+    const { url, urls, controlUrl } = await handle.ready
+    return { url, urls: urls ?? [url], ...(typeof controlUrl === 'string' ? { controlUrl } : {}) }
   }
 
   private _addHosts (kind: 'runner' | 'worker', region: string, urls: readonly string[]): void {
