--- a/src/common/policy/DecisionEngine.ts
+++ b/src/common/policy/DecisionEngine.ts
@@ -11,6 +11,7 @@
 import { HostChooser } from './HostChooser.js'
 import { coreLevel, memoryLevel } from './HostGrid.js'
 import { HostHealth } from './HostHealth.js'
+import { AcceleratorReserve } from './AcceleratorReserve.js'
 import { HostIndex } from './HostIndex.js'
 import { Preemption } from './Preemption.js'
 import { RunningWork } from './RunningWork.js'
@@ -38,7 +39,8 @@
 
 export class DecisionEngine implements IDecisionEngine, IHostObserver {
   private readonly _ledger = new CapacityLedger(this)
-  private readonly _index = new HostIndex()
+  private readonly _accelerators: AcceleratorReserve
+  private readonly _index: HostIndex
   private readonly _health = new HostHealth()
   private readonly _estimates = new WorkEstimates(this._ledger)
   private readonly _book = new GroupBook(this._ledger)
@@ -51,6 +53,8 @@
 
   public constructor (private readonly _clock: IClock, random: IRandom, options: IEngineOptions = { kind: 'resources' }) {
     const preemption = new Preemption()
+    this._accelerators = new AcceleratorReserve(_clock)
+    this._index = new HostIndex(this._accelerators)
     const chooser = new HostChooser(options.kind, this._ledger, this._index, this._health)
     this._use = new UseLedger(options.kind)
     this._queue = new FairQueue(this._use, this._ledger.capacity, () => options.kind === 'slots' && this._isScarce())
@@ -66,6 +70,7 @@
       estimates: this._estimates,
       chooser,
       health: this._health,
+      accelerators: this._accelerators,
       preemption,
       work: this._work,
       book: this._book,
@@ -250,6 +255,7 @@
   }
 
   private _whyImpossible (items: readonly IWorkItem[]): AdmitDecision | undefined {
+    if (items.some((item) => item.resources.accelerators > 0)) this._accelerators.noteArrival()
     if (this._ledger.hostCount === 0) return this._admission.refuse('noUpstream', 'no host is known')
     const tooLarge = items.find((item) => !this._ledger.isFeasible(item.resources))
     if (tooLarge !== undefined) return this._admission.refuse('infeasible', `no accepting host is large enough for ${tooLarge.id}`)
--- a/src/common/policy/DecisionLoop.ts
+++ b/src/common/policy/DecisionLoop.ts
@@ -8,6 +8,7 @@
 
 import type { IClock, IResources, MonotonicMs } from '../Types.js'
 import type { IProfile } from '../config/Types.js'
+import type { AcceleratorReserve } from './AcceleratorReserve.js'
 import type { Admission } from './Admission.js'
 import type { CapacityLedger, LedgerHost } from './CapacityLedger.js'
 import type { FairQueue } from './FairQueue.js'
@@ -38,6 +39,7 @@
   readonly estimates: WorkEstimates
   readonly chooser: HostChooser
   readonly health: HostHealth
+  readonly accelerators: AcceleratorReserve
   readonly preemption: Preemption
   readonly work: RunningWork
   readonly book: GroupBook
@@ -187,6 +189,7 @@
     const host = free ?? this._chooseBackfill(entry, nowMs)
     if (host !== undefined) return host
     this._blockedShapes.add(line.lane.shape)
+    if (need.accelerators === 0) this._isTooEarly(this._parts.accelerators.endsAtMs, nowMs)
     if (item.profile.priorityClass === 'urgent') this._preemptFor(entry, nowMs)
     else this._gatherFor(entry, nowMs)
     return undefined
--- a/src/common/policy/HostIndex.ts
+++ b/src/common/policy/HostIndex.ts
@@ -6,6 +6,7 @@
 import { difference, fits, NO_RESOURCES } from './Resources.js'
 
 import type { IResources } from '../Types.js'
+import type { AcceleratorReserve } from './AcceleratorReserve.js'
 import type { LedgerHost } from './CapacityLedger.js'
 import type { GridOrder, HostFilter } from './HostGrid.js'
 import type { IWorkItem } from './Types.js'
@@ -15,6 +16,8 @@
   public readonly plain = new HostGrid()
   public readonly accelerated = new HostGrid()
 
+  public constructor (private readonly _reserve: AcceleratorReserve) {}
+
   public set (host: LedgerHost, free: IResources): void {
     this.plain.set(host, withoutAcceleratorShare(host, free))
     if (host.config.capacity.accelerators > 0) this.accelerated.set(host, free)
@@ -26,8 +29,10 @@
   }
 
   public find (need: IResources, order: GridOrder, isAllowed: HostFilter): LedgerHost | undefined {
-    const grid = need.accelerators > 0 ? this.accelerated : this.plain
-    return grid.find(need, order, isAllowed)
+    if (need.accelerators > 0) return this.accelerated.find(need, order, isAllowed)
+    const host = this.plain.find(need, order, isAllowed)
+    if (host !== undefined || this._reserve.isKept) return host
+    return this.accelerated.find(need, order, isAllowed)
   }
 }
 
@@ -47,11 +52,15 @@
 }
 
 export class HostIndex {
-  private readonly _all = new GridPair()
+  private readonly _all: GridPair
   private readonly _byDomain = new Map<string, GridPair>()
   /** Hosts with room held for all-at-once jobs, by what is not used yet: open to work that ends in time. */
   private readonly _held = new HostGrid()
 
+  public constructor (private readonly _reserve: AcceleratorReserve) {
+    this._all = new GridPair(_reserve)
+  }
+
   /** Puts a host where its free room belongs; `isUsable` is false for one that gets nothing new. */
   public update (host: LedgerHost, isUsable: boolean): void {
     if (!isUsable) {
@@ -106,7 +115,7 @@
   private _domain (domainKey: string): GridPair {
     const known = this._byDomain.get(domainKey)
     if (known !== undefined) return known
-    const created = new GridPair()
+    const created = new GridPair(this._reserve)
     this._byDomain.set(domainKey, created)
     return created
   }
--- /dev/null
+++ b/test/prove/JobProofs.ts
@@ -0,0 +1,169 @@
+/**
+ * Proofs on jobs: a task is never in two places, all-at-once jobs start whole, accepted jobs are not lost.
+ */
+
+import { SeededRandom } from '../../src/common/Random.js'
+import { CallerClient } from '../support/CallerClient.js'
+import { sleep, withCell } from './Harness.js'
+
+import type { IJobSpec } from '../../src/common/protocol/Types.js'
+import type { Cell } from '../support/Cell.js'
+import type { IProof, IVerdict } from './Types.js'
+
+const MIB = 2 ** 20
+const JOBS_PER_SECOND = 8
+const FINISH_LIMIT_MS = 60_000
+/** A start is a message to each host; a part that fails is noticed by the next sync, and the others are stopped. */
+const PARTIAL_LIMIT_MS = 4000
+
+interface IAttemptRecord {
+  readonly jobId: string
+  readonly taskId: string
+  readonly attempt: number
+  readonly startedAt: number
+  readonly endedAt?: number
+  readonly end?: string
+}
+
+interface IWorkerRecords {
+  readonly hostId: string
+  readonly records: readonly IAttemptRecord[]
+  readonly overCapacity: number
+  readonly doubleRuns: number
+}
+
+interface IPlacedAttempt extends IAttemptRecord {
+  readonly hostId: string
+}
+
+function makeJob (number: number, random: SeededRandom): IJobSpec {
+  const isGang = number % 4 === 0
+  const taskCount = isGang ? 6 : 1 + Math.floor(random.next() * 3)
+  const runMs = 500 + Math.floor(random.next() * 2500)
+  const resources = { cores: isGang ? 24 : 4, memoryBytes: 64 * MIB, accelerators: 0 }
+  const tasks = Array.from({ length: taskCount }, (_, index) => ({ taskId: `t${index}`, resources, runMs }))
+  return { jobId: `job-${number}`, service: isGang ? 'match-model' : 'season-budget', caller: `planner-${number % 3}`, longRunning: false, tasks }
+}
+
+/** Submits jobs through any gateway for as long as `harm` takes; gives those that were accepted. */
+async function submitDuring (cell: Cell, harm: () => Promise<void>): Promise<readonly IJobSpec[]> {
+  const random = new SeededRandom(15)
+  const accepted: IJobSpec[] = []
+  const clients = cell.gateways().map((gateway) => new CallerClient(gateway.url, 16))
+  let number = 0
+  const timer = setInterval(() => {
+    number += 1
+    const job = makeJob(number, random)
+    const client = clients[number % clients.length]
+    client?.submitJob(job).then((reply) => { if (reply.status === 202) accepted.push(job) }, () => {})
+  }, 1000 / JOBS_PER_SECOND)
+  await harm()
+  clearInterval(timer)
+  await sleep(1000)
+  return accepted
+}
+
+/** Asks until every job has ended; gives those that have not succeeded in time. */
+async function unfinished (cell: Cell, jobs: readonly IJobSpec[]): Promise<readonly string[]> {
+  const client = new CallerClient(cell.gateways()[0]?.url ?? '', 8)
+  const untilMs = performance.now() + FINISH_LIMIT_MS
+  const left: string[] = []
+  for (const { jobId } of jobs) {
+    const status = await client.untilJob(jobId, ({ state }) => state === 'succeeded', Math.max(0, untilMs - performance.now()))
+    if (status?.state !== 'succeeded') left.push(`${jobId} is ${status?.state ?? 'not known'}${status?.reason === undefined ? '' : ` (${status.reason})`}`)
+  }
+  return left
+}
+
+function overlaps (attempts: readonly IPlacedAttempt[]): readonly string[] {
+  const sorted = [...attempts].sort((a, b) => a.startedAt - b.startedAt)
+  const found: string[] = []
+  sorted.forEach((attempt, index) => {
+    const next = sorted[index + 1]
+    if (next === undefined || (attempt.endedAt ?? Infinity) <= next.startedAt) return
+    found.push(`${attempt.jobId}/${attempt.taskId} attempt ${next.attempt} started on ${next.hostId} while ${attempt.attempt} ran on ${attempt.hostId}`)
+  })
+  return found
+}
+
+/** How long a job ran with some, but not all of its tasks, at a stretch, before its first task succeeded. */
+function longestPartialMs (attempts: readonly IPlacedAttempt[], taskCount: number): number {
+  const doneAt = Math.min(...attempts.filter((each) => each.end === 'succeeded').map((each) => each.endedAt ?? Infinity))
+  const changes = attempts.flatMap((each) => [{ at: each.startedAt, by: 1 }, ...(each.endedAt === undefined ? [] : [{ at: each.endedAt, by: -1 }])])
+  let running = 0
+  let since: number | undefined
+  let longestMs = 0
+  for (const { at, by } of changes.sort((a, b) => a.at - b.at || a.by - b.by)) {
+    if (at >= doneAt) break
+    if (since !== undefined) longestMs = Math.max(longestMs, at - since)
+    running += by
+    since = running > 0 && running < taskCount ? since ?? at : undefined
+  }
+  return longestMs
+}
+
+async function judgeJobs (cell: Cell, jobs: readonly IJobSpec[]): Promise<IVerdict> {
+  const left = await unfinished(cell, jobs)
+  const workers = await Promise.all(cell.hosts.filter((host) => host.kind === 'worker').map(async (host) => await cell.dump<IWorkerRecords>(host.url)))
+  const violations = [...left]
+  const byTask = new Map<string, IPlacedAttempt[]>()
+  const byJob = new Map<string, IPlacedAttempt[]>()
+  for (const { hostId, records, overCapacity, doubleRuns } of workers) {
+    if (overCapacity > 0) violations.push(`${hostId} was over its capacity ${overCapacity} times`)
+    if (doubleRuns > 0) violations.push(`${hostId} ran a task twice at once`)
+    for (const record of records) {
+      const placed = { ...record, hostId }
+      byTask.set(`${record.jobId}/${record.taskId}`, [...byTask.get(`${record.jobId}/${record.taskId}`) ?? [], placed])
+      byJob.set(record.jobId, [...byJob.get(record.jobId) ?? [], placed])
+    }
+  }
+  for (const attempts of byTask.values()) violations.push(...overlaps(attempts))
+  for (const job of jobs.filter((each) => each.service === 'match-model')) {
+    const partialMs = longestPartialMs(byJob.get(job.jobId) ?? [], job.tasks.length)
+    if (partialMs > PARTIAL_LIMIT_MS) violations.push(`${job.jobId} ran in part for ${partialMs} ms`)
+  }
+  const attempts = [...byTask.values()].flat()
+  return {
+    checked: attempts.length,
+    violations: violations.slice(0, 10),
+    notes: { jobs: jobs.length, further: attempts.filter((attempt) => attempt.attempt > 1).length }
+  }
+}
+
+/**
+ * The owner of a rack is paused past its lease while its tasks run, another takes the rack over, and the first wakes.
+ * Then a scheduler is killed, a worker dies with its tasks, and the store is down for a while. An operator sees a task
+ * on two hosts, or a job that was accepted and never ran.
+ */
+async function harmJobs (cell: Cell, rounds: number): Promise<void> {
+  for (let round = 0; round < rounds; round++) {
+    const [paused, killed] = [cell.schedulers()[round % 6], cell.schedulers()[(round + 3) % 6]]
+    const worker = cell.hosts.filter((host) => host.kind === 'worker')[round]
+    await sleep(2000)
+    paused?.handle.pause()
+    await sleep(6000)
+    paused?.handle.resume()
+    await sleep(2000)
+    await cell.control(worker?.url ?? '', { dead: true })
+    await killed?.handle.kill()
+    await sleep(4000)
+    if (killed !== undefined) await cell.startDaemon('scheduler', killed.region, killed.processId)
+    await cell.control(worker?.url ?? '', { dead: false })
+    await cell.control(cell.storeControlUrl, { outage: 'hang' })
+    await sleep(3000)
+    await cell.control(cell.storeControlUrl, { outage: 'none' })
+    await sleep(4000)
+  }
+}
+
+const onePlace: IProof = {
+  name: 'one-place',
+  property: 'no task runs in two places at once; accepted jobs end; all-at-once jobs start whole',
+  failure: 'a scheduler paused past its lease and woken, one killed, a worker dead with its tasks, an outage of the store',
+  run: async (scale) => await withCell({ schedulersPerRegion: 2, runnersPerRegion: 1, workersPerRegion: 4, hostsPerRack: 2 }, async (cell) => {
+    const jobs = await submitDuring(cell, async () => { await harmJobs(cell, scale) })
+    return await judgeJobs(cell, jobs)
+  })
+}
+
+export const JOB_PROOFS: readonly IProof[] = [onePlace]
