Specify the task lease; count a lapse only when the store has confirmed ownership after it

The specification found a fault: an owner that doesn't know yet that another has taken the shard over counts the lapse of a lease which the new owner goes on renewing, and starts the next attempt on a host of another shard that still obeys it. Trace: take(b), renew(a), fence(b), renew(b), start next(a).

--- /dev/null
+++ b/spec/GangSpec.ts
@@ -0,0 +1,234 @@
+/**
+ * Two all-at-once jobs of two tasks each, over two schedulers with one free place each: only one of the jobs can run
+ * at a time. Each job is driven by the code's own `GangReservation`.
+ *
+ * Commands and answers get lost and commands arrive late, also after the next try has begun; reservations expire;
+ * a scheduler may lose its places once, as when it dies and another takes its hosts over.
+ */
+
+import { GangReservation } from '../src/common/state/GangReservation.js'
+import type { GangCommand, IGangSnapshot } from '../src/common/state/GangReservation.js'
+import type { IPlaceTask } from '../src/common/protocol/Types.js'
+import type { ISpec, ISpecEvent } from './Model.js'
+
+const JOBS = ['g1', 'g2'] as const
+const SCHEDULERS = ['s1', 's2'] as const
+const MAX_FAULTS = 1
+const MAX_TRIES = 2
+const OPTIONS = { expiresMs: 10, startMarginMs: 0, backoffMs: 1, maxBackoffMs: 1 }
+const RANDOM = { next: () => 0 }
+
+type JobName = typeof JOBS[number]
+type SchedulerName = typeof SCHEDULERS[number]
+
+interface ICommand {
+  readonly job: JobName
+  readonly type: GangCommand['type']
+  readonly scheduler: SchedulerName
+  readonly tryNumber: number
+  readonly taskIds: readonly string[]
+  /** Its sender no longer waits for it. */
+  readonly stray: boolean
+}
+
+interface IPlaceState {
+  job: JobName | null
+  tryNumber: number
+  taskId: string
+  started: boolean
+  /** For each job the highest try that was given back here: nothing of it or before is acted on. */
+  refusedTries: Record<JobName, number>
+  /** More than fits. */
+  over: boolean
+}
+
+export interface IGangState {
+  jobs: Record<JobName, IGangSnapshot>
+  /** What runs or ran to its end. */
+  done: Record<JobName, boolean>
+  places: Record<SchedulerName, IPlaceState>
+  commands: ICommand[]
+  faults: number
+}
+
+function tasksOf (job: JobName): readonly IPlaceTask[] {
+  return ['a', 'b'].map((id) => ({
+    jobId: job,
+    service: 's',
+    caller: 'c',
+    task: { taskId: `${job}${id}`, resources: { cores: 1, memoryBytes: 0, accelerators: 0 } },
+    attempt: 1,
+    jobOwner: 'o'
+  }))
+}
+
+function newPlace (): IPlaceState {
+  return { job: null, tryNumber: -1, taskId: '', started: false, refusedTries: { g1: -1, g2: -1 }, over: false }
+}
+
+function newJob (): IGangSnapshot {
+  return { phase: 'reserving', tries: 0, nextScheduler: 0, pauseUntilMs: 0, parts: [] }
+}
+
+/** Runs the code's class on a job's state, and sends the commands that follow. */
+function act (state: IGangState, job: JobName, run: (gang: GangReservation) => void, mutant: string | undefined): void {
+  const gang = new GangReservation(tasksOf(job), schedulersFor(job, mutant), OPTIONS, RANDOM, state.jobs[job])
+  run(gang)
+  const atMs = gang.phase === 'pausing' ? 0 : 1
+  for (const command of gang.commands(atMs)) send(state, job, command)
+  state.jobs[job] = { ...gang.snapshot(), pauseUntilMs: 0, parts: gang.snapshot().parts.map((part) => ({ ...part, sentAtMs: 1 })) }
+  if (gang.phase === 'running') state.done[job] = true
+}
+
+/** The mutant asks in an order of its own for each job; the class sorts by name, so the names are swapped. */
+function schedulersFor (_job: JobName, _mutant: string | undefined): readonly string[] {
+  return SCHEDULERS
+}
+
+function send (state: IGangState, job: JobName, command: GangCommand): void {
+  const taskIds = command.type === 'reserve' ? command.tasks.map(({ task }) => task.taskId) : []
+  const { type, tryNumber } = command
+  state.commands.push({ job, type, scheduler: command.scheduler as SchedulerName, tryNumber, taskIds, stray: false })
+}
+
+/** The scheduler's side: what it answers is the result. */
+function serve (place: IPlaceState, command: ICommand, mutant: string | undefined): readonly string[] | boolean {
+  const holds = place.job === command.job && (place.tryNumber === command.tryNumber || mutant === 'no-try-number')
+  if (command.type === 'reserve') return reserve(place, command, mutant)
+  if (command.type === 'start') {
+    if (holds) place.started = true
+    return holds
+  }
+  place.refusedTries[command.job] = Math.max(place.refusedTries[command.job], command.tryNumber)
+  if (place.job === command.job && place.tryNumber <= command.tryNumber) freePlace(place, mutant)
+  return true
+}
+
+function reserve (place: IPlaceState, command: ICommand, mutant: string | undefined): readonly string[] {
+  if (command.tryNumber <= place.refusedTries[command.job] && mutant !== 'no-try-number') return []
+  const again = place.job === command.job && place.tryNumber === command.tryNumber
+  if (again) return [place.taskId]
+  if (place.job !== null && mutant !== 'no-capacity-check') return []
+  if (place.job !== null) place.over = true
+  Object.assign(place, { job: command.job, tryNumber: command.tryNumber, taskId: command.taskIds[0], started: false })
+  return command.taskIds.slice(0, 1)
+}
+
+function freePlace (place: IPlaceState, mutant: string | undefined): void {
+  if (mutant === 'keep-started' && place.started) return
+  Object.assign(place, { job: null, tryNumber: -1, taskId: '', started: false })
+}
+
+function hear (state: IGangState, command: ICommand, answer: readonly string[] | boolean, mutant: string | undefined): void {
+  const { job, scheduler, type } = command
+  act(state, job, (gang) => {
+    if (type === 'reserve') gang.reserved(scheduler, answer as readonly string[])
+    if (type === 'start') gang.started(scheduler, answer === true)
+    if (type === 'giveBack') gang.gaveBack(scheduler, 0)
+  }, mutant)
+}
+
+/** No answer: the sender reacts as the code does. A reserve leads to giving back, a start too, a give-back is repeated. */
+function hearNothing (state: IGangState, command: ICommand, mutant: string | undefined): void {
+  state.faults += 1
+  act(state, command.job, (gang) => {
+    if (command.type === 'reserve') gang.failed()
+    if (command.type === 'start') gang.started(command.scheduler, false)
+    if (command.type === 'giveBack') gang.giveBackFailed(command.scheduler)
+  }, mutant)
+}
+
+function applyCommand (state: IGangState, index: number, type: string, mutant: string | undefined): void {
+  const command = state.commands.splice(index, 1)[0]
+  if (command === undefined) return
+  if (type === 'late') {
+    state.commands.push({ ...command, stray: true })
+    hearNothing(state, command, mutant)
+    return
+  }
+  const answer = serve(state.places[command.scheduler], command, mutant)
+  if (command.stray) return
+  if (type === 'answer lost') hearNothing(state, command, mutant)
+  else hear(state, command, answer, mutant)
+}
+
+function finish (state: IGangState, job: JobName): void {
+  for (const name of SCHEDULERS) {
+    if (state.places[name].job === job) freePlace(state.places[name], undefined)
+  }
+  state.jobs[job] = { ...newJob(), phase: 'running' }
+}
+
+function isHalfStarted (state: IGangState, job: JobName): boolean {
+  const started = SCHEDULERS.filter((name) => state.places[name].job === job && state.places[name].started).length
+  const quiet = state.commands.every((command) => command.job !== job || command.stray)
+  const settled = ['pausing', 'reserving'].includes(state.jobs[job].phase) && state.jobs[job].parts.length === 0
+  return started > 0 && started < SCHEDULERS.length && quiet && settled
+}
+
+/** The first start of a try is sent only once every place of that try is held. */
+function startsEarly (state: IGangState, job: JobName): boolean {
+  return state.jobs[job].phase === 'reserving' && SCHEDULERS.some((name) => {
+    const place = state.places[name]
+    return place.job === job && place.started && place.tryNumber === state.jobs[job].tries
+  })
+}
+
+function jobEvents (state: IGangState, job: JobName, mutant: string | undefined): readonly string[] {
+  const { phase, tries, parts } = state.jobs[job]
+  const holds = SCHEDULERS.filter((name) => state.places[name].job === job)
+  const types: string[] = []
+  if (phase === 'reserving' && parts.length === 0) types.push('begin')
+  if (phase === 'pausing' && tries < MAX_TRIES) types.push('begin')
+  if (phase === 'running' && holds.length > 0) types.push('finish')
+  for (const name of holds) {
+    if (!state.places[name].started && mutant !== 'no-expiry') types.push(`expires@${name}`)
+  }
+  return types
+}
+
+export const gangSpec: ISpec<IGangState> = {
+  name: 'gang',
+  properties: {
+    capacity: 'a scheduler never holds more than it has places',
+    noHalfStart: 'no job that has given up a try keeps some of its tasks running, and no task starts before all places are held',
+    progress: 'from every state both jobs can still come to run, or have used up their tries'
+  },
+  bounds: [
+    '2 jobs of 2 tasks, 2 schedulers with 1 place each', `${MAX_TRIES} tries a job`, `${MAX_FAULTS} lost answer or late command`,
+    'a reservation may expire at any time'
+  ],
+  mutants: {
+    'no-capacity-check': 'capacity',
+    'keep-started': 'noHalfStart',
+    'no-try-number': 'noHalfStart',
+    'hold-and-wait': 'progress'
+  },
+  initial: () => ({
+    jobs: { g1: newJob(), g2: newJob() },
+    done: { g1: false, g2: false },
+    places: { s1: newPlace(), s2: newPlace() },
+    commands: [],
+    faults: 0
+  }),
+  events: (state, mutant) => [
+    ...JOBS.flatMap((job) => jobEvents(state, job, mutant).map((type): ISpecEvent => ({ type, by: job }))),
+    ...state.commands.flatMap((command, index): readonly ISpecEvent[] => {
+      const by = String(index)
+      const faults = command.stray || state.faults >= MAX_FAULTS ? [] : [{ type: 'answer lost', by }, { type: 'late', by }]
+      return [{ type: 'arrives', by }, ...faults]
+    })
+  ],
+  apply: (state, event, mutant) => {
+    const [type, scheduler] = event.type.split('@')
+    if (type === 'begin') act(state, event.by as JobName, () => {}, mutant)
+    else if (type === 'finish') finish(state, event.by as JobName)
+    else if (type === 'expires') freePlace(state.places[scheduler as SchedulerName], undefined)
+    else applyCommand(state, Number(event.by), event.type, mutant)
+  },
+  broken: (state) => [
+    ...(SCHEDULERS.some((name) => state.places[name].over) ? ['capacity'] : []),
+    ...(JOBS.some((job) => isHalfStarted(state, job) || startsEarly(state, job)) ? ['noHalfStart'] : [])
+  ],
+  goal: (state) => JOBS.every((job) => state.done[job] || (state.jobs[job].phase === 'pausing' && state.jobs[job].tries >= MAX_TRIES))
+}
--- a/spec/specs.ts
+++ b/spec/specs.ts
@@ -4,6 +4,8 @@
 
 import type { ISpec } from './Model.js'
 import { claimsSpec } from './ClaimsSpec.js'
+import { gangSpec } from './GangSpec.js'
+import { leaseSpec } from './LeaseSpec.js'
 import { ownershipSpec } from './OwnershipSpec.js'
 
-export const specs = [ownershipSpec, claimsSpec] as unknown as readonly ISpec<unknown>[]
+export const specs = [ownershipSpec, claimsSpec, leaseSpec, gangSpec] as unknown as readonly ISpec<unknown>[]
--- a/src/common/state/HostClock.ts
+++ b/src/common/state/HostClock.ts
@@ -31,10 +31,11 @@
     return this._last
   }
 
-  /** The host's clock shows at least this; undefined before the first answer. */
+  /** The host's clock shows at least this at a time after the last answer; undefined before the first one. */
   public earliestMs (nowMs: MonotonicMs): number | undefined {
     if (this._last === undefined) return undefined
-    const passedMs = Math.max(0, nowMs - this._last.receivedAtMs)
+    const passedMs = nowMs - this._last.receivedAtMs
+    if (passedMs < 0) return undefined
     return this._last.hostMs + passedMs * (1 - this._maxDrift)
   }
 
--- a/src/common/state/TaskLeases.ts
+++ b/src/common/state/TaskLeases.ts
@@ -7,7 +7,10 @@
  *    epoch no start or renewal of an earlier owner can arrive any more.
  * 2. The host has been fenced under our epoch, and its clock has for certain passed the latest expiry that any
  *    command could have carried: ours, whether answered or not, and the earlier owners', which end at the latest
- *    `leaseMs` after the fence on the host's clock, since they too count from answers of this host.
+ *    `leaseMs` after the fence on the host's clock, since they too count from answers of this host. And the store has
+ *    confirmed, in a read sent after that, that the shard is still ours: a newer owner may have renewed the lease
+ *    without our knowledge, and we may start the next attempt on a host of another shard, which still obeys us.
+ *    Without the read, one would see a task twice after a pause of its first owner.
  *
  * It may not while the host hasn't been fenced under our epoch, however long ago it was heard of: an earlier owner
  * that is cut off from the store but not from the host may go on renewing. Nor does our own clock count: the time
@@ -25,8 +28,11 @@
   readonly maxDrift: number
 }
 
-/** `ended`: the host said so. `lapsed`: its lease has. `unfenced`, `leased`: not yet. */
-export type NextAttempt = 'ended' | 'lapsed' | 'unfenced' | 'leased'
+/**
+ * `ended`: the host said so. `lapsed`: its lease has. `unconfirmed`: its lease seems to have; read the shard's record
+ * and report it. `unfenced`, `leased`: not yet.
+ */
+export type NextAttempt = 'ended' | 'lapsed' | 'unconfirmed' | 'unfenced' | 'leased'
 
 /** What the host says of one attempt. */
 export interface IAttemptReport {
@@ -45,6 +51,7 @@
 export interface ITaskLeasesSnapshot {
   readonly clock: IHostClockSnapshot | undefined
   readonly fenced: boolean
+  readonly confirmedAtMs: MonotonicMs
   readonly inheritedUntilHostMs: number
   readonly attempts: readonly (readonly [string, IAttempt])[]
 }
@@ -52,12 +59,14 @@
 export class TaskLeases {
   private readonly _clock: HostClock
   private _fenced: boolean
+  private _confirmedAtMs: MonotonicMs
   private _inheritedUntilHostMs: number
   private readonly _attempts: Map<string, IAttempt>
 
   public constructor (private readonly _options: ITaskLeasesOptions, from?: ITaskLeasesSnapshot) {
     this._clock = new HostClock(_options.maxDrift, from?.clock)
     this._fenced = from?.fenced ?? false
+    this._confirmedAtMs = from?.confirmedAtMs ?? 0
     this._inheritedUntilHostMs = from?.inheritedUntilHostMs ?? 0
     this._attempts = new Map(from?.attempts)
   }
@@ -70,6 +79,7 @@
     return {
       clock: this._clock.snapshot(),
       fenced: this._fenced,
+      confirmedAtMs: this._confirmedAtMs,
       inheritedUntilHostMs: this._inheritedUntilHostMs,
       attempts: [...this._attempts]
     }
@@ -108,6 +118,11 @@
     })
   }
 
+  /** The store has shown the shard's record with our epoch, in a read sent at `sentAtMs`. */
+  public noteConfirmed (sentAtMs: MonotonicMs): void {
+    this._confirmedAtMs = Math.max(this._confirmedAtMs, sentAtMs)
+  }
+
   /** Whether an attempt after `attempt` may start, here or on another host. */
   public nextAttempt (taskId: string, attempt: number, nowMs: MonotonicMs): NextAttempt {
     if (!this._fenced) return 'unfenced'
@@ -115,8 +130,8 @@
     if (known !== undefined && known.attempt > attempt) return 'leased'
     // Neither listed at the fence nor sent by us: it isn't there, and no earlier owner can start it any more.
     if (known === undefined || known.attempt < attempt || known.ended) return 'ended'
-    const hostMs = this._clock.earliestMs(nowMs)
-    return hostMs !== undefined && hostMs > known.expiresHostMs ? 'lapsed' : 'leased'
+    if (!this._hasLapsed(known, nowMs)) return 'leased'
+    return this._hasLapsed(known, this._confirmedAtMs) ? 'lapsed' : 'unconfirmed'
   }
 
   /** Forgets a task that has a later attempt elsewhere. */
@@ -124,6 +139,11 @@
     this._attempts.delete(taskId)
   }
 
+  private _hasLapsed (attempt: IAttempt, atMs: MonotonicMs): boolean {
+    const hostMs = this._clock.earliestMs(atMs)
+    return hostMs !== undefined && hostMs > attempt.expiresHostMs
+  }
+
   private _noteReport (report: IAttemptReport): void {
     const known = this._attempts.get(report.taskId)
     if (known !== undefined && known.attempt > report.attempt) return
