Specify profile revisions

The specification shows that a conflict on a repeated request isn't a refusal: after a lost answer and a read that shows nothing changed, the first request may still arrive before the repeat. Trace: read, put, late, read back, stray arrives, arrives.

--- a/spec/specs.ts
+++ b/spec/specs.ts
@@ -7,5 +7,6 @@
 import { gangSpec } from './GangSpec.js'
 import { leaseSpec } from './LeaseSpec.js'
 import { ownershipSpec } from './OwnershipSpec.js'
+import { profileSpec } from './ProfileSpec.js'
 
-export const specs = [ownershipSpec, claimsSpec, leaseSpec, gangSpec] as unknown as readonly ISpec<unknown>[]
+export const specs = [ownershipSpec, claimsSpec, leaseSpec, gangSpec, profileSpec] as unknown as readonly ISpec<unknown>[]
