--- a/src/scheduler/jobs/JobPeers.ts
+++ b/src/scheduler/jobs/JobPeers.ts
@@ -15,7 +15,7 @@
  * Shorter than the leases that must lapse before a silent process is replaced, by more than clocks run apart, and
  * longer than the pause between heartbeats.
  */
-const HEARD_LATELY_MS = 3000
+const HEARD_LATELY_MS = 2000
 
 type Handler<N extends PeerCallName> = (ask: IPeerCalls[N]['ask']) => IPeerCalls[N]['reply'] | Promise<IPeerCalls[N]['reply']>
 type UpdateListener = (cast: IPeerCasts['taskUpdate'], from: string) => void
