--- a/test/support/Cell.ts
+++ b/test/support/Cell.ts
@@ -45,7 +45,7 @@
 }
 
 const SHARED_KEY = 'a-shared-key-for-tests-only'
-const OPERATOR_TOKEN = 'an-operator-token-for-tests-only'
+export const OPERATOR_TOKEN = 'an-operator-token-for-tests-only'
 const READY_LIMIT_MS = 20_000
 const SPREAD_LIMIT_MS = 60_000
 const POLL_MS = 50
@@ -55,13 +55,22 @@
   readonly region: string
   readonly role: 'gateway' | 'scheduler'
   readonly url: string
+  readonly operatorUrl: string
   readonly handle: ProcessHandle
 }
 
+interface IStandInUrls {
+  readonly url: string
+  readonly urls: readonly string[]
+  readonly controlUrl?: string
+}
+
 export class Cell {
   public readonly processes: ICellProcess[] = []
   public readonly hosts: IHostRecord[] = []
   public storeUrl = ''
+  /** Answers also while the store itself refuses connections. */
+  public storeControlUrl = ''
   public hostListUrl = ''
   private readonly _standIns: ProcessHandle[] = []
   private readonly _folder = mkdtempSync(join(tmpdir(), 'jackdawreel-'))
@@ -96,8 +105,8 @@
     const file = join(this._folder, `${processId}.ini`)
     writeFileSync(file, this._ini(role, region, processId))
     const handle = startProcess(`bin/jackdawreel-${role}.js`, ['--config', file], this.options.nodeArgs)
-    const { url } = await handle.ready
-    const process = { processId, region, role, url, handle }
+    const { url, operatorUrl } = await handle.ready
+    const process = { processId, region, role, url, operatorUrl: String(operatorUrl), handle }
     const old = this.processes.findIndex((other) => other.processId === processId)
     if (old >= 0) this.processes.splice(old, 1)
     this.processes.push(process)
@@ -173,7 +182,9 @@
   }
 
   private async _startPlatform (): Promise<void> {
-    this.storeUrl = (await this._standIn('kv', [])).url
+    const store = await this._standIn('kv', [])
+    this.storeUrl = store.url
+    this.storeControlUrl = store.controlUrl ?? ''
     this.hostListUrl = (await this._standIn('hostList', ['--lag-ms', '200'])).url
   }
 
@@ -190,11 +201,11 @@
     this._addHosts('worker', region, workers.urls)
   }
 
-  private async _standIn (name: string, args: readonly string[]): Promise<{ readonly url: string, readonly urls: readonly string[] }> {
+  private async _standIn (name: string, args: readonly string[]): Promise<IStandInUrls> {
     const handle = startProcess(`test/standins/${name}.js`, args)
     this._standIns.push(handle)
-    const { url, urls } = await handle.ready
-    return { url, urls: urls ?? [url] }
+    const { url, urls, controlUrl } = await handle.ready
+    return { url, urls: urls ?? [url], ...(typeof controlUrl === 'string' ? { controlUrl } : {}) }
   }
 
   private _addHosts (kind: 'runner' | 'worker', region: string, urls: readonly string[]): void {
@@ -230,6 +241,8 @@
       limits: { drainNoticeMs: 500 },
       ids: { idShards: 8, storeWritesPerSecond: 200 }
     }
+    const seeds = this.schedulers().map((scheduler) => `${scheduler.processId}@${scheduler.url.slice('ws://'.length)}`)
+    if (seeds.length > 0) sections.peer = { ...sections.peer, seeds: seeds.join(', ') }
     if (role === 'gateway') sections.caller = { listen: '127.0.0.1:0' }
     for (const [name, keys] of Object.entries(this.options.settings)) {
       if (name !== 'caller' || role === 'gateway') sections[name] = { ...sections[name], ...keys }
