--- a/src/common/config/ConfigInvalidError.ts
+++ b/src/common/config/ConfigInvalidError.ts
@@ -12,8 +12,13 @@
 
 /** Nothing was changed; `problems` lists every field to mend. */
 export class ConfigInvalidError extends InvalidInputError {
+  /** All problems in one line for people. */
+  public readonly summary: string
+
   public constructor (peer: string, public readonly problems: readonly IFieldProblem[]) {
-    super('config.check', peer, problems.map(problem => problem.field).join(', '), problems.map(describe).join('; '))
+    const summary = problems.map(describe).join('; ')
+    super('config.check', peer, problems.map(problem => problem.field).join(', '), summary)
+    this.summary = summary
   }
 }
 
--- a/src/operator/Program.test.ts
+++ b/src/operator/Program.test.ts
@@ -46,6 +46,10 @@
   t.like(shown, { revision: 3, writer: 'ann', value: { weight: 1 } })
   t.regex((await run('profile', 'get', 'urgent', '--everywhere')).out, /processId +region +revision\np +r +1/)
   t.is((await run('profile', 'delete', 'urgent', '--revision', '3')).code, EXIT.done)
+  t.is((await run('profile', 'put', 'nightly', '--like', 'urgent', '--set', 'weight=7')).code, EXIT.usage)
+  await run('profile', 'rollback', 'urgent', '2', '--revision', '4')
+  t.is((await run('profile', 'put', 'nightly', '--like', 'urgent', '--set', 'weight=7')).out, 'accepted: profile nightly is at revision 1')
+  t.is((await run('profile', 'put', 'nightly', '--like', 'urgent')).code, EXIT.conflict)
 })
 
 // Two operators take the same version, and the second one puts it after the first one. It has to see what the first
--- a/src/operator/arguments/ConfigArguments.ts
+++ b/src/operator/arguments/ConfigArguments.ts
@@ -62,9 +62,11 @@
     .command('put <name>', `put a new version of a ${kind}`, all => all
       .positional('name', NAME)
       .option('file', { type: 'string', describe: 'JSON with the whole version, or the output of get --json; - for standard input' })
-      .option('set', { type: 'string', array: true, describe: 'field=value, changes the current version' })
+      .option('like', { type: 'string', describe: `start from this ${kind}; without a revision it must be a new name` })
+      .option('set', { type: 'string', array: true, describe: 'field=value, changes the version that is started from' })
       .option('revision', { type: 'number', coerce: toRevision, describe: 'the revision that you saw; 0 for something new' })
-      .example(`$0 ${kind} put NAME --file new.json --revision=0`, 'create it'), args =>
+      .example(`$0 ${kind} put NAME --file new.json --revision=0`, 'create it from a file')
+      .example(`$0 ${kind} put NAME --like ${exampleOf(kind)}`, 'create it from another one'), args =>
       run(context => new ConfigCommands(context, kind).put(args.name, args), args))
     .command('delete <name>', `delete a ${kind}`, all => all.positional('name', NAME).option('revision', REVISION), args =>
       run(context => new ConfigCommands(context, kind).delete(args.name, args.revision), args))
--- a/src/operator/commands/ConfigCommands.ts
+++ b/src/operator/commands/ConfigCommands.ts
@@ -19,7 +19,9 @@
 /** What an edit says on the command line. */
 export interface IEditOptions {
   readonly file?: string | undefined
-  /** `field=value` pairs that change the current version. */
+  /** Another one of the same kind to start from. */
+  readonly like?: string | undefined
+  /** `field=value` pairs that change the version that is started from. */
   readonly set?: readonly string[] | undefined
   readonly revision?: number | undefined
 }
@@ -98,14 +100,16 @@
     return await this._edit(name, 'POST', `${this._path(name)}/rollback`, revision, { toRevision }, undefined)
   }
 
-  /** A whole value from a file, or the current one with some fields changed. */
-  private async _editInput (name: string, { file, set, revision }: IEditOptions): Promise<Result<IEditInput, CommandError>> {
-    if (file !== undefined && set === undefined) return parseEdit(file, await this._context.console.readInput(file), revision)
-    if (file !== undefined || set === undefined) {
-      return err(this._error(name, EXIT.usage, 'give the new version by --file FILE or by --set field=value'))
+  /** A whole value from a file, or the current one or another one with some fields changed. */
+  private async _editInput (name: string, { file, like, set = [], revision }: IEditOptions): Promise<Result<IEditInput, CommandError>> {
+    const isChange = like !== undefined || set.length > 0
+    if (file !== undefined && !isChange) return parseEdit(file, await this._context.console.readInput(file), revision)
+    if (file !== undefined || !isChange) {
+      return err(this._error(name, EXIT.usage, 'give the new version by --file FILE, or by --set field=value and --like NAME'))
     }
-    const reply = await this._client.get<IEntryReply>(this._path(name))
-    return reply.andThen(({ entry }) => editedValue(entry, set, revision))
+    const reply = await this._client.get<IEntryReply>(this._path(like ?? name))
+    if (like === undefined) return reply.andThen(({ entry }) => editedValue(entry, set, revision))
+    return reply.andThen(({ entry }) => editedValue(entry, [`name=${name}`, ...set], revision ?? 0))
   }
 
   private async _edit (
--- a/src/platform/ConfigRoutes.ts
+++ b/src/platform/ConfigRoutes.ts
@@ -120,7 +120,7 @@
   if (error instanceof ConfigConflictError) {
     return faultReply(409, 'conflict', `${error.message}; look at the current one and edit again`, { current: error.current })
   }
-  if (error instanceof ConfigInvalidError) return faultReply(400, 'invalid', error.message, { problems: error.problems })
+  if (error instanceof ConfigInvalidError) return faultReply(400, 'invalid', `${error.peer} is not accepted: ${error.summary}`, { problems: error.problems })
   if (error instanceof InvalidInputError) return faultReply(400, 'invalid', error.message)
   if (error instanceof AmbiguousError) {
     return faultReply(504, 'unconfirmed', `${error.message}; get it again to see whether the change is in force`)
--- a/test/OperatorPath.test.ts
+++ b/test/OperatorPath.test.ts
@@ -1,14 +1,11 @@
 import test from 'ava'
-import { KEY_VALUE_DEFAULTS, KeyValueClient } from '../src/platform/KeyValueClient.js'
-import { SeededRandom } from '../src/common/Random.js'
-import { SystemClock } from '../src/common/Clock.js'
 import { EXIT } from '../src/operator/ExitCodes.js'
 import { Program } from '../src/operator/Program.js'
 import { Cell, OPERATOR_TOKEN } from './support/Cell.js'
 import { configureExamples } from './support/Configure.js'
+import { operatorUrls } from './support/OperatorUrls.js'
 
 import type { ExecutionContext } from 'ava'
-import type { IMember } from '../src/common/protocol/Types.js'
 
 const SMALL_CELL = { regions: ['okanagan'], runnersPerRegion: 2, workersPerRegion: 0 }
 const POLL_MS = 50
@@ -22,7 +19,7 @@
   await configureExamples(cell.storeUrl)
   await cell.untilServed()
   const environment = {
-    JACKDAWREEL_OPERATOR: await operatorUrlOf(cell), JACKDAWREEL_GATEWAY: cell.gateways()[0]?.url, JACKDAWREEL_TOKEN: OPERATOR_TOKEN, USER: 'ann'
+    JACKDAWREEL_OPERATOR: (await operatorUrls(cell))[0], JACKDAWREEL_GATEWAY: cell.gateways()[0]?.url, JACKDAWREEL_TOKEN: OPERATOR_TOKEN, USER: 'ann'
   }
   const run = async (...args: readonly string[]) => {
     const lines: string[] = []
@@ -33,14 +30,6 @@
   return { cell, run }
 }
 
-/** The scheduler's entry in the store says where it listens. */
-async function operatorUrlOf (cell: Cell): Promise<string> {
-  const store = new KeyValueClient({ ...KEY_VALUE_DEFAULTS, url: cell.storeUrl }, new SystemClock(), new SeededRandom(1))
-  const range = (await store.range('members/'))._unsafeUnwrap()
-  store.dispose()
-  return (JSON.parse(range.records[0]?.value ?? '{}') as IMember).operatorUrl
-}
-
 // The store takes each change and loses its answer, as it does on a bad day. The operator must not be told that a
 // change failed which every process obeys a moment later; and while the store is gone, looking goes on and an edit is
 // refused as not done.
