--- a/src/common/config/ProfileSchema.ts
+++ b/src/common/config/ProfileSchema.ts
@@ -64,6 +64,9 @@
 
 const SCHEMAS = { profile: PROFILE, service: SERVICE, team: TEAM } as const
 
+/** All fields of a profile. */
+export const PROFILE_FIELDS = Object.keys(PROFILE.shape) as ReadonlyArray<keyof IProfile>
+
 export function isConfigKind (text: string): text is ConfigKind {
   return (CONFIG_KINDS as readonly string[]).includes(text)
 }
--- a/src/platform/settings/SettingsDefaults.ts
+++ b/src/platform/settings/SettingsDefaults.ts
@@ -18,8 +18,6 @@
   peer: {
     heartbeatMs: SECOND_MS,
     silenceMs: 5 * SECOND_MS,
-    callTimeoutMs: 5 * SECOND_MS,
-    loadSummaryMs: SECOND_MS,
     maxMessageBytes: 4 * MIB
   },
   store: {
--- a/src/platform/settings/SettingsSchema.ts
+++ b/src/platform/settings/SettingsSchema.ts
@@ -39,8 +39,6 @@
     sharedKey: secret(),
     heartbeatMs: wholeNumber(50, 60_000, 'milliseconds').default(peer.heartbeatMs),
     silenceMs: wholeNumber(100, 300_000, 'milliseconds').default(peer.silenceMs),
-    callTimeoutMs: wholeNumber(50, 300_000, 'milliseconds').default(peer.callTimeoutMs),
-    loadSummaryMs: wholeNumber(50, 60_000, 'milliseconds').default(peer.loadSummaryMs),
     maxMessageBytes: wholeNumber(MIB, 128 * MIB, 'bytes').default(peer.maxMessageBytes),
     seeds: seedList().default([])
   }),
--- a/src/platform/settings/Types.ts
+++ b/src/platform/settings/Types.ts
@@ -57,9 +57,6 @@
   readonly heartbeatMs: number
   /** A link that was silent for so long counts as lost, in milliseconds. */
   readonly silenceMs: number
-  readonly callTimeoutMs: number
-  /** How often load is told to those that route to this process, in milliseconds. */
-  readonly loadSummaryMs: number
   /** The largest message taken from a peer, in bytes. */
   readonly maxMessageBytes: number
   /** Whom to ask first when the store can't tell who is there. */
