Give up at once what only hosts that have gone could hold

Cause: jobs were sent, by a summary up to 4 s old, to a scheduler that had owned several racks and had handed them over since. Their tasks needed 144 cores of its remaining 128, so they waited there for ever: 11 of 12 all-at-once jobs stuck after 30 s, with all other hosts idle. Ruled out: reservations between schedulers (none had been made) and quotas. Change: when hosts are forgotten, queued work that the remaining hosts could not hold even when empty is given up, and an all-at-once job is admitted only if its tasks fit together.

--- a/src/common/policy/CapacityLedger.ts
+++ b/src/common/policy/CapacityLedger.ts
@@ -70,6 +70,7 @@
   private readonly _hosts = new Map<string, LedgerHost>()
   private readonly _running = new Map<string, IRunningItem>()
   private readonly _shapes = new Map<string, { readonly capacity: IResources, hosts: number }>()
+  private _removals = 0
 
   public constructor (private readonly _observer: IHostObserver) {}
 
@@ -77,6 +78,11 @@
     return this._running.size
   }
 
+  /** Hosts forgotten so far. */
+  public get removals (): number {
+    return this._removals
+  }
+
   public get hostCount (): number {
     return this._hosts.size
   }
@@ -112,6 +118,7 @@
     const lost = [...host.running.values()]
     for (const running of lost) this._remove(running)
     this._countCapacity(host.config, -1)
+    this._removals += 1
     this._hosts.delete(hostId)
     this._observer.hostRemoved(host)
     return lost
--- a/src/common/policy/DecisionEngine.test.ts
+++ b/src/common/policy/DecisionEngine.test.ts
@@ -182,3 +182,21 @@
   engine.removeHost('h2')
   t.deepEqual(placed(engine), { b: 'h1' })
 })
+
+test('what only hosts that have gone could hold is given up at once', (t) => {
+  // A shard changes hands while work waits for its hosts. Left in the queue, a job that the remaining hosts can't hold
+  // would be "accepted" for ever, though the new owner of the shard could start it.
+  const { engine } = engineWith('resources', host('h1', cores(8)), host('h2', cores(8)), host('small', cores(2)))
+  engine.adopt(work('r1', { resources: cores(8) }), 'h1')
+  engine.adopt(work('r2', { resources: cores(8) }), 'h2')
+  admitAll(engine, work('large', { resources: cores(6) }))
+  engine.admitGroup('job', named(2, 'job', { resources: cores(7) }))
+  t.deepEqual(placed(engine), {})
+  engine.putHost(host('h1', cores(8), { accepting: false }))
+  t.deepEqual(decisions(engine), [], 'a host that does not accept now may be back at any time')
+  engine.removeHost('h1')
+  t.deepEqual(decisions(engine).map((each) => each.type === 'giveUp' && [each.item.id, each.reason]), [['job0', 'infeasible'], ['job1', 'infeasible']])
+  engine.removeHost('h2')
+  t.deepEqual(decisions(engine).map((each) => each.type === 'giveUp' && [each.item.id, each.reason]), [['large', 'infeasible']])
+  t.like(engine.admitGroup('job', named(2, 'job', { resources: cores(2) })), { admitted: false, reason: 'infeasible' })
+})
--- a/src/common/policy/DecisionEngine.ts
+++ b/src/common/policy/DecisionEngine.ts
@@ -12,6 +12,7 @@
 import { coreLevel, memoryLevel } from './HostGrid.js'
 import { HostHealth } from './HostHealth.js'
 import { AcceleratorReserve } from './AcceleratorReserve.js'
+import { Feasibility } from './Feasibility.js'
 import { HostIndex } from './HostIndex.js'
 import { Preemption } from './Preemption.js'
 import { RunningWork } from './RunningWork.js'
@@ -41,6 +42,7 @@
   private readonly _ledger = new CapacityLedger(this)
   private readonly _accelerators: AcceleratorReserve
   private readonly _index: HostIndex
+  private readonly _feasibility = new Feasibility(this._ledger)
   private readonly _health = new HostHealth()
   private readonly _estimates = new WorkEstimates(this._ledger)
   private readonly _book = new GroupBook(this._ledger)
@@ -71,6 +73,7 @@
       chooser,
       health: this._health,
       accelerators: this._accelerators,
+      feasibility: this._feasibility,
       preemption,
       work: this._work,
       book: this._book,
@@ -131,6 +134,9 @@
   public admitGroup (groupId: string, items: readonly IWorkItem[]): AdmitDecision {
     const impossible = this._whyImpossible(items)
     if (impossible !== undefined) return impossible
+    if (!this._feasibility.check()(items.map((item) => item.resources))) {
+      return this._admission.refuse('infeasible', 'the hosts could not hold all of its tasks at once')
+    }
     const expiresAtMs = items.reduce((earliest, item) => Math.min(earliest, this._estimates.latestStartAtMs(item)), Infinity)
     const tasks = this._tasksOf(items)
     this._loop.addGroup(groupId, tasks, expiresAtMs, true)
--- a/src/common/policy/DecisionLoop.ts
+++ b/src/common/policy/DecisionLoop.ts
@@ -6,8 +6,9 @@
 import { PREEMPT_AFTER_MS } from './Preemption.js'
 import { addInto } from './Resources.js'
 
-import type { IClock, IResources, MonotonicMs } from '../Types.js'
+import type { IClock, IResources, MonotonicMs, OutcomeReason } from '../Types.js'
 import type { IProfile } from '../config/Types.js'
+import type { Feasibility } from './Feasibility.js'
 import type { AcceleratorReserve } from './AcceleratorReserve.js'
 import type { Admission } from './Admission.js'
 import type { CapacityLedger, LedgerHost } from './CapacityLedger.js'
@@ -40,6 +41,7 @@
   readonly chooser: HostChooser
   readonly health: HostHealth
   readonly accelerators: AcceleratorReserve
+  readonly feasibility: Feasibility
   readonly preemption: Preemption
   readonly work: RunningWork
   readonly book: GroupBook
@@ -116,7 +118,8 @@
     if (nowMs < this._settledUntilMs) return
     if (this._settledUntilMs > -Infinity) this.noteRoom()
     this._recheckAtMs = Infinity
-    if (this._giveUpOne(nowMs) || this._advanceGroups(nowMs) || this._placeOne(nowMs)) return
+    this._giveUpImpossible()
+    if (this._ready.length > 0 || this._giveUpOne(nowMs) || this._advanceGroups(nowMs) || this._placeOne(nowMs)) return
     this._settledUntilMs = this._computeWakeAtMs(nowMs)
   }
 
@@ -135,11 +138,30 @@
     return this._ready.length > 0
   }
 
-  private _giveUp (item: IWorkItem): void {
+  /** Looks through the whole queue, but only when hosts have gone. */
+  private _giveUpImpossible (): void {
+    const { feasibility, queue, book, admission, ledger } = this._parts
+    if (!feasibility.takeRemoved() || queue.size + book.groupCount === 0) return
+    const couldHold = feasibility.check()
+    const reason = ledger.hostCount > 0 ? 'infeasible' : 'noUpstream'
+    for (const entry of [...queue.entries()]) {
+      if (couldHold([entry.item.resources])) continue
+      queue.remove(entry.item.id)
+      admission.noteStarted(entry.queue, 0)
+      this._giveUp(entry.item, reason)
+    }
+    for (const group of [...book.groups()]) {
+      if (couldHold(group.tasks.map(({ item }) => item.resources))) continue
+      book.drop(group.groupId)
+      if (group.startsItself) for (const { item } of group.tasks) this._giveUp(item, reason)
+    }
+  }
+
+  private _giveUp (item: IWorkItem, reason: OutcomeReason = 'deadline'): void {
     const { queue, admission, priorRate } = this._parts
     const profileQueue = queue.profileFor(item.profile)
     const waitMs = admission.expectedWaitMs(profileQueue, priorRate(profileQueue))
-    this._ready.push({ type: 'giveUp', item, reason: 'deadline', retryAfterMs: admission.spread(waitMs) })
+    this._ready.push({ type: 'giveUp', item, reason, retryAfterMs: admission.spread(waitMs) })
   }
 
   private _advanceGroups (nowMs: MonotonicMs): boolean {
--- a/src/common/policy/FairQueue.ts
+++ b/src/common/policy/FairQueue.ts
@@ -47,6 +47,11 @@
     return this._profiles.values()
   }
 
+  /** All that waits, in no order. */
+  public entries (): IterableIterator<IQueueEntry> {
+    return this._entries.values()
+  }
+
   public has (itemId: string): boolean {
     return this._entries.has(itemId)
   }
--- a/src/scheduler/hosts/RunnerPool.ts
+++ b/src/scheduler/hosts/RunnerPool.ts
@@ -38,9 +38,9 @@
 }
 
 export class RunnerPool implements IRunnerSessionEvents, IDisposable {
-  private readonly _onCapacity = new Emitter<void>()
-  /** Places may have become free. */
-  public readonly onCapacity = this._onCapacity.event
+  private readonly _onChange = new Emitter<void>()
+  /** Places have become free, or hosts have gone: there may be something to decide. */
+  public readonly onChange = this._onChange.event
   private readonly _owned = new Map<string, IOwnedShard>()
   private readonly _sessions = new Map<string, RunnerSession>()
   private readonly _unsettled = new Map<string, IUnsettled[]>()
@@ -93,7 +93,7 @@
 
   public onStateChange (session: RunnerSession): void {
     this._putHost(session)
-    if (session.state === 'ready') this._onCapacity.fire()
+    this._onChange.fire()
   }
 
   public onFenced (session: RunnerSession, currentEpoch: number): void {
@@ -156,6 +156,7 @@
     this._unsettled.delete(session.host.hostId)
     this._context.engine.removeHost(session.host.hostId)
     this._context.client.forget(session.host.hostId)
+    this._onChange.fire()
   }
 
   private _putHost (session: RunnerSession): void {
@@ -187,7 +188,7 @@
     if (left.length > 0) this._unsettled.set(session.host.hostId, left)
     else this._unsettled.delete(session.host.hostId)
     session.setUnsettled(left.length > 0)
-    if (left.length < entries.length) this._onCapacity.fire()
+    if (left.length < entries.length) this._onChange.fire()
   }
 
   private _isOver (entry: IUnsettled, running: ReadonlySet<string>): boolean {
--- a/src/scheduler/requests/RequestService.ts
+++ b/src/scheduler/requests/RequestService.ts
@@ -33,7 +33,7 @@
       onRequeue: (item) => this._requeue(item),
       onPlaceFree: () => this.pump()
     })
-    _context.runners.onCapacity(() => this.pump())
+    _context.runners.onChange(() => this.pump())
   }
 
   public get inFlight (): number {
