--- a/src/platform/Answers.ts
+++ b/src/platform/Answers.ts
@@ -35,6 +35,9 @@
   capacity: resources
 })
 
+/** As much of a host record as names it. */
+export const namedHost = z.object({ hostId: z.string() })
+
 export const runnerStatus: z.ZodType<IRunnerStatus> =
   z.object({ slots: count, slotsInUse: count, leaving: z.boolean(), attemptIds: z.array(z.string()) })
 
--- a/src/platform/HostListClient.test.ts
+++ b/src/platform/HostListClient.test.ts
@@ -20,7 +20,7 @@
     return listed.length > 0 && listed
   })
   t.deepEqual(hosts, [host])
-  t.is(client.skippedRecords, 1)
+  t.is(client.malformedRecords, 1)
   hostList.standIn.control({ state: { [host.hostId]: 'leaving' } })
   await eventually('it leaves', async () => (await client.list())._unsafeUnwrap()[0]?.state === 'leaving')
 })
@@ -35,3 +35,18 @@
   hostList.server.refuse()
   t.true((await client.list())._unsafeUnwrapErr() instanceof UnreachableError)
 })
+
+test('a host whose record becomes malformed is still listed', async (t) => {
+  // The platform writes one bad record. Taken for gone, the host's tasks would be started elsewhere while they run there.
+  const hostList = await startHostList(t, 0)
+  const client = new HostListClient({ url: hostList.url, callTimeoutMs: 2000 })
+  t.teardown(() => { client.dispose() })
+  const host = hostAt('http://127.0.0.1:1')
+  hostList.standIn.control({ put: [host] })
+  t.deepEqual((await client.list())._unsafeUnwrap(), [host])
+  hostList.standIn.control({ put: [{ hostId: host.hostId, kind: 'toaster' }] })
+  t.deepEqual((await client.list())._unsafeUnwrap(), [host])
+  t.is(client.malformedRecords, 1)
+  hostList.standIn.control({ remove: [host.hostId] })
+  t.deepEqual((await client.list())._unsafeUnwrap(), [])
+})
--- a/src/platform/HostListClient.ts
+++ b/src/platform/HostListClient.ts
@@ -7,7 +7,7 @@
 
 import type { Result, ResultAsync } from 'neverthrow'
 import { UnreachableError } from '../common/Errors.js'
-import { hostListAnswer, hostRecord, parseAnswer } from './Answers.js'
+import { hostListAnswer, hostRecord, namedHost, parseAnswer } from './Answers.js'
 import { exchange } from './HttpExchange.js'
 
 import type { IDisposable } from '../common/Types.js'
@@ -26,15 +26,16 @@
 
 export class HostListClient implements IHostList, IDisposable {
   private readonly _client: Client
-  private _skippedRecords = 0
+  private _malformedRecords = 0
+  private _known: ReadonlyMap<string, IHostRecord> = new Map()
 
   public constructor (private readonly _options: IHostListClientOptions) {
     this._client = new Client(_options.url, { headersTimeout: 0, bodyTimeout: 0, connectTimeout: _options.callTimeoutMs })
   }
 
   /** Malformed records that the last answer contained, for the dump. */
-  public get skippedRecords (): number {
-    return this._skippedRecords
+  public get malformedRecords (): number {
+    return this._malformedRecords
   }
 
   public list (): ResultAsync<readonly IHostRecord[], StoreError> {
@@ -48,15 +49,25 @@
     this._client.destroy().catch(() => {})
   }
 
-  /** Skips records that are malformed: one bad entry must not hide all other hosts. */
+  /**
+   * Of a malformed record, the last good one of the same host stands. One bad entry must not hide all other hosts, nor
+   * make its own host look gone: what runs there would be started elsewhere while it still runs.
+   */
   private _records (answer: IHttpAnswer): Result<readonly IHostRecord[], StoreError> {
     if (answer.status !== STATUS_OK) return err(new UnreachableError(STEP, PEER, `status ${answer.status}`))
     return parseAnswer(hostListAnswer, answer.body)
       .mapErr((what) => new UnreachableError(STEP, PEER, what))
       .andThen(({ hosts }) => {
-        const records = hosts.map((host) => hostRecord.safeParse(host)).filter((parsed) => parsed.success)
-        this._skippedRecords = hosts.length - records.length
-        return ok(records.map((parsed) => parsed.data))
+        const parsed = hosts.map((host) => hostRecord.safeParse(host))
+        this._malformedRecords = parsed.filter((record) => !record.success).length
+        const records = hosts.map((host, index) => parsed[index]?.data ?? this._lastGood(host)).filter((record) => record !== undefined)
+        this._known = new Map(records.map((record) => [record.hostId, record]))
+        return ok(records)
       })
   }
+
+  private _lastGood (host: unknown): IHostRecord | undefined {
+    const named = namedHost.safeParse(host)
+    return named.success ? this._known.get(named.data.hostId) : undefined
+  }
 }
--- a/src/scheduler/jobs/WorkerPool.ts
+++ b/src/scheduler/jobs/WorkerPool.ts
@@ -56,7 +56,7 @@
 
   /** Owned shards of whose hosts each has told what it runs, or is gone. */
   public settledShards (): readonly string[] {
-    return [...this._owned.keys()].filter((shardId) => this._hostsOf(shardId).every((host) => this._sessions.get(host.hostId)?.settled === true))
+    return [...this._owned.keys()].filter((shardId) => this._isSettled(shardId))
   }
 
   public dump (): readonly Readonly<Record<string, unknown>>[] {
@@ -114,10 +114,7 @@
     }
   }
 
-  /**
-   * A host that has vanished from the list keeps its session: the list may be wrong, and what runs there is over only
-   * when its leases have lapsed. It is dropped once it is unreachable and nothing is left on it.
-   */
+  /** A host that has vanished from the list counts as gone, which is believed only once it doesn't answer either. */
   private _refresh (): void {
     const listed = new Set<string>()
     for (const host of this._context.directory.hosts) {
@@ -144,7 +141,7 @@
   }
 
   private _vanished (session: WorkerSession): void {
-    session.update({ ...session.host, state: 'leaving' })
+    session.update({ ...session.host, state: 'gone' })
     if (session.state === 'unreachable' && session.liveCount === 0) this._drop(session)
   }
 
@@ -165,6 +162,11 @@
     this._context.engine.putHost({ hostId, shardId: fence.shardId, region, failureDomain, capacity, accepting })
   }
 
+  private _isSettled (shardId: string): boolean {
+    const isListedSettled = this._hostsOf(shardId).every((host) => this._sessions.get(host.hostId)?.settled === true)
+    return isListedSettled && [...this._sessions.values()].every((session) => session.fence.shardId !== shardId || session.settled)
+  }
+
   private _hostsOf (shardId: string): readonly IHostRecord[] {
     return this._context.directory.hosts.filter((host) => host.kind === 'worker' && shardOfHost(host) === shardId)
   }
--- a/test/standins/kv.ts
+++ b/test/standins/kv.ts
@@ -14,8 +14,9 @@
 standIn.control(JSON.parse(values.control) as Record<string, unknown>)
 const controlUrl = await new StandInServer(standIn).listen(0)
 const [server] = await runProgram([standIn], Number(values.port), { controlUrl })
-standIn.onOutage = (outage) => {
+// Deferred, so that the answer to the switch itself still goes out.
+standIn.onOutage = (outage) => setImmediate(() => {
   if (outage === 'refuse') server?.refuse()
   else if (outage === 'reset') server?.cut()
   else server?.listen().catch(() => {})
-}
+})
