Worker sessions ask the store before they count a lapsed lease

Cause of two failing tests of jobs: the lease rule found by the specification (a lapse counts only once the store has confirmed ownership after it) had no caller that asked the store. A session whose host can't be reached now reads the shard's record when leases seem to have lapsed. Cost: in an outage of the store, tasks of a host that can't be reached start elsewhere only after the outage.

--- a/src/daemon/SchedulerDaemon.ts
+++ b/src/daemon/SchedulerDaemon.ts
@@ -201,7 +201,8 @@
     return {
       onAcquired: this._owner.onAcquired,
       onLost: this._owner.onLost,
-      noteFenced: (shardId: string, currentEpoch: number) => this._owner.fenced(shardId, currentEpoch)
+      noteFenced: (shardId: string, currentEpoch: number) => this._owner.fenced(shardId, currentEpoch),
+      confirm: async (shardId: string, epoch: number) => await this._owner.confirm(shardId, epoch)
     }
   }
 
--- a/src/scheduler/hosts/Types.ts
+++ b/src/scheduler/hosts/Types.ts
@@ -24,6 +24,8 @@
   readonly onLost: Event<IOwnedShard>
   /** A host refused our epoch: somebody else has taken the shard over. */
   noteFenced (shardId: string, currentEpoch: number): void
+  /** Whether the store, asked now, shows the shard under this epoch; false also when it can't be asked. */
+  confirm (shardId: string, epoch: number): Promise<boolean>
 }
 
 /** The shard of a host: all hosts of one kind in one rack. */
--- a/src/scheduler/jobs/JobsOverLinks.test.ts
+++ b/src/scheduler/jobs/JobsOverLinks.test.ts
@@ -67,7 +67,12 @@
   const directory = { hosts: cell.hosts, onChange: new Emitter<readonly IHostRecord[]>().event }
   const client = new WorkerClient()
   const tasks = new TaskService({ ...common, engine })
-  const shards = { onAcquired: acquired.event, onLost: dropped.event, noteFenced: (shardId: string) => { owned.delete(shardId) } }
+  const shards = {
+    onAcquired: acquired.event,
+    onLost: dropped.event,
+    noteFenced: (shardId: string) => { owned.delete(shardId) },
+    confirm: async (shardId: string) => owned.has(shardId)
+  }
   const pool = new WorkerPool({ ...common, client, engine, directory, shards }, tasks.runner)
   tasks.runner.setPool(pool)
   const taskChart = loadChart('task')._unsafeUnwrap()
--- a/src/scheduler/jobs/LiveAttempts.ts
+++ b/src/scheduler/jobs/LiveAttempts.ts
@@ -121,11 +121,20 @@
     })
   }
 
-  public endLapsed (nowMs: MonotonicMs): void {
+  /** Ends what has lapsed. True: some seem to have, which counts once the store has confirmed that the shard is ours. */
+  public endLapsed (nowMs: MonotonicMs): boolean {
+    let isUnconfirmed = false
     for (const live of [...this._live.values()]) {
       const next = this._leases.nextAttempt(live.hostTask, live.start.attempt, nowMs)
       if (next === 'lapsed' || next === 'ended') this.end(live, 'lost')
+      if (next === 'unconfirmed') isUnconfirmed = true
     }
+    return isUnconfirmed
+  }
+
+  /** The store has shown that the shard is ours, in a read sent at `sentAtMs`. */
+  public noteConfirmed (sentAtMs: MonotonicMs): void {
+    this._leases.noteConfirmed(sentAtMs)
   }
 
   public endAll (): void {
--- a/src/scheduler/jobs/WorkerSession.ts
+++ b/src/scheduler/jobs/WorkerSession.ts
@@ -8,6 +8,7 @@
 import type { ILogger } from '../../common/observability/Types.js'
 import type { IHostClockSnapshot } from '../../common/state/HostClock.js'
 import type { IClock, IDisposable, IResources, ITimers } from '../../common/Types.js'
+import type { IShardEvents } from '../hosts/Types.js'
 import type { IFence, IHostRecord, IWorkerClient, IWorkerStatus, UpstreamError } from '../../platform/Types.js'
 import type { ILiveAttempt } from './LiveAttempts.js'
 import type { IAttempt, IAttemptStart, IWorkerEvents } from './Types.js'
@@ -28,6 +29,7 @@
 
 export interface IWorkerSessionContext {
   readonly client: IWorkerClient
+  readonly shards: Pick<IShardEvents, 'confirm'>
   readonly clock: IClock
   readonly timers: ITimers
   readonly log: ILogger
@@ -45,6 +47,7 @@
   /** The last answer left a doubt that an answer to a question asked now settles. */
   private _mustAskAgain = false
   private _disposed = false
+  private _isConfirming = false
 
   public constructor (
     private _host: IHostRecord,
@@ -242,7 +245,19 @@
       this._events.onHostChanged(this._host.hostId)
     }
     if (this._host.state === 'gone') this._attempts.endAll()
-    else this._attempts.endLapsed(this._context.clock.nowMs())
+    else if (this._attempts.endLapsed(this._context.clock.nowMs())) this._confirm()
+  }
+
+  /** Asks the store whether the shard is still ours: only then do lapsed leases count, because a newer owner renews them. */
+  private async _confirm (): Promise<void> {
+    if (this._isConfirming) return
+    this._isConfirming = true
+    const sentAtMs = this._context.clock.nowMs()
+    const isOurs = await this._context.shards.confirm(this.fence.shardId, this.fence.epoch)
+    this._isConfirming = false
+    if (!isOurs || this._disposed) return
+    this._attempts.noteConfirmed(sentAtMs)
+    this._attempts.endLapsed(this._context.clock.nowMs())
   }
 
   private _clockOf (status: IWorkerStatus, sentAtMs: number): IHostClockSnapshot {
--- a/src/scheduler/ownership/ShardOwner.ts
+++ b/src/scheduler/ownership/ShardOwner.ts
@@ -158,6 +158,15 @@
     return this._shards.get(shardId)?.ownership.owner?.processId
   }
 
+  /** Whether the store, asked now, shows the shard as ours under this epoch; false also when it can't be asked. */
+  public async confirm (shardId: string, epoch: number): Promise<boolean> {
+    const key = SHARD_PREFIX + shardId
+    const found = await this._store.get(key)
+    if (found.isErr() || found.value === undefined) return false
+    const record = decodeShardRecord(key, found.value.value)
+    return record.isOk() && record.value.epoch === epoch && record.value.owner === this._member.entry.processId
+  }
+
   /** The takeover is complete. */
   public ready (shardId: string, epoch: number): void {
     this._shards.get(shardId)?.ownership.ready(epoch)
--- a/test/support/JobsCell.ts
+++ b/test/support/JobsCell.ts
@@ -81,7 +81,12 @@
     const { clock, workers, config, directory, log } = _cell
     this.self = { processId, incarnation: 1, region: REGION, failureDomain: `${REGION}-a` }
     this._engine = new DecisionEngine(clock, new SeededRandom(1))
-    const shards = { onAcquired: this.acquired.event, onLost: this.dropped.event, noteFenced: (shardId: string) => { this.lose(shardId) } }
+    const shards = {
+      onAcquired: this.acquired.event,
+      onLost: this.dropped.event,
+      noteFenced: (shardId: string) => { this.lose(shardId) },
+      confirm: async (shardId: string, epoch: number) => _cell.schedulers.every((other) => (other.owned.get(shardId) ?? 0) <= epoch)
+    }
     const common = { peers: this, shards: _cell.view, config, idShardOf: () => ID_SHARD, clock, timers: clock, log: new SilentLogger() }
     this.tasks = new TaskService({ ...common, engine: this._engine })
     this._pool = new WorkerPool({ ...common, client: workers, engine: this._engine, directory, shards }, this.tasks.runner)
