Believe a lapsed lease only when the store confirms that the shard is ours

The specification of task leases showed the case: a newer owner, of whom a paused process has not heard, renews the leases on a host that this process can't reach. In an outage of the store, tasks of a host that is cut off wait for its end.

--- a/src/daemon/SchedulerDaemon.ts
+++ b/src/daemon/SchedulerDaemon.ts
@@ -14,7 +14,7 @@
 import { HostDirectory } from '../scheduler/hosts/HostDirectory.js'
 import { RunnerPool } from '../scheduler/hosts/RunnerPool.js'
 import { shardOfHost } from '../scheduler/hosts/Types.js'
-import { JobOwner, JobPeers, serveJobs, TaskService, WorkerPool } from '../scheduler/jobs/index.js'
+import { JobOwner, JobPeers, serveJobs, ShardEpochReader, TaskService, WorkerPool } from '../scheduler/jobs/index.js'
 import { LoadReporter } from '../scheduler/LoadReporter.js'
 import {
   ClaimService, DEFAULT_CLAIM_SERVICE_OPTIONS, DEFAULT_MEMBER_REGISTRATION_OPTIONS, DEFAULT_SHARD_OWNER_OPTIONS,
@@ -226,9 +226,16 @@
   }
 
   private _createWorkers (): WorkerPool {
-    const { clock, log } = this._core
+    const { store, clock, log } = this._core
     const pool = new WorkerPool({
-      client: new WorkerClient(), engine: this._taskEngine, directory: this._directory, shards: this._shardEvents(), clock, timers: clock, log
+      client: new WorkerClient(),
+      engine: this._taskEngine,
+      directory: this._directory,
+      shards: this._shardEvents(),
+      shardEpochs: new ShardEpochReader(store, clock),
+      clock,
+      timers: clock,
+      log
     }, this._tasks.runner)
     this._tasks.runner.setPool(pool)
     return pool
--- a/src/scheduler/jobs/Jobs.test.ts
+++ b/src/scheduler/jobs/Jobs.test.ts
@@ -384,3 +384,21 @@
   t.is(cell.status(), 'succeeded')
   checkAlways(t, cell)
 })
+
+test('a lapsed lease is believed only when the store says that the host is still ours', async (t) => {
+  // A scheduler is cut off from a host while another one, of which it has not heard, takes the host over and renews the
+  // leases there. By its own count they have lapsed; started elsewhere on the strength of that, a task would run twice.
+  const cell = await started(1, 2)
+  await cell.scheduler(0).jobs.submit(jobOf(1, 100_000))
+  await cell.advance(WHILE_MS)
+  const hostId = cell.workers.running()[0]?.hostId ?? ''
+  cell.isStoreDown = true
+  cell.workers.worker(hostId).reach = 'cut'
+  await cell.advance(3 * LEASE_MS)
+  t.is(cell.workers.runs().length, 1)
+  cell.epochs.set('workers/r0', 2)
+  cell.isStoreDown = false
+  await cell.advance(WHILE_MS)
+  t.false(cell.scheduler(0).owned.has('workers/r0'))
+  t.is(cell.workers.runs().length, 1)
+})
--- a/src/scheduler/jobs/JobsOverLinks.test.ts
+++ b/src/scheduler/jobs/JobsOverLinks.test.ts
@@ -68,7 +68,8 @@
   const client = new WorkerClient()
   const tasks = new TaskService({ ...common, engine })
   const shards = { onAcquired: acquired.event, onLost: dropped.event, noteFenced: (shardId: string) => { owned.delete(shardId) } }
-  const pool = new WorkerPool({ ...common, client, engine, directory, shards }, tasks.runner)
+  const shardEpochs = { read: async () => undefined }
+  const pool = new WorkerPool({ ...common, shardEpochs, client, engine, directory, shards }, tasks.runner)
   tasks.runner.setPool(pool)
   const taskChart = loadChart('task')._unsafeUnwrap()
   const jobs = new JobOwner({ ...common, jobLog: cell.log, hosts: () => cell.hosts, taskChart, random: new SeededRandom(2) })
--- a/src/scheduler/jobs/LiveAttempts.ts
+++ b/src/scheduler/jobs/LiveAttempts.ts
@@ -121,11 +121,20 @@
     })
   }
 
-  public endLapsed (nowMs: MonotonicMs): void {
+  /** Ends what has lapsed for certain. True: some seem to have lapsed, and the store has to confirm that the shard is ours. */
+  public endLapsed (nowMs: MonotonicMs): boolean {
+    let isUnconfirmed = false
     for (const live of [...this._live.values()]) {
       const next = this._leases.nextAttempt(live.hostTask, live.start.attempt, nowMs)
       if (next === 'lapsed' || next === 'ended') this.end(live, 'lost')
+      isUnconfirmed ||= next === 'unconfirmed'
     }
+    return isUnconfirmed
+  }
+
+  /** The store has shown our epoch, in a read sent then. */
+  public noteConfirmed (sentAtMs: MonotonicMs): void {
+    this._leases.noteConfirmed(sentAtMs)
   }
 
   public endAll (): void {
--- a/src/scheduler/jobs/Types.ts
+++ b/src/scheduler/jobs/Types.ts
@@ -3,7 +3,7 @@
  */
 
 import type { ResultAsync } from 'neverthrow'
-import type { IDisposable, IProcessIdentity, IResources } from '../../common/Types.js'
+import type { IDisposable, IProcessIdentity, IResources, MonotonicMs } from '../../common/Types.js'
 import type { IConfigReplica } from '../../common/config/Types.js'
 import type { ILogger } from '../../common/observability/Types.js'
 import type { IDecisionEngine } from '../../common/policy/Types.js'
@@ -48,11 +48,23 @@
   onFenced (hostId: string, shardId: string, currentEpoch: number): void
 }
 
+/** What the store said of a shard, in a read sent at `sentAtMs`. */
+export interface IShardReading {
+  readonly epoch: number
+  readonly sentAtMs: MonotonicMs
+}
+
+export interface IShardEpochs {
+  /** Nothing when the store doesn't answer or has no record. */
+  read (shardId: string): Promise<IShardReading | undefined>
+}
+
 export interface IWorkerPoolContext {
   readonly client: IWorkerClient
   readonly engine: IDecisionEngine
   readonly directory: IHostDirectory
   readonly shards: IShardEvents
+  readonly shardEpochs: IShardEpochs
   readonly clock: IClock
   readonly timers: ITimers
   readonly log: ILogger
--- a/src/scheduler/jobs/WorkerSession.ts
+++ b/src/scheduler/jobs/WorkerSession.ts
@@ -10,7 +10,7 @@
 import type { IClock, IDisposable, IResources, ITimers } from '../../common/Types.js'
 import type { IFence, IHostRecord, IWorkerClient, IWorkerStatus, UpstreamError } from '../../platform/Types.js'
 import type { ILiveAttempt } from './LiveAttempts.js'
-import type { IAttempt, IAttemptStart, IWorkerEvents } from './Types.js'
+import type { IAttempt, IAttemptStart, IShardEpochs, IWorkerEvents } from './Types.js'
 
 /** Also about the longest that a task of a dead host waits for its next attempt. */
 export const TASK_LEASE_MS = 15_000
@@ -31,6 +31,7 @@
   readonly clock: IClock
   readonly timers: ITimers
   readonly log: ILogger
+  readonly shardEpochs: IShardEpochs
 }
 
 export class WorkerSession implements IDisposable {
@@ -242,7 +243,23 @@
       this._events.onHostChanged(this._host.hostId)
     }
     if (this._host.state === 'gone') this._attempts.endAll()
-    else this._attempts.endLapsed(this._context.clock.nowMs())
+    else if (this._attempts.endLapsed(this._context.clock.nowMs())) this._confirmOwnership()
+  }
+
+  /**
+   * Asks the store whether the shard is still ours before a lapsed lease is believed: a newer owner, of whom this process
+   * has not heard because it was paused, may have renewed it.
+   */
+  private async _confirmOwnership (): Promise<void> {
+    const { shardId, epoch } = this.fence
+    const reading = await this._context.shardEpochs.read(shardId)
+    if (this._disposed || reading === undefined) return
+    if (reading.epoch > epoch) {
+      this._events.onFenced(this._host.hostId, shardId, reading.epoch)
+      return
+    }
+    this._attempts.noteConfirmed(reading.sentAtMs)
+    this._attempts.endLapsed(this._context.clock.nowMs())
   }
 
   private _clockOf (status: IWorkerStatus, sentAtMs: number): IHostClockSnapshot {
--- a/src/scheduler/jobs/index.ts
+++ b/src/scheduler/jobs/index.ts
@@ -6,7 +6,9 @@
  *     const peers = new JobPeers(hub, clock)
  *     const idShardOf = (jobId: string): string => hasher.idShard(jobId)
  *     const tasks = new TaskService({ engine: taskEngine, peers, shards: router, config, idShardOf, clock, timers, log })
- *     const pool = new WorkerPool({ client: new WorkerClient(), engine: taskEngine, directory, shards, clock, timers, log }, tasks.runner)
+ *     const shardEpochs = new ShardEpochReader(store, clock)
+ *     const pool = new WorkerPool({ client: new WorkerClient(), engine: taskEngine, directory, shards, shardEpochs, clock, timers, log },
+ *       tasks.runner)
  *     tasks.runner.setPool(pool)
  *     const jobs = new JobOwner({
  *       jobLog: claims, peers, shards: router, config, hosts: () => directory.hosts, idShardOf, taskChart: loadChart('task'),
@@ -32,6 +34,7 @@
 
 export { JobOwner } from './JobOwner.js'
 export { JobPeers } from './JobPeers.js'
+export { ShardEpochReader } from './ShardEpochReader.js'
 export { TaskService } from './TaskService.js'
 export { WorkerPool } from './WorkerPool.js'
 export type { IJobLog, IJobPeers, IShardView } from './Types.js'
--- a/test/support/JobsCell.ts
+++ b/test/support/JobsCell.ts
@@ -84,7 +84,8 @@
     const shards = { onAcquired: this.acquired.event, onLost: this.dropped.event, noteFenced: (shardId: string) => { this.lose(shardId) } }
     const common = { peers: this, shards: _cell.view, config, idShardOf: () => ID_SHARD, clock, timers: clock, log: new SilentLogger() }
     this.tasks = new TaskService({ ...common, engine: this._engine })
-    this._pool = new WorkerPool({ ...common, client: workers, engine: this._engine, directory, shards }, this.tasks.runner)
+    const shardEpochs = { read: async (shardId: string) => this._cell.readEpoch(shardId) }
+    this._pool = new WorkerPool({ ...common, shardEpochs, client: workers, engine: this._engine, directory, shards }, this.tasks.runner)
     this.tasks.runner.setPool(this._pool)
     const taskChart = loadChart('task')._unsafeUnwrap()
     this.jobs = new JobOwner({ ...common, jobLog: log, hosts: () => directory.hosts, taskChart, random: new SeededRandom(2) })
@@ -92,6 +93,7 @@
 
   public take (shardId: string, epoch: number): void {
     this.owned.set(shardId, epoch)
+    this._cell.epochs.set(shardId, epoch)
     if (shardId === ID_SHARD) this.jobs.takeOver(shardId, epoch, this._cell.log.table.live())
     else this.acquired.fire({ shardId, epoch })
     this._cell.announce()
@@ -176,6 +178,9 @@
   public readonly config = testConfig()
   public readonly log = new FakeJobLog()
   public readonly schedulers: FakeScheduler[] = []
+  /** The store's records of the shards. */
+  public readonly epochs = new Map<string, number>()
+  public isStoreDown = false
   public readonly view: IShardView
   public readonly directory: IHostDirectory
   private readonly _changed = new Emitter<readonly IHostRecord[]>()
@@ -199,6 +204,12 @@
     return this.schedulers[index] as FakeScheduler
   }
 
+  /** The store's record of a shard; nothing while the store is down. */
+  public readEpoch (shardId: string): { readonly epoch: number, readonly sentAtMs: number } | undefined {
+    const epoch = this.epochs.get(shardId)
+    return epoch === undefined || this.isStoreDown ? undefined : { epoch, sentAtMs: this.clock.nowMs() }
+  }
+
   public async advance (byMs: number): Promise<void> {
     await advance(this.clock, byMs)
   }
