--- a/src/scheduler/jobs/LiveAttempts.ts
+++ b/src/scheduler/jobs/LiveAttempts.ts
@@ -121,18 +121,18 @@
     })
   }
 
-  /** Ends what has lapsed for certain. True: some seem to have lapsed, and the store has to confirm that the shard is ours. */
+  /** Ends what has lapsed. True: some seem to have, which counts once the store has confirmed that the shard is ours. */
   public endLapsed (nowMs: MonotonicMs): boolean {
     let isUnconfirmed = false
     for (const live of [...this._live.values()]) {
       const next = this._leases.nextAttempt(live.hostTask, live.start.attempt, nowMs)
       if (next === 'lapsed' || next === 'ended') this.end(live, 'lost')
-      isUnconfirmed ||= next === 'unconfirmed'
+      if (next === 'unconfirmed') isUnconfirmed = true
     }
     return isUnconfirmed
   }
 
-  /** The store has shown our epoch, in a read sent then. */
+  /** The store has shown that the shard is ours, in a read sent at `sentAtMs`. */
   public noteConfirmed (sentAtMs: MonotonicMs): void {
     this._leases.noteConfirmed(sentAtMs)
   }
--- a/src/scheduler/jobs/WorkerSession.ts
+++ b/src/scheduler/jobs/WorkerSession.ts
@@ -8,9 +8,10 @@
 import type { ILogger } from '../../common/observability/Types.js'
 import type { IHostClockSnapshot } from '../../common/state/HostClock.js'
 import type { IClock, IDisposable, IResources, ITimers } from '../../common/Types.js'
+import type { IShardEvents } from '../hosts/Types.js'
 import type { IFence, IHostRecord, IWorkerClient, IWorkerStatus, UpstreamError } from '../../platform/Types.js'
 import type { ILiveAttempt } from './LiveAttempts.js'
-import type { IAttempt, IAttemptStart, IShardEpochs, IWorkerEvents } from './Types.js'
+import type { IAttempt, IAttemptStart, IWorkerEvents } from './Types.js'
 
 /** Also about the longest that a task of a dead host waits for its next attempt. */
 export const TASK_LEASE_MS = 15_000
@@ -28,10 +29,10 @@
 
 export interface IWorkerSessionContext {
   readonly client: IWorkerClient
+  readonly shards: Pick<IShardEvents, 'confirm'>
   readonly clock: IClock
   readonly timers: ITimers
   readonly log: ILogger
-  readonly shardEpochs: IShardEpochs
 }
 
 export class WorkerSession implements IDisposable {
@@ -46,6 +47,7 @@
   /** The last answer left a doubt that an answer to a question asked now settles. */
   private _mustAskAgain = false
   private _disposed = false
+  private _isConfirming = false
 
   public constructor (
     private _host: IHostRecord,
@@ -243,22 +245,18 @@
       this._events.onHostChanged(this._host.hostId)
     }
     if (this._host.state === 'gone') this._attempts.endAll()
-    else if (this._attempts.endLapsed(this._context.clock.nowMs())) this._confirmOwnership()
+    else if (this._attempts.endLapsed(this._context.clock.nowMs())) this._confirm()
   }
 
-  /**
-   * Asks the store whether the shard is still ours before a lapsed lease is believed: a newer owner, of whom this process
-   * has not heard because it was paused, may have renewed it.
-   */
-  private async _confirmOwnership (): Promise<void> {
-    const { shardId, epoch } = this.fence
-    const reading = await this._context.shardEpochs.read(shardId)
-    if (this._disposed || reading === undefined) return
-    if (reading.epoch > epoch) {
-      this._events.onFenced(this._host.hostId, shardId, reading.epoch)
-      return
-    }
-    this._attempts.noteConfirmed(reading.sentAtMs)
+  /** Asks the store whether the shard is still ours: only then do lapsed leases count, because a newer owner renews them. */
+  private async _confirm (): Promise<void> {
+    if (this._isConfirming) return
+    this._isConfirming = true
+    const sentAtMs = this._context.clock.nowMs()
+    const isOurs = await this._context.shards.confirm(this.fence.shardId, this.fence.epoch)
+    this._isConfirming = false
+    if (!isOurs || this._disposed) return
+    this._attempts.noteConfirmed(sentAtMs)
     this._attempts.endLapsed(this._context.clock.nowMs())
   }
 
