--- a/bench/decisions/Baselines.ts
+++ b/bench/decisions/Baselines.ts
@@ -13,15 +13,8 @@
 
 /** Urgent before normal before patient, whatever the cost to those behind. */
 export class StrictPriorityEngine extends NaiveEngine {
-  protected override _insertionIndex (queue: readonly { readonly items: readonly IWorkItem[] }[], item: IWorkItem): number {
-    let low = 0
-    let high = queue.length
-    while (low < high) {
-      const middle = (low + high) >> 1
-      if (RANK[queue[middle]?.items[0]?.profile.priorityClass ?? 'patient'] <= RANK[item.profile.priorityClass]) low = middle + 1
-      else high = middle
-    }
-    return low
+  protected override _rankOf (item: IWorkItem): number {
+    return RANK[item.profile.priorityClass]
   }
 }
 
@@ -52,7 +45,7 @@
  * while the shortest is longer than the application's virtual queue.
  */
 export class ThresholdEngine extends NaiveEngine {
-  private readonly _lines = new Map<string, IHostLine>()
+  private readonly _hostLines = new Map<string, IHostLine>()
   private readonly _started = new Map<string, { readonly line: IHostLine, readonly item: IWorkItem }>()
   private readonly _virtual = new Map<string, number>()
   private readonly _decisions: EngineDecision[] = []
@@ -64,7 +57,7 @@
 
   public override putHost (host: IEngineHost): void {
     super.putHost(host)
-    this._lines.set(host.hostId, { host, used: zeroResources(), items: [] })
+    this._hostLines.set(host.hostId, { host, used: zeroResources(), items: [] })
   }
 
   public override admit (item: IWorkItem): AdmitDecision {
@@ -115,7 +108,7 @@
   private _shortestFor (item: IWorkItem): IHostLine | undefined {
     let best: IHostLine | undefined
     let bestLength = Infinity
-    for (const line of this._lines.values()) {
+    for (const line of this._hostLines.values()) {
       const length = line.items.length + line.used.cores / line.host.capacity.cores
       if (length >= bestLength || !fits(item.resources, line.host.capacity)) continue
       best = line
--- a/src/common/policy/NaiveEngine.ts
+++ b/src/common/policy/NaiveEngine.ts
@@ -3,6 +3,8 @@
  * reference of the differential tests, so it is written to be obviously right rather than fast or fair.
  */
 
+import { Heap } from 'heap-js'
+
 import { addInto, difference, fits, larger, NO_RESOURCES, subtractFrom, zeroResources } from './Resources.js'
 
 import type { IResources, MonotonicMs, IClock } from '../Types.js'
@@ -29,20 +31,31 @@
   readonly expiresAtMs: MonotonicMs
 }
 
-/** What waits in the line: one item, or the items of an all-at-once job. */
+/** What waits in a line: one item, or the items of an all-at-once job. Empty once it has left the line. */
 interface INaiveEntry {
-  readonly items: readonly IWorkItem[]
+  items: readonly IWorkItem[]
+  readonly deadlineAtMs: MonotonicMs
+}
+
+/** Entries in order of arrival; those before `head` have left. */
+interface INaiveLine {
+  entries: INaiveEntry[]
+  head: number
 }
 
+/** Entries that have left are cut off in pieces of this size, since a cut costs as much as the line is long. */
+const CUT_AFTER_ENTRIES = 10_000
+
 export class NaiveEngine implements IDecisionEngine {
   protected readonly _hosts = new Map<string, INaiveHost>()
   private readonly _running = new Map<string, INaivePlace>()
   private readonly _held = new Map<string, INaivePlace>()
   private readonly _groups = new Map<string, INaiveGroup>()
   private readonly _ready: EngineDecision[] = []
-  private _queue: INaiveEntry[] = []
-  private _queued = 0
-  private _earliestDeadlineAtMs = Infinity
+  /** One line per rank; the base class has only one. */
+  private readonly _lines: INaiveLine[] = []
+  private readonly _entryOf = new Map<string, INaiveEntry>()
+  private readonly _byDeadline = new Heap<INaiveEntry>((a, b) => a.deadlineAtMs - b.deadlineAtMs)
 
   public constructor (protected readonly _clock: IClock) {}
 
@@ -76,12 +89,10 @@
 
   public cancel (itemId: string): 'queued' | 'running' | 'absent' {
     if (this._running.has(itemId)) return 'running'
-    const index = this._queue.findIndex((entry) => entry.items.some((item) => item.id === itemId))
-    if (index < 0) return 'absent'
-    const [entry] = this._queue.splice(index, 1)
-    const rest = entry?.items.filter((item) => item.id !== itemId) ?? []
-    if (rest.length > 0) this._queue.splice(index, 0, { items: rest })
-    this._queued -= 1
+    const entry = this._entryOf.get(itemId)
+    if (entry === undefined) return 'absent'
+    entry.items = entry.items.filter((item) => item.id !== itemId)
+    this._entryOf.delete(itemId)
     return 'queued'
   }
 
@@ -93,7 +104,8 @@
   }
 
   public nextWakeAtMs (): MonotonicMs {
-    let wakeAtMs = this._earliestDeadlineAtMs
+    this._dropEmptied()
+    let wakeAtMs = this._byDeadline.peek()?.deadlineAtMs ?? Infinity
     for (const group of this._groups.values()) wakeAtMs = Math.min(wakeAtMs, group.expiresAtMs)
     return wakeAtMs
   }
@@ -152,7 +164,7 @@
       if (free.cores > largestFree.cores) largestFree = free
     }
     const expectedWaitMs = { urgent: 0, normal: 0, patient: 0 }
-    return { queued: this._queued, running: this._running.size, capacity, used, largestFree, expectedWaitMs }
+    return { queued: this._entryOf.size, running: this._running.size, capacity, used, largestFree, expectedWaitMs }
   }
 
   public dump (): Readonly<Record<string, unknown>> {
@@ -167,9 +179,9 @@
     return item.avoidHostIds === undefined ? undefined : this._chooseAvoided(item)
   }
 
-  /** Where a newcomer stands in the line: at its end. */
-  protected _insertionIndex (queue: readonly { readonly items: readonly IWorkItem[] }[], _item: IWorkItem): number {
-    return queue.length
+  /** The line in which an item waits; lower ones go first. */
+  protected _rankOf (_item: IWorkItem): number {
+    return 0
   }
 
   protected _hasRoom (host: INaiveHost, item: IWorkItem): boolean {
@@ -191,14 +203,18 @@
     }
     const [first] = items
     if (first === undefined) return { admitted: true, expectedWaitMs: 0 }
-    this._queue.splice(this._insertionIndex(this._queue, first), 0, { items })
-    this._queued += items.length
-    this._noteDeadlines(items)
+    const deadlineAtMs = items.reduce((earliest, item) => Math.min(earliest, item.deadlineAtMs), Infinity)
+    const entry: INaiveEntry = { items, deadlineAtMs }
+    this._lineOf(this._rankOf(first)).entries.push(entry)
+    for (const item of items) this._entryOf.set(item.id, entry)
+    if (deadlineAtMs < Infinity) this._byDeadline.push(entry)
     return { admitted: true, expectedWaitMs: 0 }
   }
 
-  private _noteDeadlines (items: readonly IWorkItem[]): void {
-    for (const item of items) this._earliestDeadlineAtMs = Math.min(this._earliestDeadlineAtMs, item.deadlineAtMs)
+  private _lineOf (rank: number): INaiveLine {
+    const line = this._lines[rank] ?? { entries: [], head: 0 }
+    this._lines[rank] = line
+    return line
   }
 
   private _isFeasible (item: IWorkItem): boolean {
@@ -213,14 +229,21 @@
     for (const group of [...this._groups.values()]) {
       if (group.expiresAtMs <= nowMs) this.dropReservation(group.groupId)
     }
-    if (this._earliestDeadlineAtMs > nowMs) return
-    const isLate = (entry: INaiveEntry): boolean => entry.items.some((item) => item.deadlineAtMs <= nowMs)
-    const late = this._queue.filter(isLate).flatMap((entry) => entry.items)
-    this._queue = this._queue.filter((entry) => !isLate(entry))
-    this._queued -= late.length
-    for (const item of late) this._ready.push({ type: 'giveUp', item, reason: 'deadline', retryAfterMs: RETRY_AFTER_MS })
-    this._earliestDeadlineAtMs = Infinity
-    for (const entry of this._queue) this._noteDeadlines(entry.items)
+    this._dropEmptied()
+    for (let late = this._byDeadline.peek(); late !== undefined && late.deadlineAtMs <= nowMs; late = this._byDeadline.peek()) {
+      for (const item of late.items) this._ready.push({ type: 'giveUp', item, reason: 'deadline', retryAfterMs: RETRY_AFTER_MS })
+      this._leave(late)
+      this._dropEmptied()
+    }
+  }
+
+  private _leave (entry: INaiveEntry): void {
+    for (const item of entry.items) this._entryOf.delete(item.id)
+    entry.items = []
+  }
+
+  private _dropEmptied (): void {
+    while (this._byDeadline.peek()?.items.length === 0) this._byDeadline.pop()
   }
 
   private _fillReservations (): void {
@@ -233,15 +256,27 @@
   }
 
   private _placeHead (): void {
-    const [head] = this._queue
+    const head = this._firstWaiting()
     if (head === undefined || !this._placeAll(head.items)) return
-    this._queue.shift()
-    this._queued -= head.items.length
     const nowMs = this._clock.nowMs()
     for (const item of head.items) {
       const hostId = this._running.get(item.id)?.hostId ?? ''
       this._ready.push({ type: 'place', item, hostId, waitMs: nowMs - item.arrivedAtMs })
     }
+    this._leave(head)
+  }
+
+  private _firstWaiting (): INaiveEntry | undefined {
+    for (const line of this._lines) {
+      while (line?.entries[line.head]?.items.length === 0) line.head += 1
+      if (line !== undefined && line.head > CUT_AFTER_ENTRIES) {
+        line.entries = line.entries.slice(line.head)
+        line.head = 0
+      }
+      const first = line?.entries[line.head]
+      if (first !== undefined) return first
+    }
+    return undefined
   }
 
   private _placeAll (items: readonly IWorkItem[]): boolean {
