--- a/bench/decisions/Outcomes.ts
+++ b/bench/decisions/Outcomes.ts
@@ -166,6 +166,7 @@
 
 function jainOf (callers: readonly ICallerOutcome[]): number {
   const served = callers.reduce((sum, caller) => sum + caller.servedMs, 0)
+  if (served === 0) return 0
   const level = fairLevel(callers.map((caller) => caller.demandMs), served)
   const ratios = callers.filter((caller) => caller.demandMs > 0).map((caller) => caller.servedMs / Math.min(caller.demandMs, level))
   const sum = ratios.reduce((total, ratio) => total + ratio, 0)
--- a/bench/decisions/TaskScenarios.ts
+++ b/bench/decisions/TaskScenarios.ts
@@ -83,6 +83,17 @@
   return scenario('mixed-sizes-with-jobs', seed, merge(arrivalsOf(mixed(1.1), random), arrivalsOf(groups(0.3), random)))
 }
 
+/** Jobs of a third to two thirds of all cores, half of the load. */
+function mixedWithLargeJobs (seed: number): IScenario {
+  const random = new SeededRandom(seed)
+  const large: IStream = {
+    ...groups(0.5),
+    perSecond: ratePerSecond(0.5, 120 * 8, 20_000),
+    groupSize: (r) => 80 + Math.floor(81 * r.next())
+  }
+  return scenario('mixed-sizes-with-large-jobs', seed, merge(arrivalsOf(mixed(1.1), random), arrivalsOf(large, random)))
+}
+
 /** A job of half the hosts each 30 s, amid small tasks that fill the hosts by themselves. */
 function groupsAmongSmall (seed: number): IScenario {
   const random = new SeededRandom(seed)
@@ -142,5 +153,5 @@
 }
 
 export const TASK_SCENARIOS: readonly ((seed: number) => IScenario)[] = [
-  mixedSizes, mixedWithGroups, groupsAmongSmall, wrongSizes, impossible, urgentAmongLong
+  mixedSizes, mixedWithGroups, mixedWithLargeJobs, groupsAmongSmall, wrongSizes, impossible, urgentAmongLong
 ]
--- a/src/common/policy/DecisionEngine.ts
+++ b/src/common/policy/DecisionEngine.ts
@@ -5,6 +5,7 @@
 import { Admission } from './Admission.js'
 import { CapacityLedger } from './CapacityLedger.js'
 import { DecisionLoop } from './DecisionLoop.js'
+import { EngineReport, MAX_DUMPED } from './EngineReport.js'
 import { classRank, FairQueue } from './FairQueue.js'
 import { GroupBook } from './GroupBook.js'
 import { GroupPlacer } from './GroupPlacer.js'
@@ -21,13 +22,10 @@
 import type { ITeamConfig } from '../config/Types.js'
 import type { IHostObserver, LedgerHost } from './CapacityLedger.js'
 import type { IGroupTask } from './GroupBook.js'
-import type { ILaneKey, ProfileQueue } from './ProfileQueue.js'
+import type { ILaneKey } from './ProfileQueue.js'
 import type { AdmitDecision, AttemptEnd, EngineDecision, IDecisionEngine, IEngineHost, IEngineLoad, IWorkItem } from './Types.js'
 import type { CapacityKind } from './UseLedger.js'
 
-/** Lines of each kind in a dump. */
-const MAX_DUMPED = 100
-
 /** Free slots below this share are kept from callers far above their even share: of 240, four. Costs that much use at most. */
 const HEADROOM_SHARE = 0.02
 
@@ -48,6 +46,7 @@
   private readonly _work: RunningWork
   private readonly _groups: GroupPlacer
   private readonly _loop: DecisionLoop
+  private readonly _report: EngineReport
 
   public constructor (private readonly _clock: IClock, random: IRandom, options: IEngineOptions = { kind: 'resources' }) {
     const preemption = new Preemption()
@@ -55,6 +54,7 @@
     this._use = new UseLedger(options.kind)
     this._queue = new FairQueue(this._use, this._ledger.capacity, () => options.kind === 'slots' && this._isScarce())
     this._admission = new Admission(_clock, random)
+    this._report = new EngineReport(this._ledger, this._index, this._use, this._queue, this._book, this._admission)
     this._work = new RunningWork(_clock, this._ledger, this._use, this._queue, chooser, preemption)
     this._groups = new GroupPlacer(this._book, this._ledger, this._use, chooser, () => this._work.turnoverPerMs())
     this._loop = new DecisionLoop({
@@ -70,7 +70,7 @@
       work: this._work,
       book: this._book,
       groups: this._groups,
-      priorRate: (queue) => this._priorRate(queue)
+      priorRate: (queue) => this._report.priorRate(queue)
     })
   }
 
@@ -115,7 +115,8 @@
     const costMs = this._estimates.costMs(item, need)
     const latestStartAtMs = this._estimates.latestStartAtMs(item)
     const slackMs = latestStartAtMs - this._clock.nowMs()
-    const decision = this._admission.decide({ item, queue, costMs, slackMs, totalQueued: this._queuedCount(), priorRate: this._priorRate(queue) })
+    const totalQueued = this._report.queuedCount()
+    const decision = this._admission.decide({ item, queue, costMs, slackMs, totalQueued, priorRate: this._report.priorRate(queue) })
     if (!decision.admitted) return decision
     this._queue.add({ item, need, lane: laneOf(item, need, this._estimates.isLong(item)), costMs, latestStartAtMs })
     this._admission.noteQueued(queue)
@@ -201,38 +202,16 @@
   }
 
   public load (): IEngineLoad {
-    return {
-      queued: this._queuedCount(),
-      running: this._ledger.runningCount,
-      capacity: { ...this._ledger.capacity },
-      used: { ...this._ledger.used },
-      largestFree: this._index.largestFree(),
-      expectedWaitMs: this._expectedWaits()
-    }
+    return this._report.load()
   }
 
   public dump (): Readonly<Record<string, unknown>> {
     return {
-      engine: 'decisions',
-      hosts: this._ledger.hostCount,
+      ...this._report.dump(),
       onProbation: this._health.hostsOnProbation().slice(0, MAX_DUMPED),
       groups: this._book.groupCount,
       gathering: this._groups.gathering?.groupId,
-      servicesLearnt: this._estimates.serviceCount,
-      load: this.load(),
-      profiles: [...this._queue.profiles()].slice(0, MAX_DUMPED).map((queue) => this._dumpProfile(queue))
-    }
-  }
-
-  private _dumpProfile (queue: ProfileQueue): Readonly<Record<string, unknown>> {
-    const { name } = queue.profile
-    return {
-      profile: name,
-      queued: queue.queuedCount,
-      callers: queue.activeCallers,
-      running: this._use.profileCount(name),
-      share: this._use.profileShare(name, this._ledger.capacity),
-      expectedWaitMs: this._admission.expectedWaitMs(queue, this._priorRate(queue))
+      servicesLearnt: this._estimates.serviceCount
     }
   }
 
@@ -241,10 +220,6 @@
     return capacity.cores - used.cores <= HEADROOM_SHARE * capacity.cores
   }
 
-  private _queuedCount (): number {
-    return this._queue.size + this._book.itemCount
-  }
-
   private _tasksOf (items: readonly IWorkItem[]): IGroupTask[] {
     return items.map((item) => ({ item, need: this._estimates.need(item) }))
   }
@@ -256,26 +231,6 @@
     if (!this._use.couldEverRun(items)) return this._admission.refuse('quota', 'larger than the quota of its team')
     return undefined
   }
-
-  /** The share that the profile could have: what profiles that go before it don't use, and its floor in any case. */
-  private _priorRate (queue: ProfileQueue): number {
-    const rank = classRank(queue.profile.priorityClass)
-    let others = 0
-    for (const other of this._queue.profiles()) {
-      if (other === queue || classRank(other.profile.priorityClass) > rank) continue
-      others += this._use.profileShare(other.profile.name, this._ledger.capacity)
-    }
-    return Math.max(1 - others, this._queue.floorShare(queue))
-  }
-
-  private _expectedWaits (): Readonly<Record<'urgent' | 'normal' | 'patient', number>> {
-    const waits = { urgent: 0, normal: 0, patient: 0 }
-    for (const queue of this._queue.profiles()) {
-      const { priorityClass } = queue.profile
-      waits[priorityClass] = Math.max(waits[priorityClass], this._admission.expectedWaitMs(queue, this._priorRate(queue)))
-    }
-    return waits
-  }
 }
 
 /**
--- a/src/common/policy/DecisionLoop.ts
+++ b/src/common/policy/DecisionLoop.ts
@@ -4,10 +4,9 @@
 
 import { classRank } from './FairQueue.js'
 import { PREEMPT_AFTER_MS } from './Preemption.js'
-import { addInto } from './Resources.js'
+import { StopPlan } from './StopPlan.js'
 
 import type { IClock, IResources, MonotonicMs } from '../Types.js'
-import type { IProfile } from '../config/Types.js'
 import type { Admission } from './Admission.js'
 import type { CapacityLedger, LedgerHost } from './CapacityLedger.js'
 import type { FairQueue } from './FairQueue.js'
@@ -51,15 +50,17 @@
   /** Shapes and teams found to have no room since room last came free. */
   private readonly _blockedShapes = new Set<string>()
   private readonly _blockedTeams = new Set<string>()
-  /** Stops under way, and the shape of the urgent work that each makes room for. */
-  private readonly _stopping = new Map<string, string>()
+  private readonly _stops: StopPlan
   private readonly _isLaneBlocked = (lane: ILaneKey): boolean => this._blockedShapes.has(lane.shape) || this._blockedTeams.has(lane.team)
   /** Nothing to decide until then, unless something happens. */
   private _settledUntilMs: MonotonicMs = -Infinity
   private _recheckAtMs: MonotonicMs = Infinity
   private _needsGroupAdvance = false
 
-  public constructor (private readonly _parts: ILoopParts) {}
+  public constructor (private readonly _parts: ILoopParts) {
+    const { ledger, use, queue, preemption } = _parts
+    this._stops = new StopPlan(ledger, use, queue, preemption)
+  }
 
   public next (): EngineDecision | undefined {
     if (this._ready.length === 0) this._decide(this._parts.clock.nowMs())
@@ -91,7 +92,7 @@
   }
 
   public noteEnded (itemId: string): void {
-    this._stopping.delete(itemId)
+    this._stops.noteEnded(itemId)
     this.noteRoom()
   }
 
@@ -247,35 +248,11 @@
   }
 
   private _preemptFor (entry: IQueueEntry, nowMs: MonotonicMs): void {
-    const { item, need, line } = entry
+    const { item, line } = entry
     if (this._isTooEarly(item.arrivedAtMs + PREEMPT_AFTER_MS, nowMs)) return
-    const { shape } = line.lane
-    if (this._stopsUnderWay(shape) >= line.entries.size) return
-    const victims = this._parts.preemption.choose(item, need, nowMs, (profile, lost) => this._keepsFloor(profile, lost))
-    if (victims.length > 0) this._blockedShapes.delete(shape)
-    for (const victim of victims) {
-      victim.isStopping = true
-      this._stopping.set(victim.item.id, shape)
-      this._ready.push({ type: 'preempt', itemId: victim.item.id, hostId: victim.host.hostId, forItemId: item.id })
-    }
-  }
-
-  private _stopsUnderWay (shape: string): number {
-    let count = 0
-    for (const other of this._stopping.values()) if (other === shape) count += 1
-    return count
-  }
-
-  /** Whether the profile keeps its floor without `lost` and without what is being stopped already. */
-  private _keepsFloor (profile: IProfile, lost: IResources): boolean {
-    const { queue, use, ledger } = this._parts
-    const leaving = { ...lost }
-    for (const itemId of this._stopping.keys()) {
-      const running = ledger.runningItem(itemId)
-      if (running?.item.profile.name === profile.name) addInto(leaving, running.counted)
-    }
-    const left = use.profileShare(profile.name, ledger.capacity) - ledger.shareOf(leaving)
-    return left >= queue.floorShare(queue.profileFor(profile))
+    const stops = this._stops.choose(entry, nowMs)
+    if (stops.length > 0) this._blockedShapes.delete(line.lane.shape)
+    for (const { itemId, hostId } of stops) this._ready.push({ type: 'preempt', itemId, hostId, forItemId: item.id })
   }
 
   /** Whether something is due only later; then it is looked at again at that time. */
--- /dev/null
+++ b/src/common/policy/StopPlan.ts
@@ -0,0 +1,69 @@
+/**
+ * Which stops are under way for urgent work, so that no more are asked for than it needs and no profile loses its floor.
+ */
+
+import { addInto } from './Resources.js'
+
+import type { IResources, MonotonicMs } from '../Types.js'
+import type { IProfile } from '../config/Types.js'
+import type { CapacityLedger } from './CapacityLedger.js'
+import type { FairQueue } from './FairQueue.js'
+import type { Preemption } from './Preemption.js'
+import type { IQueueEntry } from './ProfileQueue.js'
+import type { UseLedger } from './UseLedger.js'
+
+export interface IStop {
+  readonly itemId: string
+  readonly hostId: string
+}
+
+export class StopPlan {
+  /** Items being stopped, and the shape of the urgent work that each makes room for. */
+  private readonly _stopping = new Map<string, string>()
+
+  public constructor (
+    private readonly _ledger: CapacityLedger,
+    private readonly _use: UseLedger,
+    private readonly _queue: FairQueue,
+    private readonly _preemption: Preemption
+  ) {}
+
+  public noteEnded (itemId: string): void {
+    this._stopping.delete(itemId)
+  }
+
+  /**
+   * The items to stop now for an urgent entry; none while as many stops are under way as there are items like it.
+   *
+   * Made for many urgent items that wait at once while stops take effect with a delay: asked again for each look at the
+   * queue, all preemptible work would be stopped within milliseconds for a few urgent tasks.
+   */
+  public choose (entry: IQueueEntry, nowMs: MonotonicMs): readonly IStop[] {
+    const { item, need, line } = entry
+    const { shape } = line.lane
+    if (this._underWay(shape) >= line.entries.size) return []
+    const victims = this._preemption.choose(item, need, nowMs, (profile, lost) => this._keepsFloor(profile, lost))
+    for (const victim of victims) {
+      victim.isStopping = true
+      this._stopping.set(victim.item.id, shape)
+    }
+    return victims.map((victim) => ({ itemId: victim.item.id, hostId: victim.host.hostId }))
+  }
+
+  private _underWay (shape: string): number {
+    let count = 0
+    for (const other of this._stopping.values()) if (other === shape) count += 1
+    return count
+  }
+
+  /** Whether the profile keeps its floor without `lost` and without what is being stopped already. */
+  private _keepsFloor (profile: IProfile, lost: IResources): boolean {
+    const leaving = { ...lost }
+    for (const itemId of this._stopping.keys()) {
+      const running = this._ledger.runningItem(itemId)
+      if (running?.item.profile.name === profile.name) addInto(leaving, running.counted)
+    }
+    const left = this._use.profileShare(profile.name, this._ledger.capacity) - this._ledger.shareOf(leaving)
+    return left >= this._queue.floorShare(this._queue.profileFor(profile))
+  }
+}
