--- a/src/common/policy/GroupPlacer.ts
+++ b/src/common/policy/GroupPlacer.ts
@@ -20,7 +20,10 @@
 const MAX_GATHER_MS = 600_000
 
 /** For so long other work may be kept from all hosts; where run times are longer, chosen hosts are emptied instead. */
-const MAX_CLOSED_MS = 30_000
+const MAX_CLOSED_MS = 60_000
+
+/** Time for which hosts are open to all after a job's room has come together, per time for which they were closed. */
+const OPEN_PER_CLOSED = 1
 
 /** While this share of the capacity is held, no further hosts are emptied for single items: held room is mostly idle. */
 const MAX_HELD_SHARE_FOR_ONE = 0.05
@@ -34,6 +37,7 @@
 export class GroupPlacer {
   private _gathering: IGroup | undefined
   private _singles = 0
+  private _nextGatherAtMs: MonotonicMs = -Infinity
   /** Until when the held room of a host is open to work that ends by then. */
   private readonly _openUntilMs = new Map<LedgerHost, MonotonicMs>()
 
@@ -70,6 +74,7 @@
   /** When something here is due although no room has come free. */
   public nextWakeAtMs (nowMs: MonotonicMs): MonotonicMs {
     let wakeAtMs = this._book.earliestExpiryMs
+    if (this._book.groupCount > 0 && this._nextGatherAtMs > nowMs) wakeAtMs = Math.min(wakeAtMs, this._nextGatherAtMs)
     if (this.isClosing(nowMs)) wakeAtMs = Math.min(wakeAtMs, (this._gathering?.gatheringSinceMs ?? nowMs) + MAX_CLOSED_MS)
     for (const group of this._book.groups()) {
       const gatherAtMs = group.queuedAtMs + GATHER_AFTER_MS
@@ -125,7 +130,7 @@
   }
 
   private _startGathering (nowMs: MonotonicMs, isItsTurn: TurnTest): void {
-    if (this._gathering !== undefined) return
+    if (this._gathering !== undefined || nowMs < this._nextGatherAtMs) return
     let next: IGroup | undefined
     for (const group of this._book.groups()) {
       if (this._mayGather(group, nowMs) && (next === undefined || goesBefore(group, next)) && isItsTurn(group)) next = group
@@ -149,7 +154,19 @@
       if (!group.holds.has(task.item.id) && !this._claim(group, task, nowMs)) break
     }
     if (group.holds.size > before) this._reopen()
-    if (group === this._gathering && this._book.isComplete(group)) this._gathering = undefined
+    if (group === this._gathering && this._book.isComplete(group)) this._endGathering(group, nowMs)
+  }
+
+  /**
+   * Lets the other work in again, for a time in proportion to that for which it was kept out.
+   *
+   * Made for jobs that come one after the other. Were room gathered for the next at once, hosts would be closed nearly all the time:
+   * half idle, and lower classes left with their floors alone.
+   */
+  private _endGathering (group: IGroup, nowMs: MonotonicMs): void {
+    const closedMs = Math.min(nowMs - (group.gatheringSinceMs ?? nowMs), MAX_CLOSED_MS)
+    this._nextGatherAtMs = nowMs + OPEN_PER_CLOSED * closedMs
+    this._gathering = undefined
   }
 
   /**
