--- a/src/common/policy/DecisionEngine.test.ts
+++ b/src/common/policy/DecisionEngine.test.ts
@@ -40,6 +40,26 @@
   t.deepEqual(Object.values(placed(engine)).sort(), ['a', 'b', 'c'])
 })
 
+test('the tasks of a job to be spread use each failure domain, too', (t) => {
+  const domains = ['a', 'b', 'c'].map((failureDomain) => host(failureDomain, cores(8), { failureDomain }))
+  const { engine } = engineWith('resources', ...domains)
+  engine.admitGroup('job', named(3, 'j', { profile: profile({ spread: 'failureDomain' }) }))
+  t.deepEqual(Object.values(placed(engine)).sort(), ['a', 'b', 'c'])
+})
+
+/*
+ * A gateway sends a request again because the answer to the first copy was lost on the way. Queued twice, it would run twice.
+ */
+test('an id that is queued or runs is refused as a duplicate', (t) => {
+  const { engine } = engineWith('slots', host('h1', cores(1)))
+  admitAll(engine, work('runs'), work('waits'))
+  placed(engine)
+  t.like(engine.admit(work('runs')), { admitted: false, reason: 'duplicate' })
+  t.like(engine.admit(work('waits')), { admitted: false, reason: 'duplicate' })
+  engine.finished('runs', 'succeeded', 1)
+  t.deepEqual(placed(engine), { waits: 'h1' })
+})
+
 test('team quotas and the running limit of a profile hold', (t) => {
   const { engine } = engineWith('resources', host('h1', cores(64)))
   engine.putTeam({ name: 'team', maxSlots: 100, maxCores: 3, maxAccelerators: 0 })
--- a/src/common/policy/DecisionEngine.ts
+++ b/src/common/policy/DecisionEngine.ts
@@ -39,7 +39,7 @@
   private readonly _index = new HostIndex()
   private readonly _health = new HostHealth()
   private readonly _estimates = new WorkEstimates(this._ledger)
-  private readonly _book = new GroupBook(this._ledger)
+  private readonly _book: GroupBook
   private readonly _use: UseLedger
   private readonly _queue: FairQueue
   private readonly _admission: Admission
@@ -51,6 +51,7 @@
   public constructor (private readonly _clock: IClock, random: IRandom, options: IEngineOptions = { kind: 'resources' }) {
     const preemption = new Preemption()
     const chooser = new HostChooser(options.kind, this._ledger, this._index, this._health)
+    this._book = new GroupBook(this._ledger, chooser)
     this._use = new UseLedger(options.kind)
     this._queue = new FairQueue(this._use, this._ledger.capacity, () => options.kind === 'slots' && this._isScarce())
     this._admission = new Admission(_clock, random)
@@ -220,12 +221,19 @@
     return capacity.cores - used.cores <= HEADROOM_SHARE * capacity.cores
   }
 
+  /** The same id twice would be placed twice, and the end of one run would be taken for the end of both. */
+  private _isKnown (itemId: string): boolean {
+    return this._queue.has(itemId) || this._book.has(itemId) || this._ledger.runningItem(itemId) !== undefined
+  }
+
   private _tasksOf (items: readonly IWorkItem[]): IGroupTask[] {
     return items.map((item) => ({ item, need: this._estimates.need(item) }))
   }
 
   private _whyImpossible (items: readonly IWorkItem[]): AdmitDecision | undefined {
     if (this._ledger.hostCount === 0) return this._admission.refuse('noUpstream', 'no host is known')
+    const known = items.find((item) => this._isKnown(item.id))
+    if (known !== undefined) return this._admission.refuse('duplicate', `${known.id} is queued or runs already`)
     const tooLarge = items.find((item) => !this._ledger.isFeasible(item.resources))
     if (tooLarge !== undefined) return this._admission.refuse('infeasible', `no accepting host is large enough for ${tooLarge.id}`)
     if (!this._use.couldEverRun(items)) return this._admission.refuse('quota', 'larger than the quota of its team')
--- a/src/common/policy/GroupBook.ts
+++ b/src/common/policy/GroupBook.ts
@@ -33,13 +33,18 @@
   startsAtMs: MonotonicMs
 }
 
+/** Told of each place that is held or let go. */
+export interface IHoldObserver {
+  holdChanged (item: IWorkItem, host: LedgerHost, sign: 1 | -1): void
+}
+
 export class GroupBook {
   private readonly _groups = new Map<string, IGroup>()
   private readonly _groupOf = new Map<string, IGroup>()
   private readonly _holding = new Set<IGroup>()
   private _earliestExpiryMs: MonotonicMs = Infinity
 
-  public constructor (private readonly _ledger: CapacityLedger) {}
+  public constructor (private readonly _ledger: CapacityLedger, private readonly _observer: IHoldObserver) {}
 
   public get itemCount (): number {
     return this._groupOf.size
@@ -83,6 +88,10 @@
     return group
   }
 
+  public has (itemId: string): boolean {
+    return this._groupOf.has(itemId)
+  }
+
   /** Takes one item out; the rest of its group still starts together. */
   public cancelItem (itemId: string): boolean {
     const group = this._groupOf.get(itemId)
@@ -119,14 +128,14 @@
     group.holds.set(task.item.id, { ...task, host })
     this._holding.add(group)
     this._ledger.hold(host, task.need)
+    this._observer.holdChanged(task.item, host, 1)
   }
 
   /** Moves a hold to another host. */
   public move (group: IGroup, hold: IHold, host: LedgerHost): void {
     const { item, need } = hold
-    this._ledger.releaseHold(hold.host, need)
-    group.holds.set(item.id, { item, need, host })
-    this._ledger.hold(host, need)
+    this._release(group, item.id)
+    this.hold(group, { item, need }, host)
   }
 
   public giveBack (group: IGroup): void {
@@ -160,5 +169,6 @@
     group.holds.delete(itemId)
     if (group.holds.size === 0) this._holding.delete(group)
     this._ledger.releaseHold(hold.host, hold.need)
+    this._observer.holdChanged(hold.item, hold.host, -1)
   }
 }
--- a/src/common/policy/GroupPlacer.ts
+++ b/src/common/policy/GroupPlacer.ts
@@ -111,12 +111,13 @@
   }
 
   private _stopStalled (nowMs: MonotonicMs): void {
-    if (this._gathering !== undefined && this._book.group(this._gathering.groupId) !== this._gathering) this._gathering = undefined
+    const gathering = this._gathering
+    if (gathering !== undefined && this._book.group(gathering.groupId) !== gathering) this._endGathering(gathering, nowMs)
     for (const group of this._book.holding()) {
       if (group.gatheringSinceMs === undefined || nowMs - group.gatheringSinceMs < MAX_GATHER_MS) continue
       this._book.giveBack(group)
       group.queuedAtMs = nowMs
-      if (group === this._gathering) this._gathering = undefined
+      if (group === this._gathering) this._endGathering(group, nowMs)
     }
   }
 
--- a/src/common/policy/HostChooser.ts
+++ b/src/common/policy/HostChooser.ts
@@ -7,6 +7,7 @@
 
 import type { IResources, MonotonicMs } from '../Types.js'
 import type { CapacityLedger, LedgerHost } from './CapacityLedger.js'
+import type { IHoldObserver } from './GroupBook.js'
 import type { GridOrder, HostFilter } from './HostGrid.js'
 import type { HostHealth } from './HostHealth.js'
 import type { HostIndex } from './HostIndex.js'
@@ -16,7 +17,7 @@
 /** Hosts looked at one by one when the index knows none to empty. */
 const MAX_DRAIN_LOOKS = 1_000
 
-export class HostChooser {
+export class HostChooser implements IHoldObserver {
   private readonly _order: GridOrder
   /** Running items of services to be spread, by failure domain. */
   private readonly _spread = new Map<string, Map<string, number>>()
@@ -108,6 +109,11 @@
     return this._index.find(rest, need, this._order)
   }
 
+  /** Held places count as running for the spread: the tasks of a job are all placed before the first one runs. */
+  public holdChanged (item: IWorkItem, host: LedgerHost, sign: 1 | -1): void {
+    this._countSpread(item, host, sign)
+  }
+
   private _countSpread (item: IWorkItem, host: LedgerHost, sign: 1 | -1): void {
     if (item.profile.spread !== 'failureDomain') return
     const counts = this._spread.get(item.service) ?? new Map<string, number>()
--- a/src/common/policy/HostHealth.ts
+++ b/src/common/policy/HostHealth.ts
@@ -2,6 +2,8 @@
  * Which hosts fail far more than their peers: they go on probation, get a probe now and then and come back once healed.
  */
 
+import { LRUCache } from 'lru-cache'
+
 import type { MonotonicMs } from '../Types.js'
 import type { AttemptEnd, IWorkItem } from './Types.js'
 
@@ -33,6 +35,9 @@
 /** Successes that each service is credited with, so that its first failures aren't taken for its usual rate. */
 const SERVICE_PRIOR_ATTEMPTS = 20
 
+/** Services remembered; the one unused for longest is forgotten first. */
+const MAX_SERVICES = 10_000
+
 interface IRecord {
   failures: number
   expectedFailures: number
@@ -55,7 +60,7 @@
 
 export class HostHealth {
   private readonly _hosts = new Map<string, IRecord>()
-  private readonly _services = new Map<string, IServiceRate>()
+  private readonly _services = new LRUCache<string, IServiceRate>({ max: MAX_SERVICES })
   private readonly _onProbation = new Set<string>()
 
   public get probationCount (): number {
