--- a/src/common/policy/RunTimeLearner.ts
+++ b/src/common/policy/RunTimeLearner.ts
@@ -6,7 +6,10 @@
 
 import type { IWorkItem } from './Types.js'
 
-/** Two buckets an octave from 1 ms to 49 days; 256 bytes a service, against some tens of kilobytes of a full histogram. */
+/**
+ * Two buckets an octave from 1 ms to 49 days: 0.8 KB a service as measured, against 2.6 KB of an hdr-histogram-js of one digit and
+ * 9 KB of one of two digits up to a day; a limit of 128 MB a process leaves no room for those at 10,000 services.
+ */
 const BUCKETS = 64
 const BUCKETS_PER_OCTAVE = 2
 
