--- a/spec/Specs.test.ts
+++ b/spec/Specs.test.ts
@@ -23,6 +23,7 @@
   }
 
   test(`${spec.name}: each property has a mutant`, (t) => {
-    t.deepEqual(new Set(Object.values(spec.mutants)), new Set(Object.keys(spec.properties)))
+    const broken = new Set(Object.values(spec.mutants))
+    t.deepEqual([...broken].sort(), Object.keys(spec.properties).sort())
   })
 }
--- /dev/null
+++ b/src/common/state/GangReservation.test.ts
@@ -0,0 +1,74 @@
+/**
+ * All-at-once jobs over several schedulers. The specification explores the races; here are the ways that matter most.
+ */
+
+import test from 'ava'
+
+import { SeededRandom } from '../Random.js'
+import type { IPlaceTask } from '../protocol/Types.js'
+import { DEFAULT_GANG_OPTIONS, GangReservation } from './GangReservation.js'
+
+function tasks (...ids: string[]): readonly IPlaceTask[] {
+  const resources = { cores: 1, memoryBytes: 1, accelerators: 0 }
+  return ids.map((taskId) => ({ jobId: 'j', service: 's', caller: 'c', task: { taskId, resources }, attempt: 1, jobOwner: 'o' }))
+}
+
+function setUp (): GangReservation {
+  return new GangReservation(tasks('a', 'b'), ['s2', 's1', 's3'], DEFAULT_GANG_OPTIONS, new SeededRandom(1))
+}
+
+test('places are asked for in the order of process ids, for what is missing only, and then all start', (t) => {
+  const gang = setUp()
+  t.like(gang.commands(0)[0], { type: 'reserve', scheduler: 's1' })
+  t.deepEqual(gang.commands(0), [])
+  gang.reserved('s1', [])
+  t.like(gang.commands(1)[0], { type: 'reserve', scheduler: 's2' })
+  gang.reserved('s2', ['a'])
+  const third = gang.commands(2)[0]
+  t.deepEqual(third?.type === 'reserve' ? third.tasks.map(({ task }) => task.taskId) : [], ['b'])
+  gang.reserved('s3', ['b'])
+  t.deepEqual(gang.commands(3).map(({ type, scheduler }) => [type, scheduler]), [['start', 's2'], ['start', 's3']])
+  gang.started('s2', true)
+  gang.started('s3', true)
+  t.is(gang.phase, 'running')
+})
+
+// There is room for half of the job. Holding that half, two such jobs would wait for each other for ever.
+test('what can\'t be completed is given back, and tried again after a pause', (t) => {
+  const gang = setUp()
+  for (const scheduler of ['s1', 's2', 's3']) {
+    gang.commands(0)
+    gang.reserved(scheduler, scheduler === 's1' ? ['a'] : [])
+  }
+  t.deepEqual(gang.commands(0).map(({ type, scheduler }) => [type, scheduler]), [['giveBack', 's1'], ['giveBack', 's2'], ['giveBack', 's3']])
+  for (const scheduler of ['s1', 's2', 's3']) gang.gaveBack(scheduler, 10)
+  t.is(gang.phase, 'pausing')
+  t.true(gang.pauseUntilMs >= 10 + 25 && gang.pauseUntilMs <= 10 + 50)
+  t.deepEqual(gang.commands(gang.pauseUntilMs - 1), [])
+  t.like(gang.commands(gang.pauseUntilMs)[0], { type: 'reserve', scheduler: 's1', tryNumber: 1 })
+})
+
+// A scheduler dies between the starts. Left as it is, half of the job would run and wait for the other half.
+test('a start that fails takes back those that succeeded', (t) => {
+  const gang = setUp()
+  gang.commands(0)
+  gang.reserved('s1', ['a'])
+  gang.commands(0)
+  gang.reserved('s2', ['b'])
+  gang.commands(0)
+  gang.started('s1', true)
+  gang.started('s2', false)
+  t.deepEqual(gang.commands(0).map(({ type, scheduler }) => [type, scheduler]), [['giveBack', 's1'], ['giveBack', 's2']])
+  gang.giveBackFailed('s2')
+  t.deepEqual(gang.commands(0).map(({ scheduler }) => scheduler), ['s2'])
+})
+
+// The last reservation took so long that the first is about to expire: a start would find it gone.
+test('nothing starts when a reservation is about to run out', (t) => {
+  const gang = setUp()
+  gang.commands(0)
+  gang.reserved('s1', ['a'])
+  gang.commands(4_500)
+  gang.reserved('s2', ['b'])
+  t.deepEqual(gang.commands(4_600).map(({ type }) => type), ['giveBack', 'giveBack'])
+})
--- /dev/null
+++ b/src/common/state/TaskLeases.test.ts
@@ -0,0 +1,49 @@
+/**
+ * When the next attempt of a task may start.
+ */
+
+import test from 'ava'
+
+import { TaskLeases } from './TaskLeases.js'
+
+const OPTIONS = { leaseMs: 1_000, maxDrift: 0.01 }
+
+function at (hostMs: number, localMs: number): { hostMs: number, sentAtMs: number, receivedAtMs: number } {
+  return { hostMs, sentAtMs: localMs, receivedAtMs: localMs }
+}
+
+test('what the host has not listed under our epoch has ended; what it lists has not', (t) => {
+  const leases = new TaskLeases(OPTIONS)
+  t.is(leases.nextAttempt('t', 1, 0), 'unfenced')
+  leases.noteFenced(at(5_000, 0), [{ taskId: 'u', attempt: 2, running: true }])
+  t.is(leases.nextAttempt('t', 1, 0), 'ended')
+  t.is(leases.nextAttempt('u', 2, 0), 'leased')
+  t.is(leases.nextAttempt('u', 1, 0), 'leased')
+  leases.noteList(at(5_100, 100), [{ taskId: 'u', attempt: 2, running: false }])
+  t.is(leases.nextAttempt('u', 2, 100), 'ended')
+})
+
+// A host goes silent while a renewal may still be on its way. Counted from the last answer, the task would start
+// again elsewhere while the late renewal keeps the first one alive.
+test('a lease lapses by the latest expiry ever sent, with the drift, and once the store has confirmed', (t) => {
+  const leases = new TaskLeases(OPTIONS)
+  leases.noteFenced(at(5_000, 0), [])
+  leases.noteSent('t', 1, leases.expiryFor(0) ?? 0)
+  leases.noteSent('t', 1, leases.expiryFor(500) ?? 0)
+  t.is(leases.nextAttempt('t', 1, 1_100), 'leased')
+  t.is(leases.nextAttempt('t', 1, 1_500), 'leased')
+  t.is(leases.nextAttempt('t', 1, 1_600), 'unconfirmed')
+  leases.noteConfirmed(1_200)
+  t.is(leases.nextAttempt('t', 1, 1_600), 'unconfirmed')
+  leases.noteConfirmed(1_600)
+  t.is(leases.nextAttempt('t', 1, 1_600), 'lapsed')
+})
+
+// The earlier owner renewed a task just before it was fenced; its renewal holds until a lease after the fence.
+test('an inherited lease lasts a whole lease after the fence', (t) => {
+  const leases = new TaskLeases(OPTIONS)
+  leases.noteFenced(at(5_000, 0), [{ taskId: 't', attempt: 1, running: true }])
+  leases.noteConfirmed(2_000)
+  t.is(leases.nextAttempt('t', 1, 1_005), 'leased')
+  t.is(leases.nextAttempt('t', 1, 2_000), 'lapsed')
+})
