--- a/src/common/state/ClaimTable.ts
+++ b/src/common/state/ClaimTable.ts
@@ -9,6 +9,14 @@
 import type { EpochMs } from '../Types.js'
 import type { SliceEntry } from './Types.js'
 
+/**
+ * The oldest attempt that may still claim, in milliseconds. Claims and blocks are kept for ten minutes; an attempt
+ * that waited longer than that could claim an id whose first claim has been forgotten, and the work would run twice.
+ * So a request that isn't idempotent gets no deadline beyond this, and repeats of its id are known for the rest of
+ * the ten minutes.
+ */
+export const MAX_ATTEMPT_AGE_MS = 300_000
+
 export type ClaimDecision =
   /** Append a claim entry; granted once it is durable. */
   | { readonly decision: 'append' }
--- a/src/common/state/ShardAssignment.ts
+++ b/src/common/state/ShardAssignment.ts
@@ -93,7 +93,12 @@
     const eligible = near.length > 0 ? near : candidates
     const share = Math.floor(group.shards.length / eligible.length)
     const extras = group.shards.length % eligible.length
-    const owned = (processId: string): number => group.shards.filter((shard) => ownerOf(shard.shardId) === processId).length
+    const counts = new Map<string, number>()
+    for (const shard of group.shards) {
+      const owner = ownerOf(shard.shardId)
+      if (owner !== undefined) counts.set(owner, (counts.get(owner) ?? 0) + 1)
+    }
+    const owned = (processId: string): number => counts.get(processId) ?? 0
     return this._byHash(eligible, (each) => `${group.name}|${each.processId}`)
       .sort((left, right) => owned(right.processId) - owned(left.processId))
       .map((each, index) => ({ processId: each.processId, room: index < extras ? share + 1 : share }))
--- a/src/scheduler/ownership/ShardOwner.ts
+++ b/src/scheduler/ownership/ShardOwner.ts
@@ -3,23 +3,22 @@
  * hands surplus to newcomers, and releases everything on a planned stop.
  */
 
-import { ok } from 'neverthrow'
-
-import type { Result } from 'neverthrow'
 import { DisposableStore, Emitter } from '../../common/Emitter.js'
+import type { Event } from '../../common/Emitter.js'
 import type { InvalidInputError } from '../../common/Errors.js'
 import type { ChartTable } from '../../common/state/ChartTable.js'
 import type { ShardAssignment } from '../../common/state/ShardAssignment.js'
-import { decodeShardRecord } from '../../common/state/SliceCodec.js'
 import { ShardOwnership } from '../../common/state/ShardOwnership.js'
 import type { IRecordWrite, OwnershipChange } from '../../common/state/ShardOwnership.js'
-import type { IShardRecord, IShardSpec, ShardKind } from '../../common/state/Types.js'
+import type { IShardSpec, ShardKind } from '../../common/state/Types.js'
 import type { IClock, IDisposable, ITimers, MonotonicMs } from '../../common/Types.js'
-import type { IKeyValueStore, IStoreChange, IStoreRange, IStoreRecord } from '../../platform/Types.js'
+import type { IKeyValueStore, IStoreChange, IStoreRange } from '../../platform/Types.js'
 import { MEMBER_PREFIX } from './MemberRegistration.js'
 import type { MemberRegistration } from './MemberRegistration.js'
 import { MemberView } from './MemberView.js'
 import { ShardRecordWriter } from './ShardRecordWriter.js'
+import { SHARD_PREFIX, ShardSet } from './ShardSet.js'
+import type { IKnownShard } from './ShardSet.js'
 
 export interface IShardOwnerOptions {
   /** Between looks at what could be taken, in milliseconds; changes that the watch brings are looked at when they come. */
@@ -42,7 +41,8 @@
   maxTakesUnderWay: 4
 }
 
-const SHARD_PREFIX = 'shards/'
+/** Changes that come together are looked at together: a lost failure domain brings hundreds at once. In milliseconds. */
+const SETTLE_MS = 20
 
 export interface IShardAcquired {
   readonly shardId: string
@@ -65,17 +65,6 @@
   beforeRelease (shardId: string, epoch: number): Promise<void>
 }
 
-interface IHeldShard {
-  readonly spec: IShardSpec
-  readonly ownership: ShardOwnership
-  releasing: boolean
-  /**
-   * Its record can't be read. It is left alone until an operator has mended it: a takeover would start from epoch 1
-   * again, and hosts would take the commands of an owner long gone.
-   */
-  damaged: boolean
-}
-
 export class ShardOwner implements IDisposable {
   private readonly _disposables = new DisposableStore()
   private readonly _onAcquired = this._disposables.add(new Emitter<IShardAcquired>())
@@ -88,16 +77,13 @@
   public readonly onMembers = this._onMembers.event
   private readonly _onReachable = this._disposables.add(new Emitter<boolean>())
   public readonly onReachable = this._onReachable.event
-  private readonly _onDamaged = this._disposables.add(new Emitter<InvalidInputError>())
   /** A record can't be read; its shard has no new owner until it is mended. */
-  public readonly onDamaged = this._onDamaged.event
+  public readonly onDamaged: Event<InvalidInputError>
 
   public readonly members = new MemberView()
   private readonly _writer: ShardRecordWriter
-  private readonly _shards = new Map<string, IHeldShard>()
-  /** Records of shards that we have not been told of yet. */
-  private readonly _records = new Map<string, { readonly record: IShardRecord | undefined, readonly modRevision: number }>()
-  private readonly _damaged = new Set<string>()
+  private readonly _shards: ShardSet
+  private _evaluation: IDisposable | undefined
   private _takesUnderWay = 0
   private _loaded = false
   private _stopping = false
@@ -116,8 +102,12 @@
     private readonly _nonce: () => string,
     private readonly _options: IShardOwnerOptions
   ) {
+    const self = { processId: _member.entry.processId, incarnation: _member.entry.incarnation }
+    this._shards = this._disposables.add(new ShardSet((spec) => new ShardOwnership(_chart, self, spec, _nonce)))
+    this.onDamaged = this._shards.onDamaged
+    this._shards.onChange(({ shard, change }) => { this._changed(shard, change) })
     this._writer = this._disposables.add(new ShardRecordWriter(_store, _clock, _options.evaluateMs))
-    this._disposables.add(this._member.onRegistered(() => { this._evaluate() }))
+    this._disposables.add(this._member.onRegistered(() => { this._evaluateSoon() }))
   }
 
   /** Loads members and records, then follows them. */
@@ -128,16 +118,8 @@
 
   /** Says which shards there are: the racks of the host list and the fixed id shards. Unlisted ones that we hold stay held. */
   public setShards (specs: readonly IShardSpec[]): void {
-    for (const spec of specs) {
-      if (this._shards.has(spec.shardId)) continue
-      const self = { processId: this._member.entry.processId, incarnation: this._member.entry.incarnation }
-      const ownership = new ShardOwnership(this._chart, self, spec, this._nonce)
-      const shard = { spec, ownership, releasing: false, damaged: this._damaged.has(spec.shardId) }
-      this._shards.set(spec.shardId, shard)
-      const known = this._records.get(spec.shardId)
-      if (known !== undefined) this._apply(shard, ownership.observe(known.record, known.modRevision))
-    }
-    this._evaluate()
+    for (const spec of specs) this._shards.add(spec)
+    this._evaluateSoon()
   }
 
   /** The epoch under which a shard is ours, or undefined. */
@@ -148,9 +130,7 @@
 
   /** Shards that are ours, with their epochs. */
   public held (): readonly IShardAcquired[] {
-    return [...this._shards.values()]
-      .filter(({ ownership }) => ownership.held)
-      .map(({ spec, ownership }) => ({ shardId: spec.shardId, kind: spec.kind, epoch: ownership.epoch }))
+    return this._shards.held().map(({ spec, ownership }) => ({ shardId: spec.shardId, kind: spec.kind, epoch: ownership.epoch }))
   }
 
   /** The owner on record, for routing; undefined if nobody has it. */
@@ -166,7 +146,7 @@
   /** A host or a log has refused us with a newer epoch. */
   public fenced (shardId: string, currentEpoch: number): void {
     const shard = this._shards.get(shardId)
-    if (shard !== undefined) this._apply(shard, shard.ownership.fenced(currentEpoch))
+    if (shard !== undefined) this._shards.apply(shard, shard.ownership.fenced(currentEpoch))
   }
 
   /** Releases one shard in good order. */
@@ -189,6 +169,7 @@
 
   public dispose (): void {
     this._disposed = true
+    this._evaluation?.dispose()
     this._disposables.dispose()
   }
 
@@ -204,7 +185,7 @@
     this._resetShards(shards.value)
     this._loaded = true
     this._follow(members.value.revision, shards.value.revision)
-    this._evaluate()
+    this._evaluateSoon()
   }
 
   private _follow (membersRevision: number, shardsRevision: number): void {
@@ -228,35 +209,17 @@
     change()
     this._membersSinceMs = this._clock.nowMs()
     this._onMembers.fire()
-    this._evaluate()
+    this._evaluateSoon()
   }
 
   private _resetShards (range: IStoreRange): void {
-    for (const record of range.records) this._see(record, false)
-    this._evaluate()
+    for (const record of range.records) this._shards.see(record, false)
+    this._evaluateSoon()
   }
 
   private _shardsChanged (changes: readonly IStoreChange[]): void {
-    for (const change of changes) this._see(change, change.deleted)
-    this._evaluate()
-  }
-
-  private _see (read: IStoreRecord, deleted: boolean): void {
-    const shardId = read.key.slice(SHARD_PREFIX.length)
-    const shard = this._shards.get(shardId)
-    const decoded: Result<IShardRecord | undefined, InvalidInputError> = deleted ? ok(undefined) : decodeShardRecord(read.key, read.value)
-    this._setDamaged(shardId, decoded.isErr() ? decoded.error : undefined)
-    if (decoded.isErr()) return
-    if (shard === undefined) this._records.set(shardId, { record: decoded.value, modRevision: read.modRevision })
-    else this._apply(shard, shard.ownership.observe(decoded.value, read.modRevision))
-  }
-
-  private _setDamaged (shardId: string, error: InvalidInputError | undefined): void {
-    const shard = this._shards.get(shardId)
-    if (shard !== undefined) shard.damaged = error !== undefined
-    if (error === undefined) this._damaged.delete(shardId)
-    else this._damaged.add(shardId)
-    if (error !== undefined) this._onDamaged.fire(error)
+    for (const change of changes) this._shards.see(change, change.deleted)
+    this._evaluateSoon()
   }
 
   private _setReachable (reachable: boolean): void {
@@ -270,11 +233,18 @@
     this._rebalance()
   }
 
+  private _evaluateSoon (): void {
+    if (this._disposed) return
+    this._evaluation ??= this._clock.after(SETTLE_MS, () => { this._evaluate() })
+  }
+
   private _evaluate (): void {
+    this._evaluation?.dispose()
+    this._evaluation = undefined
     if (!this._loaded || this._stopping || this._disposed || !this._reachable || !this._member.registered) return
     if (this._clock.nowMs() < this._takeFromMs) return
     const proposal = this._propose()
-    for (const shard of this._shards.values()) {
+    for (const shard of this._shards.all()) {
       if (this._takesUnderWay >= this._options.maxTakesUnderWay) return
       const ours = proposal.get(shard.spec.shardId) === this._member.entry.processId
       if (ours && !shard.damaged && shard.ownership.canTake((owner) => this.members.isAlive(owner))) this._take(shard)
@@ -282,7 +252,7 @@
   }
 
   private _propose (): ReadonlyMap<string, string> {
-    const specs = [...this._shards.values()].map((shard) => shard.spec)
+    const specs = this._shards.all().map((shard) => shard.spec)
     return this._assignment.propose(specs, this.members.candidates(), (shardId) => this._livingOwner(shardId))
   }
 
@@ -295,30 +265,29 @@
   private _rebalance (): void {
     if (!this._loaded || this._stopping || !this._reachable) return
     if (this._clock.nowMs() - this._membersSinceMs < this._options.rebalanceAfterMs) return
-    if ([...this._shards.values()].some((shard) => shard.releasing)) return
+    if (this._shards.all().some((shard) => shard.releasing)) return
     const proposal = this._propose()
     const surplus = this.held().find(({ shardId }) => proposal.has(shardId) && proposal.get(shardId) !== this._member.entry.processId)
     if (surplus !== undefined) this.release(surplus.shardId)
   }
 
-  private async _take (shard: IHeldShard): Promise<void> {
+  private async _take (shard: IKnownShard): Promise<void> {
     const write = shard.ownership.take()
     if (write === undefined) return
     this._takesUnderWay += 1
     await this._write(shard, write)
     this._takesUnderWay -= 1
-    this._evaluate()
+    this._evaluateSoon()
   }
 
-  private async _write (shard: IHeldShard, write: IRecordWrite): Promise<void> {
+  private async _write (shard: IKnownShard, write: IRecordWrite): Promise<void> {
     await this._writer.write(shard.ownership, write, {
-      onChange: (change) => { this._apply(shard, change) },
-      onRead: (read) => { this._see(read, false) }
+      onChange: (change) => { this._shards.apply(shard, change) },
+      onRead: (read) => { this._shards.see(read, false) }
     })
   }
 
-  private _apply (shard: IHeldShard, change: OwnershipChange | undefined): void {
-    if (change === undefined) return
+  private _changed (shard: IKnownShard, change: OwnershipChange): void {
     const { shardId, kind } = shard.spec
     if (change.type === 'acquired') {
       this._onAcquired.fire({ shardId, kind, epoch: change.epoch })
--- a/src/scheduler/ownership/Slice.ts
+++ b/src/scheduler/ownership/Slice.ts
@@ -4,15 +4,13 @@
 
 import { Emitter } from '../../common/Emitter.js'
 import type { BlockReply, ClaimReply, IClaimRequest, IJobSpec, JobState } from '../../common/protocol/Types.js'
+import { MAX_ATTEMPT_AGE_MS } from '../../common/state/ClaimTable.js'
 import { WALL_CLOCK_MARGIN_MS } from '../../common/state/SliceLog.js'
 import { SliceTables } from '../../common/state/SliceTables.js'
 import type { SliceEntry } from '../../common/state/Types.js'
 import type { IClock, IDisposable, ITimers } from '../../common/Types.js'
 import type { AppendOutcome, ISliceCommit, SliceWriter } from './SliceWriter.js'
 
-/** The oldest attempt that may still claim, in milliseconds; with the retention it bounds how long an id is known. */
-export const MAX_ATTEMPT_AGE_MS = 300_000
-
 const EXPIRY_PERIOD_MS = 1_000
 
 export interface ISliceOptions {
--- a/src/scheduler/ownership/index.ts
+++ b/src/scheduler/ownership/index.ts
@@ -43,7 +43,6 @@
 export { MemberView } from './MemberView.js'
 export { DEFAULT_SHARD_OWNER_OPTIONS, ShardOwner } from './ShardOwner.js'
 export type { IShardAcquired, IShardLost, IShardOwnerOptions, IShardUser } from './ShardOwner.js'
-export { MAX_ATTEMPT_AGE_MS } from './Slice.js'
 export type { JobOutcome } from './Slice.js'
 export type { AppendOutcome } from './SliceWriter.js'
 export type { RecoveryError } from './SliceRecovery.js'
--- a/test/support/MemoryStore.ts
+++ b/test/support/MemoryStore.ts
@@ -46,7 +46,10 @@
   /** Starts or ends an outage, during which nothing is reached and leases go on lapsing. */
   public setDown (down: boolean): void {
     this._down = down
-    for (const watch of this._watches) watch.listener.onReachable(!down)
+    for (const { prefix, listener } of this._watches) {
+      listener.onReachable(!down)
+      if (!down) listener.onReset({ records: this._range(prefix), revision: this._revision })
+    }
   }
 
   /** Lets the next write to a key with this prefix go wrong; several calls add up. */
