Guard the attempts of a job's task against superseded owners and repeated commands

A sixth specification, since the five left open who decides on the next attempt. It shows that hosts can't refuse a superseded owner of the job when each scheduler owns its own hosts, and that a repeated command could start an attempt that has ended: trace place@s1, answer lost, place@s1, ends, place@s2, arrives, arrives.

--- a/spec/specs.ts
+++ b/spec/specs.ts
@@ -5,8 +5,9 @@
 import type { ISpec } from './Model.js'
 import { claimsSpec } from './ClaimsSpec.js'
 import { gangSpec } from './GangSpec.js'
+import { jobSpec } from './JobSpec.js'
 import { leaseSpec } from './LeaseSpec.js'
 import { ownershipSpec } from './OwnershipSpec.js'
 import { profileSpec } from './ProfileSpec.js'
 
-export const specs = [ownershipSpec, claimsSpec, leaseSpec, gangSpec, profileSpec] as unknown as readonly ISpec<unknown>[]
+export const specs = [ownershipSpec, claimsSpec, leaseSpec, gangSpec, profileSpec, jobSpec] as unknown as readonly ISpec<unknown>[]
--- a/src/common/protocol/Types.ts
+++ b/src/common/protocol/Types.ts
@@ -130,6 +130,22 @@
   readonly place: ITaskPlace
 }
 
+/**
+ * On whose behalf a job's task is placed, reserved, started or cancelled. A scheduler refuses an epoch older than the
+ * highest it has heard of for the id shard, so that a superseded owner of the job places nothing.
+ */
+export interface IJobFence {
+  readonly idShard: string
+  /** The epoch under which the job's owner holds that shard. */
+  readonly epoch: number
+}
+
+/** What a scheduler knows of one task of a job, for a new owner of the job. */
+export interface IKnownAttempt {
+  readonly jobId: string
+  readonly place: ITaskPlace
+}
+
 /** Asks the addressed scheduler to place one task on any worker that it owns. */
 export interface IPlaceTask {
   readonly jobId: string
@@ -139,6 +155,7 @@
   readonly attempt: number
   /** The process that hears what becomes of it. */
   readonly jobOwner: string
+  readonly jobFence?: IJobFence
 }
 
 /** Asks the addressed scheduler to hold places for tasks of an all-at-once job, without starting them. */
@@ -154,6 +171,7 @@
 /** Names a reservation: of a job, and of which try. */
 export interface IReservationRef {
   readonly jobId: string
+  readonly jobFence?: IJobFence
   readonly tryNumber?: number
 }
 
@@ -174,6 +192,8 @@
   readonly submitJob: { readonly ask: IJobSpec, readonly reply: IFinalAnswer }
   readonly jobStatus: { readonly ask: { readonly jobId: string }, readonly reply: { readonly status?: IJobStatus, readonly owner: boolean } }
   readonly cancelJob: { readonly ask: { readonly jobId: string }, readonly reply: { readonly status?: IJobStatus, readonly owner: boolean } }
+  /** Raises the epoch of an id shard's jobs and lists their tasks here; a new owner asks every scheduler before it places. */
+  readonly fenceJobs: { readonly ask: IJobFence, readonly reply: { readonly attempts: readonly IKnownAttempt[] } }
   readonly placeTask: { readonly ask: IPlaceTask, readonly reply: { readonly accepted: boolean } }
   readonly cancelTask: { readonly ask: { readonly jobId: string, readonly taskId: string }, readonly reply: { readonly known: boolean } }
   readonly reserve: { readonly ask: IReserveRequest, readonly reply: IReserveReply }
