--- a/spec/ClaimsSpec.ts
+++ b/spec/ClaimsSpec.ts
@@ -9,6 +9,7 @@
  */
 
 import { ClaimTable } from '../src/common/state/ClaimTable.js'
+
 import type { ISliceHead, SliceEntry } from '../src/common/state/Types.js'
 import type { ISpec, ISpecEvent } from './Model.js'
 
--- a/spec/GangSpec.ts
+++ b/spec/GangSpec.ts
@@ -7,6 +7,7 @@
  */
 
 import { GangReservation } from '../src/common/state/GangReservation.js'
+
 import type { GangCommand, IGangSnapshot } from '../src/common/state/GangReservation.js'
 import type { IPlaceTask } from '../src/common/protocol/Types.js'
 import type { ISpec, ISpecEvent } from './Model.js'
--- a/spec/JobSpec.ts
+++ b/spec/JobSpec.ts
@@ -7,6 +7,7 @@
  */
 
 import { JobFence } from '../src/common/state/JobFence.js'
+
 import type { IJobFenceSnapshot } from '../src/common/state/JobFence.js'
 import type { ISpec, ISpecEvent } from './Model.js'
 
--- a/spec/LeaseSpec.ts
+++ b/spec/LeaseSpec.ts
@@ -8,6 +8,7 @@
  */
 
 import { TaskLeases } from '../src/common/state/TaskLeases.js'
+
 import type { ITaskLeasesSnapshot } from '../src/common/state/TaskLeases.js'
 import type { ISpec, ISpecEvent } from './Model.js'
 
--- a/spec/OwnershipSpec.ts
+++ b/spec/OwnershipSpec.ts
@@ -6,11 +6,12 @@
  * that two owners decided at once, or that an owner didn't know what ran there.
  */
 
-import type { ChartTable } from '../src/common/state/ChartTable.js'
 import { ShardOwnership } from '../src/common/state/ShardOwnership.js'
+import { loadChart } from '../src/platform/ChartLoader.js'
+
+import type { ChartTable } from '../src/common/state/ChartTable.js'
 import type { IOwnershipSnapshot, IRecordWrite } from '../src/common/state/ShardOwnership.js'
 import type { IShardRecord, WriteOutcome } from '../src/common/state/Types.js'
-import { loadChart } from '../src/platform/ChartLoader.js'
 import type { ISpec, ISpecEvent } from './Model.js'
 
 const NAMES = ['a', 'b'] as const
--- a/spec/Specs.test.ts
+++ b/spec/Specs.test.ts
@@ -3,7 +3,6 @@
  */
 
 import test from 'ava'
-
 import { explore } from './Model.js'
 import { specs } from './specs.js'
 
--- a/spec/run.ts
+++ b/spec/run.ts
@@ -4,9 +4,10 @@
  */
 
 import { explore } from './Model.js'
-import type { ISpec } from './Model.js'
 import { specs } from './specs.js'
 
+import type { ISpec } from './Model.js'
+
 function runSpec (spec: ISpec<unknown>): boolean {
   const result = explore(spec)
   const line = { spec: spec.name, mutant: null, states: result.states, violations: result.violation === undefined ? 0 : 1, ...result.violation }
--- a/spec/specs.ts
+++ b/spec/specs.ts
@@ -2,7 +2,6 @@
  * All specifications.
  */
 
-import type { ISpec } from './Model.js'
 import { claimsSpec } from './ClaimsSpec.js'
 import { gangSpec } from './GangSpec.js'
 import { jobSpec } from './JobSpec.js'
@@ -10,4 +9,6 @@
 import { ownershipSpec } from './OwnershipSpec.js'
 import { profileSpec } from './ProfileSpec.js'
 
+import type { ISpec } from './Model.js'
+
 export const specs = [ownershipSpec, claimsSpec, leaseSpec, gangSpec, profileSpec, jobSpec] as unknown as readonly ISpec<unknown>[]
--- a/src/common/state/ChartTable.test.ts
+++ b/src/common/state/ChartTable.test.ts
@@ -5,9 +5,9 @@
 import { readFileSync, readdirSync } from 'node:fs'
 import test from 'ava'
 import { createMachine, getNextSnapshot } from 'xstate'
+import { ChartTable } from './ChartTable.js'
 
 import type { AnyStateMachine } from 'xstate'
-import { ChartTable } from './ChartTable.js'
 import type { IFlatChart } from './Types.js'
 
 const CHARTS = new URL('../../../../charts/', import.meta.url)
--- a/src/common/state/ChartTable.ts
+++ b/src/common/state/ChartTable.ts
@@ -4,9 +4,9 @@
  */
 
 import { err, ok } from 'neverthrow'
+import { InvalidInputError } from '../Errors.js'
 
 import type { Result } from 'neverthrow'
-import { InvalidInputError } from '../Errors.js'
 import type { IFlatChart } from './Types.js'
 
 export class ChartTable {
--- a/src/common/state/GangReservation.test.ts
+++ b/src/common/state/GangReservation.test.ts
@@ -3,11 +3,11 @@
  */
 
 import test from 'ava'
-
 import { SeededRandom } from '../Random.js'
-import type { IPlaceTask } from '../protocol/Types.js'
 import { DEFAULT_GANG_OPTIONS, GangReservation } from './GangReservation.js'
 
+import type { IPlaceTask } from '../protocol/Types.js'
+
 function tasks (...ids: string[]): readonly IPlaceTask[] {
   const resources = { cores: 1, memoryBytes: 1, accelerators: 0 }
   return ids.map((taskId) => ({ jobId: 'j', service: 's', caller: 'c', task: { taskId, resources }, attempt: 1, jobOwner: 'o' }))
--- a/src/common/state/JobFence.ts
+++ b/src/common/state/JobFence.ts
@@ -13,9 +13,9 @@
  */
 
 import { err, ok } from 'neverthrow'
+import { FencedError, RefusedError } from '../Errors.js'
 
 import type { Result } from 'neverthrow'
-import { FencedError, RefusedError } from '../Errors.js'
 import type { IJobFence } from '../protocol/Types.js'
 
 /** `start`: a new attempt. `known`: the same attempt has been started here before; tell what became of it. */
--- a/src/common/state/ShardAssignment.test.ts
+++ b/src/common/state/ShardAssignment.test.ts
@@ -4,8 +4,8 @@
 
 import test from 'ava'
 import fc from 'fast-check'
-
 import { ShardAssignment, createHash32 } from './ShardAssignment.js'
+
 import type { IShardSpec } from './Types.js'
 
 const assignment = new ShardAssignment(await createHash32())
--- a/src/common/state/SliceCodec.ts
+++ b/src/common/state/SliceCodec.ts
@@ -4,8 +4,8 @@
  */
 
 import { Result, err, ok } from 'neverthrow'
-
 import { InvalidInputError } from '../Errors.js'
+
 import type { ISliceHead, ISliceSegment, IShardRecord, SliceEntry } from './Types.js'
 
 type Fields = Readonly<Record<string, unknown>>
--- a/src/common/state/SliceLog.test.ts
+++ b/src/common/state/SliceLog.test.ts
@@ -6,13 +6,13 @@
 
 import test from 'ava'
 import fc from 'fast-check'
-
 import { headKey, segmentPrefix } from './SliceKeys.js'
 import { SliceLog } from './SliceLog.js'
-import type { SliceProgress } from './SliceLog.js'
 import { recoverSlice, takeoverWrite } from './SliceTakeover.js'
-import type { IReadRecord } from './SliceTakeover.js'
 import { decodeHead } from './SliceCodec.js'
+
+import type { SliceProgress } from './SliceLogTypes.js'
+import type { IReadRecord } from './SliceTakeover.js'
 import type { IStoreWrite, SliceEntry, WriteOutcome } from './Types.js'
 
 const SHARD = 'ids/00'
--- a/src/common/state/SliceTables.ts
+++ b/src/common/state/SliceTables.ts
@@ -5,10 +5,11 @@
  * are taken back if the commit proves without effect; answers wait until it is durable.
  */
 
-import type { EpochMs } from '../Types.js'
 import { ClaimTable } from './ClaimTable.js'
-import type { Undo } from './ClaimTable.js'
 import { JobTable } from './JobTable.js'
+
+import type { EpochMs } from '../Types.js'
+import type { Undo } from './ClaimTable.js'
 import type { SliceEntry } from './Types.js'
 
 export class SliceTables {
--- a/src/common/state/SliceTakeover.ts
+++ b/src/common/state/SliceTakeover.ts
@@ -4,13 +4,13 @@
  */
 
 import { err, ok } from 'neverthrow'
-
-import type { Result } from 'neverthrow'
 import { FencedError, InvalidInputError } from '../Errors.js'
 import { decodeHead, decodeSegment } from './SliceCodec.js'
 import { headKey, segmentPrefix } from './SliceKeys.js'
 import { summarise } from './SliceLog.js'
-import type { ISealedSegment, ISliceStart } from './SliceLog.js'
+
+import type { Result } from 'neverthrow'
+import type { ISealedSegment, ISliceStart } from './SliceLogTypes.js'
 import type { ISliceHead, IStoreWrite, SliceEntry } from './Types.js'
 
 /** A record as the store gives it. */
--- a/src/common/state/TaskLeases.test.ts
+++ b/src/common/state/TaskLeases.test.ts
@@ -3,7 +3,6 @@
  */
 
 import test from 'ava'
-
 import { TaskLeases } from './TaskLeases.js'
 
 const OPTIONS = { leaseMs: 1_000, maxDrift: 0.01 }
--- a/src/common/state/TaskLeases.ts
+++ b/src/common/state/TaskLeases.ts
@@ -17,8 +17,9 @@
  * of sending bounds nothing, because a renewal may still be on its way.
  */
 
-import type { MonotonicMs } from '../Types.js'
 import { HostClock } from './HostClock.js'
+
+import type { MonotonicMs } from '../Types.js'
 import type { IHostClockSnapshot } from './HostClock.js'
 
 export interface ITaskLeasesOptions {
--- a/src/platform/ChartLoader.ts
+++ b/src/platform/ChartLoader.ts
@@ -4,9 +4,9 @@
 
 import { readFileSync } from 'node:fs'
 import { Result, err } from 'neverthrow'
-
 import { InvalidInputError } from '../common/Errors.js'
 import { ChartTable } from '../common/state/ChartTable.js'
+
 import type { IFlatChart } from '../common/state/Types.js'
 
 export type ChartName = 'shardOwnership' | 'task' | 'request' | 'process'
--- a/src/scheduler/ownership/ClaimService.test.ts
+++ b/src/scheduler/ownership/ClaimService.test.ts
@@ -3,13 +3,13 @@
  */
 
 import test from 'ava'
-
 import { MemoryStore } from '../../../test/support/MemoryStore.js'
 import { advance, settle } from '../../../test/support/advance.js'
 import { ManualClock } from '../../common/Clock.js'
-import type { IClaimRequest, IJobSpec } from '../../common/protocol/Types.js'
 import { ClaimService, DEFAULT_CLAIM_SERVICE_OPTIONS } from './ClaimService.js'
 
+import type { IClaimRequest, IJobSpec } from '../../common/protocol/Types.js'
+
 const SHARD = 'ids/00'
 
 function setUp (owner: string, store: MemoryStore, clock: ManualClock): ClaimService {
--- a/src/scheduler/ownership/ClaimService.ts
+++ b/src/scheduler/ownership/ClaimService.ts
@@ -3,21 +3,22 @@
  */
 
 import { err, ok } from 'neverthrow'
-
-import type { Result } from 'neverthrow'
 import { DisposableStore, Emitter } from '../../common/Emitter.js'
 import { FencedError } from '../../common/Errors.js'
+import { SliceLog } from '../../common/state/SliceLog.js'
+import { DEFAULT_SLICE_LOG_OPTIONS } from '../../common/state/SliceLogTypes.js'
+import { Slice } from './Slice.js'
+import { SliceRecovery } from './SliceRecovery.js'
+import { SliceWriter } from './SliceWriter.js'
+
+import type { Result } from 'neverthrow'
 import type { BlockReply, ClaimReply, IClaimRequest, IJobSpec, JobState } from '../../common/protocol/Types.js'
 import type { IJobRecord } from '../../common/state/JobTable.js'
-import { DEFAULT_SLICE_LOG_OPTIONS, SliceLog } from '../../common/state/SliceLog.js'
 import type { IRecoveredSlice } from '../../common/state/SliceTakeover.js'
 import type { IClock, IDisposable, ITimers } from '../../common/Types.js'
 import type { IKeyValueStore } from '../../platform/Types.js'
-import { Slice } from './Slice.js'
 import type { JobOutcome } from './Slice.js'
-import { SliceRecovery } from './SliceRecovery.js'
 import type { RecoveryError } from './SliceRecovery.js'
-import { SliceWriter } from './SliceWriter.js'
 import type { AppendOutcome } from './SliceWriter.js'
 
 export interface IClaimServiceOptions {
--- a/src/scheduler/ownership/Claims.fuzz.test.ts
+++ b/src/scheduler/ownership/Claims.fuzz.test.ts
@@ -6,13 +6,13 @@
 
 import test from 'ava'
 import fc from 'fast-check'
-
 import { MemoryStore } from '../../../test/support/MemoryStore.js'
 import { advance, settle } from '../../../test/support/advance.js'
 import { ManualClock } from '../../common/Clock.js'
-import type { IClaimRequest } from '../../common/protocol/Types.js'
 import { ClaimService, DEFAULT_CLAIM_SERVICE_OPTIONS } from './ClaimService.js'
 
+import type { IClaimRequest } from '../../common/protocol/Types.js'
+
 const SHARD = 'ids/00'
 const SEED = 4_711
 const RUNS = 60
--- a/src/scheduler/ownership/MemberRegistration.ts
+++ b/src/scheduler/ownership/MemberRegistration.ts
@@ -9,6 +9,7 @@
 
 import { Emitter } from '../../common/Emitter.js'
 import { RefusedError } from '../../common/Errors.js'
+
 import type { IMember } from '../../common/protocol/Types.js'
 import type { IDisposable, ITimers } from '../../common/Types.js'
 import type { IKeyValueStore } from '../../platform/Types.js'
--- a/src/scheduler/ownership/MemberView.ts
+++ b/src/scheduler/ownership/MemberView.ts
@@ -2,9 +2,10 @@
  * The members as the store shows them, from a range and the watch.
  */
 
+import { MEMBER_PREFIX, parseMemberEntry } from './MemberRegistration.js'
+
 import type { IOwner } from '../../common/state/ShardOwnership.js'
 import type { IStoreChange, IStoreRecord } from '../../platform/Types.js'
-import { MEMBER_PREFIX, parseMemberEntry } from './MemberRegistration.js'
 import type { IMemberEntry } from './MemberRegistration.js'
 
 export class MemberView {
--- a/src/scheduler/ownership/Ownership.fuzz.test.ts
+++ b/src/scheduler/ownership/Ownership.fuzz.test.ts
@@ -5,17 +5,18 @@
 
 import test from 'ava'
 import fc from 'fast-check'
-
 import { MemoryStore } from '../../../test/support/MemoryStore.js'
-import type { WriteFault } from '../../../test/support/MemoryStore.js'
 import { advance, settle } from '../../../test/support/advance.js'
 import { ManualClock } from '../../common/Clock.js'
 import { ShardAssignment, createHash32 } from '../../common/state/ShardAssignment.js'
 import { loadChart } from '../../platform/ChartLoader.js'
 import { DEFAULT_MEMBER_REGISTRATION_OPTIONS, MemberRegistration } from './MemberRegistration.js'
-import { DEFAULT_SHARD_OWNER_OPTIONS, ShardOwner } from './ShardOwner.js'
+import { ShardOwner } from './ShardOwner.js'
+import { DEFAULT_SHARD_OWNER_OPTIONS } from './Types.js'
 import { idShardSpecs } from './index.js'
 
+import type { WriteFault } from '../../../test/support/MemoryStore.js'
+
 const SEED = 99
 const NAMES = ['p0', 'p1', 'p2'] as const
 const SHARDS = idShardSpecs(6)
--- a/src/scheduler/ownership/ShardOwner.test.ts
+++ b/src/scheduler/ownership/ShardOwner.test.ts
@@ -3,17 +3,18 @@
  */
 
 import test from 'ava'
-
 import { MemoryStore } from '../../../test/support/MemoryStore.js'
 import { advance } from '../../../test/support/advance.js'
 import { ManualClock } from '../../common/Clock.js'
 import { ShardAssignment, createHash32 } from '../../common/state/ShardAssignment.js'
-import type { IShardSpec } from '../../common/state/Types.js'
 import { loadChart } from '../../platform/ChartLoader.js'
 import { DEFAULT_MEMBER_REGISTRATION_OPTIONS, MemberRegistration } from './MemberRegistration.js'
-import { DEFAULT_SHARD_OWNER_OPTIONS, ShardOwner } from './ShardOwner.js'
+import { ShardOwner } from './ShardOwner.js'
+import { DEFAULT_SHARD_OWNER_OPTIONS } from './Types.js'
 import { idShardSpecs } from './index.js'
 
+import type { IShardSpec } from '../../common/state/Types.js'
+
 const chart = loadChart('shardOwnership')._unsafeUnwrap()
 const hash = await createHash32()
 
--- a/src/scheduler/ownership/ShardRecordWriter.ts
+++ b/src/scheduler/ownership/ShardRecordWriter.ts
@@ -3,10 +3,11 @@
  */
 
 import { shardKey } from '../../common/state/ShardOwnership.js'
+import { doWrite } from './StoreOutcome.js'
+
 import type { IRecordWrite, OwnershipChange, ShardOwnership } from '../../common/state/ShardOwnership.js'
 import type { IDisposable, ITimers } from '../../common/Types.js'
 import type { IKeyValueStore, IStoreRecord } from '../../platform/Types.js'
-import { doWrite } from './StoreOutcome.js'
 
 export interface IRecordWriteListener {
   onChange (change: OwnershipChange | undefined): void
--- a/src/scheduler/ownership/ShardSet.ts
+++ b/src/scheduler/ownership/ShardSet.ts
@@ -3,11 +3,11 @@
  */
 
 import { ok } from 'neverthrow'
+import { DisposableStore, Emitter } from '../../common/Emitter.js'
+import { decodeShardRecord } from '../../common/state/SliceCodec.js'
 
 import type { Result } from 'neverthrow'
-import { DisposableStore, Emitter } from '../../common/Emitter.js'
 import type { InvalidInputError } from '../../common/Errors.js'
-import { decodeShardRecord } from '../../common/state/SliceCodec.js'
 import type { OwnershipChange, ShardOwnership } from '../../common/state/ShardOwnership.js'
 import type { IShardRecord, IShardSpec } from '../../common/state/Types.js'
 import type { IDisposable } from '../../common/Types.js'
--- a/src/scheduler/ownership/Slice.ts
+++ b/src/scheduler/ownership/Slice.ts
@@ -3,10 +3,11 @@
  */
 
 import { Emitter } from '../../common/Emitter.js'
-import type { BlockReply, ClaimReply, IClaimRequest, IJobSpec, JobState } from '../../common/protocol/Types.js'
 import { MAX_ATTEMPT_AGE_MS } from '../../common/state/ClaimTable.js'
-import { WALL_CLOCK_MARGIN_MS } from '../../common/state/SliceLog.js'
+import { WALL_CLOCK_MARGIN_MS } from '../../common/state/SliceLogTypes.js'
 import { SliceTables } from '../../common/state/SliceTables.js'
+
+import type { BlockReply, ClaimReply, IClaimRequest, IJobSpec, JobState } from '../../common/protocol/Types.js'
 import type { SliceEntry } from '../../common/state/Types.js'
 import type { IClock, IDisposable, ITimers } from '../../common/Types.js'
 import type { AppendOutcome, ISliceCommit, SliceWriter } from './SliceWriter.js'
--- a/src/scheduler/ownership/SliceRecovery.ts
+++ b/src/scheduler/ownership/SliceRecovery.ts
@@ -3,17 +3,17 @@
  */
 
 import { err, ok } from 'neverthrow'
-
-import type { Result } from 'neverthrow'
 import { FencedError } from '../../common/Errors.js'
-import type { InvalidInputError, StepError } from '../../common/Errors.js'
 import { decodeHead } from '../../common/state/SliceCodec.js'
 import { headKey, segmentPrefix } from '../../common/state/SliceKeys.js'
 import { recoverSlice, takeoverWrite } from '../../common/state/SliceTakeover.js'
+import { doWrite } from './StoreOutcome.js'
+
+import type { Result } from 'neverthrow'
+import type { InvalidInputError, StepError } from '../../common/Errors.js'
 import type { IReadRecord, IRecoveredSlice, ISliceClaimant } from '../../common/state/SliceTakeover.js'
 import type { ITimers } from '../../common/Types.js'
 import type { IKeyValueStore, IStoreRecord, StoreError } from '../../platform/Types.js'
-import { doWrite } from './StoreOutcome.js'
 
 /** `FencedError`: a newer owner has been there. `InvalidInputError`: the stored log is damaged. */
 export type RecoveryError = FencedError | InvalidInputError
--- a/src/scheduler/ownership/SliceWriter.ts
+++ b/src/scheduler/ownership/SliceWriter.ts
@@ -9,11 +9,13 @@
 import { Emitter } from '../../common/Emitter.js'
 import { decodeHead } from '../../common/state/SliceCodec.js'
 import { headKey } from '../../common/state/SliceKeys.js'
-import type { SliceLog, SliceProgress } from '../../common/state/SliceLog.js'
+import { doWrite } from './StoreOutcome.js'
+
+import type { SliceLog } from '../../common/state/SliceLog.js'
+import type { SliceProgress } from '../../common/state/SliceLogTypes.js'
 import type { IStoreWrite, SliceEntry } from '../../common/state/Types.js'
 import type { IClock, IDisposable, ITimers, MonotonicMs } from '../../common/Types.js'
 import type { IKeyValueStore } from '../../platform/Types.js'
-import { doWrite } from './StoreOutcome.js'
 
 export interface ISliceWriterOptions {
   /** The least time between two commits, in milliseconds; asked before each, since it follows the fleet's size. */
--- a/src/scheduler/ownership/StoreOutcome.ts
+++ b/src/scheduler/ownership/StoreOutcome.ts
@@ -2,8 +2,9 @@
  * The store's answers in the terms of the classes that decide on them.
  */
 
-import type { ResultAsync } from 'neverthrow'
 import { AmbiguousError, ConflictError } from '../../common/Errors.js'
+
+import type { ResultAsync } from 'neverthrow'
 import type { IStoreWrite, WriteOutcome } from '../../common/state/Types.js'
 import type { IKeyValueStore, StoreError } from '../../platform/Types.js'
 
--- a/src/scheduler/ownership/index.ts
+++ b/src/scheduler/ownership/index.ts
@@ -41,11 +41,12 @@
 export { DEFAULT_MEMBER_REGISTRATION_OPTIONS, MEMBER_PREFIX, MemberRegistration, parseMemberEntry } from './MemberRegistration.js'
 export type { IMemberEntry, IMemberRegistrationOptions } from './MemberRegistration.js'
 export { MemberView } from './MemberView.js'
-export { DEFAULT_SHARD_OWNER_OPTIONS, ShardOwner } from './ShardOwner.js'
-export type { IShardAcquired, IShardLost, IShardOwnerOptions, IShardUser } from './ShardOwner.js'
+export { ShardOwner } from './ShardOwner.js'
 export type { JobOutcome } from './Slice.js'
 export type { AppendOutcome } from './SliceWriter.js'
 export type { RecoveryError } from './SliceRecovery.js'
+export { DEFAULT_SHARD_OWNER_OPTIONS } from './Types.js'
+export type { IShardAcquired, IShardLost, IShardOwnerOptions, IShardUser } from './Types.js'
 
 /** The fixed slices of the id space: `ids/00` and up. */
 export function idShardSpecs (count: number): readonly IShardSpec[] {
