--- a/src/common/policy/DecisionLoop.ts
+++ b/src/common/policy/DecisionLoop.ts
@@ -7,7 +7,6 @@
 import { StopPlan } from './StopPlan.js'
 
 import type { IClock, IResources, MonotonicMs, OutcomeReason } from '../Types.js'
-import type { IProfile } from '../config/Types.js'
 import type { Feasibility } from './Feasibility.js'
 import type { AcceleratorReserve } from './AcceleratorReserve.js'
 import type { Admission } from './Admission.js'
--- a/test/support/MemoryStore.ts
+++ b/test/support/MemoryStore.ts
@@ -4,8 +4,8 @@
  */
 
 import { ResultAsync, errAsync, okAsync } from 'neverthrow'
-
 import { AmbiguousError, ConflictError, RefusedError, UnreachableError } from '../../src/common/Errors.js'
+
 import type { IDisposable, ITimers } from '../../src/common/Types.js'
 import type { IKeyValueStore, IStoreChange, IStoreRange, IStoreRecord, IStoreWatchListener, StoreError } from '../../src/platform/Types.js'
 
@@ -46,7 +46,10 @@
   /** Starts or ends an outage, during which nothing is reached and leases go on lapsing. */
   public setDown (down: boolean): void {
     this._down = down
-    for (const watch of this._watches) watch.listener.onReachable(!down)
+    for (const { prefix, listener } of this._watches) {
+      listener.onReachable(!down)
+      if (!down) listener.onReset({ records: this._range(prefix), revision: this._revision })
+    }
   }
 
   /** Lets the next write to a key with this prefix go wrong; several calls add up. */
