One scheme for event names, and one class a file

Events were named in three ways (peerLost, host-list.unavailable, config.storeUnreachable), so that an operator had to know each by heart to search for it. All are now <part>.<whatHappened>.

--- a/src/common/observability/OutcomeCounters.ts
+++ b/src/common/observability/OutcomeCounters.ts
@@ -2,32 +2,15 @@
  * What each service gave to each caller, so that operators see whether anyone is treated worse than others.
  */
 
-import { LatencyHistogram } from './LatencyHistogram.js'
+import { OutcomeRow } from './OutcomeRow.js'
 
 import type { FinalOutcome, IFinalAnswer } from '../Types.js'
+import type { OutcomeCount } from './OutcomeRow.js'
 import type { IOutcomeRow } from './Types.js'
 
 /** The row of all callers that have none of their own. */
 export const OTHER_CALLERS = 'others'
 
-type Count = 'completed' | 'late' | 'refused' | 'notRun' | 'unknown'
-
-class OutcomeRow {
-  public readonly counts: Record<Count, number> = { completed: 0, late: 0, refused: 0, notRun: 0, unknown: 0 }
-  public readonly waits = new LatencyHistogram(1)
-
-  public constructor (public readonly service: string, public readonly caller: string) {}
-
-  public add (other: OutcomeRow): void {
-    for (const name of Object.keys(this.counts) as Count[]) this.counts[name] += other.counts[name]
-    this.waits.add(other.waits)
-  }
-
-  public toPlain (): IOutcomeRow {
-    return { service: this.service, caller: this.caller, ...this.counts, waitBuckets: this.waits.buckets() }
-  }
-}
-
 export class OutcomeCounters {
   /** By service and caller, the one seen last at the end. */
   private readonly _rows = new Map<string, OutcomeRow>()
@@ -56,7 +39,7 @@
   public rows (service?: string, limit = Infinity): readonly IOutcomeRow[] {
     const all = [...this._others.values(), ...this._rows.values()]
     const chosen = all.filter(row => service === undefined || row.service === service)
-    return chosen.sort((a, b) => totalOf(b) - totalOf(a)).slice(0, limit).map(row => row.toPlain())
+    return chosen.sort((a, b) => b.total - a.total).slice(0, limit).map(row => row.toPlain())
   }
 
   private _rowOf (service: string, caller: string): OutcomeRow {
@@ -88,11 +71,7 @@
   }
 }
 
-function countOf (outcome: FinalOutcome, late: boolean): Count {
+function countOf (outcome: FinalOutcome, late: boolean): OutcomeCount {
   if (outcome !== 'done') return outcome
   return late ? 'late' : 'completed'
 }
-
-function totalOf (row: OutcomeRow): number {
-  return Object.values(row.counts).reduce((sum, count) => sum + count, 0)
-}
--- a/src/daemon/SchedulerDaemon.ts
+++ b/src/daemon/SchedulerDaemon.ts
@@ -300,7 +300,7 @@
     if (shard.kind === 'ids') {
       const recovered = await this._claims.takeOver(shard.shardId, shard.epoch)
       if (recovered.isErr()) {
-        this._core.log.error('shard.recovery-failed', { shardId: shard.shardId, step: recovered.error.step, peer: recovered.error.peer })
+        this._core.log.error('shard.recoveryFailed', { shardId: shard.shardId, step: recovered.error.step, peer: recovered.error.peer })
         return
       }
       this._jobs.takeOver(shard.shardId, shard.epoch, recovered.value)
--- a/src/gateway/RequestFlow.ts
+++ b/src/gateway/RequestFlow.ts
@@ -66,7 +66,7 @@
    * idempotent request may go out again, any other only after an inquiry has settled what became of it.
    */
   private async _failed (request: IRoutedRequest, schedulerId: string, attemptId: string, error: PeerError): Promise<IFinalAnswer> {
-    this._context.log.warn('request.link-failed', { requestId: request.requestId, step: error.step, peer: schedulerId, attemptId })
+    this._context.log.warn('request.linkFailed', { requestId: request.requestId, step: error.step, peer: schedulerId, attemptId })
     if (!(error instanceof AmbiguousError)) return this._notRun(request, 'linkLost')
     if (!request.idempotent) return await this._inquiry.settle(request, attemptId, schedulerId)
     return { ...this._notRun(request, 'linkLost'), outcome: 'unknown' }
--- a/src/operator/OperatorClient.ts
+++ b/src/operator/OperatorClient.ts
@@ -6,10 +6,12 @@
 import { CommandError } from './CommandError.js'
 import { EXIT } from './ExitCodes.js'
 import { callHttp } from './HttpCall.js'
+import { OperatorRefusal } from './OperatorRefusal.js'
 
 import type { Result } from 'neverthrow'
 import type { ExitCode } from './ExitCodes.js'
 import type { IHttpAnswer, IHttpCall } from './HttpCall.js'
+import type { IRefusal } from './OperatorRefusal.js'
 import type { ICommandContext } from './Types.js'
 
 const TIMEOUT_MS = 15_000
@@ -25,12 +27,6 @@
   504: EXIT.unknown
 }
 
-/** The body of a refusal, as far as it has the documented form. */
-export interface IRefusal {
-  readonly message?: string
-  readonly current?: unknown
-}
-
 export interface IOperatorCall {
   readonly method: IHttpCall['method']
   readonly path: string
@@ -38,13 +34,6 @@
   readonly body?: unknown
 }
 
-/** Carries the refusal, so that a command can show more of it. */
-export class OperatorRefusal extends CommandError {
-  public constructor (url: string, exitCode: ExitCode, public readonly refusal: IRefusal) {
-    super('operator.call', url, exitCode, refusal.message ?? 'refused without a reason; look into the log of the process')
-  }
-}
-
 export class OperatorClient {
   public constructor (private readonly _context: ICommandContext, private readonly _baseUrl = _context.operatorUrl) {}
 
--- a/src/peer/InboundCalls.ts
+++ b/src/peer/InboundCalls.ts
@@ -87,6 +87,6 @@
 
   private _noteBroken (name: string, error: unknown): void {
     this._context.counters.brokenHandlers += 1
-    this._context.environment.log?.warn('peerHandlerBroken', { step: callStep(name), peer: this._peer.processId, error: String(error) })
+    this._context.environment.log?.warn('peer.handlerBroken', { step: callStep(name), peer: this._peer.processId, error: String(error) })
   }
 }
--- a/src/peer/LinkSet.ts
+++ b/src/peer/LinkSet.ts
@@ -77,7 +77,7 @@
     this._links.set(link)
     if (replaced !== undefined && !atOnce) replaced.retire(link)
     const { processId, incarnation } = link.peer
-    this._context.environment.log?.info('peerLinked', { peer: processId, incarnation, dialledBySelf: link.dialledBySelf })
+    this._context.environment.log?.info('peer.linked', { peer: processId, incarnation, dialledBySelf: link.dialledBySelf })
     this._linkEmitter.fire(link)
   }
 
@@ -135,7 +135,7 @@
     this._open.delete(link)
     this._traffic.addEnded(link)
     if (!this._links.remove(link)) return
-    this._context.environment.log?.info('peerLost', { peer: link.peer.processId, incarnation: link.peer.incarnation, reason })
+    this._context.environment.log?.info('peer.lost', { peer: link.peer.processId, incarnation: link.peer.incarnation, reason })
     this._lostEmitter.fire({ peer: link.peer, cause: link.isReleased ? 'released' : 'failed' })
   }
 }
--- a/src/peer/PeerHub.ts
+++ b/src/peer/PeerHub.ts
@@ -187,7 +187,7 @@
 
   private _onHandshakeFailed (peer: string, reason: string): void {
     this._counters.failedHandshakes += 1
-    this._environment.log?.warn('peerHandshakeFailed', { step: 'peer.handshake', peer, reason })
+    this._environment.log?.warn('peer.handshakeFailed', { step: 'peer.handshake', peer, reason })
   }
 
   private _stopOpening (): void {
--- a/src/scheduler/hosts/HostDirectory.ts
+++ b/src/scheduler/hosts/HostDirectory.ts
@@ -52,7 +52,7 @@
     this._polling = true
     const listed = await this._list.list()
     this._polling = false
-    listed.match((hosts) => this._take(hosts), (error) => this._log.warn('host-list.unavailable', { step: error.step, peer: error.peer }))
+    listed.match((hosts) => this._take(hosts), (error) => this._log.warn('hostList.unavailable', { step: error.step, peer: error.peer }))
   }
 
   private _take (listed: readonly IHostRecord[]): void {
--- a/src/scheduler/jobs/TaskSender.ts
+++ b/src/scheduler/jobs/TaskSender.ts
@@ -48,7 +48,7 @@
   /** An attempt that none of our jobs has; an earlier owner began it, or its job has ended. */
   public stopStray (jobId: string, place: ITaskPlace, at: string): void {
     const { taskId, attempt } = place
-    this._context.log.info('job.stray-attempt', { peer: at, step: 'job.stopStray', jobId, taskId, attempt })
+    this._context.log.info('job.strayAttempt', { peer: at, step: 'job.stopStray', jobId, taskId, attempt })
     this._context.peers.call(at, 'cancelTask', { jobId, taskId, attempt }, CALL_TIMEOUT_MS)
   }
 
@@ -119,7 +119,7 @@
   private _placed (run: JobRun, tasks: readonly TaskRun[], reply: IPlaceReply): void {
     if (reply.accepted) return
     const nowMs = this._context.clock.nowMs()
-    this._context.log.debug('job.place-refused', { step: 'job.place', jobId: run.job.jobId, reason: reply.reason })
+    this._context.log.debug('job.placeRefused', { step: 'job.place', jobId: run.job.jobId, reason: reply.reason })
     for (const task of tasks) run.refused(task, nowMs, reply.retryAfterMs ?? REFUSED_RETRY_MS)
   }
 
--- a/src/scheduler/requests/Dispatcher.ts
+++ b/src/scheduler/requests/Dispatcher.ts
@@ -72,7 +72,7 @@
   }
 
   private _failed (dispatch: IDispatch, error: UpstreamError): void {
-    this._context.log.warn('request.upstream-failed', {
+    this._context.log.warn('request.upstreamFailed', {
       requestId: dispatch.pending.ask.requestId, attemptId: dispatch.item.id, step: error.step, peer: dispatch.hostId, error: error.name
     })
     if (error instanceof AmbiguousError) this._ambiguous(dispatch)
