Daemons: help, version, and a refusal of the other role's settings

A scheduler that was started with a gateway's file ran and joined as a gateway. yargs is loaded only for what is no plain start, because it adds about 13 MB.

--- a/bin/jackdawreel-gateway.ts
+++ b/bin/jackdawreel-gateway.ts
@@ -6,7 +6,7 @@
 import { GatewayDaemon } from '../src/daemon/GatewayDaemon.js'
 import { runDaemon } from '../src/daemon/runDaemon.js'
 
-await runDaemon(async (settings) => {
+await runDaemon('gateway', async (settings) => {
   if (settings.caller === undefined) throw new Error('[caller] is missing: a gateway needs an address for its callers')
   return await GatewayDaemon.create(settings, settings.caller)
 })
--- a/bin/jackdawreel-scheduler.ts
+++ b/bin/jackdawreel-scheduler.ts
@@ -6,4 +6,4 @@
 import { runDaemon } from '../src/daemon/runDaemon.js'
 import { SchedulerDaemon } from '../src/daemon/SchedulerDaemon.js'
 
-await runDaemon(async (settings) => await SchedulerDaemon.create(settings))
+await runDaemon('scheduler', async (settings) => await SchedulerDaemon.create(settings))
--- a/src/daemon/runDaemon.ts
+++ b/src/daemon/runDaemon.ts
@@ -3,10 +3,11 @@
  */
 
 import { readFileSync } from 'node:fs'
-import { parseArgs } from 'node:util'
+import { describeProblem } from '../platform/settings/SettingsError.js'
 import { SettingsLoader } from '../platform/settings/SettingsLoader.js'
+import { readConfigPath } from './DaemonArguments.js'
 
-import type { ISettings } from '../platform/settings/Types.js'
+import type { ISettings, ProcessRole } from '../platform/settings/Types.js'
 import type { IDaemon } from './Types.js'
 
 /** Exit codes, as docs/OPERATING.md lists them. */
@@ -14,9 +15,9 @@
 const EXIT_START = 3
 const EXIT_STOP = 4
 
-export async function runDaemon (create: (settings: ISettings) => Promise<IDaemon>): Promise<void> {
-  const { values } = parseArgs({ options: { config: { type: 'string' } } })
-  const settings = loadSettings(values.config)
+export async function runDaemon (role: ProcessRole, create: (settings: ISettings) => Promise<IDaemon>): Promise<void> {
+  const [, script = '', ...args] = process.argv
+  const settings = loadSettings(await readConfigPath(script, args), role)
   const daemon = await orExit(EXIT_START, async () => await create(settings))
   const addresses = await orExit(EXIT_START, async () => await daemon.start())
   process.once('SIGTERM', () => { stop(daemon) })
@@ -24,16 +25,17 @@
   process.stdout.write(JSON.stringify({ ready: true, ...addresses, processId: settings.process.id }) + '\n')
 }
 
-function loadSettings (path: string | undefined): ISettings {
-  if (path === undefined) exit(EXIT_SETTINGS, 'name the settings file with --config FILE')
+function loadSettings (path: string, role: ProcessRole): ISettings {
   let text = ''
   try {
     text = readFileSync(path, 'utf8')
   } catch {
-    exit(EXIT_SETTINGS, `the settings file ${path} can't be read`)
+    exit(EXIT_SETTINGS, `the settings file ${path} can't be read; check the path`)
   }
   const settings = new SettingsLoader().load(text)
-  if (settings.isErr()) exit(EXIT_SETTINGS, settings.error.message)
+  if (settings.isErr()) exit(EXIT_SETTINGS, `${path}: ${settings.error.problems.map(describeProblem).join('; ')}`)
+  const { role: found } = settings.value.process
+  if (found !== role) exit(EXIT_SETTINGS, `${path} is for a ${found}; start jackdawreel-${found} with it`)
   return settings.value
 }
 
