--- a/src/peer/HeartbeatMonitor.ts
+++ b/src/peer/HeartbeatMonitor.ts
@@ -4,11 +4,10 @@
 
 import type { AwakeClock } from '../common/AwakeClock.js'
 
-/** Watches one link: what was received on it, and what was sent, since the last tick. */
+/** Watches one link: whether anything was received on it since the last tick. */
 export class HeartbeatMonitor {
   private _heardAtAwakeMs: number
   private _receivedBytes = 0
-  private _sentBytes = 0
 
   public constructor (private readonly _awake: AwakeClock, private readonly _silenceLimitMs: number) {
     this._heardAtAwakeMs = _awake.awakeMs
@@ -22,13 +21,6 @@
     return true
   }
 
-  /** Whether nothing was sent since the last tick, so that a heartbeat is due. */
-  public isHeartbeatDue (sentBytes: number): boolean {
-    const idle = sentBytes === this._sentBytes
-    this._sentBytes = sentBytes
-    return idle
-  }
-
   public isSilent (): boolean {
     return this._awake.awakeMs - this._heardAtAwakeMs > this._silenceLimitMs
   }
--- a/src/peer/PeerLink.ts
+++ b/src/peer/PeerLink.ts
@@ -40,6 +40,7 @@
   private readonly _goneWaiters: Array<() => void> = []
   private _successor: PeerLink | undefined
   private _gone = false
+  private _hasSentSinceTick = false
   private _finishing = false
   private _peerTakesCalls = true
   private _peerRetired = false
@@ -118,7 +119,8 @@
       this.lose('silent')
       return
     }
-    if (this._monitor.isHeartbeatDue(this._socket.sentBytes)) this._sendBare(FrameKind.Heartbeat)
+    if (!this._hasSentSinceTick) this._sendBare(FrameKind.Heartbeat)
+    this._hasSentSinceTick = false
   }
 
   /** Starts no more calls here but on `successor`; closes when what is in flight has ended on both sides. */
@@ -243,6 +245,7 @@
     const bytes = this._codec.encode(frame)
     if (bytes.isErr()) return bytes.error
     this._batch.add(bytes.value)
+    this._hasSentSinceTick = true
     return undefined
   }
 
