--- a/bench/membership.ts
+++ b/bench/membership.ts
@@ -14,6 +14,7 @@
 
 const SIZES = [9, 30, 100, 300, 900]
 const REGIONS = 5
+const LOST_REGION = 'r2'
 const SEED = 17
 const SETTLE_ROUNDS = 40
 const QUIET_ROUNDS = 40
@@ -53,6 +54,9 @@
   readonly joinRounds: number
   readonly deathRounds: number
   readonly churnBytesPerSecond: number
+  /** A whole region is lost at once. */
+  readonly regionLossRounds: number
+  readonly regionLossBytesPerSecond: number
 }
 
 /** Sent bytes per second and member since the last reset. */
@@ -80,7 +84,23 @@
   cluster.node('p1').state = 'killed'
   const deathRounds = cluster.stepUntil(() => knownToAll(cluster, 'p1', 'dead'), MAX_ROUNDS)
   const churnBytesPerSecond = rate(meter.bytes, cluster.round - startRound, members)
-  return { members, linksPerMember, quietBytesPerSecond, quietCrossRegionBytesPerSecond, joinRounds, deathRounds, churnBytesPerSecond }
+  meter.reset()
+  const lossRound = cluster.round
+  const lost = cluster.running().filter((node) => node.self.region === LOST_REGION)
+  for (const node of lost) node.state = 'killed'
+  const regionLossRounds = cluster.stepUntil(() => cluster.isConverged(), MAX_ROUNDS)
+  const regionLossBytesPerSecond = rate(meter.bytes, cluster.round - lossRound, members - lost.length)
+  return {
+    members,
+    linksPerMember,
+    quietBytesPerSecond,
+    quietCrossRegionBytesPerSecond,
+    joinRounds,
+    deathRounds,
+    churnBytesPerSecond,
+    regionLossRounds,
+    regionLossBytesPerSecond
+  }
 }
 
 /** Least squares of y over x: slope, intercept and the standard error of the estimate. */
--- a/src/peer/MembershipAgent.ts
+++ b/src/peer/MembershipAgent.ts
@@ -49,6 +49,8 @@
   private readonly _prober: MemberProber
   private readonly _registrations = new DisposableStore()
   private readonly _dials = new Map<string, IDial>()
+  /** The present choice of peers; absent after a change of the members. */
+  private _selected: readonly IMember[] | undefined
 
   /**
    * @param _hub the links; to be started by its owner
@@ -78,6 +80,7 @@
       if (cause === 'released') this._membership.linkReleased(peer)
       else this._membership.linkLost(peer)
     }))
+    this._registrations.add(this.onMember(() => { this._selected = undefined }))
     this._registrations.add(this._environment.timers.every(gossipMs, () => this._tick()))
     this._registrations.add(this._prober)
     this._prober.start()
@@ -99,7 +102,7 @@
     return this._membership.get(processId)
   }
 
-  /** Schedulers that may be given new work: alive, linked and not leaving. */
+  /** Schedulers that may be given new work: alive, linked and not leaving. Goes through all members. */
   public routableSchedulers (): readonly IMember[] {
     return this.members().filter((member) =>
       member.role === 'scheduler' && member.state === 'alive' && this._hub.link(member.processId) !== undefined)
@@ -172,7 +175,8 @@
   }
 
   private _chosen (): readonly ISeedPeer[] {
-    const selected = this._selection.select(this.members())
+    const selected = this._selected ?? this._selection.select(this.members())
+    this._selected = selected
     return this._hub.links().length > 0 ? selected : [...this._options.seeds, ...selected]
   }
 }
