--- a/src/common/membership/Membership.ts
+++ b/src/common/membership/Membership.ts
@@ -176,6 +176,7 @@
 
   private _onLinkGone (peer: IProcessIdentity): void {
     const record = this._view.get(peer.processId)
+    if (record === undefined) this._links.forget(peer.processId)
     if (record?.incarnation !== peer.incarnation) return
     if (record.state === 'leaving') this._deadlines.set(peer.processId, this._awake.awakeMs + this._suspectMs())
     else this._suspect(peer)
