--- a/src/daemon/DaemonCore.ts
+++ b/src/daemon/DaemonCore.ts
@@ -71,6 +71,12 @@
     return core
   }
 
+  /** Where peers reach this process. */
+  public get peerUrl (): string {
+    const { advertise } = this.settings.peer
+    return advertise === undefined ? this.hub.url ?? '' : `ws://${advertise.ip}:${advertise.port}`
+  }
+
   /** Who is there, as the store, the links and the peers tell. */
   public get agent (): MembershipAgent {
     if (this._agent === undefined) throw new Error('join comes first')
@@ -80,7 +86,7 @@
   /** Becomes known to the others and looks for them. */
   public join (operatorUrl: string): void {
     const { clock, random, log, settings } = this
-    const own: Omit<IMember, 'state'> = { ...this.self, role: settings.process.role, peerUrl: this.hub.url ?? '', operatorUrl }
+    const own: Omit<IMember, 'state'> = { ...this.self, role: settings.process.role, peerUrl: this.peerUrl, operatorUrl }
     const environment = { clock, timers: clock, random, log }
     this._agent = this.disposables.add(new MembershipAgent(this.hub, own, { seeds: settings.peer.seeds }, environment))
     this._agent.start()
--- a/src/daemon/SchedulerDaemon.ts
+++ b/src/daemon/SchedulerDaemon.ts
@@ -166,9 +166,9 @@
   }
 
   private _createRegistration (operatorUrl: string): MemberRegistration {
-    const { self, hub, store, clock, settings } = this._core
+    const { self, peerUrl, store, clock, settings } = this._core
     const { leaseTtlMs } = settings.store
-    const entry = { ...self, role: 'scheduler' as const, peerUrl: hub.url ?? '', operatorUrl, draining: false }
+    const entry = { ...self, role: 'scheduler' as const, peerUrl, operatorUrl, draining: false }
     const keepAliveMs = leaseTtlMs / RENEWALS_PER_LEASE
     return new MemberRegistration(store, clock, entry, { ...DEFAULT_MEMBER_REGISTRATION_OPTIONS, leaseTtlMs, keepAliveMs })
   }
--- a/src/platform/settings/SettingsDefaults.ts
+++ b/src/platform/settings/SettingsDefaults.ts
@@ -22,7 +22,7 @@
   },
   store: {
     callTimeoutMs: 2 * SECOND_MS,
-    leaseTtlMs: 10 * SECOND_MS
+    leaseTtlMs: 3 * SECOND_MS
   },
   hostList: {
     pollMs: SECOND_MS
--- a/src/platform/settings/SettingsSchema.ts
+++ b/src/platform/settings/SettingsSchema.ts
@@ -40,6 +40,7 @@
     heartbeatMs: wholeNumber(50, 60_000, 'milliseconds').default(peer.heartbeatMs),
     silenceMs: wholeNumber(100, 300_000, 'milliseconds').default(peer.silenceMs),
     maxMessageBytes: wholeNumber(MIB, 128 * MIB, 'bytes').default(peer.maxMessageBytes),
+    advertise: listenAddress().optional(),
     seeds: seedList().default([])
   }),
   store: z.strictObject({
--- a/src/platform/settings/Types.ts
+++ b/src/platform/settings/Types.ts
@@ -54,6 +54,8 @@
   readonly listen: IListenAddress
   /** What peers prove that they know before a message is read. */
   readonly sharedKey: string
+  /** Where peers reach this process, if that is not where it listens. */
+  readonly advertise?: IListenAddress | undefined
   readonly heartbeatMs: number
   /** A link that was silent for so long counts as lost, in milliseconds. */
   readonly silenceMs: number
--- /dev/null
+++ b/test/prove/FailoverProofs.ts
@@ -0,0 +1,107 @@
+/**
+ * Proofs on failover: service resumes after a kill, and cut links lose nothing.
+ */
+
+import { Judge } from './Judge.js'
+import { DEFAULT_LOAD, Load } from './Load.js'
+import { NON_IDEMPOTENT, setRunners, sleep, verdict, withCell } from './Harness.js'
+
+import type { Cell, ICellProcess } from '../support/Cell.js'
+import type { Direction } from '../support/TcpForwarder.js'
+import type { IProof } from './Types.js'
+
+const RESUME_LIMIT_MS = 5000
+const AFTER_KILL_MS = 8000
+/** What was sent to a runner before the kill has arrived by then. */
+const IN_TRANSIT_MS = 100
+
+interface IKill {
+  readonly at: number
+  readonly hostIds: readonly string[]
+}
+
+/** Hosts of the racks that a scheduler owns by the store's records. */
+async function hostsOf (cell: Cell, scheduler: ICellProcess): Promise<readonly string[]> {
+  const { records } = await cell.dump<{ readonly records: ReadonlyArray<{ readonly key: string, readonly value: string }> }>(cell.storeUrl)
+  const owned = new Set(records.filter(({ key, value }) => key.startsWith('shards/runners/') &&
+    (JSON.parse(value) as { readonly owner: string }).owner === scheduler.processId).map(({ key }) => key.slice('shards/'.length)))
+  return cell.hosts.filter((host) => owned.has(`${host.kind}s/${host.rack}`)).map((host) => host.hostId)
+}
+
+async function killInTurn (cell: Cell, rounds: number): Promise<readonly IKill[]> {
+  const kills: IKill[] = []
+  for (let round = 0; round < rounds; round++) {
+    const victim = cell.schedulers()[round % cell.schedulers().length]
+    if (victim === undefined) break
+    const hostIds = await hostsOf(cell, victim)
+    await victim.handle.kill()
+    kills.push({ at: Date.now(), hostIds })
+    await sleep(AFTER_KILL_MS)
+    await cell.startDaemon('scheduler', victim.region, victim.processId)
+    await cell.untilSpread()
+  }
+  return kills
+}
+
+function checkResumed (judge: Judge, kills: readonly IKill[]): number {
+  const tookMs = kills.flatMap(({ at, hostIds }) => hostIds.map((hostId) => {
+    const later = judge.starts.filter((start) => start.hostId === hostId && start.startedAt > at + IN_TRANSIT_MS)
+    const first = Math.min(...later.map((start) => start.startedAt))
+    if (first - at > RESUME_LIMIT_MS) judge.add(`${hostId} got its next work ${first - at} ms after its scheduler was killed`)
+    return first - at
+  }))
+  return Math.max(...tookMs)
+}
+
+/**
+ * A scheduler is killed while callers send. Its racks stand idle until another scheduler has taken them over, and callers
+ * of a region whose racks are all idle are refused for that long.
+ */
+const takeover: IProof = {
+  name: 'takeover',
+  property: 'service resumes within 5 s of a kill',
+  failure: 'schedulers killed one after the other under load, with the store up',
+  run: async (scale) => await withCell({ schedulersPerRegion: 2, runnersPerRegion: 4, hostsPerRack: 2 }, async (cell) => {
+    await setRunners(cell, { services: { '*': { runMs: 20 } } })
+    const load = new Load(cell, { ...DEFAULT_LOAD, perSecond: 600, seed: 19 })
+    await load.start()
+    const kills = await killInTurn(cell, 2 * scale)
+    const open = await load.finish()
+    const judge = await Judge.collect(cell, load.records)
+    const worstMs = checkResumed(judge, kills)
+    judge.checkCapacity().checkNotRun().checkAtMostOnce(NON_IDEMPOTENT).checkWhole().checkEnded(open, () => false)
+    const result = verdict(judge, kills.length)
+    return { ...result, notes: { ...result.notes, worstMs } }
+  })
+}
+
+/**
+ * A switch fails so that packets pass in one direction only, or in none, while every process lives and the store is
+ * reached. Gateways and schedulers see silence from each other; callers see requests that hang, or run twice when
+ * somebody takes silence for death.
+ */
+const cutLinks: IProof = {
+  name: 'cut-links',
+  property: 'nothing hangs, runs twice or is called "not run" when it ran',
+  failure: 'links between processes cut in one direction, the other, and both',
+  run: async (scale) => await withCell({ schedulersPerRegion: 2, runnersPerRegion: 4, hostsPerRack: 2, forwardsPeers: true }, async (cell) => {
+    await setRunners(cell, { services: { '*': { runMs: 60 } } })
+    const load = new Load(cell, { ...DEFAULT_LOAD, perSecond: 300, repeatShare: 0.3, seed: 20 })
+    await load.start()
+    const cuts: ReadonlyArray<readonly Direction[]> = [['toTarget'], ['toClient'], ['toTarget', 'toClient']]
+    for (let round = 0; round < 3 * scale; round++) {
+      const forwarder = [...cell.forwarders.values()][round % cell.forwarders.size]
+      await sleep(1000)
+      forwarder?.cut(...cuts[round % cuts.length] ?? [])
+      await sleep(5000)
+      forwarder?.heal()
+      await sleep(2000)
+    }
+    const open = await load.finish()
+    const judge = await Judge.collect(cell, load.records)
+    judge.checkCapacity().checkNotRun().checkAtMostOnce(NON_IDEMPOTENT).checkWhole().checkEnded(open, () => false)
+    return verdict(judge, judge.starts.length)
+  })
+}
+
+export const FAILOVER_PROOFS: readonly IProof[] = [takeover, cutLinks]
--- a/test/prove/Judge.ts
+++ b/test/prove/Judge.ts
@@ -13,6 +13,7 @@
   readonly slots: number
   readonly mostRunning: number
   readonly overConnections: number
+  readonly refusedSlot: number
   readonly records: readonly Omit<IRunnerRecord, 'hostId'>[]
 }
 
@@ -62,6 +63,11 @@
     return counts
   }
 
+  /** Work that runners were sent when all their slots were taken, and refused. */
+  public refusedForSlots (): number {
+    return this._runners.reduce((sum, runner) => sum + runner.refusedSlot, 0)
+  }
+
   /** When calls ended so, in seconds since the first call, by gateway. */
   public timesOf (reason: string): Readonly<Record<string, readonly number[]>> {
     const times: Record<string, number[]> = {}
--- a/test/prove/run.ts
+++ b/test/prove/run.ts
@@ -5,6 +5,7 @@
 import { parseArgs } from 'node:util'
 
 import { CONFIG_PROOFS } from './ConfigProofs.js'
+import { FAILOVER_PROOFS } from './FailoverProofs.js'
 import { JOB_PROOFS } from './JobProofs.js'
 import { LIFECYCLE_PROOFS } from './LifecycleProofs.js'
 import { REQUEST_PROOFS } from './RequestProofs.js'
@@ -13,7 +14,7 @@
 
 const LONG_SCALE = 5
 
-const PROOFS: readonly IProof[] = [...REQUEST_PROOFS, ...LIFECYCLE_PROOFS, ...JOB_PROOFS, ...CONFIG_PROOFS]
+const PROOFS: readonly IProof[] = [...REQUEST_PROOFS, ...LIFECYCLE_PROOFS, ...JOB_PROOFS, ...FAILOVER_PROOFS, ...CONFIG_PROOFS]
 
 const { values, positionals } = parseArgs({ options: { long: { type: 'boolean', default: false } }, allowPositionals: true })
 const wanted = PROOFS.filter((proof) => positionals.length === 0 || positionals.includes(proof.name))
--- a/test/support/Cell.ts
+++ b/test/support/Cell.ts
@@ -10,6 +10,7 @@
 
 import { CallerClient } from './CallerClient.js'
 import { startProcess } from './Processes.js'
+import { TcpForwarder } from './TcpForwarder.js'
 
 import type { IHostRecord } from '../../src/platform/Types.js'
 import type { ProcessHandle } from './Processes.js'
@@ -28,6 +29,8 @@
   /** Further lines for the settings of every process, by section. */
   readonly settings: Readonly<Record<string, Readonly<Record<string, string | number>>>>
   readonly nodeArgs: readonly string[]
+  /** Puts a forwarder before each scheduler, by which the links to it can be cut. */
+  readonly forwardsPeers: boolean
 }
 
 export const TRY_CELL: ICellOptions = {
@@ -41,7 +44,8 @@
   slots: 8,
   worker: { cores: 64, memoryBytes: 128 * 2 ** 30, accelerators: 2 },
   settings: {},
-  nodeArgs: []
+  nodeArgs: [],
+  forwardsPeers: false
 }
 
 const SHARED_KEY = 'a-shared-key-for-tests-only'
@@ -68,10 +72,13 @@
 export class Cell {
   public readonly processes: ICellProcess[] = []
   public readonly hosts: IHostRecord[] = []
+  /** By scheduler. */
+  public readonly forwarders = new Map<string, TcpForwarder>()
   public storeUrl = ''
   /** Answers also while the store itself refuses connections. */
   public storeControlUrl = ''
   public hostListUrl = ''
+  private readonly _forwardedPorts = new Map<string, number>()
   private readonly _standIns: ProcessHandle[] = []
   private readonly _folder = mkdtempSync(join(tmpdir(), 'jackdawreel-'))
 
@@ -103,9 +110,11 @@
   /** Starts one gateway or scheduler and waits until it serves. */
   public async startDaemon (role: 'gateway' | 'scheduler', region: string, processId: string): Promise<ICellProcess> {
     const file = join(this._folder, `${processId}.ini`)
-    writeFileSync(file, this._ini(role, region, processId))
+    const advertise = role === 'scheduler' && this.options.forwardsPeers ? await this._forwardTo(processId) : undefined
+    writeFileSync(file, this._ini(role, region, processId, advertise))
     const handle = startProcess(`bin/jackdawreel-${role}.js`, ['--config', file], this.options.nodeArgs)
     const { url, operatorUrl } = await handle.ready
+    this.forwarders.get(processId)?.retarget(Number(new URL(url).port))
     const process = { processId, region, role, url, operatorUrl: String(operatorUrl), handle }
     const old = this.processes.findIndex((other) => other.processId === processId)
     if (old >= 0) this.processes.splice(old, 1)
@@ -169,6 +178,7 @@
   public async dispose (): Promise<void> {
     const running = [...this.processes.map((process) => process.handle), ...this._standIns].filter((handle) => handle.running)
     await Promise.all(running.map(async (handle) => await handle.kill()))
+    await Promise.all([...this.forwarders.values()].map(async (forwarder) => { await forwarder.close() }))
     rmSync(this._folder, { recursive: true, force: true })
   }
 
@@ -230,7 +240,18 @@
     await this.control(this.hostListUrl, { put: this.hosts })
   }
 
-  private _ini (role: 'gateway' | 'scheduler', region: string, processId: string): string {
+  /** The port to advertise. */
+  private async _forwardTo (processId: string): Promise<number> {
+    const known = this._forwardedPorts.get(processId)
+    if (known !== undefined) return known
+    const forwarder = new TcpForwarder(0)
+    const port = await forwarder.listen()
+    this.forwarders.set(processId, forwarder)
+    this._forwardedPorts.set(processId, port)
+    return port
+  }
+
+  private _ini (role: 'gateway' | 'scheduler', region: string, processId: string, advertisePort?: number): string {
     const sections: Record<string, Record<string, string | number>> = {
       process: { id: processId, role, region, failureDomain: region },
       cell: { regions: this.options.regions.join(', ') },
@@ -243,6 +264,7 @@
     }
     const seeds = this.schedulers().map((scheduler) => `${scheduler.processId}@${scheduler.url.slice('ws://'.length)}`)
     if (seeds.length > 0) sections.peer = { ...sections.peer, seeds: seeds.join(', ') }
+    if (advertisePort !== undefined) sections.peer = { ...sections.peer, advertise: `127.0.0.1:${advertisePort}` }
     if (role === 'gateway') sections.caller = { listen: '127.0.0.1:0' }
     for (const [name, keys] of Object.entries(this.options.settings)) {
       if (name !== 'caller' || role === 'gateway') sections[name] = { ...sections[name], ...keys }
--- a/test/support/TcpForwarder.ts
+++ b/test/support/TcpForwarder.ts
@@ -19,7 +19,7 @@
   private readonly _pairs = new Set<IPair>()
   private readonly _cut = new Set<Direction>()
 
-  public constructor (private readonly _targetPort: number, private readonly _targetIp = '127.0.0.1') {
+  public constructor (private _targetPort: number, private readonly _targetIp = '127.0.0.1') {
     this._server = createServer({ allowHalfOpen: true }, (client) => this._accept(client))
   }
 
@@ -29,6 +29,11 @@
     return (this._server.address() as AddressInfo).port
   }
 
+  /** Connections from now on go to this port: the target has been started again. */
+  public retarget (port: number): void {
+    this._targetPort = port
+  }
+
   /** Swallows everything in these directions from now on, the end of a connection included. */
   public cut (...directions: readonly Direction[]): void {
     for (const direction of directions) this._cut.add(direction)
