--- a/src/common/observability/LatencyHistogram.ts
+++ b/src/common/observability/LatencyHistogram.ts
@@ -28,15 +28,11 @@
   readonly maxMs: number
 }
 
-/** Significant decimal digits: 1 errs by up to 6% in 2.9 KB, 2 by up to 0.8% in 14 KB. */
-export type LatencyDigits = 1 | 2
+/** Errs by up to 6% in 2.9 KB; a second digit would take 14 KB, which is too much for one in each row of a table. */
+const SIGNIFICANT_DIGITS = 1
 
 export class LatencyHistogram {
-  private readonly _histogram: InstanceType<typeof Int32Histogram>
-
-  public constructor (digits: LatencyDigits) {
-    this._histogram = new Int32Histogram(1, MAX_MICROS, digits)
-  }
+  private readonly _histogram = new Int32Histogram(1, MAX_MICROS, SIGNIFICANT_DIGITS)
 
   public get count (): number {
     return this._histogram.totalCount
--- a/src/common/observability/LatencyTable.ts
+++ b/src/common/observability/LatencyTable.ts
@@ -12,6 +12,7 @@
 export class LatencyTable {
   private readonly _histograms = new Map<string, LatencyHistogram>()
 
+  /** @param _maxNames names with times of their own, 2.9 KB each */
   public constructor (private readonly _maxNames: number) {}
 
   public record (name: string, ms: number): void {
@@ -26,7 +27,7 @@
     const known = this._histograms.get(name)
     if (known !== undefined) return known
     if (this._histograms.size >= this._maxNames && name !== OTHER_NAMES) return this._histogramOf(OTHER_NAMES)
-    const histogram = new LatencyHistogram(2)
+    const histogram = new LatencyHistogram()
     this._histograms.set(name, histogram)
     return histogram
   }
--- a/src/common/observability/Observability.test.ts
+++ b/src/common/observability/Observability.test.ts
@@ -12,7 +12,7 @@
 
 test('percentiles are close to those of a sorted list, and buckets add up', t => {
   fc.assert(fc.property(fc.array(fc.double({ min: 0.001, max: 3_600_000, noNaN: true }), { minLength: 1, maxLength: 200 }), times => {
-    const histogram = new LatencyHistogram(1)
+    const histogram = new LatencyHistogram()
     for (const ms of times) histogram.record(ms)
     const sorted = times.toSorted((a, b) => a - b)
     const p90 = sorted[Math.ceil(sorted.length * 0.9) - 1] ?? 0
@@ -22,7 +22,7 @@
 })
 
 test('odd times are taken without an error', t => {
-  const histogram = new LatencyHistogram(1)
+  const histogram = new LatencyHistogram()
   for (const ms of [-5, Number.NaN, Infinity, 1e12]) histogram.record(ms)
   t.is(histogram.count, 3)
   t.true(histogram.footprintBytes < 3000)
--- a/src/common/observability/OutcomeRow.ts
+++ b/src/common/observability/OutcomeRow.ts
@@ -10,7 +10,7 @@
 
 export class OutcomeRow {
   public readonly counts: Record<OutcomeCount, number> = { completed: 0, late: 0, refused: 0, notRun: 0, unknown: 0 }
-  public readonly waits = new LatencyHistogram(1)
+  public readonly waits = new LatencyHistogram()
 
   public constructor (public readonly service: string, public readonly caller: string) {}
 
--- a/src/daemon/GatewayDaemon.ts
+++ b/src/daemon/GatewayDaemon.ts
@@ -19,7 +19,7 @@
 import type { ICallerSettings, ISettings } from '../platform/settings/Types.js'
 import type { IDaemon, IDaemonAddresses } from './Types.js'
 
-/** Rows of services and callers; beyond it callers are counted together. A row takes about 1 KB. */
+/** Rows of services and callers; beyond it callers are counted together. A row takes about 3 KB. */
 const MAX_OUTCOME_ROWS = 2000
 const MAX_SERVICES = 500
 
