--- a/src/daemon/SchedulerDaemon.ts
+++ b/src/daemon/SchedulerDaemon.ts
@@ -39,6 +39,8 @@
 
 /** Releasing the shards waits for the store; in an outage the lease has to lapse instead. */
 const RELEASE_LIMIT_MS = 5000
+/** Of one answer to an operator; some 100 bytes each. */
+const MAX_LISTED_JOBS = 1000
 /** Two renewals may be lost before the lease lapses. */
 const RENEWALS_PER_LEASE = 3
 
@@ -136,7 +138,7 @@
   private _operatorHandlers (): OperatorHandlers {
     return {
       hosts: () => okReply({ hosts: [...this._runners.dump(), ...this._workers.dump()] }),
-      jobs: () => okReply({ jobs: this._jobs.dump() }),
+      jobs: () => okReply({ jobs: this._jobs.list(MAX_LISTED_JOBS) }),
       shards: () => okReply({ shards: this._owner.held() }),
       drain: async ({ body }: IOperatorRequest) => okReply(await this._drain((body as { readonly hostId?: string } | undefined)?.hostId))
     }
--- a/src/scheduler/jobs/JobOwner.ts
+++ b/src/scheduler/jobs/JobOwner.ts
@@ -29,6 +29,17 @@
   readonly owner: boolean
 }
 
+/** One line of the list of jobs. */
+export interface IJobSummary {
+  readonly jobId: string
+  readonly service: string
+  readonly caller: string
+  readonly state: JobState
+  /** All of its tasks. */
+  readonly tasks: number
+  readonly running: number
+}
+
 export class JobOwner implements IDisposable {
   private readonly _owned = new Map<string, TaskSurvey>()
   private readonly _runs = new Map<string, JobRun>()
@@ -122,6 +133,14 @@
     if (run !== undefined) this._advance(run)
   }
 
+  /** Up to `maxJobs` live jobs with what became of their tasks, for operators. */
+  public list (maxJobs: number): readonly IJobSummary[] {
+    return [...this._runs.values()].slice(0, maxJobs).map(run => {
+      const { jobId, service, caller, state, tasks } = run.status()
+      return { jobId, service, caller, state, tasks: tasks.length, running: tasks.filter(task => task.state === 'running').length }
+    })
+  }
+
   public dump (): Readonly<Record<string, unknown>> {
     const states: Record<string, number> = {}
     for (const run of this._runs.values()) {
