--- a/src/peer/MembershipAgent.ts
+++ b/src/peer/MembershipAgent.ts
@@ -11,7 +11,7 @@
 import type { IPeerSelectionOptions } from '../common/membership/PeerSelection.js'
 import type { Event } from '../common/Emitter.js'
 import { DisposableStore } from '../common/Emitter.js'
-import type { IMember, IMembersCast } from '../common/protocol/Types.js'
+import type { IMember, IMemberNews, IMembersCast } from '../common/protocol/Types.js'
 import type { IDisposable, IProcessIdentity } from '../common/Types.js'
 import { MemberProber } from './MemberProber.js'
 import type { IPeerEnvironment } from './PeerHubOptions.js'
@@ -41,12 +41,16 @@
 export class MembershipAgent implements IDisposable {
   /** Fires when a member is new here or its state or incarnation has changed. */
   public readonly onMember: Event<IMember>
+  /** Fires when another process under our own id has a higher incarnation: this one should stop. */
+  public readonly onSuperseded: Event<IMemberNews>
   private readonly _options: IMembershipAgentOptions
   private readonly _membership: Membership
   private readonly _selection: PeerSelection
   private readonly _prober: MemberProber
   private readonly _registrations = new DisposableStore()
   private readonly _dials = new Map<string, IDial>()
+  /** The present choice of peers; absent after a change of the members. */
+  private _selected: readonly IMember[] | undefined
 
   /**
    * @param _hub the links; to be started by its owner
@@ -64,6 +68,7 @@
     this._selection = new PeerSelection(self, this._options.selection)
     this._prober = new MemberProber(_hub, this._membership, self.processId, this._options, _environment)
     this.onMember = this._membership.onMember
+    this.onSuperseded = this._membership.onSuperseded
   }
 
   /** Starts to listen, gossip, dial and probe. */
@@ -75,12 +80,19 @@
       if (cause === 'released') this._membership.linkReleased(peer)
       else this._membership.linkLost(peer)
     }))
+    this._registrations.add(this.onMember(() => { this._selected = undefined }))
     this._registrations.add(this._environment.timers.every(gossipMs, () => this._tick()))
     this._registrations.add(this._prober)
     this._prober.start()
     this._tick()
   }
 
+  /** Keeps a link to a member that `PeerSelection` did not choose, until disposed; nothing for an unknown one. */
+  public reach (processId: string): IDisposable | undefined {
+    const member = this.member(processId)
+    return member === undefined ? undefined : this._hub.dial(member.peerUrl, processId)
+  }
+
   /** All members known, this process included, and dead ones until they are forgotten. */
   public members (): readonly IMember[] {
     return this._membership.members()
@@ -90,7 +102,7 @@
     return this._membership.get(processId)
   }
 
-  /** Schedulers that may be given new work: alive, linked and not leaving. */
+  /** Schedulers that may be given new work: alive, linked and not leaving. Goes through all members. */
   public routableSchedulers (): readonly IMember[] {
     return this.members().filter((member) =>
       member.role === 'scheduler' && member.state === 'alive' && this._hub.link(member.processId) !== undefined)
@@ -163,7 +175,8 @@
   }
 
   private _chosen (): readonly ISeedPeer[] {
-    const selected = this._selection.select(this.members())
+    const selected = this._selected ?? this._selection.select(this.members())
+    this._selected = selected
     return this._hub.links().length > 0 ? selected : [...this._options.seeds, ...selected]
   }
 }
--- a/test/support/JobsCell.ts
+++ b/test/support/JobsCell.ts
@@ -85,7 +85,7 @@
       onAcquired: this.acquired.event,
       onLost: this.dropped.event,
       noteFenced: (shardId: string) => { this.lose(shardId) },
-      confirm: async (shardId: string, epoch: number) => _cell.schedulers.every((other) => (other.owned.get(shardId) ?? 0) <= epoch)
+      confirm: async (shardId: string, epoch: number) => !_cell.isStoreDown && _cell.epochs.get(shardId) === epoch
     }
     const common = { peers: this, shards: _cell.view, config, idShardOf: () => ID_SHARD, clock, timers: clock, log: new SilentLogger() }
     this.tasks = new TaskService({ ...common, engine: this._engine })
@@ -97,6 +97,7 @@
 
   public take (shardId: string, epoch: number): void {
     this.owned.set(shardId, epoch)
+    this._cell.epochs.set(shardId, epoch)
     if (shardId === ID_SHARD) this.jobs.takeOver(shardId, epoch, this._cell.log.table.live())
     else this.acquired.fire({ shardId, epoch })
     this._cell.announce()
@@ -181,6 +182,9 @@
   public readonly config = testConfig()
   public readonly log = new FakeJobLog()
   public readonly schedulers: FakeScheduler[] = []
+  /** The store's records of the shards. */
+  public readonly epochs = new Map<string, number>()
+  public isStoreDown = false
   public readonly view: IShardView
   public readonly directory: IHostDirectory
   private readonly _changed = new Emitter<readonly IHostRecord[]>()
