--- a/src/common/policy/DecisionEngine.ts
+++ b/src/common/policy/DecisionEngine.ts
@@ -14,6 +14,7 @@
 import { HostHealth } from './HostHealth.js'
 import { HostIndex } from './HostIndex.js'
 import { Preemption } from './Preemption.js'
+import { RoomForecast } from './RoomForecast.js'
 import { RunningWork } from './RunningWork.js'
 import { UseLedger } from './UseLedger.js'
 import { WorkEstimates } from './WorkEstimates.js'
@@ -22,7 +23,7 @@
 import type { ITeamConfig } from '../config/Types.js'
 import type { IHostObserver, LedgerHost } from './CapacityLedger.js'
 import type { IGroupTask } from './GroupBook.js'
-import type { ILaneKey } from './ProfileQueue.js'
+import type { ILaneKey } from './QueueTypes.js'
 import type { AdmitDecision, AttemptEnd, EngineDecision, IDecisionEngine, IEngineHost, IEngineLoad, IWorkItem } from './Types.js'
 import type { CapacityKind } from './UseLedger.js'
 
@@ -57,7 +58,8 @@
     this._admission = new Admission(_clock, random)
     this._report = new EngineReport(this._ledger, this._index, this._use, this._queue, this._book, this._admission)
     this._work = new RunningWork(_clock, this._ledger, this._use, this._queue, chooser, preemption)
-    this._groups = new GroupPlacer(this._book, this._ledger, this._use, chooser, () => this._work.turnoverPerMs())
+    const forecast = new RoomForecast(this._ledger, () => this._work.turnoverPerMs())
+    this._groups = new GroupPlacer(this._book, this._ledger, this._use, chooser, forecast)
     this._loop = new DecisionLoop({
       clock: _clock,
       ledger: this._ledger,
--- a/src/common/policy/FairQueue.test.ts
+++ b/src/common/policy/FairQueue.test.ts
@@ -6,7 +6,7 @@
 import { UseLedger } from './UseLedger.js'
 
 import type { IProfile } from '../config/Types.js'
-import type { IQueueEntry } from './ProfileQueue.js'
+import type { IQueueEntry } from './QueueTypes.js'
 
 const CAPACITY = cores(100)
 
--- a/src/common/policy/FairQueue.ts
+++ b/src/common/policy/FairQueue.ts
@@ -9,7 +9,7 @@
 
 import type { IResources, MonotonicMs } from '../Types.js'
 import type { PriorityClass } from '../config/Types.js'
-import type { IQueueEntry, IQueueRequest, LaneFilter } from './ProfileQueue.js'
+import type { IQueueEntry, IQueueRequest, LaneFilter } from './QueueTypes.js'
 import type { UseLedger } from './UseLedger.js'
 
 const BTree = BTreeModule.default
--- a/src/common/policy/GroupPlacer.ts
+++ b/src/common/policy/GroupPlacer.ts
@@ -2,12 +2,13 @@
  * Finds room for all-at-once jobs: hosts are emptied for one of them at a time, so that no two wait for each other.
  */
 
-import { addInto, difference, dominantShare, fits, zeroResources } from './Resources.js'
+import { addInto, difference, fits, zeroResources } from './Resources.js'
 
 import type { MonotonicMs } from '../Types.js'
 import type { CapacityLedger, LedgerHost } from './CapacityLedger.js'
 import type { GroupBook, IGroup, IGroupTask } from './GroupBook.js'
 import type { HostChooser } from './HostChooser.js'
+import type { RoomForecast } from './RoomForecast.js'
 import type { UseLedger } from './UseLedger.js'
 
 /** Groups looked at for places that are free anyway; a later small one may start while an early large one waits. */
@@ -46,7 +47,7 @@
     private readonly _ledger: CapacityLedger,
     private readonly _use: UseLedger,
     private readonly _chooser: HostChooser,
-    private readonly _turnoverPerMs: () => number
+    private readonly _forecast: RoomForecast
   ) {}
 
   /** The group for which hosts are being emptied. */
@@ -139,7 +140,7 @@
     if (next === undefined) return
     this._gathering = next
     next.gatheringSinceMs = nowMs
-    next.startsAtMs = nowMs + this._comesFreeInMs(this._lackingShare(next), this._ledger.shareOf(this._ledger.used))
+    next.startsAtMs = nowMs + this._forecast.groupMs(next)
   }
 
   /** Parts of a job that spans schedulers hold room elsewhere already, so room is gathered for them at once. */
@@ -179,7 +180,7 @@
     const host = free ?? (this.isClosing(nowMs) && group === this._gathering ? undefined : this._hostToEmpty(group, task))
     if (host === undefined) return false
     this._book.hold(group, task, host)
-    if (free === undefined) group.startsAtMs = Math.max(group.startsAtMs, nowMs + this._drainMs(host))
+    if (free === undefined) group.startsAtMs = Math.max(group.startsAtMs, nowMs + this._forecast.hostMs(host))
     return true
   }
 
@@ -212,26 +213,6 @@
     return hasMoved
   }
 
-  /** How long the host takes to have room for what it holds. */
-  private _drainMs (host: LedgerHost): number {
-    const { capacity } = host.config
-    const lacking = dominantShare(difference(host.held, host.unused()), capacity)
-    return this._comesFreeInMs(lacking, dominantShare(host.used, capacity))
-  }
-
-  /** How long until `lacking` of what is `used` has come free, if work ends as fast as it does now. */
-  private _comesFreeInMs (lacking: number, used: number): number {
-    if (lacking <= 0 || used <= 0) return 0
-    const leftShare = Math.max(1 - lacking / used, 0.01)
-    return -Math.log(leftShare) / Math.max(this._turnoverPerMs(), 1e-9)
-  }
-
-  private _lackingShare (group: IGroup): number {
-    const sum = zeroResources()
-    for (const { need } of group.tasks) addInto(sum, need)
-    return this._ledger.shareOf(difference(sum, difference(this._ledger.capacity, this._ledger.used)))
-  }
-
   private _reopen (): void {
     this._openUntilMs.clear()
     for (const group of this._book.holding()) {
--- a/src/common/policy/NaiveEngine.ts
+++ b/src/common/policy/NaiveEngine.ts
@@ -3,8 +3,7 @@
  * reference of the differential tests, so it is written to be obviously right rather than fast or fair.
  */
 
-import { Heap } from 'heap-js'
-
+import { NaiveLines } from './NaiveLines.js'
 import { addInto, difference, fits, larger, NO_RESOURCES, subtractFrom, zeroResources } from './Resources.js'
 
 import type { IResources, MonotonicMs, IClock } from '../Types.js'
@@ -31,31 +30,13 @@
   readonly expiresAtMs: MonotonicMs
 }
 
-/** What waits in a line: one item, or the items of an all-at-once job. Empty once it has left the line. */
-interface INaiveEntry {
-  items: readonly IWorkItem[]
-  readonly deadlineAtMs: MonotonicMs
-}
-
-/** Entries in order of arrival; those before `head` have left. */
-interface INaiveLine {
-  entries: INaiveEntry[]
-  head: number
-}
-
-/** Entries that have left are cut off in pieces of this size, since a cut costs as much as the line is long. */
-const CUT_AFTER_ENTRIES = 10_000
-
 export class NaiveEngine implements IDecisionEngine {
   protected readonly _hosts = new Map<string, INaiveHost>()
   private readonly _running = new Map<string, INaivePlace>()
   private readonly _held = new Map<string, INaivePlace>()
   private readonly _groups = new Map<string, INaiveGroup>()
   private readonly _ready: EngineDecision[] = []
-  /** One line per rank; the base class has only one. */
-  private readonly _lines: INaiveLine[] = []
-  private readonly _entryOf = new Map<string, INaiveEntry>()
-  private readonly _byDeadline = new Heap<INaiveEntry>((a, b) => a.deadlineAtMs - b.deadlineAtMs)
+  private readonly _waiting = new NaiveLines()
 
   public constructor (protected readonly _clock: IClock) {}
 
@@ -89,11 +70,7 @@
 
   public cancel (itemId: string): 'queued' | 'running' | 'absent' {
     if (this._running.has(itemId)) return 'running'
-    const entry = this._entryOf.get(itemId)
-    if (entry === undefined) return 'absent'
-    entry.items = entry.items.filter((item) => item.id !== itemId)
-    this._entryOf.delete(itemId)
-    return 'queued'
+    return this._waiting.cancel(itemId) ? 'queued' : 'absent'
   }
 
   public next (): EngineDecision | undefined {
@@ -104,8 +81,7 @@
   }
 
   public nextWakeAtMs (): MonotonicMs {
-    this._dropEmptied()
-    let wakeAtMs = this._byDeadline.peek()?.deadlineAtMs ?? Infinity
+    let wakeAtMs = this._waiting.earliestDeadlineAtMs()
     for (const group of this._groups.values()) wakeAtMs = Math.min(wakeAtMs, group.expiresAtMs)
     return wakeAtMs
   }
@@ -164,7 +140,7 @@
       if (free.cores > largestFree.cores) largestFree = free
     }
     const expectedWaitMs = { urgent: 0, normal: 0, patient: 0 }
-    return { queued: this._entryOf.size, running: this._running.size, capacity, used, largestFree, expectedWaitMs }
+    return { queued: this._waiting.itemCount, running: this._running.size, capacity, used, largestFree, expectedWaitMs }
   }
 
   public dump (): Readonly<Record<string, unknown>> {
@@ -203,20 +179,10 @@
     }
     const [first] = items
     if (first === undefined) return { admitted: true, expectedWaitMs: 0 }
-    const deadlineAtMs = items.reduce((earliest, item) => Math.min(earliest, item.deadlineAtMs), Infinity)
-    const entry: INaiveEntry = { items, deadlineAtMs }
-    this._lineOf(this._rankOf(first)).entries.push(entry)
-    for (const item of items) this._entryOf.set(item.id, entry)
-    if (deadlineAtMs < Infinity) this._byDeadline.push(entry)
+    this._waiting.add(this._rankOf(first), items)
     return { admitted: true, expectedWaitMs: 0 }
   }
 
-  private _lineOf (rank: number): INaiveLine {
-    const line = this._lines[rank] ?? { entries: [], head: 0 }
-    this._lines[rank] = line
-    return line
-  }
-
   private _isFeasible (item: IWorkItem): boolean {
     for (const host of this._hosts.values()) {
       if (fits(item.resources, host.config.capacity)) return true
@@ -229,23 +195,11 @@
     for (const group of [...this._groups.values()]) {
       if (group.expiresAtMs <= nowMs) this.dropReservation(group.groupId)
     }
-    this._dropEmptied()
-    for (let late = this._byDeadline.peek(); late !== undefined && late.deadlineAtMs <= nowMs; late = this._byDeadline.peek()) {
-      for (const item of late.items) this._ready.push({ type: 'giveUp', item, reason: 'deadline', retryAfterMs: RETRY_AFTER_MS })
-      this._leave(late)
-      this._dropEmptied()
+    for (let late = this._waiting.takeLate(nowMs); late.length > 0; late = this._waiting.takeLate(nowMs)) {
+      for (const item of late) this._ready.push({ type: 'giveUp', item, reason: 'deadline', retryAfterMs: RETRY_AFTER_MS })
     }
   }
 
-  private _leave (entry: INaiveEntry): void {
-    for (const item of entry.items) this._entryOf.delete(item.id)
-    entry.items = []
-  }
-
-  private _dropEmptied (): void {
-    while (this._byDeadline.peek()?.items.length === 0) this._byDeadline.pop()
-  }
-
   private _fillReservations (): void {
     for (const group of this._groups.values()) {
       for (const item of group.items) {
@@ -256,27 +210,14 @@
   }
 
   private _placeHead (): void {
-    const head = this._firstWaiting()
-    if (head === undefined || !this._placeAll(head.items)) return
+    const items = this._waiting.first()
+    if (items.length === 0 || !this._placeAll(items)) return
     const nowMs = this._clock.nowMs()
-    for (const item of head.items) {
+    for (const item of items) {
       const hostId = this._running.get(item.id)?.hostId ?? ''
       this._ready.push({ type: 'place', item, hostId, waitMs: nowMs - item.arrivedAtMs })
     }
-    this._leave(head)
-  }
-
-  private _firstWaiting (): INaiveEntry | undefined {
-    for (const line of this._lines) {
-      while (line?.entries[line.head]?.items.length === 0) line.head += 1
-      if (line !== undefined && line.head > CUT_AFTER_ENTRIES) {
-        line.entries = line.entries.slice(line.head)
-        line.head = 0
-      }
-      const first = line?.entries[line.head]
-      if (first !== undefined) return first
-    }
-    return undefined
+    this._waiting.removeFirst()
   }
 
   private _placeAll (items: readonly IWorkItem[]): boolean {
--- /dev/null
+++ b/src/common/policy/NaiveLines.ts
@@ -0,0 +1,97 @@
+/**
+ * What waits in the naive engine: lines in order of arrival, the lower ranks first.
+ */
+
+import { Heap } from 'heap-js'
+
+import type { MonotonicMs } from '../Types.js'
+import type { IWorkItem } from './Types.js'
+
+/** One item, or the items of an all-at-once job. Empty once it has left its line. */
+interface INaiveEntry {
+  items: readonly IWorkItem[]
+  readonly deadlineAtMs: MonotonicMs
+}
+
+/** Entries in order of arrival; those before `head` have left. */
+interface INaiveLine {
+  entries: INaiveEntry[]
+  head: number
+}
+
+/** Entries that have left are cut off in pieces of this size, since a cut costs as much as the line is long. */
+const CUT_AFTER_ENTRIES = 10_000
+
+export class NaiveLines {
+  private readonly _lines: (INaiveLine | undefined)[] = []
+  private readonly _entryOf = new Map<string, INaiveEntry>()
+  private readonly _byDeadline = new Heap<INaiveEntry>((a, b) => a.deadlineAtMs - b.deadlineAtMs)
+
+  public get itemCount (): number {
+    return this._entryOf.size
+  }
+
+  public add (rank: number, items: readonly IWorkItem[]): void {
+    const deadlineAtMs = items.reduce((earliest, item) => Math.min(earliest, item.deadlineAtMs), Infinity)
+    const entry: INaiveEntry = { items, deadlineAtMs }
+    const line = this._lines[rank] ?? { entries: [], head: 0 }
+    this._lines[rank] = line
+    line.entries.push(entry)
+    for (const item of items) this._entryOf.set(item.id, entry)
+    if (deadlineAtMs < Infinity) this._byDeadline.push(entry)
+  }
+
+  public cancel (itemId: string): boolean {
+    const entry = this._entryOf.get(itemId)
+    if (entry === undefined) return false
+    entry.items = entry.items.filter((item) => item.id !== itemId)
+    return this._entryOf.delete(itemId)
+  }
+
+  /** The items that come next; none when nothing waits. */
+  public first (): readonly IWorkItem[] {
+    return this._firstEntry()?.items ?? []
+  }
+
+  public removeFirst (): void {
+    const entry = this._firstEntry()
+    if (entry !== undefined) this._leave(entry)
+  }
+
+  /** Takes out the items of one entry whose deadline has passed. */
+  public takeLate (nowMs: MonotonicMs): readonly IWorkItem[] {
+    if (this.earliestDeadlineAtMs() > nowMs) return []
+    const late = this._byDeadline.pop()
+    if (late === undefined) return []
+    const { items } = late
+    this._leave(late)
+    return items
+  }
+
+  public earliestDeadlineAtMs (): MonotonicMs {
+    while (this._byDeadline.peek()?.items.length === 0) this._byDeadline.pop()
+    return this._byDeadline.peek()?.deadlineAtMs ?? Infinity
+  }
+
+  private _firstEntry (): INaiveEntry | undefined {
+    for (const line of this._lines) {
+      const first = line === undefined ? undefined : firstOf(line)
+      if (first !== undefined) return first
+    }
+    return undefined
+  }
+
+  private _leave (entry: INaiveEntry): void {
+    for (const item of entry.items) this._entryOf.delete(item.id)
+    entry.items = []
+  }
+}
+
+function firstOf (line: INaiveLine): INaiveEntry | undefined {
+  while (line.entries[line.head]?.items.length === 0) line.head += 1
+  if (line.head > CUT_AFTER_ENTRIES) {
+    line.entries = line.entries.slice(line.head)
+    line.head = 0
+  }
+  return line.entries[line.head]
+}
--- a/src/common/policy/ProfileQueue.ts
+++ b/src/common/policy/ProfileQueue.ts
@@ -5,12 +5,10 @@
 
 import BTreeModule from 'sorted-btree'
 
-import type { IResources, MonotonicMs } from '../Types.js'
 import type { IProfile } from '../config/Types.js'
-import type { IWorkItem } from './Types.js'
+import type { ICallerLine, ICallerShare, ILane, ILaneKey, IQueueEntry, IQueueRequest, LaneFilter } from './QueueTypes.js'
 
 const BTree = BTreeModule.default
-type SortedSet<T> = BTreeModule.default<T, undefined>
 
 /** Idle callers are looked through once this many new ones have come, so that the cost of a look is spread over them. */
 const SWEEP_AFTER_CALLERS = 1_000
@@ -24,63 +22,6 @@
 /** Callers above their share that are passed over in one look; more of them than this can't all be far above it. */
 const MAX_PASSED_OVER = 16
 
-export interface IQueueEntry {
-  readonly item: IWorkItem
-  /** What it is expected to use: as declared, or more where its service was seen to use more. */
-  readonly need: IResources
-  readonly queue: ProfileQueue
-  readonly line: ICallerLine
-  /** The order among the caller's own items: the deadline of urgent ones, the arrival of others. */
-  readonly orderMs: MonotonicMs
-  readonly sequence: number
-  /** The estimated share of the capacity it will take times its run time. */
-  readonly costMs: number
-  /** After this it can't end before its deadline. */
-  readonly latestStartAtMs: MonotonicMs
-}
-
-/** What one caller of this profile has had. */
-export interface ICallerShare {
-  readonly caller: string
-  /** The cost it was served, on the profile's virtual time: the lowest is served next. */
-  virtualMs: number
-  queuedCount: number
-  queuedCostMs: number
-  runningCount: number
-  readonly lines: Set<ICallerLine>
-}
-
-export interface ICallerLine {
-  readonly share: ICallerShare
-  readonly lane: ILane
-  readonly id: number
-  readonly entries: SortedSet<IQueueEntry>
-}
-
-/** Items of one lane need about the same room and the same quota: what blocks the first blocks the rest. */
-export interface ILaneKey {
-  /** Names the room needed; the same in every profile. */
-  readonly shape: string
-  /** Whose quota is charged. */
-  readonly team: string
-}
-
-export interface ILane extends ILaneKey {
-  readonly key: string
-  readonly lines: SortedSet<ICallerLine>
-  readonly lineOf: Map<string, ICallerLine>
-}
-
-export type LaneFilter = (lane: ILaneKey) => boolean
-
-export interface IQueueRequest {
-  readonly item: IWorkItem
-  readonly need: IResources
-  readonly lane: ILaneKey
-  readonly costMs: number
-  readonly latestStartAtMs: MonotonicMs
-}
-
 export class ProfileQueue {
   public queuedCount = 0
   public queuedCostMs = 0
--- a/src/common/policy/StopPlan.ts
+++ b/src/common/policy/StopPlan.ts
@@ -9,7 +9,7 @@
 import type { CapacityLedger } from './CapacityLedger.js'
 import type { FairQueue } from './FairQueue.js'
 import type { Preemption } from './Preemption.js'
-import type { IQueueEntry } from './ProfileQueue.js'
+import type { IQueueEntry } from './QueueTypes.js'
 import type { UseLedger } from './UseLedger.js'
 
 export interface IStop {
