--- a/src/peer/MembershipAgent.test.ts
+++ b/src/peer/MembershipAgent.test.ts
@@ -4,7 +4,7 @@
 
 import test from 'ava'
 
-import { identity, startHub } from '../../test/support/PeerHubs.js'
+import { disposeAll, disposeLater, identity, startHub } from '../../test/support/PeerHubs.js'
 import { until } from '../../test/support/Until.js'
 import { SystemClock } from '../common/Clock.js'
 import { SeededRandom } from '../common/Random.js'
@@ -27,7 +27,7 @@
   const self = { ...hub.self, role: 'scheduler' as const, peerUrl: url, operatorUrl: 'http://127.0.0.1:1' }
   const membership = { gossipMs: 50, suspectMs: 400, suspectHoldMs: 50, syncMs: 100 }
   const options = { membership, seeds, probeMs: 300, probeTimeoutMs: 200 }
-  const agent = new MembershipAgent(hub, self, options, { clock, timers: clock, random: new SeededRandom(3) })
+  const agent = disposeLater(new MembershipAgent(hub, self, options, { clock, timers: clock, random: new SeededRandom(3) }))
   agent.start()
   return { hub, agent, url }
 }
@@ -41,6 +41,8 @@
   return observers.every(({ agent }) => agent.member(processId)?.state === state)
 }
 
+test.after.always(disposeAll)
+
 test('processes that know one other find all, hear of a death, and of a restart under another address', async (t) => {
   // The store is down. Processes start with one address from their settings; later one of them is killed and started
   // again. All others must come to know this from each other alone.
--- a/src/peer/PeerHub.limits.test.ts
+++ b/src/peer/PeerHub.limits.test.ts
@@ -10,7 +10,7 @@
 import { WebSocket } from 'ws'
 
 import type { Socket } from 'node:net'
-import { identity, startHub, TEST_KEY } from '../../test/support/PeerHubs.js'
+import { disposeAll, identity, startHub, TEST_KEY } from '../../test/support/PeerHubs.js'
 import { until } from '../../test/support/Until.js'
 import { UnreachableError } from '../common/Errors.js'
 import { FailureKind, FrameCodec, FrameKind, wire } from './Frames.js'
@@ -47,6 +47,8 @@
   return webSocket
 }
 
+test.after.always(disposeAll)
+
 test('connections that say nothing or half of something are closed, and peers still get in', async (t) => {
   // A scanner opens connections and leaves them. If they stayed, they would use up the sockets of the process, and
   // one day no peer could connect.
--- a/src/peer/PeerHub.test.ts
+++ b/src/peer/PeerHub.test.ts
@@ -5,7 +5,7 @@
 import test from 'ava'
 
 import type { Result } from 'neverthrow'
-import { identity, startHub, TEST_KEY } from '../../test/support/PeerHubs.js'
+import { disposeAll, identity, startHub, TEST_KEY } from '../../test/support/PeerHubs.js'
 import { TcpForwarder } from '../../test/support/TcpForwarder.js'
 import { until } from '../../test/support/Until.js'
 import { SystemClock } from '../common/Clock.js'
@@ -53,6 +53,8 @@
   return new Promise(() => {})
 }
 
+test.after.always(disposeAll)
+
 test('calls are answered out of order, each with its own reply, and casts arrive', async (t) => {
   const pair = await linkedPair()
   const waiting = new Map<string, () => void>()
--- a/src/peer/PeerHub.truth.test.ts
+++ b/src/peer/PeerHub.truth.test.ts
@@ -4,7 +4,7 @@
 
 import test from 'ava'
 
-import { identity, startHub } from '../../test/support/PeerHubs.js'
+import { disposeAll, identity, startHub } from '../../test/support/PeerHubs.js'
 import { TcpForwarder } from '../../test/support/TcpForwarder.js'
 import { until } from '../../test/support/Until.js'
 import { AmbiguousError } from '../common/Errors.js'
@@ -34,6 +34,8 @@
   for (let turn = 0; turn < turns; turn++) await new Promise((resolve) => { setImmediate(resolve) })
 }
 
+test.after.always(disposeAll)
+
 test('while connections break, no call said to be not run has run, and each runs at most once', async (t) => {
   // Both processes call each other while the paths between them are dropped and cut, and both dial again. Were one
   // call that ran reported as not run, its request would be sent again and run twice.
@@ -66,11 +68,11 @@
     claims.push(...await Promise.all(calls))
     for (const forwarder of forwarders) forwarder.heal()
   }
-  const kinds = new Set(claims.map((claim) => claim.kind))
-  t.deepEqual([...kinds].sort(), ['done', 'notRun', 'unknown'], 'the failures came about')
   t.deepEqual(claims.filter(({ id, kind }) => kind === 'notRun' && runs.has(id)), [])
   t.deepEqual(claims.filter(({ id, kind }) => kind === 'done' && !runs.has(id)), [])
   t.deepEqual([...runs].filter(([, count]) => count > 1), [])
+  const kinds = new Set(claims.map((claim) => claim.kind))
+  t.deepEqual([...kinds].sort(), ['done', 'notRun', 'unknown'], 'the failures came about')
   a.dispose()
   b.dispose()
   await Promise.all(forwarders.map((forwarder) => forwarder.close()))
--- a/test/support/TcpForwarder.ts
+++ b/test/support/TcpForwarder.ts
@@ -21,6 +21,7 @@
 
   public constructor (private readonly _targetPort: number, private readonly _targetIp = '127.0.0.1') {
     this._server = createServer({ allowHalfOpen: true }, (client) => this._accept(client))
+    this._server.unref()
   }
 
   /** Gives the port to connect to. */
