--- a/src/common/protocol/Shapes.ts
+++ b/src/common/protocol/Shapes.ts
@@ -121,8 +121,8 @@
 })
 
 const memberNews = { processId: id, incarnation: count, sequence: count, state: z.enum(['alive', 'suspect', 'leaving', 'dead']) }
-/** A member, as the store holds it too. */
-export const memberShape = z.object({
+
+const memberShape = z.object({
   ...identity, role: z.enum(['gateway', 'scheduler']), peerUrl: id, operatorUrl: id, state: memberNews.state
 })
 const membersCast = z.object({
