--- /dev/null
+++ b/src/common/membership/LocalMembers.ts
@@ -0,0 +1,51 @@
+/**
+ * The members as this process sees them: what holds among all, corrected by its own links, which are better evidence
+ * for what it can reach.
+ */
+
+import { Emitter } from '../Emitter.js'
+import type { IMember, IMemberRecord, MemberState } from '../protocol/Types.js'
+import type { LinkWatch } from './LinkWatch.js'
+import type { MemberView } from './MemberView.js'
+
+export class LocalMembers {
+  private readonly _members = new Map<string, IMember>()
+  private readonly _changeEmitter = new Emitter<IMember>()
+
+  /** Fires when a member is new here or its state or incarnation has changed. */
+  public readonly onMember = this._changeEmitter.event
+
+  public constructor (private readonly _view: MemberView, private readonly _links: LinkWatch) {}
+
+  public get (processId: string): IMember | undefined {
+    return this._members.get(processId)
+  }
+
+  public all (): readonly IMember[] {
+    return [...this._members.values()]
+  }
+
+  public forget (processId: string): void {
+    this._members.delete(processId)
+  }
+
+  /** To be called after any change of what is said of a member or of the link to it. */
+  public refresh (processId: string): void {
+    const record = this._view.get(processId)
+    if (record === undefined) return
+    const state = this._stateOf(record)
+    const before = this._members.get(processId)
+    if (before?.state === state && before.incarnation === record.incarnation) return
+    const { sequence, ...rest } = record
+    const member = { ...rest, state }
+    this._members.set(processId, member)
+    this._changeEmitter.fire(member)
+  }
+
+  private _stateOf (record: IMemberRecord): MemberState {
+    if (record.state === 'leaving') return 'leaving'
+    if (this._links.isUp(record)) return 'alive'
+    if (record.state === 'alive' && this._links.isDown(record)) return 'suspect'
+    return record.state
+  }
+}
--- a/src/common/membership/Membership.ts
+++ b/src/common/membership/Membership.ts
@@ -5,9 +5,11 @@
 
 import { AwakeClock } from '../AwakeClock.js'
 import { Emitter } from '../Emitter.js'
-import type { IMember, IMemberNews, IMemberRecord, IMembersCast, MemberState } from '../protocol/Types.js'
+import type { Event } from '../Emitter.js'
+import type { IMember, IMemberNews, IMemberRecord, IMembersCast } from '../protocol/Types.js'
 import type { IClock, IProcessIdentity, IRandom } from '../Types.js'
 import { LinkWatch } from './LinkWatch.js'
+import { LocalMembers } from './LocalMembers.js'
 import { MemberGossip } from './MemberGossip.js'
 import { MemberView } from './MemberView.js'
 import type { IViewChange } from './MemberView.js'
@@ -34,15 +36,13 @@
   private readonly _store: StoreWatch
   /** When a suspect or leaving member is dead, or a dead one forgotten, in awake milliseconds. */
   private readonly _deadlines = new Map<string, number>()
-  /** Members as this process sees them, its own links considered. */
-  private readonly _effective = new Map<string, IMember>()
+  private readonly _local: LocalMembers
   private readonly _supersededEmitter = new Emitter<IMemberNews>()
-  private readonly _memberEmitter = new Emitter<IMember>()
 
   /** Fires when another process under our own id has a higher incarnation: this one is no longer listened to. */
   public readonly onSuperseded = this._supersededEmitter.event
   /** Fires when a member is new here or its state or incarnation has changed. */
-  public readonly onMember = this._memberEmitter.event
+  public readonly onMember: Event<IMember>
 
   public constructor (
     private readonly _self: SelfDescription,
@@ -55,6 +55,8 @@
     this._links = new LinkWatch(this._options)
     this._store = new StoreWatch(this._options.storeTrustMs)
     this._view = new MemberView(this._options.maxMembers, this._options.maxTombstones)
+    this._local = new LocalMembers(this._view, this._links)
+    this.onMember = this._local.onMember
     this._gossip = new MemberGossip(_self.processId, this._view, this._options, clock, _random, (news) => this._onOwnNews(news))
     this._view.onChange((change) => this._onViewChange(change))
     this._view.put({ ..._self, state: 'alive', sequence: 0 })
@@ -62,11 +64,11 @@
 
   /** All members known here, this process included, dead ones until they are forgotten. */
   public members (): readonly IMember[] {
-    return [...this._effective.values()]
+    return this._local.all()
   }
 
   public get (processId: string): IMember | undefined {
-    return this._effective.get(processId)
+    return this._local.get(processId)
   }
 
   /** The statement about a process that holds among all, whatever the own links say; for the state dump. */
@@ -81,27 +83,27 @@
 
   /** Processes whose record is in the store although they are dead or unknown here: worth dialling. */
   public inStoreButDead (): readonly IMember[] {
-    return [...this._store.present()].filter((member) => (this._effective.get(member.processId)?.state ?? 'dead') === 'dead')
+    return [...this._store.present()].filter((member) => (this._local.get(member.processId)?.state ?? 'dead') === 'dead')
   }
 
   /** A link to this process stands. Gives what to say first on it. */
   public linkUp (peer: IProcessIdentity): IMembersCast | undefined {
     this._links.noteUp(peer, this._awake.awakeMs)
-    this._refresh(peer.processId)
+    this._local.refresh(peer.processId)
     return this._gossip.greeting(peer.processId)
   }
 
   /** A link failed, or could not be had. */
   public linkLost (peer: IProcessIdentity): void {
     this._links.noteLost(peer, this._awake.awakeMs)
-    this._refresh(peer.processId)
+    this._local.refresh(peer.processId)
   }
 
   /** A link was given up in good order. A leaving member that does so has most likely gone. */
   public linkReleased (peer: IProcessIdentity): void {
     if (this._view.get(peer.processId)?.state === 'leaving') return this.linkLost(peer)
     this._links.noteReleased(peer)
-    this._refresh(peer.processId)
+    this._local.refresh(peer.processId)
   }
 
   /** A peer's cast. Gives the answer to it, if there is any. */
@@ -202,7 +204,7 @@
   private _forget (processId: string, record: IMemberRecord | undefined): void {
     if (record !== undefined) this._view.forget(record)
     this._links.forget(processId)
-    this._effective.delete(processId)
+    this._local.forget(processId)
   }
 
   private _suspectMs (): number {
@@ -216,27 +218,7 @@
       if (state === 'suspect') this._deadlines.set(processId, this._awake.awakeMs + this._suspectMs())
       if (state === 'dead') this._deadlines.set(processId, this._awake.awakeMs + this._options.forgetMs)
     }
-    this._refresh(processId)
-  }
-
-  private _refresh (processId: string): void {
-    const record = this._view.get(processId)
-    if (record === undefined) return
-    const state = this._effectiveState(record)
-    const before = this._effective.get(processId)
-    if (before?.state === state && before.incarnation === record.incarnation) return
-    const { sequence, ...rest } = record
-    const member = { ...rest, state }
-    this._effective.set(processId, member)
-    this._memberEmitter.fire(member)
-  }
-
-  /** Our own link is better evidence than what others say, in both directions. */
-  private _effectiveState (record: IMemberRecord): MemberState {
-    if (record.state === 'leaving') return 'leaving'
-    if (this._links.isUp(record)) return 'alive'
-    if (record.state === 'alive' && this._links.isDown(record)) return 'suspect'
-    return record.state
+    this._local.refresh(processId)
   }
 
   private _round (): readonly IOutgoingCast[] {
