--- a/src/peer/PeerLink.ts
+++ b/src/peer/PeerLink.ts
@@ -10,12 +10,12 @@
 import type { IProcessIdentity, MonotonicMs } from '../common/Types.js'
 import { CallTable, callStep } from './CallTable.js'
 import type { CallResult } from './CallTable.js'
+import { FrameSender } from './FrameSender.js'
 import { FrameCodec, FrameKind, wire } from './Frames.js'
-import type { Frame, IBareFrame, WireFrame } from './Frames.js'
+import type { Frame, IBareFrame } from './Frames.js'
 import { HeartbeatMonitor } from './HeartbeatMonitor.js'
 import { InboundCalls } from './InboundCalls.js'
 import type { IInboundContext } from './InboundCalls.js'
-import { PacketBatch } from './PacketBatch.js'
 import type { IPeerEnvironment, IPeerHubOptions } from './PeerHubOptions.js'
 import type { IPeerSocket, IPeerSocketListener } from './PeerSocket.js'
 import type { IPeerLink, PeerError } from './Types.js'
@@ -35,12 +35,11 @@
   private readonly _calls: CallTable
   private readonly _inbound: InboundCalls
   private readonly _monitor: HeartbeatMonitor
-  private readonly _batch: PacketBatch
+  private readonly _sender: FrameSender
   private readonly _drainWaiters: Array<() => void> = []
   private readonly _goneWaiters: Array<() => void> = []
   private _successor: PeerLink | undefined
   private _gone = false
-  private _hasSentSinceTick = false
   private _finishing = false
   private _peerTakesCalls = true
   private _peerRetired = false
@@ -55,9 +54,12 @@
     this.lastHeardMs = environment.clock.nowMs()
     this._codec = new FrameCodec(options.maxFrameBytes)
     this._calls = new CallTable(peer.processId, environment.timers, _context.counters)
-    this._inbound = new InboundCalls(peer, _context, (frame) => this._enqueue(frame), () => this._noteProgress())
+    this._inbound = new InboundCalls(peer, _context, (frame) => this._sender.enqueue(frame), () => this._noteProgress())
     this._monitor = new HeartbeatMonitor(_context.awake, options.silenceLimitMs)
-    this._batch = new PacketBatch((packet) => this._sendPacket(packet))
+    this._sender = new FrameSender(this._codec, _socket, options, {
+      onSending: () => this._calls.noteSent(),
+      onOverfull: () => this.lose('the peer reads too slowly')
+    })
     _socket.listen(this)
   }
 
@@ -78,7 +80,7 @@
   ResultAsync<IPeerCalls[N]['reply'], PeerError> {
     if (this._successor !== undefined) return this._successor.call(name, ask, timeoutMs)
     const step = callStep(name)
-    const refusal = this._whyNotCall() ?? this._enqueue(wire.call(this._calls.nextId, name, ask))
+    const refusal = this._whyNotCall() ?? this._sender.enqueue(wire.call(this._calls.nextId, name, ask))
     if (refusal !== undefined) {
       this._context.counters.refusedCalls += 1
       return errAsync(new UnreachableError(step, this.peer.processId, refusal))
@@ -91,7 +93,7 @@
         this._noteProgress()
       })
       // A frame that fills its batch has gone out already, before the call was entered.
-      if (this._batch.bytes === 0) this._calls.noteSent()
+      if (!this._sender.isPending) this._calls.noteSent()
     })) as ResultAsync<IPeerCalls[N]['reply'], PeerError>
   }
 
@@ -100,7 +102,7 @@
       this._successor.cast(name, cast)
       return
     }
-    if (this._gone || this._isBackedUp() || this._enqueue(wire.cast(name, cast)) !== undefined) {
+    if (this._gone || this._sender.isBackedUp || this._sender.enqueue(wire.cast(name, cast)) !== undefined) {
       this._context.counters.droppedCasts += 1
     }
   }
@@ -119,8 +121,9 @@
       this.lose('silent')
       return
     }
-    if (!this._hasSentSinceTick) this._sendBare(FrameKind.Heartbeat)
-    this._hasSentSinceTick = false
+    if (this._sender.takeHasSent()) return
+    this._sendBare(FrameKind.Heartbeat)
+    this._sender.takeHasSent()
   }
 
   /** Starts no more calls here but on `successor`; closes when what is in flight has ended on both sides. */
@@ -167,7 +170,7 @@
 
   /** Sends what waits, then closes as soon as the peer has read it. */
   public finish (): void {
-    this._batch.flush()
+    this._sender.finish()
     this._finishing = true
     this._socket.close()
   }
@@ -176,7 +179,7 @@
   public lose (reason: string): void {
     if (this._gone) return
     this._gone = true
-    this._batch.clear()
+    this._sender.stop()
     this._socket.dispose()
     this._calls.loseAll(`link lost (${reason})`)
     this._noteProgress()
@@ -228,36 +231,11 @@
     if (this._gone || this._finishing) return 'the link is down'
     if (!this._peerTakesCalls) return 'the peer is closing'
     if (this._calls.size >= this._context.options.maxCallsInFlight) return 'too many calls in flight'
-    return this._isBackedUp() ? 'the link is backed up' : undefined
-  }
-
-  /**
-   * Made for a peer that reads more slowly than we send: without a bound its backlog fills our memory, and one would
-   * see the process grow until it is killed and takes every other link with it.
-   */
-  private _isBackedUp (): boolean {
-    return this._socket.bufferedBytes + this._batch.bytes > this._context.options.maxBufferedBytes
-  }
-
-  /** Queues a frame; gives the reason when it can't be sent. */
-  private _enqueue (frame: WireFrame): string | undefined {
-    if (this._gone || this._finishing) return 'the link is down'
-    const bytes = this._codec.encode(frame)
-    if (bytes.isErr()) return bytes.error
-    this._batch.add(bytes.value)
-    this._hasSentSinceTick = true
-    return undefined
+    return this._sender.isBackedUp ? 'the link is backed up' : undefined
   }
 
   private _sendBare (kind: IBareFrame['kind']): void {
-    this._enqueue(wire.bare(kind))
-  }
-
-  private _sendPacket (packet: Uint8Array): void {
-    if (this._gone) return
-    this._calls.noteSent()
-    this._socket.send(packet)
-    if (this._socket.bufferedBytes > this._context.options.maxBacklogBytes) this.lose('the peer reads too slowly')
+    this._sender.enqueue(wire.bare(kind))
   }
 
   private _noteProgress (): void {
