--- a/src/peer/PeerListener.ts
+++ b/src/peer/PeerListener.ts
@@ -3,6 +3,7 @@
  */
 
 import { createServer } from 'node:http'
+import { isIPv6 } from 'node:net'
 
 import { ResultAsync } from 'neverthrow'
 import { WebSocketServer } from 'ws'
@@ -52,7 +53,7 @@
       this._server.once('error', reject)
       this._server.listen(listenPort, listenIp, () => {
         this._server.off('error', reject)
-        resolve(`ws://${listenIp}:${(this._server.address() as AddressInfo).port}`)
+        resolve(`ws://${isIPv6(listenIp) ? `[${listenIp}]` : listenIp}:${(this._server.address() as AddressInfo).port}`)
       })
     })
     return ResultAsync.fromPromise(bound, (cause) =>
