--- a/src/daemon/SchedulerDaemon.ts
+++ b/src/daemon/SchedulerDaemon.ts
@@ -259,7 +259,18 @@
     const localOutcomeOf = async (attemptId: string, waitMs: number): Promise<IFinalAnswer> => await this._requests.outcomeOf(attemptId, waitMs)
     const claims = new ClaimClient({ self, hub, router, local: this._claims, localOutcomeOf, clock, timers: clock })
     return new RequestService({
-      self, engine: this._engine, runners: this._runners, client: this._runnerClient, claims, config, hasher, clock, timers: clock, random, log
+      self,
+      engine: this._engine,
+      runners: this._runners,
+      client: this._runnerClient,
+      claims,
+      bounds: this._core.settings.limits,
+      config,
+      hasher,
+      clock,
+      timers: clock,
+      random,
+      log
     })
   }
 
--- a/src/gateway/CallerServer.ts
+++ b/src/gateway/CallerServer.ts
@@ -5,6 +5,7 @@
 import ApiGateway from 'moleculer-web'
 import { answerBody, answerHeaders, answerStatus, HEADER_OUTCOME, HEADER_REASON } from '../common/requests/AnswerHeaders.js'
 import { parseName, parseRequestHead } from '../common/requests/RequestParser.js'
+import { InFlightLimit } from '../common/requests/InFlightLimit.js'
 import { HttpListener } from '../platform/HttpListener.js'
 import { readBody } from './BodyReader.js'
 import { lingeringEnd } from './lingeringEnd.js'
@@ -47,16 +48,17 @@
 
 export class CallerServer {
   private readonly _listener: HttpListener
+  private readonly _limit: InFlightLimit
   private _draining = false
-  private _inFlight = 0
 
   public constructor (private readonly _context: ICallerServerContext) {
+    this._limit = new InFlightLimit(_context.limits)
     const service = _context.broker.createService(this._schema()) as unknown as { readonly httpHandler: RequestListener }
     this._listener = new HttpListener({ ..._context.limits, requestTimeoutMs: _context.settings.requestTimeoutMs }, service.httpHandler)
   }
 
   public get inFlight (): number {
-    return this._inFlight
+    return this._limit.count
   }
 
   /** Binds the address of the settings; gives the base URL. */
@@ -98,22 +100,28 @@
           mergeParams: true,
           aliases: {
             'GET health': (_request: IApiRequest, response: ServerResponse) => this._health(response),
-            'POST requests/:service': (request: IApiRequest, response: ServerResponse) => this._counted(() => this._request(request, response)),
-            'POST jobs': (request: IApiRequest, response: ServerResponse) => this._counted(() => this._submitJob(request, response)),
-            'GET jobs/:jobId': (request: IApiRequest, response: ServerResponse) => this._counted(() => this._job(request, response, 'status')),
-            'DELETE jobs/:jobId': (request: IApiRequest, response: ServerResponse) => this._counted(() => this._job(request, response, 'cancel'))
+            'POST requests/:service': (request: IApiRequest, response: ServerResponse) => this._limited(request, response, () => this._request(request, response)),
+            'POST jobs': (request: IApiRequest, response: ServerResponse) => this._limited(request, response, () => this._submitJob(request, response)),
+            'GET jobs/:jobId': (request: IApiRequest, response: ServerResponse) => this._limited(request, response, () => this._job(request, response, 'status')),
+            'DELETE jobs/:jobId': (request: IApiRequest, response: ServerResponse) => this._limited(request, response, () => this._job(request, response, 'cancel'))
           }
         }]
       }
     }
   }
 
-  private async _counted (serve: () => Promise<void>): Promise<void> {
-    this._inFlight += 1
+  /** Refuses at once what goes over the bounds, before its body is read. */
+  private async _limited (request: IApiRequest, response: ServerResponse, serve: () => Promise<void>): Promise<void> {
+    const room = this._limit.take(declaredBytes(request, this._context.settings.maxBodyBytes))
+    if (room.isErr()) {
+      const detail = `too many ${room.error} in flight`
+      this._sendUnread(request, response, { outcome: 'refused', reason: 'overloaded', detail, retryAfterMs: OVERLOADED_RETRY_MS })
+      return
+    }
     try {
       await serve()
     } finally {
-      this._inFlight -= 1
+      room.value()
     }
   }
 
@@ -124,10 +132,6 @@
 
   private async _request (request: IApiRequest, response: ServerResponse): Promise<void> {
     const arrivedAtMs = this._context.clock.nowMs()
-    if (this._inFlight > this._context.limits.maxInFlight) {
-      this._sendAnswer(response, { outcome: 'refused', reason: 'overloaded', retryAfterMs: OVERLOADED_RETRY_MS })
-      return
-    }
     const head = parseRequestHead(request.$params.service ?? '', request.headers)
     if (head.isErr()) return this._sendBadInput(request, response, head.error)
     const body = await readBody(request, this._context.settings.maxBodyBytes)
@@ -169,9 +173,18 @@
 
   private _sendBadInput (request: IncomingMessage, response: ServerResponse, fault: IBadInput): void {
     const text = JSON.stringify({ outcome: 'refused', reason: 'badInput', field: fault.field, detail: `${fault.field} ${fault.message}` })
-    const headers = { 'content-type': 'application/json', [HEADER_OUTCOME]: 'refused', [HEADER_REASON]: 'badInput' }
-    if (request.complete) return this._send(response, fault.status, headers, text)
-    response.writeHead(fault.status, { ...headers, 'content-length': String(Buffer.byteLength(text)), connection: 'close' })
+    this._endUnread(request, response, fault.status, { 'content-type': 'application/json', [HEADER_OUTCOME]: 'refused', [HEADER_REASON]: 'badInput' }, text)
+  }
+
+  private _sendUnread (request: IncomingMessage, response: ServerResponse, answer: IFinalAnswer): void {
+    this._endUnread(request, response, answerStatus(answer), answerHeaders(answer), String(answerBody(answer)))
+  }
+
+  /** Answers a request whose body may not have been read. */
+  private _endUnread (
+    request: IncomingMessage, response: ServerResponse, status: number, headers: Readonly<Record<string, string>>, text: string): void {
+    if (request.complete) return this._send(response, status, headers, text)
+    response.writeHead(status, { ...headers, 'content-length': String(Buffer.byteLength(text)), connection: 'close' })
     lingeringEnd(request, response, text)
   }
 
@@ -191,3 +204,10 @@
 function isJobStatus (found: IJobStatus | IFinalAnswer): found is IJobStatus {
   return 'jobId' in found
 }
+
+/** What a body may take: its declared length, or the largest allowed when it declares none. */
+function declaredBytes (request: IncomingMessage, maxBytes: number): number {
+  const declared = request.headers['content-length']
+  if (declared !== undefined) return Math.min(Number(declared), maxBytes)
+  return request.headers['transfer-encoding'] === undefined ? 0 : maxBytes
+}
--- a/src/platform/settings/SettingsDefaults.ts
+++ b/src/platform/settings/SettingsDefaults.ts
@@ -29,6 +29,7 @@
   },
   limits: {
     maxInFlight: 10_000,
+    maxInFlightBytes: 24 * MIB,
     maxConnections: 10_000,
     maxHeaderBytes: 16 * KIB,
     maxHeaderCount: 64,
--- a/src/platform/settings/SettingsSchema.ts
+++ b/src/platform/settings/SettingsSchema.ts
@@ -54,6 +54,7 @@
   }),
   limits: z.strictObject({
     maxInFlight: wholeNumber(1, 1_000_000, 'requests').default(limits.maxInFlight),
+    maxInFlightBytes: wholeNumber(4 * MIB, 4096 * MIB, 'bytes').default(limits.maxInFlightBytes),
     maxConnections: wholeNumber(1, 1_000_000, 'connections').default(limits.maxConnections),
     maxHeaderBytes: wholeNumber(KIB, 256 * KIB, 'bytes').default(limits.maxHeaderBytes),
     maxHeaderCount: wholeNumber(8, 1000, 'headers').default(limits.maxHeaderCount),
--- a/src/platform/settings/Types.ts
+++ b/src/platform/settings/Types.ts
@@ -80,6 +80,8 @@
 export interface ILimitSettings {
   /** Requests that one process holds at once; further ones are refused. */
   readonly maxInFlight: number
+  /** Bytes of request bodies that one process holds at once; further requests are refused. It has 128 MB in all. */
+  readonly maxInFlightBytes: number
   /** Connections that one listener holds at once. */
   readonly maxConnections: number
   readonly maxHeaderBytes: number
--- a/src/scheduler/requests/RequestService.ts
+++ b/src/scheduler/requests/RequestService.ts
@@ -2,6 +2,7 @@
  * Takes requests from gateways, has the decision engine admit and place them, and answers each exactly once.
  */
 
+import { InFlightLimit } from '../../common/requests/InFlightLimit.js'
 import { AnswerCache } from './AnswerCache.js'
 import { Dispatcher } from './Dispatcher.js'
 
@@ -17,16 +18,19 @@
 /** When a peer or this process stops, others have taken over within about a second. */
 const DRAINING_RETRY_MS = 200
 const UNKNOWN_SERVICE_RETRY_MS = 1000
+const OVERLOADED_RETRY_MS = 500
 
 export class RequestService {
   private readonly _pending = new Map<string, IPendingRequest>()
   private readonly _answers: AnswerCache
+  private readonly _limit: InFlightLimit
   private readonly _dispatcher: Dispatcher
   private readonly _runnerProfiles = new WeakMap<IProfile, IProfile>()
   private _wake: IDisposable | undefined
   private _draining = false
 
   public constructor (private readonly _context: IRequestContext) {
+    this._limit = new InFlightLimit(_context.bounds)
     this._answers = new AnswerCache(_context.clock, _context.timers)
     this._dispatcher = new Dispatcher(_context, {
       onAnswer: (attemptId, answer) => this._finish(attemptId, answer),
@@ -42,6 +46,16 @@
 
   /** The final answer of a request, as soon as it is known. */
   public async submit (ask: ISubmitRequest): Promise<IFinalAnswer> {
+    const room = this._limit.take(ask.body.byteLength)
+    if (room.isErr()) return this._refused('overloaded', `too many ${room.error} in flight`, OVERLOADED_RETRY_MS)
+    try {
+      return await this._submit(ask)
+    } finally {
+      room.value()
+    }
+  }
+
+  private async _submit (ask: ISubmitRequest): Promise<IFinalAnswer> {
     const refusal = this._refuseEarly(ask)
     if (refusal !== undefined) return refusal
     const service = this._context.config.service(ask.service)
--- a/src/scheduler/requests/Types.ts
+++ b/src/scheduler/requests/Types.ts
@@ -7,6 +7,7 @@
 import type { IDecisionEngine } from '../../common/policy/Types.js'
 import type { ClaimReply, IClaimRequest, ISubmitRequest } from '../../common/protocol/Types.js'
 import type { IdHasher } from '../../common/requests/AttemptIds.js'
+import type { IInFlightBounds } from '../../common/requests/InFlightLimit.js'
 import type { IClock, IFinalAnswer, IProcessIdentity, IRandom, ITimers } from '../../common/Types.js'
 import type { IRunnerClient } from '../../platform/Types.js'
 import type { RunnerPool } from '../hosts/RunnerPool.js'
@@ -27,6 +28,7 @@
   readonly runners: RunnerPool
   readonly client: IRunnerClient
   readonly claims: IClaimClient
+  readonly bounds: IInFlightBounds
   readonly config: IConfigReplica
   readonly hasher: IdHasher
   readonly clock: IClock
