Tests of the request path; ask the holder of a claim by its process id

Cause: a claim names its holder with its incarnation, and the gateway looked for a link to that whole name, found none, and told its caller 'unknown' although the holder had the answer. Found by reading while writing the test, which failed first ('what was claimed is asked of its holder'). A holder that has restarted is now told apart too.

--- a/spec/specs.ts
+++ b/spec/specs.ts
@@ -6,9 +6,10 @@
 import { gangSpec } from './GangSpec.js'
 import { jobSpec } from './JobSpec.js'
 import { leaseSpec } from './LeaseSpec.js'
+import { membershipSpec } from './MembershipSpec.js'
 import { ownershipSpec } from './OwnershipSpec.js'
 import { profileSpec } from './ProfileSpec.js'
 
 import type { ISpec } from './Model.js'
 
-export const specs = [ownershipSpec, claimsSpec, leaseSpec, gangSpec, profileSpec, jobSpec] as unknown as readonly ISpec<unknown>[]
+export const specs = [ownershipSpec, claimsSpec, leaseSpec, gangSpec, profileSpec, jobSpec, membershipSpec] as unknown as readonly ISpec<unknown>[]
--- a/src/gateway/OutcomeInquiry.ts
+++ b/src/gateway/OutcomeInquiry.ts
@@ -7,6 +7,8 @@
  * never get one now, and "not run" is a fact; if it had, its holder alone knows the outcome.
  */
 
+import { parseHolder } from '../common/requests/ClaimHolder.js'
+
 import type { BlockReply, IClaimRequest } from '../common/protocol/Types.js'
 import type { IFinalAnswer } from '../common/Types.js'
 import type { IFlowContext, IRoutedRequest } from './Types.js'
@@ -40,9 +42,12 @@
   }
 
   private async _askHolder (request: IRoutedRequest, attemptId: string, holder: string, untilMs: number): Promise<IFinalAnswer> {
+    const { processId, incarnation } = parseHolder(holder)
     while (this._context.clock.nowMs() < untilMs) {
       const waitMs = untilMs - this._context.clock.nowMs()
-      const reply = await this._context.hub.link(holder)?.call('outcomeOf', { attemptId, waitMs }, waitMs)
+      const link = this._context.hub.link(processId)
+      if (link !== undefined && link.peer.incarnation !== incarnation) return this._unknown(request, 'the process that claimed it has restarted')
+      const reply = await link?.call('outcomeOf', { attemptId, waitMs }, waitMs)
       if (reply?.isOk() === true) return reply.value
       await this._pause()
     }
--- /dev/null
+++ b/src/gateway/RequestFlow.test.ts
@@ -0,0 +1,109 @@
+/**
+ * A request's way from a gateway to schedulers: another one is tried only when that can do no harm.
+ */
+
+import test from 'ava'
+import { errAsync, okAsync } from 'neverthrow'
+
+import { ManualClock } from '../common/Clock.js'
+import { ConfigReplica } from '../common/config/ConfigReplica.js'
+import { URGENT_PROFILE } from '../common/config/DefaultProfiles.js'
+import { AmbiguousError, UnreachableError } from '../common/Errors.js'
+import { SilentLogger } from '../common/observability/SilentLogger.js'
+import { SeededRandom } from '../common/Random.js'
+import { AttemptIds, IdHasher } from '../common/requests/AttemptIds.js'
+import { settle } from '../../test/support/advance.js'
+import { RequestFlow } from './RequestFlow.js'
+
+import type { BlockReply } from '../common/protocol/Types.js'
+import type { IFinalAnswer } from '../common/Types.js'
+import type { IPeerHub, IPeerLink, PeerError } from '../peer/Types.js'
+import type { IRoutedRequest } from './Types.js'
+
+const SELF = { processId: 'g1', incarnation: 1, region: 'lakes-west', failureDomain: 'lakes-west' }
+const DONE: IFinalAnswer = { outcome: 'done', status: 200 }
+const CUT = new AmbiguousError('peer.submit', 's1', 'link lost')
+
+/** Two schedulers; `answers` are what they say to `submit`, one after the other, and `blocks` what the claim's owner says. */
+class Fixture {
+  public readonly clock = new ManualClock()
+  public readonly calls: string[] = []
+  private readonly _flow: RequestFlow
+
+  public constructor (private readonly _answers: Array<IFinalAnswer | PeerError>, private readonly _blocks: Array<BlockReply | PeerError> = []) {
+    const { clock } = this
+    const hub = { link: (processId: string) => this._link(processId) } as unknown as IPeerHub
+    const router = {
+      choose: ({ excluded }: { excluded: ReadonlySet<string> }) => ['s1', 's2'].find((id) => !excluded.has(id)),
+      ownerOf: () => 's2',
+      noteSent: () => {},
+      noteSummary: () => {},
+      forget: () => {},
+      summaries: () => []
+    }
+    const hasher = new IdHasher((text) => text, (text) => text.length, 8)
+    const common = { config: new ConfigReplica(), attemptIds: new AttemptIds(SELF), random: new SeededRandom(1), log: new SilentLogger() }
+    this._flow = new RequestFlow({ ...common, hub, router, hasher, clock, timers: clock })
+  }
+
+  public async run (idempotent: boolean): Promise<IFinalAnswer> {
+    const request: IRoutedRequest = {
+      service: 'pivot-start',
+      caller: 'crew',
+      requestId: 'r',
+      idempotent,
+      contentType: 'text/plain',
+      body: Buffer.from('north'),
+      profile: URGENT_PROFILE,
+      profileRevision: 4,
+      deadlineAtMs: 1000
+    }
+    const answer = this._flow.run(request)
+    for (let round = 0; round < 200; round++) {
+      await settle()
+      this.clock.advance(50)
+    }
+    return await answer
+  }
+
+  private _link (processId: string): IPeerLink | undefined {
+    if (!['s1', 's2'].includes(processId)) return undefined
+    return {
+      peer: { ...SELF, processId, incarnation: 5 },
+      call: (name: string) => {
+        this.calls.push(`${name} ${processId}`)
+        const reply = name === 'submit' ? this._answers.shift() : name === 'block' ? this._blocks.shift() : DONE
+        return reply instanceof Error || reply === undefined ? errAsync(reply ?? new UnreachableError('peer', processId, 'gone')) : okAsync(reply)
+      }
+    } as unknown as IPeerLink
+  }
+}
+
+test('a refusal that another scheduler may not share goes on to the next one', async (t) => {
+  const flow = new Fixture([{ outcome: 'refused', reason: 'draining', retryAfterMs: 1 }, DONE])
+  t.like(await flow.run(false), { outcome: 'done' })
+  t.deepEqual(flow.calls, ['submit s1', 'submit s2'])
+  const infeasible = new Fixture([{ outcome: 'refused', reason: 'infeasible' }, DONE])
+  t.like(await infeasible.run(true), { outcome: 'refused', reason: 'infeasible' })
+})
+
+test('a link that breaks under an idempotent request costs another try, never a false "not run"', async (t) => {
+  // The scheduler was sent the request and fell silent; it may have run. The next one is full, and what the caller is
+  // told has to allow for the first.
+  t.like(await new Fixture([CUT, DONE]).run(true), { outcome: 'done' })
+  t.like(await new Fixture([CUT, { outcome: 'refused', reason: 'overloaded', retryAfterMs: 1 }]).run(true), { outcome: 'unknown' })
+})
+
+test('a non-idempotent request whose link broke goes out again only once its first attempt is blocked', async (t) => {
+  // The scheduler may be about to start the pivot. Sent elsewhere at once, the pivot would start twice.
+  const blocked = new Fixture([CUT, DONE], [CUT, { decision: 'notOwner' }, { decision: 'blocked' }])
+  t.like(await blocked.run(false), { outcome: 'done' })
+  t.deepEqual(blocked.calls, ['submit s1', 'block s2', 'block s2', 'block s2', 'submit s2'])
+})
+
+test('what was claimed is asked of its holder, and stays unknown when nobody can tell', async (t) => {
+  const claimed = new Fixture([CUT], [{ decision: 'claimed', holder: 's2#5' }])
+  t.like(await claimed.run(false), { outcome: 'done' })
+  t.deepEqual(claimed.calls, ['submit s1', 'block s2', 'outcomeOf s2'])
+  t.like(await new Fixture([CUT], []).run(false), { outcome: 'unknown', reason: 'linkLost' })
+})
--- a/src/scheduler/requests/ClaimClient.ts
+++ b/src/scheduler/requests/ClaimClient.ts
@@ -2,6 +2,8 @@
  * Reaches the owner of a claim's id shard, in this process or another, through changes of owner.
  */
 
+import { parseHolder } from '../../common/requests/ClaimHolder.js'
+
 import type { ClaimReply, IClaimRequest } from '../../common/protocol/Types.js'
 import type { ISchedulerRouter } from '../../common/routing/Types.js'
 import type { IClock, IFinalAnswer, IProcessIdentity, ITimers } from '../../common/Types.js'
@@ -51,12 +53,12 @@
   }
 
   public async outcomeOf (holder: string, attemptId: string, waitMs: number): Promise<IFinalAnswer> {
-    const [processId, incarnation] = holder.split('#')
+    const { processId, incarnation } = parseHolder(holder)
     if (processId === this._context.self.processId) {
-      if (Number(incarnation) === this._context.self.incarnation) return await this._context.localOutcomeOf(attemptId, waitMs)
+      if (incarnation === this._context.self.incarnation) return await this._context.localOutcomeOf(attemptId, waitMs)
       return unknownOutcome('the process that ran it has restarted')
     }
-    return await this._remoteOutcomeOf(processId ?? '', Number(incarnation), attemptId, waitMs)
+    return await this._remoteOutcomeOf(processId, incarnation, attemptId, waitMs)
   }
 
   private async _remoteOutcomeOf (processId: string, incarnation: number, attemptId: string, waitMs: number): Promise<IFinalAnswer> {
--- a/src/scheduler/requests/RequestService.ts
+++ b/src/scheduler/requests/RequestService.ts
@@ -2,6 +2,7 @@
  * Takes requests from gateways, has the decision engine admit and place them, and answers each exactly once.
  */
 
+import { holderName } from '../../common/requests/ClaimHolder.js'
 import { InFlightLimit } from '../../common/requests/InFlightLimit.js'
 import { AnswerCache } from './AnswerCache.js'
 import { Dispatcher } from './Dispatcher.js'
@@ -156,8 +157,7 @@
 
   private _claimRequest (ask: ISubmitRequest): IClaimRequest {
     const claimKey = this._context.hasher.claimKey(ask.caller, ask.requestId)
-    const holder = `${this._context.self.processId}#${this._context.self.incarnation}`
-    return { idShard: this._context.hasher.idShard(claimKey), claimKey, attemptId: ask.attemptId, holder }
+    return { idShard: this._context.hasher.idShard(claimKey), claimKey, attemptId: ask.attemptId, holder: holderName(this._context.self) }
   }
 
   private async _queue (ask: ISubmitRequest, profile: IProfile, profileRevision: number, team: string): Promise<IFinalAnswer> {
