Let the running schedulers decide through the JobFence that the specification explores

Cause: the specification of a job's attempts explored a JobFence that nothing ran, while OwnerEpochs and HeldTasks had rules of their own. They differed: a repeated placeTask whose host had changed hands meanwhile was started anew. Now JobFence decides (start, known, late, busy, superseded) and names the owner that hears the news; HeldTasks notes in it what is held, OwnerEpochs only feeds it with the load summaries, and JobSpec runs the same class with the code's numbering of attempts. IJobFence and IKnownAttempt had no user and are gone.

Whether a new owner asks every scheduler before it places: it does, except that TaskSurvey took a shard for settled by the word of any scheduler, also of one that had lost it and didn't know. Now only the word of the newest owner heard of counts. Not closed: a newer owner whose summary hasn't arrived yet (docs/PROOFS.md).

Ruled out: noting an attempt as known when it is decided; one that the engine has no room for must be free to be asked for again, so it is noted when it is held.

--- a/spec/JobSpec.ts
+++ b/spec/JobSpec.ts
@@ -7,6 +7,7 @@
  */
 
 import { JobFence } from '../src/common/state/JobFence.js'
+import { firstAttempt } from '../src/scheduler/jobs/TaskIds.js'
 
 import type { IJobFenceSnapshot } from '../src/common/state/JobFence.js'
 import type { ISpec, ISpecEvent } from './Model.js'
@@ -35,8 +36,6 @@
 interface ISchedulerState {
   guard: IJobFenceSnapshot
   running: boolean
-  /** Who hears of the end. */
-  jobOwner: OwnerName | null
 }
 
 interface ICommand {
@@ -62,23 +61,20 @@
   return result
 }
 
-function fenceOf (state: IJobState, by: OwnerName): { idShard: string, epoch: number } {
-  return { idShard: ID_SHARD, epoch: state.owners[by].epoch }
-}
-
 function place (state: IJobState, by: OwnerName, to: SchedulerName): void {
   const owner = state.owners[by]
-  if (owner.task === 'idle') owner.attempt += 1
+  if (owner.task === 'idle') owner.attempt = Math.max(owner.attempt + 1, firstAttempt(owner.epoch))
   owner.task = 'asked'
   owner.at = to
   state.commands.push({ by, to, attempt: owner.attempt, stray: false })
 }
 
 function mayStart (state: IJobState, command: ICommand, mutant: string | undefined): boolean {
-  const scheduler = state.schedulers[command.to]
-  const decided = guarded(scheduler, (guard) => guard.attempt(fenceOf(state, command.by), command.by, TASK, command.attempt))
-  if (decided.isOk()) return decided.value === 'start' || mutant === 'no-attempt-memory'
-  return mutant === 'no-job-fence'
+  const { by: owner, to, attempt } = command
+  const { epoch } = state.owners[owner]
+  const decided = guarded(state.schedulers[to], (guard) => guard.decide({ idShard: ID_SHARD, epoch, owner, task: TASK, attempt }))
+  if (decided === 'superseded') return mutant === 'no-job-fence'
+  return decided === 'start' || (decided !== 'busy' && mutant === 'no-attempt-memory')
 }
 
 function arrive (state: IJobState, index: number, answered: boolean, mutant: string | undefined): void {
@@ -88,9 +84,9 @@
   const owner = state.owners[command.by]
   if (mayStart(state, command, mutant)) {
     scheduler.running = true
-    scheduler.jobOwner = command.by
+    guarded(scheduler, (guard) => { guard.noteHeld(TASK, command.attempt) })
   }
-  const present = !command.stray && owner.attempt === command.attempt && scheduler.guard.epochs[ID_SHARD] === owner.epoch
+  const present = !command.stray && owner.attempt === command.attempt && scheduler.guard.owners[ID_SHARD]?.epoch === owner.epoch
   if (answered && present) hear(owner, scheduler.running ? 'running' : 'idle')
 }
 
@@ -110,23 +106,28 @@
   state.commands = state.commands.map((command, at) => at === index ? { ...command, stray: true } : command)
 }
 
+/** The end is told to the owner that the scheduler has heard of last. */
 function end (state: IJobState, name: SchedulerName): void {
   const scheduler = state.schedulers[name]
   state.ends += 1
   scheduler.running = false
-  if (scheduler.jobOwner !== null && state.owners[scheduler.jobOwner].at === name) hear(state.owners[scheduler.jobOwner], 'idle')
+  const owner = guarded(scheduler, (guard) => {
+    guard.noteGone(TASK, guard.heldAttempt(TASK) ?? 0)
+    return guard.ownerOf(ID_SHARD) as OwnerName
+  })
+  if (state.owners[owner].at === name) hear(state.owners[owner], 'idle')
 }
 
 function fence (state: IJobState, name: SchedulerName, mutant: string | undefined): void {
   const owner = state.owners.j2
   const scheduler = state.schedulers[name]
-  guarded(scheduler, (guard) => guard.accept(fenceOf(state, 'j2'), 'j2'))
+  guarded(scheduler, (guard) => guard.accept(ID_SHARD, owner.epoch, 'j2'))
   owner.fenced.push(name)
-  owner.attempt = Math.max(owner.attempt, guarded(scheduler, (guard) => guard.highestAttempt(TASK)))
-  if (scheduler.running) {
+  const held = guarded(scheduler, (guard) => guard.heldAttempt(TASK))
+  if (held !== undefined) {
     owner.task = 'running'
+    owner.attempt = held
     owner.at = name
-    scheduler.jobOwner = 'j2'
   }
   const enough = mutant === 'not-all-asked' ? 1 : SCHEDULERS.length
   if (owner.fenced.length >= enough && owner.task === 'unread') owner.task = 'idle'
@@ -143,7 +144,7 @@
 }
 
 function newScheduler (): ISchedulerState {
-  return { guard: { epochs: {}, attempts: {} }, running: false, jobOwner: null }
+  return { guard: { owners: {}, tasks: {} }, running: false }
 }
 
 export const jobSpec: ISpec<IJobState> = {
--- a/src/common/protocol/Types.ts
+++ b/src/common/protocol/Types.ts
@@ -164,22 +164,6 @@
   readonly place: ITaskPlace
 }
 
-/**
- * On whose behalf a job's task is placed, reserved, started or cancelled. A scheduler refuses an epoch older than the
- * highest it has heard of for the id shard, so that a superseded owner of the job places nothing.
- */
-export interface IJobFence {
-  readonly idShard: string
-  /** The epoch under which the job's owner holds that shard. */
-  readonly epoch: number
-}
-
-/** What a scheduler knows of one task of a job, for a new owner of the job. */
-export interface IKnownAttempt {
-  readonly jobId: string
-  readonly place: ITaskPlace
-}
-
 /** Asks the addressed scheduler to place one task on any worker that it owns. */
 export interface IPlaceTask {
   readonly jobId: string
--- a/src/common/state/JobFence.ts
+++ b/src/common/state/JobFence.ts
@@ -1,72 +1,110 @@
 /**
- * Keeps a superseded owner of a job from placing its tasks.
+ * Decides at a scheduler whether an attempt of a job's task may start there, and who owns the job.
  *
  * What can go wrong: the owner of an id shard is paused, another takes its jobs over and starts a task's next
  * attempt, and the first wakes and asks another scheduler for an attempt of its own. Hosts can't refuse it, since
  * both schedulers own the hosts that they place on; one would see the task in two places. So each scheduler keeps the
  * highest epoch that it has heard of for each id shard and refuses commands of an older one. A new owner raises the
- * epoch at every scheduler and hears there what runs, before it places anything; what runs under a scheduler that it
- * can't reach it leaves alone.
+ * epoch at every scheduler and hears there what runs, before it places anything anew. From then on it gets all news:
+ * told to the old owner, the end of a task would be lost, and its job would never end.
  *
  * Nor may a repeated command start an attempt that has run already: its answer was lost, its owner asked again, the
  * attempt ended meanwhile and the next one runs elsewhere. So the highest attempt of each task is kept as well.
  */
 
-import { err, ok } from 'neverthrow'
-import { FencedError, RefusedError } from '../Errors.js'
+/** One attempt of one task, on behalf of an owner of its job. */
+export interface IJobCommand {
+  readonly idShard: string
+  /** The epoch under which the owner holds the id shard. */
+  readonly epoch: number
+  readonly owner: string
+  /** Unique among the tasks of all jobs. */
+  readonly task: string
+  readonly attempt: number
+}
 
-import type { Result } from 'neverthrow'
-import type { IJobFence } from '../protocol/Types.js'
+/**
+ * `start`: a new attempt. `known`: the same attempt is or was held here; tell what became of it. `late`: a later one is
+ * or was held here. `busy`: an earlier one is still held here. `superseded`: a newer owner of the job is known.
+ */
+export type AttemptDecision = 'start' | 'known' | 'late' | 'busy' | 'superseded'
 
-/** `start`: a new attempt. `known`: the same attempt has been started here before; tell what became of it. */
-export type AttemptDecision = 'start' | 'known'
+interface IHeardOwner {
+  readonly epoch: number
+  readonly owner: string
+}
+
+interface IKnownTask {
+  readonly highest: number
+  /** The attempt that is held now: queued, starting or running. */
+  readonly held?: number
+}
 
 export interface IJobFenceSnapshot {
-  /** Highest epoch by id shard. */
-  readonly epochs: Readonly<Record<string, number>>
-  /** Highest attempt by task. */
-  readonly attempts: Readonly<Record<string, number>>
+  /** The newest owner by id shard. */
+  readonly owners: Readonly<Record<string, IHeardOwner>>
+  readonly tasks: Readonly<Record<string, IKnownTask>>
 }
 
 export class JobFence {
-  private readonly _epochs: Map<string, number>
-  private readonly _attempts: Map<string, number>
+  private readonly _owners: Map<string, IHeardOwner>
+  private readonly _tasks: Map<string, IKnownTask>
 
   public constructor (from?: IJobFenceSnapshot) {
-    this._epochs = new Map(Object.entries(from?.epochs ?? {}))
-    this._attempts = new Map(Object.entries(from?.attempts ?? {}))
+    this._owners = new Map(Object.entries(from?.owners ?? {}))
+    this._tasks = new Map(Object.entries(from?.tasks ?? {}))
+  }
+
+  /** Takes in the epoch of an owner; false when a newer one is known. */
+  public accept (idShard: string, epoch: number, owner: string): boolean {
+    if (epoch < (this._owners.get(idShard)?.epoch ?? 0)) return false
+    this._owners.set(idShard, { epoch, owner })
+    return true
+  }
+
+  /** The process that is to hear of the tasks of the id shard's jobs. */
+  public ownerOf (idShard: string): string | undefined {
+    return this._owners.get(idShard)?.owner
   }
 
-  /** Accepts an epoch that is no older than the highest heard of, and keeps it. */
-  public accept (fence: IJobFence, owner: string): Result<void, FencedError> {
-    const highest = this._epochs.get(fence.idShard) ?? 0
-    if (fence.epoch < highest) return err(new FencedError('job.fence', owner, highest))
-    this._epochs.set(fence.idShard, fence.epoch)
-    return ok(undefined)
+  /** Whether to start an attempt. It counts as known only once it is noted as held, since there may be no room for it. */
+  public decide (command: IJobCommand): AttemptDecision {
+    if (!this.accept(command.idShard, command.epoch, command.owner)) return 'superseded'
+    const known = this._tasks.get(command.task)
+    if (known === undefined) return 'start'
+    if (command.attempt === known.highest) return 'known'
+    if (command.attempt < known.highest) return 'late'
+    return known.held === undefined ? 'start' : 'busy'
   }
 
-  /** Whether to start an attempt for this owner. */
-  public attempt (fence: IJobFence, owner: string, taskId: string, attempt: number): Result<AttemptDecision, FencedError | RefusedError> {
-    return this.accept(fence, owner).andThen((): Result<AttemptDecision, RefusedError> => {
-      const highest = this._attempts.get(taskId) ?? 0
-      if (attempt < highest) return err(new RefusedError('job.attempt', owner, `${taskId}: attempt ${highest} is known`))
-      this._attempts.set(taskId, attempt)
-      return ok(attempt === highest ? 'known' : 'start')
-    })
+  /** An attempt is held here from now on. */
+  public noteHeld (task: string, attempt: number): void {
+    this._tasks.set(task, { highest: this._highest(task, attempt), held: attempt })
   }
 
-  /** The highest attempt of a task that was started here, 0 for none; a new owner counts on from the highest of all. */
-  public highestAttempt (taskId: string): number {
-    return this._attempts.get(taskId) ?? 0
+  /** An attempt is held here no longer, or has ended without having been. */
+  public noteGone (task: string, attempt: number): void {
+    const held = this._tasks.get(task)?.held
+    const highest = this._highest(task, attempt)
+    this._tasks.set(task, held === undefined || held === attempt ? { highest } : { highest, held })
   }
 
-  /** Forgets a task of an ended job; no sooner than the longest time that a command can be on its way. */
-  public forget (taskId: string): void {
-    this._attempts.delete(taskId)
+  /** The attempt that is held here, if any. */
+  public heldAttempt (task: string): number | undefined {
+    return this._tasks.get(task)?.held
   }
 
-  /** For the dump of a process, and for the specification, which explores states. */
+  /** Forgets a task that isn't held; no sooner than the longest time that a command can be on its way. */
+  public forget (task: string): void {
+    if (this.heldAttempt(task) === undefined) this._tasks.delete(task)
+  }
+
+  /** For the specification, which explores states. */
   public snapshot (): IJobFenceSnapshot {
-    return { epochs: Object.fromEntries(this._epochs), attempts: Object.fromEntries(this._attempts) }
+    return { owners: Object.fromEntries(this._owners), tasks: Object.fromEntries(this._tasks) }
+  }
+
+  private _highest (task: string, attempt: number): number {
+    return Math.max(this._tasks.get(task)?.highest ?? 0, attempt)
   }
 }
--- a/src/scheduler/jobs/HeldTasks.ts
+++ b/src/scheduler/jobs/HeldTasks.ts
@@ -7,6 +7,7 @@
 
 import type { IWorkItem } from '../../common/policy/Types.js'
 import type { ITaskPlace } from '../../common/protocol/Types.js'
+import type { JobFence } from '../../common/state/JobFence.js'
 import type { MonotonicMs } from '../../common/Types.js'
 import { hostTaskId, itemIdOf } from './TaskIds.js'
 
@@ -33,11 +34,22 @@
 /** Longer than a takeover of an id shard lasts, outages of the store included, for most outages. */
 const ENDED_KEPT_MS = 600_000
 const MAX_ENDED_KEPT = 10_000
+/** The attempts known of tasks that are held no longer; longer than a command is on its way. */
+const MAX_ATTEMPTS_KEPT = 50_000
 
 export class HeldTasks {
   private readonly _byItem = new Map<string, IHeldTask>()
   private readonly _byTask = new Map<string, IHeldTask>()
   private readonly _ended = new LRUCache<string, IEndedTask>({ max: MAX_ENDED_KEPT, ttl: ENDED_KEPT_MS })
+  /** Names of tasks that aren't held any more, of which the fence still knows. */
+  private readonly _gone = new LRUCache<string, true>({
+    max: MAX_ATTEMPTS_KEPT,
+    dispose: (_value, task, reason) => {
+      if (reason === 'evict') this._fence.forget(task)
+    }
+  })
+
+  public constructor (private readonly _fence: JobFence) {}
 
   public get size (): number {
     return this._byItem.size
@@ -46,6 +58,7 @@
   public add (task: IHeldTask): void {
     this._byItem.set(task.itemId, task)
     this._byTask.set(hostTaskId(task.jobId, task.taskId), task)
+    this._fence.noteHeld(hostTaskId(task.jobId, task.taskId), task.attempt)
   }
 
   public byItem (itemId: string): IHeldTask | undefined {
@@ -61,6 +74,7 @@
     this._byItem.delete(task.itemId)
     const key = hostTaskId(task.jobId, task.taskId)
     if (this._byTask.get(key) === task) this._byTask.delete(key)
+    this._noteGone(key, task.attempt)
   }
 
   public values (): Iterable<IHeldTask> {
@@ -68,6 +82,7 @@
   }
 
   public noteEnded (jobId: string, place: ITaskPlace): void {
+    this._noteGone(hostTaskId(jobId, place.taskId), place.attempt)
     this._ended.set(itemIdOf({ jobId, taskId: place.taskId, attempt: place.attempt }), { jobId, place })
   }
 
@@ -82,6 +97,11 @@
     const asked = new Set(jobIds)
     return ended.filter(({ jobId }) => asked.has(jobId))
   }
+
+  private _noteGone (task: string, attempt: number): void {
+    this._fence.noteGone(task, attempt)
+    this._gone.set(task, true)
+  }
 }
 
 /** What the owner of its job is told of it. */
--- a/src/scheduler/jobs/Jobs.test.ts
+++ b/src/scheduler/jobs/Jobs.test.ts
@@ -287,6 +287,27 @@
   checkAlways(t, cell)
 })
 
+test('a command that is repeated after its host was lost starts nothing', async (t) => {
+  // The answer to a placement gets lost, and its host changes hands meanwhile. The repeat finds nothing queued at the
+  // scheduler; started again there, the task would run beside the one on its first host.
+  const cell = await started(3, 1)
+  await cell.scheduler(0).jobs.submit(jobOf(1, undefined, { longRunning: true }))
+  await cell.advance(WHILE_MS)
+  const [run] = cell.workers.running()
+  const holder = Number(run?.hostId.slice(1))
+  const [next = 0, other = 0] = [0, 1, 2].filter((index) => index !== holder)
+  cell.scheduler(next).take(`workers/r${holder}`, 2)
+  cell.scheduler(holder).lose(`workers/r${holder}`)
+  cell.scheduler(holder).take(`workers/r${other}`, 2)
+  await cell.advance(WHILE_MS)
+  const attempt = run?.start.attempt ?? 0
+  const task = { taskId: 't0', resources: { cores: 1, memoryBytes: 1, accelerators: 0 } }
+  cell.scheduler(holder).tasks.place({ jobId: 'job', service: 'season-budget', caller: 'farm', task, attempt, jobOwner: 's0', ownerEpoch: 1 })
+  await cell.advance(WHILE_MS)
+  t.is(cell.workers.runs().length, 1)
+  checkAlways(t, cell)
+})
+
 test('tasks of a job that was cancelled while its owner died are stopped by the next owner', async (t) => {
   // The owner dies right after it has stored that a job is cancelled. Nobody would ever stop its long-running tasks.
   const cell = await started(2, 1)
--- a/src/scheduler/jobs/OwnerEpochs.ts
+++ b/src/scheduler/jobs/OwnerEpochs.ts
@@ -1,46 +1,33 @@
 /**
- * The present owner of each id shard, by the highest epoch heard of.
+ * Tells the job fence of owners of id shards that are known from load summaries only, before it decides.
  *
- * What goes wrong without it: the owner of a job is paused, another process takes the job over and starts its tasks
- * anew, and the first one wakes up and places them too; one would see a task on two hosts. Each command of an owner
- * bears its epoch, and a scheduler refuses one that is older than it has heard of. The new owner makes itself heard by
- * all schedulers before it places anything again, and from then on gets all news: told to the old owner, the end of a
- * task would be lost, and its job would never end.
+ * What goes wrong without it: a job's owner was replaced, and the new one hasn't called this scheduler yet. The news
+ * of the end of a task would go to the old owner, where it is lost, and its late commands would still be taken.
  */
 
+import type { JobFence } from '../../common/state/JobFence.js'
 import type { IShardView } from './Types.js'
 
-interface IHeard {
-  readonly epoch: number
-  readonly owner: string
-}
-
-const NOBODY: IHeard = { epoch: 0, owner: '' }
-
 export class OwnerEpochs {
-  private readonly _heard = new Map<string, IHeard>()
-
-  public constructor (private readonly _shards: IShardView) {}
+  public constructor (private readonly _shards: IShardView, private readonly _fence: JobFence) {}
 
   /** Takes in the epoch of an owner's command; false when a newer one is known. */
   public accept (idShard: string, epoch: number, owner: string): boolean {
-    if (epoch < this._present(idShard).epoch) return false
-    this._heard.set(idShard, { epoch, owner })
-    return true
+    this.learn(idShard)
+    return this._fence.accept(idShard, epoch, owner)
   }
 
   /** The process that is to hear of the tasks of the id shard's jobs. */
   public ownerOf (idShard: string): string | undefined {
-    const { owner } = this._present(idShard)
-    return owner === '' ? undefined : owner
+    this.learn(idShard)
+    return this._fence.ownerOf(idShard)
   }
 
-  private _present (idShard: string): IHeard {
-    let present = this._heard.get(idShard) ?? NOBODY
+  /** Takes in what the summaries say of an id shard's owner. */
+  public learn (idShard: string): void {
     for (const { processId, shards } of this._shards.summaries()) {
       const told = shards.find((shard) => shard.shardId === idShard)
-      if (told !== undefined && told.epoch > present.epoch) present = { epoch: told.epoch, owner: processId }
+      if (told !== undefined) this._fence.accept(idShard, told.epoch, processId)
     }
-    return present
   }
 }
--- a/src/scheduler/jobs/TaskService.ts
+++ b/src/scheduler/jobs/TaskService.ts
@@ -3,15 +3,17 @@
  * cancels them, and tells what it holds.
  */
 
+import { JobFence } from '../../common/state/JobFence.js'
 import { HeldTasks, placeOf } from './HeldTasks.js'
 import { OwnerEpochs } from './OwnerEpochs.js'
 import { Reservations } from './Reservations.js'
-import { itemIdOf } from './TaskIds.js'
+import { hostTaskId, itemIdOf } from './TaskIds.js'
 import { TaskRunner } from './TaskRunner.js'
 import { toWorkItem } from './WorkItems.js'
 
 import type { IWorkItem } from '../../common/policy/Types.js'
 import type { ICancelTask, IPlaceGroup, IPlaceReply, IPlaceTask, ITasksOfAsk, ITasksOfReply } from '../../common/protocol/Types.js'
+import type { AttemptDecision } from '../../common/state/JobFence.js'
 import type { IDisposable } from '../../common/Types.js'
 import type { IHeldTask } from './HeldTasks.js'
 import type { ITaskServiceContext } from './Types.js'
@@ -20,7 +22,8 @@
 const DRAINING_RETRY_MS = 200
 
 export class TaskService implements IDisposable {
-  public readonly held = new HeldTasks()
+  public readonly fence = new JobFence()
+  public readonly held = new HeldTasks(this.fence)
   public readonly epochs: OwnerEpochs
   /** What the pool of workers tells its news to. */
   public readonly runner: TaskRunner
@@ -28,7 +31,7 @@
   private _isDraining = false
 
   public constructor (private readonly _context: ITaskServiceContext) {
-    this.epochs = new OwnerEpochs(_context.shards)
+    this.epochs = new OwnerEpochs(_context.shards, this.fence)
     this.runner = new TaskRunner(_context, this.held, this.epochs)
     this.reservations = new Reservations(_context, this)
   }
@@ -108,19 +111,33 @@
     this.held.add({ jobId, taskId, attempt, itemId: item.id, item, placedBy, phase: 'queued', hostId: undefined, shardId: undefined, startedAtMs: 0 })
   }
 
-  /** An answer for an attempt that needs no decision: refused by epoch, held already, or over already. */
+  /** An answer for an attempt that is not to be started: refused, held already, or over already. */
   public answerKnown (ask: IPlaceTask): IPlaceReply | undefined {
     if (this._isDraining) return { accepted: false, reason: 'draining', retryAfterMs: DRAINING_RETRY_MS }
-    if (!this.epochs.accept(this._context.idShardOf(ask.jobId), ask.ownerEpoch ?? 0, ask.jobOwner)) return { accepted: false, reason: 'duplicate' }
-    const attempt = { jobId: ask.jobId, taskId: ask.task.taskId, attempt: ask.attempt }
-    const ended = this.held.endOf(attempt)
-    if (ended !== undefined) {
-      this.runner.tell(ended.jobId, ended.place)
-      return { accepted: true }
-    }
-    const held = this.held.byTask(ask.jobId, ask.task.taskId)
-    if (held === undefined) return undefined
-    return held.attempt === ask.attempt ? { accepted: true } : { accepted: false, reason: 'duplicate', retryAfterMs: REFUSED_RETRY_MS }
+    const decision = this._decide(ask)
+    if (decision === 'start') return undefined
+    if (decision === 'superseded') return { accepted: false, reason: 'duplicate' }
+    if (decision === 'busy') return { accepted: false, reason: 'duplicate', retryAfterMs: REFUSED_RETRY_MS }
+    return this._answerRepeat(ask, decision)
+  }
+
+  private _decide (ask: IPlaceTask): AttemptDecision {
+    const { jobId, attempt, jobOwner: owner } = ask
+    const idShard = this._context.idShardOf(jobId)
+    this.epochs.learn(idShard)
+    return this.fence.decide({ idShard, epoch: ask.ownerEpoch ?? 0, owner, task: hostTaskId(jobId, ask.task.taskId), attempt })
+  }
+
+  /** Whoever repeats a command may have missed what became of its attempt. */
+  private _answerRepeat (ask: IPlaceTask, decision: 'known' | 'late'): IPlaceReply {
+    const { jobId, attempt } = ask
+    const { taskId } = ask.task
+    const ended = this.held.endOf({ jobId, taskId, attempt })
+    if (ended !== undefined) this.runner.tell(jobId, ended.place)
+    else if (decision === 'late') return { accepted: false, reason: 'duplicate', retryAfterMs: REFUSED_RETRY_MS }
+    // Its host was given up while it ran there, and only the survey of all schedulers can find it.
+    else if (this.held.byTask(jobId, taskId) === undefined) this.runner.tell(jobId, { taskId, attempt, state: 'unsure' })
+    return { accepted: true }
   }
 
   private _cancelQueued (task: IHeldTask): void {
--- a/src/scheduler/jobs/TaskSurvey.ts
+++ b/src/scheduler/jobs/TaskSurvey.ts
@@ -91,13 +91,22 @@
     await Promise.all(this._schedulers().map(async (processId) => {
       const reply = await this._context.peers.call(processId, 'tasksOf', ask, ASK_TIMEOUT_MS)
       if (reply.isErr()) return
-      for (const shardId of reply.value.settledShards) settled.add(shardId)
+      for (const shardId of reply.value.settledShards) this._noteSettled(settled, shardId, processId)
       for (const update of reply.value.tasks) this._context.onTaskUpdate(update, processId)
       this._loseUnlisted(processId, reply.value, begun)
     }))
     return this._isComplete(settled)
   }
 
+  /**
+   * Counts a shard only by the word of its newest owner. One that slept through the takeover of its workers may wake
+   * and tell before its hosts have refused it; by its word alone, a task that the new owner has started and can't tell
+   * of would count as absent, and one would see it on two hosts.
+   */
+  private _noteSettled (settled: Set<string>, shardId: string, processId: string): void {
+    if (this._context.shards.ownerOf(shardId) === processId) settled.add(shardId)
+  }
+
   /** Tasks that were at a scheduler before it was asked, and that it doesn't list: the news of their end was missed. */
   private _loseUnlisted (from: string, reply: ITasksOfReply, begun: readonly ITaskOfRun[]): void {
     const listed = new Set(reply.tasks.map(({ jobId, place }) => itemIdOf({ jobId, taskId: place.taskId, attempt: place.attempt })))
--- a/src/scheduler/ownership/index.ts
+++ b/src/scheduler/ownership/index.ts
@@ -40,9 +40,8 @@
  * shard's owner until that answers: the claim may have become durable after all, and would keep repeats from running.
  *
  * Requests for a claim or a block carry `ageMs`; a request that isn't idempotent gets no deadline beyond
- * `MAX_ATTEMPT_AGE_MS`. Placing, reserving and starting a job's tasks carries the job owner's `jobFence`; each
- * scheduler asks its `JobFence` before it starts an attempt, and a new owner of a job calls `fenceJobs` at every
- * scheduler before it places.
+ * `MAX_ATTEMPT_AGE_MS`. Placing a job's tasks carries the job owner's epoch; each scheduler asks its `JobFence`
+ * before it starts an attempt, and a new owner of a job calls `tasksOf` at every scheduler before it places anew.
  */
 
 import type { IShardSpec } from '../../common/state/Types.js'
