--- /dev/null
+++ b/bench/slopes.ts
@@ -0,0 +1,25 @@
+/**
+ * `npm run bench -- slopes`: what one more host, task, request, shard, link or member costs. Each slope comes from three
+ * sizes or more and is printed as one JSON line with the fit's error; docs/CAPACITY.md works the target out from them.
+ *
+ *     npm run bench -- slopes [engine config routing …]
+ */
+
+import { measureConfig } from './slopes/ConfigSlopes.js'
+import { measureEngine } from './slopes/EngineSlopes.js'
+import { measureRouting } from './slopes/RoutingSlopes.js'
+
+const PARTS: Readonly<Record<string, () => Promise<void>>> = {
+  engine: measureEngine,
+  config: measureConfig,
+  routing: measureRouting
+}
+
+/** @param args the parts to measure; all, if none are named */
+export async function run (args: readonly string[]): Promise<void> {
+  for (const name of args.length > 0 ? args : Object.keys(PARTS)) {
+    const measure = PARTS[name]
+    if (measure === undefined) throw new Error(`no part "${name}"; there are: ${Object.keys(PARTS).join(', ')}`)
+    await measure()
+  }
+}
