--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -8,11 +8,15 @@
 import { measureConfig } from './slopes/ConfigSlopes.js'
 import { measureEngine } from './slopes/EngineSlopes.js'
 import { measureRouting } from './slopes/RoutingSlopes.js'
+import { measureRunners } from './slopes/RunnerSlopes.js'
+import { measureWorkers } from './slopes/WorkerSlopes.js'
 
 const PARTS: Readonly<Record<string, () => Promise<void>>> = {
   engine: measureEngine,
   config: measureConfig,
-  routing: measureRouting
+  routing: measureRouting,
+  workers: measureWorkers,
+  runners: measureRunners
 }
 
 /** @param args the parts to measure; all, if none are named */
--- /dev/null
+++ b/bench/slopes/WorkerSlopes.ts
@@ -0,0 +1,135 @@
+/**
+ * Workers: bytes and processor time of the real sessions and client, against stand-ins in another process, per host and
+ * per running task while nothing happens, and per task that starts and ends.
+ */
+
+import { SystemClock } from '../../src/common/Clock.js'
+import { WorkerClient } from '../../src/platform/WorkerClient.js'
+import { WorkerSession } from '../../src/scheduler/jobs/WorkerSession.js'
+import { startProcess } from '../../test/support/Processes.js'
+import { pause, processorUsPerSecond } from './Readings.js'
+import { printSlope } from './Slope.js'
+import { SocketMeter } from './SocketMeter.js'
+import { hostAt, SILENT_LOG } from './Hosts.js'
+
+import type { IWorkerEvents } from '../../src/scheduler/jobs/Types.js'
+import type { ProcessHandle } from '../../test/support/Processes.js'
+
+const HOSTS = [160, 480, 960]
+const TASKS = [0, 4, 12]
+const TASK_HOSTS = 160
+const STARTS_PER_SECOND = [100, 300, 900]
+/** One long poll of each host, and a little. */
+const QUIET_MS = 5_050
+const STARTS_MS = 2_500
+const SHORT_RUN_MS = 300
+const MS_PER_SECOND = 1_000
+const TICK_MS = 10
+
+const EVENTS: IWorkerEvents = {
+  onAdopted: () => {},
+  onRunning: () => {},
+  onEnded: () => {},
+  onNotStarted: () => {},
+  onUsage: () => {},
+  onHostChanged: () => {},
+  onFenced: () => {}
+}
+
+interface IQuiet {
+  readonly bytesPerSecond: number
+  readonly usPerSecond: number
+}
+
+class WorkerRig {
+  private readonly _client = new WorkerClient()
+  private readonly _meter = new SocketMeter()
+  private _started = 0
+
+  private constructor (private readonly _standIns: ProcessHandle, private readonly _sessions: readonly WorkerSession[]) {}
+
+  public static async start (hosts: number): Promise<WorkerRig> {
+    const handle = startProcess('test/standins/worker.js', ['--count', String(hosts), '--cores', '100000'])
+    const { url, urls } = await handle.ready
+    const sessions: WorkerSession[] = []
+    const rig = new WorkerRig(handle, sessions)
+    const clock = new SystemClock()
+    const context = { client: rig._client, shards: { confirm: async () => true }, clock, timers: clock, log: SILENT_LOG }
+    const hostUrls = urls ?? [url]
+    for (const [index, hostUrl] of hostUrls.entries()) {
+      const session = new WorkerSession(hostAt('worker', index, hostUrl), { shardId: `workers/rack-${index}`, epoch: 1 }, context, EVENTS)
+      sessions.push(session)
+      session.begin()
+      await pause(MS_PER_SECOND / hostUrls.length)
+    }
+    await pause(MS_PER_SECOND / 2)
+    return rig
+  }
+
+  public startTasks (perHost: number): void {
+    for (const session of this._sessions) for (let task = 0; task < perHost; task++) this._startOne(session, undefined)
+  }
+
+  public async quiet (): Promise<IQuiet> {
+    const bytes = this._meter.bytes
+    const startMs = performance.now()
+    const usPerSecond = await processorUsPerSecond(QUIET_MS)
+    return { usPerSecond, bytesPerSecond: (this._meter.bytes - bytes) / (performance.now() - startMs) * MS_PER_SECOND }
+  }
+
+  /** Starts short tasks at this rate, one call each, as far as they don't come within one turn. */
+  public async starting (perSecond: number): Promise<IQuiet> {
+    const startMs = performance.now()
+    let started = 0
+    const timer = setInterval(() => {
+      const due = Math.floor((performance.now() - startMs) / MS_PER_SECOND * perSecond)
+      for (; started < due; started++) this._startOne(this._sessions[started % this._sessions.length] as WorkerSession, SHORT_RUN_MS)
+    }, TICK_MS)
+    const bytes = this._meter.bytes
+    const usPerSecond = await processorUsPerSecond(STARTS_MS)
+    clearInterval(timer)
+    return { usPerSecond, bytesPerSecond: (this._meter.bytes - bytes) / STARTS_MS * MS_PER_SECOND }
+  }
+
+  public async dispose (): Promise<void> {
+    for (const session of this._sessions) session.dispose()
+    this._client.dispose()
+    this._meter.dispose()
+    await this._standIns.kill()
+  }
+
+  private _startOne (session: WorkerSession, runMs: number | undefined): void {
+    this._started += 1
+    const resources = { cores: 1, memoryBytes: 2 ** 20, accelerators: 0 }
+    session.start({ jobId: `job-${this._started}`, taskId: 'task-0', attempt: 1, service: 'match-model', resources, runMs })
+  }
+}
+
+function print (slope: string, points: ReadonlyArray<readonly [number, IQuiet]>): void {
+  printSlope({ slope: `${slope}, bytes a second`, unit: 'bytes/s', points: points.map(([size, { bytesPerSecond }]) => [size, bytesPerSecond]) })
+  printSlope({ slope: `${slope}, processor time`, unit: 'us/s', points: points.map(([size, { usPerSecond }]) => [size, usPerSecond]) })
+}
+
+export async function measureWorkers (): Promise<void> {
+  const perHost: Array<readonly [number, IQuiet]> = []
+  const perTask: Array<readonly [number, IQuiet]> = []
+  const perStart: Array<readonly [number, IQuiet]> = []
+  for (const hosts of HOSTS) {
+    const rig = await WorkerRig.start(hosts)
+    perHost.push([hosts, await rig.quiet()])
+    if (hosts === TASK_HOSTS) {
+      for (const rate of STARTS_PER_SECOND) perStart.push([rate, await rig.starting(rate)])
+    }
+    await rig.dispose()
+  }
+  const rig = await WorkerRig.start(TASK_HOSTS)
+  for (const [index, tasks] of TASKS.entries()) {
+    rig.startTasks(tasks - (TASKS[index - 1] ?? 0))
+    await pause(MS_PER_SECOND)
+    perTask.push([tasks * TASK_HOSTS, await rig.quiet()])
+  }
+  await rig.dispose()
+  print('workers: per host', perHost)
+  print('workers: per running task', perTask)
+  print('workers: per start and end a second', perStart)
+}
