--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -5,8 +5,10 @@
  *     npm run bench -- slopes [engine config routing …]
  */
 
+import { measureClaims } from './slopes/ClaimSlopes.js'
 import { measureConfig } from './slopes/ConfigSlopes.js'
 import { measureEngine } from './slopes/EngineSlopes.js'
+import { measureLinks } from './slopes/LinkSlopes.js'
 import { measureRouting } from './slopes/RoutingSlopes.js'
 import { measureRunners } from './slopes/RunnerSlopes.js'
 import { measureWorkers } from './slopes/WorkerSlopes.js'
@@ -16,7 +18,9 @@
   config: measureConfig,
   routing: measureRouting,
   workers: measureWorkers,
-  runners: measureRunners
+  runners: measureRunners,
+  links: measureLinks,
+  claims: measureClaims
 }
 
 /** @param args the parts to measure; all, if none are named */
