--- a/bench/membership.ts
+++ b/bench/membership.ts
@@ -46,7 +46,7 @@
   }
 }
 
-interface IMeasurement {
+export interface IMeasurement {
   readonly members: number
   readonly linksPerMember: number
   readonly quietBytesPerSecond: number
@@ -68,7 +68,7 @@
   return cluster.running().every((node) => node.membership.get(processId)?.state === state)
 }
 
-function measure (members: number): IMeasurement {
+export function measure (members: number): IMeasurement {
   const meter = new WireMeter()
   const cluster = startedCluster(members, REGIONS, SEED, meter.note)
   for (let round = 0; round < SETTLE_ROUNDS; round++) cluster.step()
--- a/bench/run.ts
+++ b/bench/run.ts
@@ -11,6 +11,8 @@
 /** A bench is loaded only when it is asked for, so that one of them needs nothing of the others. */
 const BENCHES: Readonly<Record<string, string>> = {
   decisions: './decisions.js',
+  links: './links.js',
+  membership: './membership.js',
   path: './path.js',
   slopes: './slopes.js'
 }
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -8,9 +8,12 @@
 import { measureClaims } from './slopes/ClaimSlopes.js'
 import { measureConfig } from './slopes/ConfigSlopes.js'
 import { measureEngine } from './slopes/EngineSlopes.js'
+import { measureIdle } from './slopes/IdleSlopes.js'
 import { measureLinks } from './slopes/LinkSlopes.js'
+import { measureMembers } from './slopes/MemberSlopes.js'
 import { measureRouting } from './slopes/RoutingSlopes.js'
 import { measureRunners } from './slopes/RunnerSlopes.js'
+import { measureTakeover } from './slopes/TakeoverSlopes.js'
 import { measureWorkers } from './slopes/WorkerSlopes.js'
 
 const PARTS: Readonly<Record<string, () => Promise<void>>> = {
@@ -20,7 +23,10 @@
   workers: measureWorkers,
   runners: measureRunners,
   links: measureLinks,
-  claims: measureClaims
+  claims: measureClaims,
+  takeover: measureTakeover,
+  membership: measureMembers,
+  idle: measureIdle
 }
 
 /** @param args the parts to measure; all, if none are named */
