--- /dev/null
+++ b/src/daemon/JobSide.ts
@@ -0,0 +1,44 @@
+/**
+ * The jobs of a scheduler process: its decision engine for resources, its workers, and the jobs of its id shards.
+ */
+
+import { DecisionEngine } from '../common/policy/DecisionEngine.js'
+import { loadChart } from '../platform/ChartLoader.js'
+import { WorkerClient } from '../platform/WorkerClient.js'
+import { JobOwner, JobPeers, serveJobs, TaskService, WorkerPool } from '../scheduler/jobs/index.js'
+
+import type { IDisposable } from '../common/Types.js'
+import type { DaemonCore } from './DaemonCore.js'
+import type { OwnershipSide } from './OwnershipSide.js'
+
+export class JobSide implements IDisposable {
+  public readonly engine: DecisionEngine
+  public readonly tasks: TaskService
+  public readonly workers: WorkerPool
+  public readonly jobs: JobOwner
+
+  public constructor (core: DaemonCore, ownership: OwnershipSide) {
+    const { hub, router, config, hasher, clock, random, log } = core
+    const { directory } = ownership
+    this.engine = new DecisionEngine(clock, random, { kind: 'resources' })
+    const peers = new JobPeers(hub, clock)
+    const idShardOf = (jobId: string): string => hasher.idShard(jobId)
+    const common = { engine: this.engine, peers, config, idShardOf, clock, timers: clock, log }
+    this.tasks = new TaskService({ ...common, shards: router })
+    this.workers = new WorkerPool({ ...common, client: new WorkerClient(), directory, shards: ownership.shardEvents() }, this.tasks.runner)
+    this.tasks.runner.setPool(this.workers)
+    this.jobs = new JobOwner({
+      ...common,
+      shards: router,
+      jobLog: ownership.claims,
+      hosts: () => directory.hosts,
+      taskChart: loadChart('task')._unsafeUnwrap(),
+      random
+    })
+    serveJobs(peers, this.tasks, this.jobs)
+  }
+
+  public dispose (): void {
+    for (const part of [this.jobs, this.workers, this.tasks]) part.dispose()
+  }
+}
--- /dev/null
+++ b/src/daemon/OwnershipSide.ts
@@ -0,0 +1,148 @@
+/**
+ * The shards of a scheduler process: its registration, the host list that says which racks there are, the records of
+ * owners, and the log of its id shards.
+ */
+
+import { createHash32, ShardAssignment } from '../common/state/ShardAssignment.js'
+import { loadChart } from '../platform/ChartLoader.js'
+import { HostListClient } from '../platform/HostListClient.js'
+import { HostDirectory } from '../scheduler/hosts/HostDirectory.js'
+import { shardOfHost } from '../scheduler/hosts/Types.js'
+import {
+  ClaimService, DEFAULT_CLAIM_SERVICE_OPTIONS, DEFAULT_MEMBER_REGISTRATION_OPTIONS, DEFAULT_SHARD_OWNER_OPTIONS,
+  idShardSpecs, MemberRegistration, ShardOwner
+} from '../scheduler/ownership/index.js'
+
+import type { IJobSpec } from '../common/protocol/Types.js'
+import type { IShardSpec } from '../common/state/Types.js'
+import type { IHostRecord } from '../platform/Types.js'
+import type { IShardEvents } from '../scheduler/hosts/Types.js'
+import type { IShardAcquired, IShardLost } from '../scheduler/ownership/index.js'
+import type { DaemonCore } from './DaemonCore.js'
+
+/** Releasing the shards waits for the store; in an outage the lease has to lapse instead. */
+const RELEASE_LIMIT_MS = 5000
+/** Two renewals may be lost before the lease lapses. */
+const RENEWALS_PER_LEASE = 3
+
+export interface IIdShardUser {
+  /** The accepted jobs of an id shard that is ours now. */
+  takeOver (shardId: string, epoch: number, jobs: readonly IJobSpec[]): void
+  drop (shardId: string): void
+}
+
+export class OwnershipSide {
+  public readonly directory: HostDirectory
+  public readonly registration: MemberRegistration
+  public readonly claims: ClaimService
+  public readonly owner: ShardOwner
+  private _storeReachable = true
+
+  private constructor (private readonly _core: DaemonCore, operatorUrl: string, assignment: ShardAssignment) {
+    const { clock, log, settings } = _core
+    const hostList = new HostListClient({ url: settings.hostList.url, callTimeoutMs: settings.store.callTimeoutMs })
+    this.directory = new HostDirectory(hostList, clock, settings.hostList.pollMs, log)
+    this.registration = this._createRegistration(operatorUrl)
+    this.claims = this._createClaims()
+    this.owner = this._createOwner(assignment)
+  }
+
+  public static async create (core: DaemonCore, operatorUrl: string): Promise<OwnershipSide> {
+    return new OwnershipSide(core, operatorUrl, new ShardAssignment(await createHash32()))
+  }
+
+  public get storeReachable (): boolean {
+    return this._storeReachable
+  }
+
+  /** What the pools of hosts need to know of shards. */
+  public shardEvents (): IShardEvents {
+    return {
+      onAcquired: this.owner.onAcquired,
+      onLost: this.owner.onLost,
+      noteFenced: (shardId, currentEpoch) => this.owner.fenced(shardId, currentEpoch),
+      confirm: async (shardId, epoch) => await this.owner.confirm(shardId, epoch)
+    }
+  }
+
+  /** Hands id shards to `user` as they come and go; `onChange` hears of every shard gained or lost. */
+  public connect (user: IIdShardUser, onChange: () => void): void {
+    this.directory.onChange((hosts) => this.owner.setShards(racksOf(hosts)))
+    this.owner.setShards(idShardSpecs(this._core.settings.ids.idShards))
+    this.owner.onAcquired(async (shard) => {
+      if (await this._acquired(shard, user)) onChange()
+    })
+    this.owner.onLost((shard) => {
+      this._lost(shard, user)
+      onChange()
+    })
+    this.owner.onReachable((reachable) => { this._storeReachable = reachable })
+    this.claims.onLost(({ shardId, epoch }) => this.owner.fenced(shardId, epoch + 1))
+  }
+
+  public start (): void {
+    this.directory.start()
+    this.registration.start()
+    this.owner.start()
+  }
+
+  /** Gives everything to the others, as far as the store can be reached in time. */
+  public async release (): Promise<void> {
+    const released = this.owner.releaseAll().then(async () => { await this.registration.stop() })
+    await Promise.race([released, new Promise<void>((resolve) => { this._core.clock.after(RELEASE_LIMIT_MS, resolve) })])
+  }
+
+  private async _acquired (shard: IShardAcquired, user: IIdShardUser): Promise<boolean> {
+    const { shardId, kind, epoch } = shard
+    this._core.log.info('shard.acquired', { shardId, epoch })
+    if (kind === 'ids') {
+      const recovered = await this.claims.takeOver(shardId, epoch)
+      if (recovered.isErr()) {
+        this._core.log.error('shard.recoveryFailed', { shardId, step: recovered.error.step, peer: recovered.error.peer })
+        return false
+      }
+      user.takeOver(shardId, epoch, recovered.value)
+    }
+    this.owner.ready(shardId, epoch)
+    return true
+  }
+
+  private _lost ({ shardId, kind, epoch, reason }: IShardLost, user: IIdShardUser): void {
+    this._core.log.info('shard.lost', { shardId, epoch, reason })
+    if (kind !== 'ids') return
+    user.drop(shardId)
+    this.claims.drop(shardId)
+  }
+
+  private _createRegistration (operatorUrl: string): MemberRegistration {
+    const { self, peerUrl, store, clock, settings } = this._core
+    const { leaseTtlMs } = settings.store
+    const entry = { ...self, role: 'scheduler' as const, peerUrl, operatorUrl, draining: false }
+    const keepAliveMs = leaseTtlMs / RENEWALS_PER_LEASE
+    return new MemberRegistration(store, clock, entry, { ...DEFAULT_MEMBER_REGISTRATION_OPTIONS, leaseTtlMs, keepAliveMs })
+  }
+
+  private _createClaims (): ClaimService {
+    const { self, store, clock, settings } = this._core
+    return new ClaimService(store, clock, () => this._core.nonce(), {
+      ...DEFAULT_CLAIM_SERVICE_OPTIONS,
+      owner: self.processId,
+      idShardCount: settings.ids.idShards,
+      fleetWritesPerSecond: settings.ids.storeWritesPerSecond,
+      retentionMs: settings.ids.claimRetentionMs
+    })
+  }
+
+  private _createOwner (assignment: ShardAssignment): ShardOwner {
+    const { store, clock } = this._core
+    const chart = loadChart('shardOwnership')._unsafeUnwrap()
+    const user = { beforeRelease: async (shardId: string) => { await this.claims.close(shardId) } }
+    const nonce = (): string => this._core.nonce()
+    return new ShardOwner(store, clock, this.registration, chart, assignment, user, nonce, DEFAULT_SHARD_OWNER_OPTIONS)
+  }
+}
+
+function racksOf (hosts: readonly IHostRecord[]): readonly IShardSpec[] {
+  const racks = new Map(hosts.map((host) => [shardOfHost(host), host]))
+  return [...racks].map(([shardId, host]) => ({ shardId, kind: `${host.kind}s` as const, region: host.region }))
+}
--- a/src/gateway/CallerServer.ts
+++ b/src/gateway/CallerServer.ts
@@ -138,7 +138,9 @@
     if (body.isErr()) return this._sendBadInput(request, response, body.error)
     const routed = route(head.value, body.value, this._context.config, arrivedAtMs)
     if (routed.isErr()) return this._sendBadInput(request, response, routed.error)
-    const answer = await this._context.requests.run(routed.value)
+    const gone = new AbortController()
+    response.once('close', () => gone.abort())
+    const answer = await this._context.requests.run(routed.value, gone.signal)
     const late = this._context.clock.nowMs() > routed.value.deadlineAtMs
     this._context.outcomes.noteOutcome(head.value.service, head.value.caller, answer, late)
     this._sendAnswer(response, answer)
--- a/src/gateway/RequestFlow.test.ts
+++ b/src/gateway/RequestFlow.test.ts
@@ -46,7 +46,7 @@
     this._flow = new RequestFlow({ ...common, hub, router, hasher, clock, timers: clock })
   }
 
-  public async run (idempotent: boolean): Promise<IFinalAnswer> {
+  public async run (idempotent: boolean, gone?: AbortSignal): Promise<IFinalAnswer> {
     const request: IRoutedRequest = {
       service: 'pivot-start',
       caller: 'crew',
@@ -58,7 +58,7 @@
       profileRevision: 4,
       deadlineAtMs: 1000
     }
-    const answer = this._flow.run(request)
+    const answer = this._flow.run(request, gone)
     for (let round = 0; round < 200; round++) {
       await settle()
       this.clock.advance(50)
@@ -107,3 +107,13 @@
   t.deepEqual(claimed.calls, ['submit s1', 'block s2', 'outcomeOf s2'])
   t.like(await new Fixture([CUT], []).run(false), { outcome: 'unknown', reason: 'linkLost' })
 })
+
+test('when its caller hangs up, a queued request is taken out of the queue and goes to no other scheduler', async (t) => {
+  // Callers give up in waves. Were their requests left in the queues, live callers would wait behind them.
+  const gone = new AbortController()
+  const flow = new Fixture([{ outcome: 'notRun', reason: 'overloaded', retryAfterMs: 0 }, DONE])
+  const answer = flow.run(true, gone.signal)
+  gone.abort()
+  t.like(await answer, { outcome: 'notRun' })
+  t.deepEqual(flow.calls, ['submit s1', 'cancel s1'])
+})
--- a/src/gateway/RequestFlow.ts
+++ b/src/gateway/RequestFlow.ts
@@ -11,6 +11,7 @@
 
 /** The reply of a scheduler may come this much after the deadline that it was given: it answers at the deadline. */
 const REPLY_GRACE_MS = 250
+const CANCEL_TIMEOUT_MS = 1000
 /** Schedulers tried for one request; each further one costs a link's round trip. */
 const MAX_SCHEDULERS_TRIED = 3
 /** When nobody can serve, routes change within about a second; the refused are spread over two. */
@@ -26,27 +27,31 @@
     this._inquiry = new OutcomeInquiry(_context)
   }
 
-  /** Never rejects; gives the final answer as soon as it is known. */
-  public async run (request: IRoutedRequest): Promise<IFinalAnswer> {
+  /** Never rejects; gives the final answer as soon as it is known. `gone` fires when its caller has hung up. */
+  public async run (request: IRoutedRequest, gone?: AbortSignal): Promise<IFinalAnswer> {
     const excluded = new Set<string>()
     let answer = this._noUpstream(request)
     while (excluded.size < MAX_SCHEDULERS_TRIED) {
       const schedulerId = this._context.router.choose({ profile: request.profile, excluded })
       if (schedulerId === undefined) break
       excluded.add(schedulerId)
-      answer = notUnsaid(answer, await this._attempt(request, schedulerId, excluded.size - 1))
+      answer = notUnsaid(answer, await this._attempt(request, schedulerId, excluded.size - 1, gone))
+      if (gone?.aborted === true) break
       if (!this._mayTryAnother(request, answer)) break
     }
     return answer
   }
 
-  private async _attempt (request: IRoutedRequest, schedulerId: string, hops: number): Promise<IFinalAnswer> {
+  private async _attempt (request: IRoutedRequest, schedulerId: string, hops: number, gone?: AbortSignal): Promise<IFinalAnswer> {
     const link = this._context.hub.link(schedulerId)
     const remainingMs = request.deadlineAtMs - this._context.clock.nowMs()
     if (link === undefined) return this._notRun(request, 'linkLost')
     if (remainingMs <= 0) return this._notRun(request, 'deadline')
     const attemptId = this._context.attemptIds.next()
     this._context.router.noteSent(schedulerId)
+    // Queued work of a caller who has gone would keep others waiting; what already runs goes on.
+    const cancel = (): void => { link.call('cancel', { attemptId }, CANCEL_TIMEOUT_MS) }
+    gone?.addEventListener('abort', cancel, { once: true })
     const reply = await link.call('submit', {
       attemptId,
       service: request.service,
@@ -58,6 +63,7 @@
       body: request.body,
       hops
     }, remainingMs + REPLY_GRACE_MS)
+    gone?.removeEventListener('abort', cancel)
     return reply.match(async (answer) => answer, async (error) => await this._failed(request, schedulerId, attemptId, error))
   }
 
--- a/test/prove/Harness.ts
+++ b/test/prove/Harness.ts
@@ -33,5 +33,5 @@
 }
 
 export function verdict (judge: Judge, checked: number): IVerdict {
-  return { checked, violations: judge.violations, notes: { ...judge.outcomes(), refusedForSlots: judge.refusedForSlots(), noUpstreamSeconds: judge.timesOf('noUpstream') } }
+  return { checked, violations: judge.violations, notes: { ...judge.outcomes(), noUpstreamSeconds: judge.timesOf('noUpstream') } }
 }
--- a/test/prove/Judge.ts
+++ b/test/prove/Judge.ts
@@ -63,11 +63,6 @@
     return counts
   }
 
-  /** Work that runners were sent when all their slots were taken, and refused. */
-  public refusedForSlots (): number {
-    return this._runners.reduce((sum, runner) => sum + runner.refusedSlot, 0)
-  }
-
   /** When calls ended so, in seconds since the first call, by gateway. */
   public timesOf (reason: string): Readonly<Record<string, readonly number[]>> {
     const times: Record<string, number[]> = {}
@@ -83,7 +78,8 @@
 
   /** No runner over its slots or connections, no worker over its capacity, no task on two hosts. */
   public checkCapacity (): this {
-    for (const { hostId, mostRunning, slots, overConnections } of this._runners) {
+    for (const { hostId, mostRunning, slots, overConnections, refusedSlot } of this._runners) {
+      if (refusedSlot > 0) this.add(`${hostId} was sent ${refusedSlot} calls with all its slots taken, and refused them`)
       if (mostRunning > slots) this.add(`${hostId} ran ${mostRunning} on ${slots} slots`)
       if (overConnections > 0) this.add(`${hostId} was over its connections ${overConnections} times`)
     }
