--- a/bench/path.ts
+++ b/bench/path.ts
@@ -11,6 +11,7 @@
 import { OPERATOR_TOKEN } from '../test/support/Cell.js'
 import { SETTINGS_DEFAULTS } from '../src/platform/settings/SettingsDefaults.js'
 import { configureExamples } from '../test/support/Configure.js'
+import { measureMixed } from './pathMixed.js'
 import { processorMs, residentBytes } from '../test/support/ProcessStats.js'
 
 import type { Histogram } from 'hdr-histogram-js'
@@ -196,6 +197,7 @@
     await today.untilServed()
     await today.untilSpread()
     await measureIdle(today)
+    for (const line of await measureMixed(today)) print({ bench: 'path', measure: 'mixed', ...line })
   } finally {
     await today.dispose()
   }
