--- a/bench/pathMixed.ts
+++ b/bench/pathMixed.ts
@@ -38,7 +38,8 @@
 
   public line (service: Service): Readonly<Record<string, unknown>> {
     const ms = (percentile: number): number => this.waitUs.getValueAtPercentile(percentile) / US_PER_MS
-    return { service, sent: this.sent, done: this.done, ...this.other, waitP50Ms: ms(50), waitP99Ms: ms(99), waitWorstMs: this.waitUs.maxValue / US_PER_MS }
+    const waits = { waitP50Ms: ms(50), waitP99Ms: ms(99), waitWorstMs: this.waitUs.maxValue / US_PER_MS }
+    return { service, sent: this.sent, done: this.done, ...this.other, ...waits }
   }
 }
 
