Draw schedulers in proportion to their slots when nothing is free

Cause: at twice saturation all schedulers tell the same expected wait for urgent work, so a gateway drew among them alike, and a scheduler with two runners got as many urgent requests as one with eight: its slots freed 40 a second and 40 urgent requests a second came. Change: each of the two candidates is drawn in proportion to its slots.

--- a/src/common/routing/SchedulerRouter.test.ts
+++ b/src/common/routing/SchedulerRouter.test.ts
@@ -86,6 +86,18 @@
   t.deepEqual(sent, { a: 8, b: 8 })
 })
 
+test('when nothing is free, a small scheduler gets no more than its share', (t) => {
+  // At saturation all tell the same wait for urgent work, none. Drawn alike, a scheduler with two runners would get as
+  // much as one with eight, and urgent work would queue there though it needs a small part of the cell.
+  const router = new SchedulerRouter('west', new SeededRandom(7))
+  const sized = (id: string, totalSlots: number): ILoadSummary => summary(id, 'west', 0, 0, { shards: [{ ...shard(id, 'runners', 1, 0), totalSlots }] })
+  router.noteSummary(sized('small', 16))
+  router.noteSummary(sized('large', 64))
+  let small = 0
+  for (let draw = 0; draw < 1000; draw++) small += Number(router.choose({ profile: PROFILE, excluded: new Set() }) === 'small')
+  t.true(small > 150 && small < 250, `${small} of 1000`)
+})
+
 test('two processes claim a shard: the one with the higher epoch owns it', (t) => {
   // A paused owner wakes up and goes on telling that it owns the shard, until its hosts refuse it. Requests that
   // followed the older word would be refused one after the other.
--- a/src/common/routing/SchedulerRouter.ts
+++ b/src/common/routing/SchedulerRouter.ts
@@ -17,13 +17,14 @@
   readonly processId: string
   readonly expectedWaitMs: number
   readonly freeSlots: number
+  readonly totalSlots: number
 }
 
 /**
  * Made for many gateways that see loads up to a second old. Sending everything to the scheduler that looked best
  * would make all gateways send to the same one until the next summary: one sees waits swing between schedulers while
  * others idle. So free slots are drawn at random in proportion, less what this gateway has sent since; and when
- * nothing is free, the shorter wait of two drawn at random is taken.
+ * nothing is free, the shorter wait of two drawn at random is taken, in proportion to their slots.
  */
 export class SchedulerRouter implements ISchedulerRouter {
   private readonly _views = new Map<string, ISchedulerView>()
@@ -91,37 +92,36 @@
 
   private _pick (candidates: readonly ICandidate[]): ICandidate | undefined {
     const free = candidates.filter((candidate) => candidate.freeSlots > 0 && candidate.expectedWaitMs === 0)
-    if (free.length > 0) return this._drawByFreeSlots(free)
+    if (free.length > 0) return this._draw(free, (candidate) => candidate.freeSlots)
     return this._shorterOfTwo(candidates)
   }
 
-  private _drawByFreeSlots (candidates: readonly ICandidate[]): ICandidate | undefined {
-    const total = candidates.reduce((sum, candidate) => sum + candidate.freeSlots, 0)
-    let left = this._random.next() * total
-    for (const candidate of candidates) {
-      left -= candidate.freeSlots
-      if (left < 0) return candidate
-    }
-    return candidates.at(-1)
-  }
-
+  /** The shorter wait of two, each drawn in proportion to its slots: with equal waits a small scheduler gets its share only. */
   private _shorterOfTwo (candidates: readonly ICandidate[]): ICandidate | undefined {
-    const first = this._draw(candidates)
-    const second = this._draw(candidates)
+    const first = this._draw(candidates, (candidate) => candidate.totalSlots)
+    const second = this._draw(candidates, (candidate) => candidate.totalSlots)
     if (first === undefined || second === undefined) return first
     return second.expectedWaitMs < first.expectedWaitMs ? second : first
   }
 
-  private _draw (candidates: readonly ICandidate[]): ICandidate | undefined {
-    return candidates[Math.floor(this._random.next() * candidates.length)]
+  private _draw (candidates: readonly ICandidate[], weightOf: (candidate: ICandidate) => number): ICandidate | undefined {
+    const total = candidates.reduce((sum, candidate) => sum + weightOf(candidate), 0)
+    let left = this._random.next() * total
+    for (const candidate of candidates) {
+      left -= weightOf(candidate)
+      if (left < 0) return candidate
+    }
+    return candidates.at(-1)
   }
 }
 
 function toCandidate (view: ISchedulerView, priorityClass: PriorityClass): ICandidate {
   const freeSlots = view.summary.shards.reduce((sum, shard) => sum + shard.freeSlots, 0)
+  const totalSlots = view.summary.shards.reduce((sum, shard) => sum + shard.totalSlots, 0)
   return {
     processId: view.summary.processId,
     expectedWaitMs: view.summary.expectedWaitMs[priorityClass],
-    freeSlots: freeSlots - view.sentSince
+    freeSlots: freeSlots - view.sentSince,
+    totalSlots
   }
 }
