--- a/src/common/protocol/Shapes.ts
+++ b/src/common/protocol/Shapes.ts
@@ -99,7 +99,7 @@
 })
 const placeReply = z.object({ accepted: z.boolean(), reason: outcomeReason.exactOptional(), retryAfterMs: durationMs.exactOptional() })
 const taskUpdate = z.object({ jobId: id, place: taskPlace })
-const reservationRef = z.object({ jobId: id, tryNumber: count.exactOptional() })
+const reservationRef = z.object({ jobId: id, tryNumber: count })
 
 const configValue = z.object({ name: id })
 const configEntry = z.object({
@@ -169,7 +169,7 @@
     reply: z.object({ settledShards: z.array(id), tasks: z.array(taskUpdate) })
   },
   reserve: {
-    ask: z.object({ jobId: id, tasks: z.array(placeTask), expiresMs: durationMs, tryNumber: count.exactOptional() }),
+    ask: z.object({ jobId: id, tasks: z.array(placeTask), expiresMs: durationMs, tryNumber: count }),
     reply: z.object({ reservedTaskIds: z.array(id) })
   },
   startReserved: { ask: reservationRef, reply: z.object({ started: z.boolean() }) },
--- a/src/common/protocol/Types.ts
+++ b/src/common/protocol/Types.ts
@@ -214,14 +214,14 @@
   readonly tasks: readonly IPlaceTask[]
   /** The reservation goes by itself after this time. */
   readonly expiresMs: number
-  /** Counts the tries of the job; a scheduler holds places for one try and acts on no command of another. */
-  readonly tryNumber?: number
+  /** Rises with each try of the job; a scheduler holds places for one try and acts on no command of an earlier one. */
+  readonly tryNumber: number
 }
 
 /** Names a reservation: of a job, and of which try. */
 export interface IReservationRef {
   readonly jobId: string
-  readonly tryNumber?: number
+  readonly tryNumber: number
 }
 
 export interface IReserveReply {
--- a/src/common/state/GangReservation.ts
+++ b/src/common/state/GangReservation.ts
@@ -1,41 +1,36 @@
 /**
- * Starts all tasks of a job or none, over several schedulers: reserve every place first, then start.
+ * One try to start all tasks of a job or none, over several schedulers: reserve every place first, then start.
  *
  * Two jobs that hold half of the places each must not wait for each other for ever. So places are asked for in one
  * order (of process id) by everyone, nobody waits while holding any, and what can't be completed is given back at
- * once; the next try comes after a random pause that grows. The reservations expire by themselves, for the case that
- * this process dies.
+ * once; the owner of the job makes the next try after a random pause that grows. The reservations expire by themselves,
+ * for the case that this process dies.
  *
  * A scheduler may die between the first start and the last. Then the tasks that did start are cancelled: a half
  * start is seen for as long as that takes, and never stays.
  */
 
 import type { IPlaceTask } from '../protocol/Types.js'
-import type { IRandom, MonotonicMs } from '../Types.js'
+import type { MonotonicMs } from '../Types.js'
 
 export interface IGangOptions {
   /** How long a reservation lasts at its scheduler, in milliseconds. */
   readonly expiresMs: number
   /** What must be left of every reservation before the first start is sent, in milliseconds. */
   readonly startMarginMs: number
-  /** The first pause between tries, in milliseconds; doubles up to `maxBackoffMs`, each drawn from half to the whole of it. */
-  readonly backoffMs: number
-  readonly maxBackoffMs: number
 }
 
 export const DEFAULT_GANG_OPTIONS: IGangOptions = {
   expiresMs: 5_000,
-  startMarginMs: 1_000,
-  backoffMs: 50,
-  maxBackoffMs: 5_000
+  startMarginMs: 1_000
 }
 
-export type GangPhase = 'reserving' | 'starting' | 'givingBack' | 'pausing' | 'running'
+export type GangPhase = 'reserving' | 'starting' | 'givingBack' | 'givenBack' | 'running'
 
 interface IGangCommandBase {
   readonly scheduler: string
   /**
-   * Counts the tries of this job. A start of an earlier try that arrives late would otherwise start the places of
+   * Rises with each try of this job. A start of an earlier try that arrives late would otherwise start the places of
    * this one before all of them are reserved; a scheduler acts only on the try that it holds places for.
    */
   readonly tryNumber: number
@@ -60,33 +55,30 @@
 
 export interface IGangSnapshot {
   readonly phase: GangPhase
-  readonly tries: number
   readonly nextScheduler: number
-  readonly pauseUntilMs: MonotonicMs
   readonly parts: readonly IPart[]
 }
 
 export class GangReservation {
   private readonly _schedulers: readonly string[]
   private _phase: GangPhase
-  private _tries: number
   private _nextScheduler: number
-  private _pauseUntilMs: MonotonicMs
   private readonly _parts: Map<string, IPart>
 
-  /** @param schedulers those that may have room; asked in the order of their ids */
+  /**
+   * @param tryNumber higher than that of every earlier try of the job, also under earlier owners
+   * @param schedulers those that may have room; asked in the order of their ids
+   */
   public constructor (
+    public readonly tryNumber: number,
     private readonly _tasks: readonly IPlaceTask[],
     schedulers: readonly string[],
     private readonly _options: IGangOptions,
-    private readonly _random: IRandom,
     from?: IGangSnapshot
   ) {
     this._schedulers = [...schedulers].sort()
     this._phase = from?.phase ?? 'reserving'
-    this._tries = from?.tries ?? 0
     this._nextScheduler = from?.nextScheduler ?? 0
-    this._pauseUntilMs = from?.pauseUntilMs ?? 0
     this._parts = new Map(from?.parts.map((part) => [part.scheduler, part]))
   }
 
@@ -94,27 +86,19 @@
     return this._phase
   }
 
-  /** Until when to wait while `pausing`. */
-  public get pauseUntilMs (): MonotonicMs {
-    return this._pauseUntilMs
-  }
-
   public snapshot (): IGangSnapshot {
     return {
       phase: this._phase,
-      tries: this._tries,
       nextScheduler: this._nextScheduler,
-      pauseUntilMs: this._pauseUntilMs,
       parts: [...this._parts.values()]
     }
   }
 
-  /** The commands to send now; call it after each report, and when `pauseUntilMs` has come. */
+  /** The commands to send now; call it after each report. */
   public commands (nowMs: MonotonicMs): readonly GangCommand[] {
-    if (this._phase === 'pausing' && nowMs >= this._pauseUntilMs) this._startTry()
     if (this._phase === 'reserving') return this._reserveNext(nowMs)
     if (this._phase === 'starting') return this._startAll()
-    if (this._phase === 'givingBack') return this._giveBackAll(nowMs)
+    if (this._phase === 'givingBack') return this._giveBackAll()
     return []
   }
 
@@ -142,9 +126,9 @@
   }
 
   /** The answer to `giveBack`, or the scheduler is gone and whoever has its hosts now has stopped the tasks. */
-  public gaveBack (scheduler: string, nowMs: MonotonicMs): void {
+  public gaveBack (scheduler: string): void {
     this._parts.delete(scheduler)
-    if (this._phase === 'givingBack' && this._parts.size === 0) this._pause(nowMs)
+    if (this._phase === 'givingBack' && this._parts.size === 0) this._phase = 'givenBack'
   }
 
   /** `giveBack` was not answered: `commands` gives it again. */
@@ -153,27 +137,22 @@
     if (part?.state === 'giving') this._parts.set(scheduler, { ...part, state: 'reserved' })
   }
 
-  private _startTry (): void {
-    this._phase = 'reserving'
-    this._nextScheduler = 0
-  }
-
   private _reserveNext (nowMs: MonotonicMs): readonly GangCommand[] {
     if ([...this._parts.values()].some((part) => part.state === 'asking')) return []
     const placed = new Set([...this._parts.values()].flatMap((part) => part.taskIds))
     const tasks = this._tasks.filter(({ task }) => !placed.has(task.taskId))
     if (tasks.length === 0) return this._reservedAll(nowMs)
     const scheduler = this._schedulers[this._nextScheduler]
-    if (scheduler === undefined) return this._giveUpTry(nowMs)
+    if (scheduler === undefined) return this._giveUp()
     this._nextScheduler += 1
     this._parts.set(scheduler, { scheduler, state: 'asking', taskIds: [], sentAtMs: nowMs })
-    return [{ type: 'reserve', scheduler, tryNumber: this._tries, tasks, expiresMs: this._options.expiresMs }]
+    return [{ type: 'reserve', scheduler, tryNumber: this.tryNumber, tasks, expiresMs: this._options.expiresMs }]
   }
 
   /** Starts only if no reservation can run out meanwhile: one that did would leave the rest started without it. */
   private _reservedAll (nowMs: MonotonicMs): readonly GangCommand[] {
     const endsMs = Math.min(...[...this._parts.values()].map((part) => part.sentAtMs)) + this._options.expiresMs
-    if (nowMs + this._options.startMarginMs > endsMs) return this._giveUpTry(nowMs)
+    if (nowMs + this._options.startMarginMs > endsMs) return this._giveUp()
     this._dropEmptyParts()
     this._phase = 'starting'
     return this._startAll()
@@ -185,21 +164,21 @@
     }
   }
 
-  private _giveUpTry (nowMs: MonotonicMs): readonly GangCommand[] {
+  private _giveUp (): readonly GangCommand[] {
     this._phase = 'givingBack'
-    return this._giveBackAll(nowMs)
+    return this._giveBackAll()
   }
 
   private _startAll (): readonly GangCommand[] {
-    return this._move('reserved', 'starting').map(({ scheduler }) => ({ type: 'start', scheduler, tryNumber: this._tries }))
+    return this._move('reserved', 'starting').map(({ scheduler }) => ({ type: 'start', scheduler, tryNumber: this.tryNumber }))
   }
 
-  private _giveBackAll (nowMs: MonotonicMs): readonly GangCommand[] {
-    if (this._parts.size === 0) this._pause(nowMs)
+  private _giveBackAll (): readonly GangCommand[] {
+    if (this._parts.size === 0) this._phase = 'givenBack'
     const parts = [...this._parts.values()].filter((part) => part.state !== 'giving')
     for (const part of parts) this._parts.set(part.scheduler, { ...part, state: 'giving' })
     const taskIds = this._tasks.map(({ task }) => task.taskId)
-    return parts.map(({ scheduler }) => ({ type: 'giveBack', scheduler, tryNumber: this._tries, taskIds }))
+    return parts.map(({ scheduler }) => ({ type: 'giveBack', scheduler, tryNumber: this.tryNumber, taskIds }))
   }
 
   private _move (from: PartState, to: PartState): readonly IPart[] {
@@ -211,11 +190,4 @@
   private _all (state: PartState): boolean {
     return [...this._parts.values()].every((part) => part.state === state)
   }
-
-  private _pause (nowMs: MonotonicMs): void {
-    const longestMs = Math.min(this._options.maxBackoffMs, this._options.backoffMs * 2 ** this._tries)
-    this._tries += 1
-    this._phase = 'pausing'
-    this._pauseUntilMs = nowMs + longestMs * (0.5 + 0.5 * this._random.next())
-  }
 }
--- /dev/null
+++ b/src/common/state/HeldTries.test.ts
@@ -0,0 +1,29 @@
+/**
+ * Which commands of a try a scheduler acts on. The specification `gang` explores the races.
+ */
+
+import test from 'ava'
+import { HeldTries } from './HeldTries.js'
+
+test('a late command of an earlier try is not acted on', (t) => {
+  // A start of the first try arrives when places are held for the second. It would start a part of the job alone.
+  const tries = new HeldTries()
+  t.true(tries.begin('job', 4))
+  t.true(tries.mayStart('job', 4))
+  t.true(tries.begin('job', 5))
+  t.false(tries.mayStart('job', 4))
+  t.false(tries.begin('job', 4))
+  t.false(tries.giveBack('job', 4))
+  t.true(tries.mayStart('job', 5))
+  t.false(tries.mayStart('other', 5))
+})
+
+test('what was given back can be neither reserved nor started any more', (t) => {
+  // The giving back overtakes the reservation that it is for, and the places would be held for nobody.
+  const tries = new HeldTries()
+  t.true(tries.giveBack('job', 4))
+  t.false(tries.begin('job', 4))
+  t.false(tries.mayStart('job', 4))
+  t.true(tries.giveBack('job', 4))
+  t.true(tries.begin('job', 5))
+})
--- a/src/scheduler/jobs/GroupReserver.ts
+++ b/src/scheduler/jobs/GroupReserver.ts
@@ -14,8 +14,6 @@
 interface ITry {
   readonly run: JobRun
   readonly tasks: readonly TaskRun[]
-  /** The attempt number of its tasks' first, which no other try of the job has. */
-  readonly number: number
   readonly gang: GangReservation
   /** Which scheduler holds which task. */
   readonly holders: Map<string, string>
@@ -23,22 +21,24 @@
   isInDoubt: boolean
 }
 
-type TryContext = Pick<IJobOwnerContext, 'peers' | 'clock' | 'random' | 'timers'>
+type TryContext = Pick<IJobOwnerContext, 'peers' | 'clock' | 'timers'>
 
 const CALL_TIMEOUT_MS = 1000
 /** Giving back is tried this often; then the survey of all schedulers finds out what runs. */
 const MAX_GIVE_BACKS = 3
 const GIVE_BACK_PAUSE_MS = 200
+/** Comes on top of the pauses of the tasks, which grow with each try. */
+const RETRY_AFTER_MS = 50
 
 export class GroupReserver {
   public constructor (private readonly _context: TryContext) {}
 
   /** One try to start the tasks, which have begun their attempts. Afterwards they run, are queued again, or are missing. */
   public async place (run: JobRun, tasks: readonly TaskRun[], asks: readonly IPlaceTask[], schedulers: readonly string[]): Promise<void> {
-    const gang = new GangReservation(asks, schedulers, DEFAULT_GANG_OPTIONS, this._context.random)
-    const number = asks[0]?.attempt ?? 0
-    const attempt: ITry = { run, tasks, number, gang, holders: new Map(), isInDoubt: false }
-    while (gang.phase !== 'running' && gang.phase !== 'pausing') {
+    // The attempt number of its first task, which is higher than in any earlier try.
+    const gang = new GangReservation(asks[0]?.attempt ?? 0, asks, schedulers, DEFAULT_GANG_OPTIONS)
+    const attempt: ITry = { run, tasks, gang, holders: new Map(), isInDoubt: false }
+    while (gang.phase !== 'running' && gang.phase !== 'givenBack') {
       const commands = gang.commands(this._context.clock.nowMs())
       await Promise.all(commands.map(async (command) => { await this._carryOut(attempt, command) }))
     }
@@ -53,7 +53,7 @@
 
   private async _reserve (attempt: ITry, command: GangCommand & { readonly type: 'reserve' }): Promise<void> {
     const { jobId } = attempt.run.job
-    const ask = { jobId, tasks: command.tasks, expiresMs: command.expiresMs, tryNumber: attempt.number }
+    const ask = { jobId, tasks: command.tasks, expiresMs: command.expiresMs, tryNumber: command.tryNumber }
     const reply = await this._context.peers.call(command.scheduler, 'reserve', ask, CALL_TIMEOUT_MS)
     if (reply.isErr()) {
       attempt.gang.failed()
@@ -72,13 +72,13 @@
     for (let tries = 0; tries < MAX_GIVE_BACKS; tries += 1) {
       const reply = await this._context.peers.call(scheduler, 'dropReservation', this._refOf(attempt), CALL_TIMEOUT_MS)
       if (reply.isOk()) {
-        attempt.gang.gaveBack(scheduler, this._context.clock.nowMs())
+        attempt.gang.gaveBack(scheduler)
         return
       }
       await new Promise<void>((resolve) => { this._context.timers.after(GIVE_BACK_PAUSE_MS, resolve) })
     }
     attempt.isInDoubt = true
-    attempt.gang.gaveBack(scheduler, this._context.clock.nowMs())
+    attempt.gang.gaveBack(scheduler)
   }
 
   private _conclude (attempt: ITry): void {
@@ -86,7 +86,7 @@
     for (const task of attempt.tasks.filter((each) => each.state === 'starting')) {
       if (attempt.gang.phase === 'running') task.scheduler ??= attempt.holders.get(task.spec.taskId)
       else if (attempt.isInDoubt) this._doubt(attempt.run, task, nowMs)
-      else attempt.run.refused(task, nowMs, Math.max(0, attempt.gang.pauseUntilMs - nowMs))
+      else attempt.run.refused(task, nowMs, RETRY_AFTER_MS)
     }
   }
 
@@ -97,6 +97,6 @@
   }
 
   private _refOf (attempt: ITry): { readonly jobId: string, readonly tryNumber: number } {
-    return { jobId: attempt.run.job.jobId, tryNumber: attempt.number }
+    return { jobId: attempt.run.job.jobId, tryNumber: attempt.gang.tryNumber }
   }
 }
--- a/src/scheduler/jobs/Reservations.ts
+++ b/src/scheduler/jobs/Reservations.ts
@@ -1,11 +1,10 @@
 /**
  * Places held on this scheduler's workers for all-at-once jobs that span schedulers, until all of their places are held
- * everywhere or the reservation expires.
- *
- * What can go wrong: a start or a reservation of an earlier try of the same job arrives late, and would start a part of
- * the job alone. Every command bears the number of its try, and only the one that holds places is acted on.
+ * everywhere or the reservation expires. Which try of a job is acted on, `HeldTries` decides.
  */
 
+import { HeldTries } from '../../common/state/HeldTries.js'
+
 import type { IWorkItem } from '../../common/policy/Types.js'
 import type { IPlaceTask, IReservationRef, IReserveReply, IReserveRequest } from '../../common/protocol/Types.js'
 import type { IDisposable } from '../../common/Types.js'
@@ -22,6 +21,7 @@
 const KEPT_MS = 60_000
 
 export class Reservations implements IDisposable {
+  private readonly _tries = new HeldTries()
   private readonly _byJob = new Map<string, IReservation>()
 
   public constructor (
@@ -36,8 +36,8 @@
 
   /** Holds places for as many of the tasks as there is room for now; it waits for none, so that two jobs never wait for each other. */
   public reserve (ask: IReserveRequest): IReserveReply {
-    const tryNumber = ask.tryNumber ?? 0
-    if (tryNumber <= (this._byJob.get(ask.jobId)?.tryNumber ?? -1)) return { reservedTaskIds: [] }
+    const { tryNumber } = ask
+    if (!this._tries.begin(ask.jobId, tryNumber)) return { reservedTaskIds: [] }
     this._note(ask.jobId, tryNumber, ask.tasks)
     const items = this._items(ask.tasks)
     if (items === undefined) return { reservedTaskIds: [] }
@@ -54,7 +54,8 @@
   /** Starts everything that is held for this try; false when it isn't held any more. */
   public start (ref: IReservationRef): { readonly started: boolean } {
     const reservation = this._byJob.get(ref.jobId)
-    if (reservation === undefined || reservation.tryNumber !== ref.tryNumber) return { started: false }
+    if (reservation === undefined || !this._tries.mayStart(ref.jobId, ref.tryNumber)) return { started: false }
+    if (!this._mayStillPlace(reservation)) return { started: false }
     const places = this._context.engine.startReserved(groupIdOf(ref.jobId, reservation.tryNumber))
     if (places === undefined) return { started: false }
     for (const { item, hostId } of places) {
@@ -67,9 +68,9 @@
 
   /** Gives the places back, stops what was started for this try, and acts on no further command of it. */
   public drop (ref: IReservationRef): { readonly dropped: boolean } {
-    const tryNumber = ref.tryNumber ?? 0
+    const { tryNumber } = ref
     const reservation = this._byJob.get(ref.jobId)
-    if (reservation !== undefined && reservation.tryNumber > tryNumber) return { dropped: true }
+    if (!this._tries.giveBack(ref.jobId, tryNumber)) return { dropped: true }
     const tasks = reservation?.tryNumber === tryNumber ? reservation.tasks : []
     this._context.engine.dropReservation(groupIdOf(ref.jobId, tryNumber))
     for (const { jobId, task, attempt } of tasks) this._tasks.cancel({ jobId, taskId: task.taskId, attempt })
@@ -78,6 +79,14 @@
     return { dropped: true }
   }
 
+  /**
+   * Whether whoever reserved still owns the job. Its successor, who has been told that none of the tasks runs, may
+   * have started them by now; started here too, each would be on two hosts.
+   */
+  private _mayStillPlace (reservation: IReservation): boolean {
+    return reservation.tasks.every((task) => this._tasks.answerKnown(task) === undefined)
+  }
+
   private _items (tasks: readonly IPlaceTask[]): readonly IWorkItem[] | undefined {
     if (tasks.some((task) => this._tasks.answerKnown(task) !== undefined)) return undefined
     const items = tasks.map((task) => this._tasks.toItem(task)).filter((item) => item !== undefined)
@@ -88,9 +97,14 @@
     const earlier = this._byJob.get(jobId)
     earlier?.forgetting.dispose()
     if (earlier !== undefined && earlier.tryNumber !== tryNumber) this._context.engine.dropReservation(groupIdOf(jobId, earlier.tryNumber))
-    const forgetting = this._context.timers.after(KEPT_MS, () => { this._byJob.delete(jobId) })
+    const forgetting = this._context.timers.after(KEPT_MS, () => { this._forget(jobId) })
     this._byJob.set(jobId, { tryNumber, tasks, forgetting })
   }
+
+  private _forget (jobId: string): void {
+    this._byJob.delete(jobId)
+    this._tries.forget(jobId)
+  }
 }
 
 function groupIdOf (jobId: string, tryNumber: number): string {
