--- a/src/operator/Program.test.ts
+++ b/src/operator/Program.test.ts
@@ -118,8 +118,10 @@
   const refused = await submit()
   t.is(refused.code, EXIT.refused)
   t.is(refused.warnings[0], 'jackdawreel: refused: too much is waiting; come back in 900 ms')
-  answer = { outcome: 'unknown', reason: 'upstreamCut' }
-  t.is((await submit()).code, EXIT.unknown)
+  answer = { outcome: 'unknown', reason: 'upstreamCut', upstream: 'runner-7' }
+  const unknown = await submit()
+  t.is(unknown.code, EXIT.unknown)
+  t.regex(unknown.warnings[0] ?? '', /upstreamCut at runner-7/)
 })
 
 test('help and version are printed', async t => {
--- a/src/operator/commands/RequestCommands.ts
+++ b/src/operator/commands/RequestCommands.ts
@@ -109,10 +109,18 @@
   return Buffer.from(answer.body).toString('utf8')
 }
 
+/** What the body of an answer other than done may hold. */
+interface IRefusedBody {
+  readonly detail?: string
+  readonly reason?: string
+  readonly upstream?: string
+}
+
 function detailOf (answer: IHttpAnswer): string {
   try {
-    const { detail, reason } = JSON.parse(textOf(answer)) as { readonly detail?: string, readonly reason?: string }
-    return detail ?? reason ?? `status ${answer.status}`
+    const { detail, reason, upstream } = JSON.parse(textOf(answer)) as IRefusedBody
+    const cause = detail ?? reason ?? `status ${answer.status}`
+    return upstream === undefined ? cause : `${cause} at ${upstream}`
   } catch {
     return `status ${answer.status}`
   }
