--- a/src/scheduler/requests/AnswerCache.ts
+++ b/src/scheduler/requests/AnswerCache.ts
@@ -8,7 +8,7 @@
 
 /** A daemon has 128 MB in all; at 1 KB an answer this keeps some eight thousand. */
 const MAX_BYTES = 8 * 1024 * 1024
-/** As long as claims are kept by default: afterwards the id may be used anew. */
+/** Claims are kept for longer: a repeat that comes after this hears that the outcome is unknown. */
 const KEPT_MS = 600_000
 const ENTRY_OVERHEAD_BYTES = 300
 
