--- a/src/common/policy/DecisionEngine.ts
+++ b/src/common/policy/DecisionEngine.ts
@@ -14,6 +14,7 @@
 import { HostHealth } from './HostHealth.js'
 import { AcceleratorReserve } from './AcceleratorReserve.js'
 import { Feasibility } from './Feasibility.js'
+import { GiveUpFinder } from './GiveUpFinder.js'
 import { HostIndex } from './HostIndex.js'
 import { Preemption } from './Preemption.js'
 import { RoomForecast } from './RoomForecast.js'
@@ -76,7 +77,7 @@
       chooser,
       health: this._health,
       accelerators: this._accelerators,
-      feasibility: this._feasibility,
+      giveUps: new GiveUpFinder(this._queue, this._book, this._admission, this._ledger),
       preemption,
       work: this._work,
       book: this._book,
@@ -138,7 +139,7 @@
   public admitGroup (groupId: string, items: readonly IWorkItem[]): AdmitDecision {
     const impossible = this._whyImpossible(items)
     if (impossible !== undefined) return impossible
-    if (!this._feasibility.check()(items.map((item) => item.resources))) {
+    if (!this._feasibility.check().couldHoldAll(items.map((item) => item.resources))) {
       return this._admission.refuse('infeasible', 'the hosts could not hold all of its tasks at once')
     }
     const expiresAtMs = items.reduce((earliest, item) => Math.min(earliest, this._estimates.latestStartAtMs(item)), Infinity)
--- a/src/common/policy/DecisionLoop.ts
+++ b/src/common/policy/DecisionLoop.ts
@@ -7,11 +7,11 @@
 import { StopPlan } from './StopPlan.js'
 
 import type { IClock, IResources, MonotonicMs, OutcomeReason } from '../Types.js'
-import type { Feasibility } from './Feasibility.js'
 import type { AcceleratorReserve } from './AcceleratorReserve.js'
 import type { Admission } from './Admission.js'
 import type { CapacityLedger, LedgerHost } from './CapacityLedger.js'
 import type { FairQueue } from './FairQueue.js'
+import type { GiveUpFinder } from './GiveUpFinder.js'
 import type { GroupBook, IGroup } from './GroupBook.js'
 import type { GroupPlacer } from './GroupPlacer.js'
 import type { HostChooser } from './HostChooser.js'
@@ -41,7 +41,7 @@
   readonly chooser: HostChooser
   readonly health: HostHealth
   readonly accelerators: AcceleratorReserve
-  readonly feasibility: Feasibility
+  readonly giveUps: GiveUpFinder
   readonly preemption: Preemption
   readonly work: RunningWork
   readonly book: GroupBook
@@ -120,46 +120,19 @@
     if (nowMs < this._settledUntilMs) return
     if (this._settledUntilMs > -Infinity) this.noteRoom()
     this._recheckAtMs = Infinity
-    this._giveUpImpossible()
-    if (this._ready.length > 0 || this._giveUpOne(nowMs) || this._advanceGroups(nowMs) || this._placeOne(nowMs)) return
+    if (this._giveUpSome(nowMs) || this._advanceGroups(nowMs) || this._placeOne(nowMs)) return
     this._settledUntilMs = this._computeWakeAtMs(nowMs)
   }
 
-  private _giveUpOne (nowMs: MonotonicMs): boolean {
-    const { queue, admission, book } = this._parts
-    const entry = queue.takeExpired(nowMs)
-    if (entry !== undefined) {
-      admission.noteStarted(entry.queue, 0)
-      this._giveUp(entry.item)
-      return true
-    }
-    const group = book.takeExpired(nowMs)
-    if (group === undefined) return false
-    this.noteRoom()
-    if (group.startsItself) for (const { item } of group.tasks) this._giveUp(item)
+  private _giveUpSome (nowMs: MonotonicMs): boolean {
+    const givenUp = this._parts.giveUps.take(nowMs)
+    if (givenUp === undefined) return false
+    if (givenUp.freesRoom) this.noteRoom()
+    for (const item of givenUp.items) this._giveUp(item, givenUp.reason)
     return this._ready.length > 0
   }
 
-  /** Looks through the whole queue, but only when hosts have gone. */
-  private _giveUpImpossible (): void {
-    const { feasibility, queue, book, admission, ledger } = this._parts
-    if (!feasibility.takeRemoved() || queue.size + book.groupCount === 0) return
-    const couldHold = feasibility.check()
-    const reason = ledger.hostCount > 0 ? 'infeasible' : 'noUpstream'
-    for (const entry of [...queue.entries()]) {
-      if (couldHold([entry.item.resources])) continue
-      queue.remove(entry.item.id)
-      admission.noteStarted(entry.queue, 0)
-      this._giveUp(entry.item, reason)
-    }
-    for (const group of [...book.groups()]) {
-      if (couldHold(group.tasks.map(({ item }) => item.resources))) continue
-      book.drop(group.groupId)
-      if (group.startsItself) for (const { item } of group.tasks) this._giveUp(item, reason)
-    }
-  }
-
-  private _giveUp (item: IWorkItem, reason: OutcomeReason = 'deadline'): void {
+  private _giveUp (item: IWorkItem, reason: OutcomeReason): void {
     const { queue, admission, priorRate } = this._parts
     const profileQueue = queue.profileFor(item.profile)
     const waitMs = admission.expectedWaitMs(profileQueue, priorRate(profileQueue))
--- a/src/common/policy/Feasibility.ts
+++ b/src/common/policy/Feasibility.ts
@@ -24,6 +24,12 @@
 /** One job's tasks fill at most so many hosts; it bounds the time of one look. */
 const MAX_FILLED_HOSTS = 1000
 
+export interface IFeasibilityCheck {
+  readonly couldHold: (need: IResources) => boolean
+  /** All of them at once. */
+  readonly couldHoldAll: (needs: readonly IResources[]) => boolean
+}
+
 export class Feasibility {
   private _seenRemovals = 0
 
@@ -36,14 +42,12 @@
     return removed
   }
 
-  /** Gives a check of a set of needs against all hosts known now, were they empty; by first fit, largest first. */
-  public check (): (needs: readonly IResources[]) => boolean {
+  /** A check against all hosts known now, were they empty. */
+  public check (): IFeasibilityCheck {
     const shapes = this._shapes()
-    return (needs) => {
-      const unused = shapes.map((shape) => ({ ...shape }))
-      const filled: IFilledHost[] = []
-      const largestFirst = [...needs].sort((a, b) => b.cores - a.cores || b.memoryBytes - a.memoryBytes)
-      return largestFirst.every((need) => placeOne(need, filled, unused))
+    return {
+      couldHold: (need) => shapes.some(({ capacity }) => fits(need, capacity)),
+      couldHoldAll: (needs) => placeAll(needs, shapes)
     }
   }
 
@@ -59,6 +63,14 @@
   }
 }
 
+/** First fit, largest first. */
+function placeAll (needs: readonly IResources[], shapes: readonly IHostShape[]): boolean {
+  const unused = shapes.map((shape) => ({ ...shape }))
+  const filled: IFilledHost[] = []
+  const largestFirst = [...needs].sort((a, b) => b.cores - a.cores || b.memoryBytes - a.memoryBytes)
+  return largestFirst.every((need) => placeOne(need, filled, unused))
+}
+
 function placeOne (need: IResources, filled: IFilledHost[], unused: readonly IHostShape[]): boolean {
   const open = filled.find(({ capacity, used }) => fits(need, difference(capacity, used)))
   if (open !== undefined) {
--- /dev/null
+++ b/src/common/policy/GiveUpFinder.ts
@@ -0,0 +1,72 @@
+/**
+ * Finds waiting work that will not be started any more, because its time has run out or the hosts that could hold it
+ * have gone.
+ */
+
+import { Feasibility } from './Feasibility.js'
+
+import type { MonotonicMs, OutcomeReason } from '../Types.js'
+import type { Admission } from './Admission.js'
+import type { CapacityLedger } from './CapacityLedger.js'
+import type { FairQueue } from './FairQueue.js'
+import type { GroupBook, IGroup } from './GroupBook.js'
+import type { IQueueEntry } from './QueueTypes.js'
+import type { IWorkItem } from './Types.js'
+
+export interface IGivenUp {
+  readonly items: readonly IWorkItem[]
+  readonly reason: OutcomeReason
+  /** Places that were held for it are free. */
+  readonly freesRoom: boolean
+}
+
+export class GiveUpFinder {
+  private readonly _feasibility: Feasibility
+
+  public constructor (
+    private readonly _queue: FairQueue,
+    private readonly _book: GroupBook,
+    private readonly _admission: Admission,
+    private readonly _ledger: CapacityLedger
+  ) {
+    this._feasibility = new Feasibility(_ledger)
+  }
+
+  /** Takes the next such work out of the queue; nothing when there is none now. */
+  public take (nowMs: MonotonicMs): IGivenUp | undefined {
+    return this._takeImpossible() ?? this._takeExpired(nowMs)
+  }
+
+  private _takeExpired (nowMs: MonotonicMs): IGivenUp | undefined {
+    const entry = this._queue.takeExpired(nowMs)
+    if (entry !== undefined) {
+      this._admission.noteStarted(entry.queue, 0)
+      return { items: [entry.item], reason: 'deadline', freesRoom: false }
+    }
+    const group = this._book.takeExpired(nowMs)
+    return group === undefined ? undefined : { items: itemsOf(group), reason: 'deadline', freesRoom: true }
+  }
+
+  /** Looks through the whole queue, but only when hosts have gone. */
+  private _takeImpossible (): IGivenUp | undefined {
+    if (!this._feasibility.takeRemoved() || this._queue.size + this._book.groupCount === 0) return undefined
+    const { couldHold, couldHoldAll } = this._feasibility.check()
+    const entries = [...this._queue.entries()].filter(({ item }) => !couldHold(item.resources))
+    const groups = [...this._book.groups()].filter(({ tasks }) => !couldHoldAll(tasks.map(({ item }) => item.resources)))
+    if (entries.length + groups.length === 0) return undefined
+    for (const entry of entries) this._remove(entry)
+    for (const { groupId } of groups) this._book.drop(groupId)
+    const reason = this._ledger.hostCount > 0 ? 'infeasible' : 'noUpstream'
+    return { items: [...groups.flatMap(itemsOf), ...entries.map(({ item }) => item)], reason, freesRoom: groups.length > 0 }
+  }
+
+  private _remove (entry: IQueueEntry): void {
+    this._queue.remove(entry.item.id)
+    this._admission.noteStarted(entry.queue, 0)
+  }
+}
+
+/** A part of a job that spans schedulers is answered by its coordinator, not here. */
+function itemsOf (group: IGroup): readonly IWorkItem[] {
+  return group.startsItself ? group.tasks.map(({ item }) => item) : []
+}
