--- a/bench/slopes/WorkerSlopes.ts
+++ b/bench/slopes/WorkerSlopes.ts
@@ -1,13 +1,13 @@
 /**
  * Workers: bytes and processor time of the real sessions and client, against stand-ins in another process, per host and
- * per running task while nothing happens, and per task that starts and ends.
+ * per running task while nothing happens, and per task that starts and ends; memory per host.
  */
 
 import { SystemClock } from '../../src/common/Clock.js'
 import { WorkerClient } from '../../src/platform/WorkerClient.js'
 import { WorkerSession } from '../../src/scheduler/jobs/WorkerSession.js'
 import { startProcess } from '../../test/support/Processes.js'
-import { pause, processorUsPerSecond } from './Readings.js'
+import { heapBytes, pause, processorUsPerSecond } from './Readings.js'
 import { printSlope } from './Slope.js'
 import { SocketMeter } from './SocketMeter.js'
 import { hostAt, SILENT_LOG } from './Hosts.js'
@@ -122,8 +122,11 @@
   const perHost: Array<readonly [number, IQuiet]> = []
   const perTask: Array<readonly [number, IQuiet]> = []
   const perStart: Array<readonly [number, IQuiet]> = []
+  const memory: Array<readonly [number, number]> = []
   for (const hosts of HOSTS) {
+    const beforeBytes = heapBytes()
     const rig = await WorkerRig.start(hosts)
+    memory.push([hosts, heapBytes() - beforeBytes])
     perHost.push([hosts, await rig.quiet()])
     if (hosts === TASK_HOSTS) {
       for (const rate of STARTS_PER_SECOND) perStart.push([rate, await rig.starting(rate)])
@@ -131,6 +134,7 @@
     }
     await rig.dispose()
   }
+  printSlope({ slope: 'workers: heap per session with its connections', unit: 'bytes', points: memory })
   print('workers: per host', perHost)
   print('workers: per running task', perTask)
   print('workers: per start and end a second', perStart)
