Send the age of requests with claims and blocks, cap their deadline, and release after unavailable

Cause: two findings of the claims specification weren't wired. No process sent `ageMs`, so the owner of a claim took every attempt for new; a non-idempotent request could have any deadline; and after `unavailable` nobody sent `release`, so a claim that proved durable under a new owner kept its id from ever running. Now the gateway caps the deadline at MAX_ATTEMPT_AGE_MS and sends the request's age with `submit` and `block`; the scheduler passes it on with `claim`, and after `unavailable` releases in the background, six tries over half a minute. `ageMs` is required in types and shapes.

Found on the way: OutcomeInquiry asked for a link to `process#incarnation`, the name of a claim's holder, and so never reached it: a request whose link was cut always ended as unknown. It now reads the name as ClaimClient does.

Ruled out: repeating the release without end, since in an outage most such claims were never stored; counting the age anew at each repeat of a claim, since repeats last 3 s and the limit leaves five minutes.

--- a/bench/links.ts
+++ b/bench/links.ts
@@ -77,6 +77,7 @@
       remainingMs: 950,
       contentType: 'application/json',
       body: this._body,
+      ageMs: 0,
       hops: 0
     }
     const result = await this._link.call('submit', ask, TIMEOUT_MS)
--- a/src/common/protocol/Shapes.ts
+++ b/src/common/protocol/Shapes.ts
@@ -50,12 +50,13 @@
   requestId: id,
   idempotent: z.boolean(),
   remainingMs: durationMs,
+  ageMs: durationMs,
   contentType: id,
   body: bytes,
   hops: count
 })
 
-const claimRequest = z.object({ idShard: id, claimKey: id, attemptId: id, holder: id })
+const claimRequest = z.object({ idShard: id, claimKey: id, attemptId: id, holder: id, ageMs: durationMs })
 const notOwner = z.object({ decision: z.literal('notOwner') })
 const unavailable = z.object({ decision: z.literal('unavailable'), retryAfterMs: durationMs })
 const blocked = z.object({ decision: z.literal('blocked') })
--- a/src/common/protocol/Types.ts
+++ b/src/common/protocol/Types.ts
@@ -18,6 +18,8 @@
   readonly idempotent: boolean
   /** What is left until the deadline when it was sent; no clocks are compared. */
   readonly remainingMs: number
+  /** How long ago the gateway took the request, when it was sent; no clocks are compared. */
+  readonly ageMs: number
   readonly contentType: string
   readonly body: Uint8Array
   /** Times that it has been moved between schedulers. */
@@ -34,9 +36,9 @@
   readonly holder: string
   /**
    * How long ago the attempt began, in milliseconds, counted by the asking process. Claims and blocks are kept for a
-   * limited time only, so an attempt older than `MAX_ATTEMPT_AGE_MS` gets no claim. Absent counts as 0.
+   * limited time only, so an attempt older than `MAX_ATTEMPT_AGE_MS` gets no claim.
    */
-  readonly ageMs?: number
+  readonly ageMs: number
 }
 
 export type ClaimReply =
--- a/src/gateway/OutcomeInquiry.ts
+++ b/src/gateway/OutcomeInquiry.ts
@@ -7,6 +7,8 @@
  * never get one now, and "not run" is a fact; if it had, its holder alone knows the outcome.
  */
 
+import { parseHolder } from '../common/requests/ClaimHolder.js'
+
 import type { BlockReply, IClaimRequest } from '../common/protocol/Types.js'
 import type { IFinalAnswer } from '../common/Types.js'
 import type { IFlowContext, IRoutedRequest } from './Types.js'
@@ -22,9 +24,15 @@
   public async settle (request: IRoutedRequest, attemptId: string, schedulerId: string): Promise<IFinalAnswer> {
     const untilMs = this._context.clock.nowMs() + MAX_INQUIRY_MS
     const claimKey = this._context.hasher.claimKey(request.caller, request.requestId)
-    const ask: IClaimRequest = { idShard: this._context.hasher.idShard(claimKey), claimKey, attemptId, holder: schedulerId }
+    const toAsk = (): IClaimRequest => ({
+      idShard: this._context.hasher.idShard(claimKey),
+      claimKey,
+      attemptId,
+      holder: schedulerId,
+      ageMs: this._context.clock.nowMs() - request.arrivedAtMs
+    })
     while (this._context.clock.nowMs() < untilMs) {
-      const reply = await this._block(ask)
+      const reply = await this._block(toAsk())
       if (reply?.decision === 'blocked') return this._notRun(request)
       if (reply?.decision === 'claimed') return await this._askHolder(request, attemptId, reply.holder, untilMs)
       await this._pause()
@@ -40,9 +48,14 @@
   }
 
   private async _askHolder (request: IRoutedRequest, attemptId: string, holder: string, untilMs: number): Promise<IFinalAnswer> {
+    const { processId, incarnation } = parseHolder(holder)
     while (this._context.clock.nowMs() < untilMs) {
+      const link = this._context.hub.link(processId)
+      // One that has restarted has forgotten what its earlier incarnation dispatched.
+      const isGone = link !== undefined && incarnation !== undefined && link.peer.incarnation !== incarnation
+      if (isGone) return this._unknown(request, 'it was claimed by a scheduler that has restarted')
       const waitMs = untilMs - this._context.clock.nowMs()
-      const reply = await this._context.hub.link(holder)?.call('outcomeOf', { attemptId, waitMs }, waitMs)
+      const reply = await link?.call('outcomeOf', { attemptId, waitMs }, waitMs)
       if (reply?.isOk() === true) return reply.value
       await this._pause()
     }
--- a/src/gateway/RequestFlow.ts
+++ b/src/gateway/RequestFlow.ts
@@ -56,6 +56,7 @@
       remainingMs,
       contentType: request.contentType,
       body: request.body,
+      ageMs: this._context.clock.nowMs() - request.arrivedAtMs,
       hops: 0
     }, remainingMs + REPLY_GRACE_MS)
     return reply.match(async (answer) => answer, async (error) => await this._failed(request, schedulerId, attemptId, error))
--- a/src/gateway/RouteRequest.ts
+++ b/src/gateway/RouteRequest.ts
@@ -3,6 +3,7 @@
  */
 
 import { err, ok } from 'neverthrow'
+import { MAX_ATTEMPT_AGE_MS } from '../common/state/ClaimTable.js'
 
 import type { Result } from 'neverthrow'
 import type { IBadInput } from '../common/requests/Types.js'
@@ -10,6 +11,10 @@
 import type { IConfigReplica } from '../common/config/Types.js'
 import type { IRoutedRequest } from './Types.js'
 
+/**
+ * A request that isn't idempotent gets no deadline beyond the age at which it may still claim. One that waited longer
+ * would find the first claim of its id forgotten, and the work would run twice.
+ */
 export function route (head: IRequestHead, body: Uint8Array, config: IConfigReplica, nowMs: number): Result<IRoutedRequest, IBadInput> {
   const service = config.service(head.service)
   if (service === undefined) return err({ status: 404, field: 'service', message: `no service named ${head.service}` })
@@ -17,15 +22,18 @@
   if (found === undefined) {
     return err({ status: 404, field: 'profile', message: `service ${service.name} names the profile ${service.profile}, which does not exist` })
   }
+  const idempotent = head.idempotent ?? found.profile.idempotentDefault
+  const deadlineMs = head.deadlineMs ?? found.profile.deadlineMs
   return ok({
     service: head.service,
     caller: head.caller,
     requestId: head.requestId,
-    idempotent: head.idempotent ?? found.profile.idempotentDefault,
+    idempotent,
     contentType: head.contentType,
     body,
     profile: found.profile,
     profileRevision: found.revision,
-    deadlineAtMs: nowMs + (head.deadlineMs ?? found.profile.deadlineMs)
+    arrivedAtMs: nowMs,
+    deadlineAtMs: nowMs + (idempotent ? deadlineMs : Math.min(deadlineMs, MAX_ATTEMPT_AGE_MS))
   })
 }
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -32,6 +32,8 @@
   readonly body: Uint8Array
   readonly profile: IProfile
   readonly profileRevision: number
+  /** When the gateway took it, by its monotonic clock. */
+  readonly arrivedAtMs: number
   /** By the gateway's monotonic clock. */
   readonly deadlineAtMs: number
 }
--- a/src/peer/PeerHub.limits.test.ts
+++ b/src/peer/PeerHub.limits.test.ts
@@ -137,7 +137,7 @@
   await until(() => hub.link('z') !== undefined)
   socket.pause()
   const link = hub.link('z') as IPeerLink
-  const ask = { attemptId: 'x', service: 's', caller: 'c', requestId: 'r', idempotent: true, remainingMs: 1, contentType: 't', body: Buffer.alloc(100_000), hops: 0 }
+  const ask = { attemptId: 'x', service: 's', caller: 'c', requestId: 'r', idempotent: true, remainingMs: 1, contentType: 't', body: Buffer.alloc(100_000), ageMs: 0, hops: 0 }
   let refused: unknown
   for (let sent = 0; sent < 2_000 && refused === undefined; sent++) {
     const call = link.call('submit', ask, 60_000)
--- a/src/scheduler/ownership/ClaimService.test.ts
+++ b/src/scheduler/ownership/ClaimService.test.ts
@@ -18,7 +18,7 @@
 }
 
 function ask (attemptId: string, holder = 'h1', claimKey = 'k'): IClaimRequest {
-  return { idShard: SHARD, claimKey, attemptId, holder }
+  return { idShard: SHARD, claimKey, attemptId, holder, ageMs: 0 }
 }
 
 function job (jobId: string): IJobSpec {
--- a/src/scheduler/ownership/Claims.fuzz.test.ts
+++ b/src/scheduler/ownership/Claims.fuzz.test.ts
@@ -91,7 +91,7 @@
   }
 
   private _request (key: number, attempt: number): IClaimRequest {
-    return { idShard: SHARD, claimKey: `k${key}`, attemptId: `k${key}a${attempt}`, holder: `h${attempt}` }
+    return { idShard: SHARD, claimKey: `k${key}`, attemptId: `k${key}a${attempt}`, holder: `h${attempt}`, ageMs: 0 }
   }
 
   private _dispatch (request: IClaimRequest): void {
--- a/src/scheduler/ownership/Slice.ts
+++ b/src/scheduler/ownership/Slice.ts
@@ -24,7 +24,7 @@
 export type JobOutcome = AppendOutcome | 'tooLarge'
 
 function isTooOld (request: IClaimRequest): boolean {
-  return (request.ageMs ?? 0) > MAX_ATTEMPT_AGE_MS
+  return request.ageMs > MAX_ATTEMPT_AGE_MS
 }
 
 export class Slice implements IDisposable {
--- a/src/scheduler/requests/ClaimClient.ts
+++ b/src/scheduler/requests/ClaimClient.ts
@@ -2,6 +2,8 @@
  * Reaches the owner of a claim's id shard, in this process or another, through changes of owner.
  */
 
+import { parseHolder } from '../../common/requests/ClaimHolder.js'
+
 import type { ClaimReply, IClaimRequest } from '../../common/protocol/Types.js'
 import type { ISchedulerRouter } from '../../common/routing/Types.js'
 import type { IClock, IFinalAnswer, IProcessIdentity, ITimers } from '../../common/Types.js'
@@ -12,6 +14,10 @@
 const CALL_TIMEOUT_MS = 1000
 const PAUSE_MS = 50
 const UNAVAILABLE_RETRY_MS = 1000
+/** The first pause before a release is repeated, doubled each time: the repeats span a takeover and half a minute of outage. */
+const RELEASE_PAUSE_MS = 1000
+/** In an outage each non-idempotent request may need its release; more would load the owners when they come back. */
+const MAX_RELEASES = 6
 
 /** Claims as the owner of an id shard answers them. */
 export interface IClaimOwner {
@@ -39,27 +45,34 @@
     do {
       const reply = await this._claimOnce(ask)
       if (reply !== undefined && reply.decision !== 'notOwner') return reply
-      await this._pause()
+      await this._pause(PAUSE_MS)
     } while (this._context.clock.nowMs() < untilMs)
     return { decision: 'unavailable', retryAfterMs: UNAVAILABLE_RETRY_MS }
   }
 
   public async release (ask: IClaimRequest): Promise<void> {
-    const owner = this._context.router.ownerOf(ask.idShard)
-    if (owner === this._context.self.processId) await this._context.local.release(ask)
-    else if (owner !== undefined) await this._context.hub.link(owner)?.call('release', ask, CALL_TIMEOUT_MS)
+    await this._releaseOnce(ask)
+  }
+
+  /**
+   * Made for an outage of the store: a claim was in doubt, its holder was told `unavailable`, and it proves durable
+   * under a new owner of the shard, which can't tell that nobody was granted it. One would see an id that ran nowhere
+   * and that no repeat can run. The tries are few, because most such claims were never stored.
+   */
+  public releaseLater (ask: IClaimRequest): void {
+    this._releaseRepeatedly(ask)
   }
 
   public async outcomeOf (holder: string, attemptId: string, waitMs: number): Promise<IFinalAnswer> {
-    const [processId, incarnation] = holder.split('#')
+    const { processId, incarnation } = parseHolder(holder)
     if (processId === this._context.self.processId) {
-      if (Number(incarnation) === this._context.self.incarnation) return await this._context.localOutcomeOf(attemptId, waitMs)
+      if (incarnation === this._context.self.incarnation) return await this._context.localOutcomeOf(attemptId, waitMs)
       return unknownOutcome('the process that ran it has restarted')
     }
-    return await this._remoteOutcomeOf(processId ?? '', Number(incarnation), attemptId, waitMs)
+    return await this._remoteOutcomeOf(processId, incarnation, attemptId, waitMs)
   }
 
-  private async _remoteOutcomeOf (processId: string, incarnation: number, attemptId: string, waitMs: number): Promise<IFinalAnswer> {
+  private async _remoteOutcomeOf (processId: string, incarnation: number | undefined, attemptId: string, waitMs: number): Promise<IFinalAnswer> {
     const link = this._context.hub.link(processId)
     if (link === undefined) return unknownOutcome('the process that ran it cannot be reached')
     if (link.peer.incarnation !== incarnation) return unknownOutcome('the process that ran it has restarted')
@@ -75,8 +88,23 @@
     return reply?.unwrapOr(undefined)
   }
 
-  private async _pause (): Promise<void> {
-    await new Promise<void>((resolve) => { this._context.timers.after(PAUSE_MS, resolve) })
+  private async _releaseRepeatedly (ask: IClaimRequest): Promise<void> {
+    for (let tries = 0; tries < MAX_RELEASES; tries += 1) {
+      if (await this._releaseOnce(ask)) return
+      await this._pause(RELEASE_PAUSE_MS * 2 ** tries)
+    }
+  }
+
+  private async _releaseOnce (ask: IClaimRequest): Promise<boolean> {
+    const owner = this._context.router.ownerOf(ask.idShard)
+    if (owner === undefined) return false
+    if (owner === this._context.self.processId) return (await this._context.local.release(ask)).released
+    const reply = await this._context.hub.link(owner)?.call('release', ask, CALL_TIMEOUT_MS)
+    return reply?.isOk() === true && reply.value.released
+  }
+
+  private async _pause (pauseMs: number): Promise<void> {
+    await new Promise<void>((resolve) => { this._context.timers.after(pauseMs, resolve) })
   }
 }
 
--- a/src/scheduler/requests/RequestService.ts
+++ b/src/scheduler/requests/RequestService.ts
@@ -2,6 +2,7 @@
  * Takes requests from gateways, has the decision engine admit and place them, and answers each exactly once.
  */
 
+import { holderName } from '../../common/requests/ClaimHolder.js'
 import { AnswerCache } from './AnswerCache.js'
 import { Dispatcher } from './Dispatcher.js'
 
@@ -124,6 +125,8 @@
     if (reply.decision === 'duplicate') {
       return this._close(ask, await this._context.claims.outcomeOf(reply.holder, reply.attemptId, ask.remainingMs))
     }
+    // It may stand all the same, and would keep every repeat of the id from running.
+    if (reply.decision === 'unavailable') this._context.claims.releaseLater(claim)
     if (reply.decision !== 'granted') return this._close(ask, this._claimRefused(reply))
     const answer = await this._queue(ask, profile, revision, team)
     if (answer.outcome === 'notRun' || answer.outcome === 'refused') await this._context.claims.release(claim)
@@ -142,8 +145,8 @@
 
   private _claimRequest (ask: ISubmitRequest): IClaimRequest {
     const claimKey = this._context.hasher.claimKey(ask.caller, ask.requestId)
-    const holder = `${this._context.self.processId}#${this._context.self.incarnation}`
-    return { idShard: this._context.hasher.idShard(claimKey), claimKey, attemptId: ask.attemptId, holder }
+    const holder = holderName(this._context.self.processId, this._context.self.incarnation)
+    return { idShard: this._context.hasher.idShard(claimKey), claimKey, attemptId: ask.attemptId, holder, ageMs: ask.ageMs }
   }
 
   private async _queue (ask: ISubmitRequest, profile: IProfile, profileRevision: number, team: string): Promise<IFinalAnswer> {
--- a/src/scheduler/requests/Types.ts
+++ b/src/scheduler/requests/Types.ts
@@ -17,6 +17,8 @@
   claim (ask: IClaimRequest, timeoutMs: number): Promise<ClaimReply>
   /** Best effort: a claim that is not released stays, and its holder answers repeats truthfully. */
   release (ask: IClaimRequest): Promise<void>
+  /** Releases in the background what may be claimed, until the owner says that it is or the tries are used up. */
+  releaseLater (ask: IClaimRequest): void
   /** The final answer of another attempt of the same id, from the process that holds it. */
   outcomeOf (holder: string, attemptId: string, waitMs: number): Promise<IFinalAnswer>
 }
