--- a/bench/slopes/ClaimSlopes.ts
+++ b/bench/slopes/ClaimSlopes.ts
@@ -47,7 +47,7 @@
 
   public async claims (perSecond: number): Promise<ICost> {
     return await this._run(perSecond, async (id) => {
-      await this._service.claim({ idShard: SHARD, claimKey: `k${id}-0123456789`, attemptId: `gateway-west-1:${id}`, holder: 'scheduler-west-2' })
+      await this._service.claim({ idShard: SHARD, claimKey: `k${id}-0123456789`, attemptId: `gateway-west-1:${id}`, holder: 'scheduler-west-2', ageMs: 0 })
     })
   }
 
--- a/bench/slopes/LinkSlopes.ts
+++ b/bench/slopes/LinkSlopes.ts
@@ -66,7 +66,7 @@
 
   private async _call (link: IPeerLink, body: Uint8Array): Promise<void> {
     this._sent += 1
-    const ask = { service: 'chip-lookup', caller: 'pawprint', idempotent: true, remainingMs: 950, contentType: 'application/json', body, hops: 0 }
+    const ask = { service: 'chip-lookup', caller: 'pawprint', idempotent: true, remainingMs: 950, contentType: 'application/json', body, ageMs: 0, hops: 0 }
     const result = await link.call('submit', { ...ask, attemptId: `gw-3:${this._sent}`, requestId: `r-${this._sent}` }, TIMEOUT_MS)
     if (result.isErr()) throw result.error
   }
--- a/src/gateway/RequestFlow.test.ts
+++ b/src/gateway/RequestFlow.test.ts
@@ -56,6 +56,7 @@
       body: Buffer.from('north'),
       profile: URGENT_PROFILE,
       profileRevision: 4,
+      arrivedAtMs: 0,
       deadlineAtMs: 1000
     }
     const answer = this._flow.run(request, gone)
--- a/src/gateway/RequestFlow.ts
+++ b/src/gateway/RequestFlow.ts
@@ -61,6 +61,7 @@
       remainingMs,
       contentType: request.contentType,
       body: request.body,
+      ageMs: this._context.clock.nowMs() - request.arrivedAtMs,
       hops
     }, remainingMs + REPLY_GRACE_MS)
     gone?.removeEventListener('abort', cancel)
--- a/src/scheduler/requests/RequestService.test.ts
+++ b/src/scheduler/requests/RequestService.test.ts
@@ -101,6 +101,7 @@
     const claims: IClaimClient = {
       claim: async () => this.claimReply,
       release: async ({ attemptId }) => { this.released.push(attemptId) },
+      releaseLater: () => {},
       outcomeOf: async (holder, attemptId) => ({ outcome: 'done', status: 200, detail: `${holder}/${attemptId}` })
     }
     const hasher = new IdHasher((text) => text, (text) => text.length, 8)
@@ -125,6 +126,7 @@
       remainingMs: 1000,
       contentType: 'text/plain',
       body: Buffer.from('chip 7'),
+      ageMs: 0,
       hops: 0,
       ...more
     })
--- a/src/scheduler/requests/RequestService.ts
+++ b/src/scheduler/requests/RequestService.ts
@@ -157,6 +157,8 @@
     if (reply.decision === 'duplicate') {
       return this._close(ask, await this._context.claims.outcomeOf(reply.holder, reply.attemptId, ask.remainingMs))
     }
+    // It may stand all the same, and would keep every repeat of the id from running.
+    if (reply.decision === 'unavailable') this._context.claims.releaseLater(claim)
     if (reply.decision !== 'granted') return this._close(ask, this._claimRefused(reply))
     const answer = await this._queue(ask, profile, revision, team)
     if (answer.outcome === 'notRun' || answer.outcome === 'refused') await this._context.claims.release(claim)
@@ -175,7 +177,8 @@
 
   private _claimRequest (ask: ISubmitRequest): IClaimRequest {
     const claimKey = this._context.hasher.claimKey(ask.caller, ask.requestId)
-    return { idShard: this._context.hasher.idShard(claimKey), claimKey, attemptId: ask.attemptId, holder: holderName(this._context.self) }
+    const holder = holderName(this._context.self)
+    return { idShard: this._context.hasher.idShard(claimKey), claimKey, attemptId: ask.attemptId, holder, ageMs: ask.ageMs }
   }
 
   private async _queue (ask: ISubmitRequest, profile: IProfile, profileRevision: number, team: string): Promise<IFinalAnswer> {
