--- a/test/prove/ConfigProofs.ts
+++ b/test/prove/ConfigProofs.ts
@@ -167,7 +167,7 @@
 const profiles: IProof = {
   name: 'profiles',
   isTimed: true,
-  property: 'an accepted change is in force everywhere within 2 s and never reverts',
+  property: 'each process decides by a confirmed edit within 2 s, and by no older one afterwards',
   failure: 'four operators race on one profile; the store loses a fifth of its answers, then goes down; processes restart meanwhile',
   run: async (scale) => await withCell({ runnersPerRegion: 1 }, async (cell) => await race(cell, scale))
 }
--- a/test/prove/JobProofs.ts
+++ b/test/prove/JobProofs.ts
@@ -159,7 +159,7 @@
 const onePlace: IProof = {
   name: 'one-place',
   isTimed: true,
-  property: 'no task runs in two places at once; accepted jobs end; all-at-once jobs start whole',
+  property: 'attempts of a task never overlap; accepted jobs end; all-at-once jobs start whole',
   failure: 'a scheduler paused past its lease and woken, one killed, a worker dead with its tasks, an outage of the store',
   run: async (scale) => await withCell({ schedulersPerRegion: 2, runnersPerRegion: 1, workersPerRegion: 4, hostsPerRack: 2 }, async (cell) => {
     const jobs = await submitDuring(cell, async () => { await harmJobs(cell, scale) })
--- a/test/prove/LifecycleProofs.ts
+++ b/test/prove/LifecycleProofs.ts
@@ -35,7 +35,7 @@
 const leaving: IProof = {
   name: 'leaving',
   isTimed: true,
-  property: 'a leaving upstream gets no new work after 3 s',
+  property: 'a host is sent nothing new from 3 s after it began to leave',
   failure: 'one runner leaves by the host list and one by its own word, with the store up and then down',
   run: async (scale) => await withCell({ runnersPerRegion: 4 }, async (cell) => {
     await setRunners(cell, { services: { '*': { runMs: 30 } } })
@@ -76,7 +76,7 @@
 const gracefulStop: IProof = {
   name: 'graceful-stop',
   isTimed: true,
-  property: 'a planned stop cuts off no request in flight',
+  property: 'SIGTERM breaks no open request',
   failure: 'every gateway and scheduler is stopped by SIGTERM and started again, one after the other, under load',
   run: async (scale) => await withCell({ gatewaysPerRegion: 2, schedulersPerRegion: 2, runnersPerRegion: 4, hostsPerRack: 2 }, async (cell) => {
     // The longest work outlasts the time in which a stopping gateway still takes connections.
--- a/test/prove/RequestProofs.ts
+++ b/test/prove/RequestProofs.ts
@@ -44,7 +44,7 @@
 const capacity: IProof = {
   name: 'capacity',
   isTimed: false,
-  property: 'no host over its capacity',
+  property: 'no host is sent more than its capacity',
   failure: 'saturation; schedulers killed and paused past their lease',
   run: async (scale) => await withCell({ schedulersPerRegion: 2, runnersPerRegion: 2 }, async (cell) => {
     await setRunners(cell, { services: { '*': { runMs: 150 } } })
@@ -57,7 +57,7 @@
 const wholeAnswers: IProof = {
   name: 'whole-answers',
   isTimed: false,
-  property: 'every caller gets the whole answer to its own request',
+  property: 'an answer that is passed on is complete and belongs to its request',
   failure: 'answers out of order, late and cut short; equal request ids of different callers',
   run: async (scale) => await withCell({ runnersPerRegion: 4 }, async (cell) => {
     await setRunners(cell, { services: { '*': { runMs: 20, cutRate: 0.05, hangRate: 0.02 }, 'chip-lookup': { runMs: 3 }, 'pivot-stop': { runMs: 60 } } })
@@ -70,7 +70,7 @@
 const truthfulNotRun: IProof = {
   name: 'not-run',
   isTimed: false,
-  property: 'what is called not run did not run',
+  property: 'notRun and refused are told only of work without a start',
   failure: 'schedulers and gateways killed at random steps; runners that cut, refuse and hang',
   run: async (scale) => await withCell({ schedulersPerRegion: 2, runnersPerRegion: 3 }, async (cell) => {
     await setRunners(cell, { services: { '*': { runMs: 40, cutRate: 0.1, failRate: 0.05, hangRate: 0.02 } } })
@@ -95,7 +95,7 @@
 const atMostOnce: IProof = {
   name: 'at-most-once',
   isTimed: false,
-  property: 'a non-idempotent request runs at most once',
+  property: 'a non-idempotent request has at most one start',
   failure: 'the same ids again through other gateways while schedulers die and the store loses answers and goes down',
   run: async (scale) => await withCell({ schedulersPerRegion: 2, runnersPerRegion: 4 }, async (cell) => {
     await setRunners(cell, { services: { '*': { runMs: 50, cutRate: 0.05 } } })
