A claim's wait counts towards the deadline; no wait for an owner while the store is down

Two faults in how long a caller is held. A request that may have run is no longer handed to another scheduler.

--- a/src/daemon/RequestSide.ts
+++ b/src/daemon/RequestSide.ts
@@ -44,7 +44,8 @@
   private _createService (): RequestService {
     const { self, hub, router, config, hasher, clock, random, log, settings } = this._core
     const localOutcomeOf = async (attemptId: string, waitMs: number): Promise<IFinalAnswer> => await this.service.outcomeOf(attemptId, waitMs)
-    const claims = new ClaimClient({ self, hub, router, local: this._ownership.claims, localOutcomeOf, clock, timers: clock })
+    const storeReachable = (): boolean => this._ownership.storeReachable
+    const claims = new ClaimClient({ self, hub, router, local: this._ownership.claims, storeReachable, localOutcomeOf, clock, timers: clock })
     return new RequestService({
       self,
       engine: this.engine,
--- a/src/scheduler/requests/ClaimClient.ts
+++ b/src/scheduler/requests/ClaimClient.ts
@@ -31,6 +31,8 @@
   readonly router: ISchedulerRouter
   /** The claims of the id shards that this process owns. */
   readonly local: IClaimOwner
+  /** Whether this process can reach the store, as far as it knows. */
+  readonly storeReachable: () => boolean
   readonly localOutcomeOf: (attemptId: string, waitMs: number) => Promise<IFinalAnswer>
   readonly clock: IClock
   readonly timers: ITimers
@@ -45,6 +47,8 @@
     do {
       const reply = await this._claimOnce(ask)
       if (reply !== undefined && reply.decision !== 'notOwner') return reply
+      // Without the store nobody can become the owner: waiting would only hold the caller back.
+      if (!this._context.storeReachable()) break
       await this._pause(PAUSE_MS)
     } while (this._context.clock.nowMs() < untilMs)
     return { decision: 'unavailable', retryAfterMs: UNAVAILABLE_RETRY_MS }
--- a/src/scheduler/requests/RequestService.ts
+++ b/src/scheduler/requests/RequestService.ts
@@ -12,7 +12,7 @@
 import type { IClaimRequest, ISubmitRequest } from '../../common/protocol/Types.js'
 import type { IProfile } from '../../common/config/Types.js'
 import type { IDisposable, IFinalAnswer, OutcomeReason } from '../../common/Types.js'
-import type { IPendingRequest, IRequestContext } from './Types.js'
+import type { IArrival, IPendingRequest, IRequestContext } from './Types.js'
 
 const SLOT = { cores: 1, memoryBytes: 0, accelerators: 0 } as const
 /** A takeover of an id shard takes a few seconds; a caller who waits less gives up earlier by its deadline. */
@@ -65,10 +65,11 @@
     if (service === undefined || found === undefined) {
       return this._refused('internal', 'this service is not known here yet', UNKNOWN_SERVICE_RETRY_MS)
     }
-    const answer = ask.idempotent
-      ? await this._queue(ask, found.profile, found.revision, service.team)
-      : await this._claimAndQueue(ask, found.profile, found.revision, service.team)
-    return { ...answer, region: this._context.self.region, profileRevision: answer.profileRevision ?? found.revision }
+    const arrivedAtMs = this._context.clock.nowMs()
+    const { profile, revision: profileRevision } = found
+    const arrival = { ask, profile, profileRevision, team: service.team, arrivedAtMs, deadlineAtMs: arrivedAtMs + ask.remainingMs }
+    const answer = ask.idempotent ? await this._queue(arrival) : await this._claimAndQueue(arrival)
+    return { ...answer, region: this._context.self.region, profileRevision: answer.profileRevision ?? profileRevision }
   }
 
   /**
@@ -81,7 +82,9 @@
   public shift (shifter: QueueShifter): void {
     const load = this._context.engine.load()
     if (load.queued === 0) return
-    for (const [attemptId, { ask, item }] of [...this._pending]) {
+    for (const [attemptId, { ask, item, earlierAnswer }] of [...this._pending]) {
+      // Once it may have run, handing it back would end it as unknown.
+      if (earlierAnswer !== undefined) continue
       const ownWaitMs = load.expectedWaitMs[item.profile.priorityClass]
       if (!shifter.shouldMove(item, ownWaitMs, ask.hops) || this._context.engine.cancel(item.id) !== 'queued') continue
       this._finish(attemptId, { outcome: 'notRun', reason: 'overloaded', detail: 'another scheduler has room', retryAfterMs: 0 })
@@ -150,7 +153,8 @@
    * A non-idempotent request is dispatched only under a claim that is durable in the store. Without it, the same id
    * sent through two gateways, or again after its scheduler died, would run twice: one sees a second broadcast.
    */
-  private async _claimAndQueue (ask: ISubmitRequest, profile: IProfile, revision: number, team: string): Promise<IFinalAnswer> {
+  private async _claimAndQueue (arrival: IArrival): Promise<IFinalAnswer> {
+    const { ask } = arrival
     this._answers.open(ask.attemptId)
     const claim = this._claimRequest(ask)
     const reply = await this._context.claims.claim(claim, Math.min(ask.remainingMs, MAX_CLAIM_WAIT_MS))
@@ -160,7 +164,7 @@
     // It may stand all the same, and would keep every repeat of the id from running.
     if (reply.decision === 'unavailable') this._context.claims.releaseLater(claim)
     if (reply.decision !== 'granted') return this._close(ask, this._claimRefused(reply))
-    const answer = await this._queue(ask, profile, revision, team)
+    const answer = await this._queue(arrival)
     if (answer.outcome === 'notRun' || answer.outcome === 'refused') await this._context.claims.release(claim)
     return this._close(ask, answer)
   }
@@ -181,18 +185,30 @@
     return { idShard: this._context.hasher.idShard(claimKey), claimKey, attemptId: ask.attemptId, holder, ageMs: ask.ageMs }
   }
 
-  private async _queue (ask: ISubmitRequest, profile: IProfile, profileRevision: number, team: string): Promise<IFinalAnswer> {
-    const nowMs = this._context.clock.nowMs()
-    const deadlineAtMs = nowMs + ask.remainingMs
-    const item = toItem(ask, this._runnerProfile(profile), team, nowMs, deadlineAtMs)
+  private async _queue (arrival: IArrival): Promise<IFinalAnswer> {
+    const item = this._toItem(arrival)
     const decision = this._context.engine.admit(item)
     if (!decision.admitted) return this._refused(decision.reason, decision.detail, decision.retryAfterMs)
     return await new Promise<IFinalAnswer>((resolve) => {
-      this._pending.set(ask.attemptId, { item, ask, arrivedAtMs: nowMs, deadlineAtMs, profileRevision, answer: resolve })
+      this._pending.set(arrival.ask.attemptId, { ...arrival, item, answer: resolve })
       this.pump()
     })
   }
 
+  private _toItem ({ ask, profile, team, arrivedAtMs, deadlineAtMs }: IArrival): IWorkItem {
+    return {
+      id: ask.attemptId,
+      caller: ask.caller,
+      service: ask.service,
+      team,
+      profile: this._runnerProfile(profile),
+      resources: SLOT,
+      arrivedAtMs,
+      deadlineAtMs,
+      idempotent: ask.idempotent
+    }
+  }
+
   /** A call to a runner can't be stopped half-way, so it is never preempted, whatever its profile says of tasks. */
   private _runnerProfile (profile: IProfile): IProfile {
     let derived = this._runnerProfiles.get(profile)
@@ -240,17 +256,3 @@
   const end = itemId.indexOf(DISPATCH_SEPARATOR)
   return end < 0 ? itemId : itemId.slice(0, end)
 }
-
-function toItem (ask: ISubmitRequest, profile: IProfile, team: string, nowMs: number, deadlineAtMs: number): IWorkItem {
-  return {
-    id: ask.attemptId,
-    caller: ask.caller,
-    service: ask.service,
-    team,
-    profile,
-    resources: SLOT,
-    arrivedAtMs: nowMs,
-    deadlineAtMs,
-    idempotent: ask.idempotent
-  }
-}
--- a/src/scheduler/requests/Types.ts
+++ b/src/scheduler/requests/Types.ts
@@ -2,13 +2,13 @@
  * What the request path of a scheduler needs.
  */
 
-import type { IConfigReplica } from '../../common/config/Types.js'
+import type { IConfigReplica, IProfile } from '../../common/config/Types.js'
 import type { ILogger } from '../../common/observability/Types.js'
 import type { IDecisionEngine, IWorkItem } from '../../common/policy/Types.js'
 import type { ClaimReply, IClaimRequest, ISubmitRequest } from '../../common/protocol/Types.js'
 import type { IdHasher } from '../../common/requests/AttemptIds.js'
 import type { IInFlightBounds } from '../../common/requests/InFlightLimit.js'
-import type { IClock, IFinalAnswer, IProcessIdentity, IRandom, ITimers } from '../../common/Types.js'
+import type { IClock, IFinalAnswer, IProcessIdentity, IRandom, ITimers, MonotonicMs } from '../../common/Types.js'
 import type { IRunnerClient } from '../../platform/Types.js'
 import type { RunnerPool } from '../hosts/RunnerPool.js'
 
@@ -39,8 +39,18 @@
   readonly log: ILogger
 }
 
+/** A request with what was found for it. Times are by this process's monotonic clock, from its arrival here. */
+export interface IArrival {
+  readonly ask: ISubmitRequest
+  readonly profile: IProfile
+  readonly profileRevision: number
+  readonly team: string
+  readonly arrivedAtMs: MonotonicMs
+  readonly deadlineAtMs: MonotonicMs
+}
+
 /** A request that waits for its final answer. */
-export interface IPendingRequest {
+export interface IPendingRequest extends IArrival {
   /** What stands for it in the engine; a dispatch to a further host is a new item. */
   item: IWorkItem
   /**
@@ -48,9 +58,5 @@
    * whatever becomes of later dispatches: a caller who was told so would find that the work had happened.
    */
   earlierAnswer?: IFinalAnswer
-  readonly ask: ISubmitRequest
-  readonly arrivedAtMs: number
-  readonly deadlineAtMs: number
-  readonly profileRevision: number
   readonly answer: (answer: IFinalAnswer) => void
 }
