Let the profile specification run the code's ConfigReplica

Cause: the rule that only a higher revision is applied stood in the specification itself, so that it said nothing of the replica that runs.

--- a/spec/ProfileSpec.ts
+++ b/spec/ProfileSpec.ts
@@ -3,9 +3,12 @@
  * compare-and-swap on the revision that the operator saw; its answer may be lost; an operator may then read back.
  * A process hears of a change from the store or from the other process, and may start anew with an empty copy.
  *
- * Entries are the code's `IConfigEntry` without what plays no part here.
+ * Entries are the code's `IConfigEntry` without what plays no part here. A process takes them in as the code does, by
+ * `ConfigReplica`.
  */
 
+import { ConfigReplica } from '../src/common/config/ConfigReplica.js'
+
 import type { IConfigEntry } from '../src/common/config/Types.js'
 import type { ISpec, ISpecEvent } from './Model.js'
 
@@ -14,6 +17,7 @@
 const MAX_CHANGES = { x: 2, y: 1 } as const
 const MAX_FAULTS = 1
 const MAX_RESTARTS = 1
+const PROFILE = 'urgent'
 
 type OperatorName = typeof OPERATORS[number]
 type ProcessName = typeof PROCESSES[number]
@@ -124,9 +128,17 @@
 function hear (state: IProfileState, name: ProcessName, entry: Entry | null, mutant: string | undefined): void {
   const own = state.replicas[name]
   if (entry === null) return
-  if (own !== null && entry.revision <= own.revision && mutant !== 'apply-any') return
-  if (own !== null && entry.revision < own.revision) state.reverted = true
-  state.replicas[name] = entry
+  const heard = mutant === 'apply-any' ? entry : applied(own, entry)
+  if (own !== null && heard.revision < own.revision) state.reverted = true
+  state.replicas[name] = heard
+}
+
+/** What the code's replica holds after it has heard of an entry. */
+function applied (own: Entry | null, entry: Entry): Entry {
+  const replica = new ConfigReplica()
+  for (const each of own === null ? [entry] : [own, entry]) replica.apply([{ ...each, kind: 'profile', name: PROFILE, changedAt: 0 }])
+  const { revision, deleted, writer, nonce } = replica.get('profile', PROFILE) as IConfigEntry
+  return { revision, deleted, writer, nonce }
 }
 
 function operatorEvents (state: IProfileState, name: OperatorName): readonly string[] {
