Delete the charts of requests and processes, which nothing interpreted

Cause: charts/request.json and charts/process.json described lives that the code in src/scheduler/requests and src/daemon leads by its own steps; the request's chart had already come apart from the code (there a claim comes before the queue). A chart that nobody interprets proves nothing. Left are shardOwnership and task, which are interpreted.

Not done: leading requests and daemons through charts of their own.

--- a/src/platform/ChartLoader.ts
+++ b/src/platform/ChartLoader.ts
@@ -9,7 +9,7 @@
 
 import type { IFlatChart } from '../common/state/Types.js'
 
-export type ChartName = 'shardOwnership' | 'task' | 'request' | 'process'
+export type ChartName = 'shardOwnership' | 'task'
 
 /** From `dist/src/platform/` to the root. */
 const CHARTS_URL = new URL('../../../charts/', import.meta.url)
