--- a/bench/decisions/Speed.ts
+++ b/bench/decisions/Speed.ts
@@ -7,10 +7,11 @@
 import { DecisionEngine } from '../../src/common/policy/DecisionEngine.js'
 import { SeededRandom } from '../../src/common/Random.js'
 import { GIB, hostsOf, pick, profileOf } from './Arrivals.js'
+import { LoadedEngine } from './LoadedEngine.js'
 import { round } from './Outcomes.js'
 import { VirtualClock } from './VirtualRun.js'
 
-import type { IRandom, IResources } from '../../src/common/Types.js'
+import type { IRandom, IResources, MonotonicMs } from '../../src/common/Types.js'
 import type { IWorkItem } from '../../src/common/policy/Types.js'
 
 const MICROSECONDS = 1_000
@@ -45,32 +46,29 @@
 }
 
 class SpeedRun {
-  private readonly _clock = new VirtualClock()
-  private readonly _random: IRandom
-  private readonly _engine: DecisionEngine
-  private readonly _running: string[] = []
-  private _count = 0
+  private readonly _engine: LoadedEngine
 
   public constructor (private readonly _size: ISize, seed: number) {
-    this._random = new SeededRandom(seed)
-    this._engine = new DecisionEngine(this._clock, this._random, { kind: 'resources' })
+    const random = new SeededRandom(seed)
+    this._engine = new LoadedEngine(random, (number, isLarge, nowMs) => toItem(number, isLarge, nowMs, random))
   }
 
   public run (): Readonly<Record<string, unknown>> {
     const emptyBytes = heapBytes()
-    for (const host of hostsOf(this._size.hosts, WORKER)) this._engine.putHost(host)
+    this._engine.addHosts(hostsOf(this._size.hosts, WORKER))
     const hostsBytes = heapBytes()
-    this._fill(this._size.running)
+    this._engine.fill(this._size.running)
     const runningBytes = heapBytes()
-    this._queue(this._size.queued)
+    this._engine.queue(this._size.queued)
     const queuedBytes = heapBytes()
-    for (let i = 0; i < WARM_UP_ROUNDS; i++) this._round()
+    const isQueued = this._size.queued > 0
+    for (let i = 0; i < WARM_UP_ROUNDS; i++) this._engine.round(isQueued)
     const times = build({ lowestDiscernibleValue: 1, highestTrackableValue: 1e9, numberOfSignificantValueDigits: 3 })
     let placed = 0
     const startedMs = performance.now()
     for (let i = 0; i < MEASURED_ROUNDS; i++) {
       const roundStartedMs = performance.now()
-      placed += this._round()
+      placed += this._engine.round(isQueued)
       times.recordValue(Math.round((performance.now() - roundStartedMs) * MICROSECONDS))
     }
     const tookMs = performance.now() - startedMs
@@ -87,59 +85,21 @@
       heapMegabytes: round(heapBytes() / 2 ** 20, 1)
     }
   }
+}
 
-  /** One task ends, one arrives, and all decisions that follow are taken. */
-  private _round (): number {
-    this._clock.atMs += 0.1
-    const index = Math.floor(this._random.next() * this._running.length)
-    const itemId = this._running[index]
-    const last = this._running.pop()
-    if (itemId !== undefined && last !== undefined && last !== itemId) this._running[index] = last
-    if (itemId !== undefined) this._engine.finished(itemId, 'succeeded', 20_000)
-    this._engine.admit(this._item(this._size.queued > 0))
-    return this._decide()
-  }
-
-  private _fill (count: number): void {
-    while (this._running.length < count) {
-      this._engine.admit(this._item(false))
-      if (this._decide() === 0) return
-    }
-  }
-
-  /** Large items stay in the queue, since the hosts are filled first. */
-  private _queue (count: number): void {
-    for (let i = 0; i < count; i++) {
-      this._engine.admit(this._item(true))
-      this._decide()
-    }
-  }
-
-  private _decide (): number {
-    let placed = 0
-    for (let decision = this._engine.next(); decision !== undefined; decision = this._engine.next()) {
-      if (decision.type !== 'place') continue
-      this._running.push(decision.item.id)
-      placed += 1
-    }
-    return placed
-  }
-
-  private _item (isLarge: boolean): IWorkItem {
-    this._count += 1
-    const cores = isLarge ? pick(this._random, [[16, 1], [32, 1], [64, 1]]) : pick(this._random, [[8, 2], [12, 1], [16, 1]])
-    return {
-      id: `item-${this._count}`,
-      caller: `caller-${this._count % 100}`,
-      service: `service-${this._count % 1_000}`,
-      team: `team-${this._count % 10}`,
-      profile: PROFILES[this._count % PROFILES.length] ?? profileOf({}),
-      resources: { cores, memoryBytes: cores * GIB, accelerators: 0 },
-      arrivedAtMs: this._clock.atMs,
-      deadlineAtMs: Infinity,
-      declaredRunMs: 20_000,
-      idempotent: true
-    }
+function toItem (number: number, isLarge: boolean, nowMs: MonotonicMs, random: IRandom): IWorkItem {
+  const cores = isLarge ? pick(random, [[16, 1], [32, 1], [64, 1]]) : pick(random, [[8, 2], [12, 1], [16, 1]])
+  return {
+    id: `item-${number}`,
+    caller: `caller-${number % 100}`,
+    service: `service-${number % 1_000}`,
+    team: `team-${number % 10}`,
+    profile: PROFILES[number % PROFILES.length] ?? profileOf({}),
+    resources: { cores, memoryBytes: cores * GIB, accelerators: 0 },
+    arrivedAtMs: nowMs,
+    deadlineAtMs: Infinity,
+    declaredRunMs: 20_000,
+    idempotent: true
   }
 }
 
--- a/bench/slopes/EngineSlopes.ts
+++ b/bench/slopes/EngineSlopes.ts
@@ -3,14 +3,13 @@
  */
 
 import { SeededRandom } from '../../src/common/Random.js'
-import { DecisionEngine } from '../../src/common/policy/DecisionEngine.js'
 import { GIB, hostsOf, pick, profileOf } from '../decisions/Arrivals.js'
-import { VirtualClock } from '../decisions/VirtualRun.js'
+import { LoadedEngine } from '../decisions/LoadedEngine.js'
 import { heapBytes, processorUsOf } from './Readings.js'
 import { printSlope } from './Slope.js'
 
 import type { IEngineHost, IWorkItem } from '../../src/common/policy/Types.js'
-import type { IResources } from '../../src/common/Types.js'
+import type { IRandom, IResources, MonotonicMs } from '../../src/common/Types.js'
 
 const WORKER: IResources = { cores: 64, memoryBytes: 128 * GIB, accelerators: 0 }
 const HOSTS = [7_250, 14_500, 29_000]
@@ -27,70 +26,37 @@
 type Points = Array<readonly [number, number]>
 
 /** One engine that is filled step by step. */
-class GrowingEngine {
-  private readonly _clock = new VirtualClock()
-  private readonly _random = new SeededRandom(SEED)
-  private readonly _engine = new DecisionEngine(this._clock, this._random, { kind: 'resources' })
-  private readonly _running: string[] = []
+class GrowingEngine extends LoadedEngine {
   private _hosts = 0
-  private _items = 0
 
-  public growHosts (hosts: readonly IEngineHost[]): void {
-    for (; this._hosts < hosts.length; this._hosts++) this._engine.putHost(hosts[this._hosts] as IEngineHost)
-  }
-
-  public growRunning (count: number): void {
-    while (this._running.length < count) {
-      this._engine.admit(this._item(false))
-      if (this._decide() === 0) return
-    }
+  public constructor () {
+    const random = new SeededRandom(SEED)
+    super(random, (number, isLarge, nowMs) => toItem(number, isLarge, nowMs, random))
   }
 
-  public queue (count: number): void {
-    for (let added = 0; added < count; added++) this._engine.admit(this._item(true))
-    this._decide()
+  public growHosts (hosts: readonly IEngineHost[]): void {
+    this.addHosts(hosts.slice(this._hosts))
+    this._hosts = hosts.length
   }
 
-  /** A task ends, another one comes and is placed. */
   public rounds (count: number): void {
-    for (let done = 0; done < count; done++) {
-      this._clock.atMs += 0.1
-      const at = Math.floor(this._random.next() * this._running.length)
-      const ended = this._running[at]
-      const last = this._running.pop()
-      if (ended === undefined || last === undefined) return
-      if (ended !== last) this._running[at] = last
-      this._engine.finished(ended, 'succeeded', 20_000)
-      this._engine.admit(this._item(false))
-      this._decide()
-    }
-  }
-
-  private _decide (): number {
-    let placed = 0
-    for (let decision = this._engine.next(); decision !== undefined; decision = this._engine.next()) {
-      if (decision.type !== 'place') continue
-      this._running.push(decision.item.id)
-      placed += 1
-    }
-    return placed
+    for (let done = 0; done < count; done++) this.round(false)
   }
+}
 
-  private _item (isLarge: boolean): IWorkItem {
-    this._items += 1
-    const cores = isLarge ? WORKER.cores : pick(this._random, [[8, 2], [12, 1], [16, 1]])
-    return {
-      id: `item-${this._items}`,
-      caller: `caller-${this._items % 100}`,
-      service: `service-${this._items % 1_000}`,
-      team: `team-${this._items % 95}`,
-      profile: PROFILES[this._items % PROFILES.length] ?? profileOf({}),
-      resources: { cores, memoryBytes: cores * GIB, accelerators: 0 },
-      arrivedAtMs: this._clock.atMs,
-      deadlineAtMs: Infinity,
-      declaredRunMs: 20_000,
-      idempotent: true
-    }
+function toItem (number: number, isLarge: boolean, nowMs: MonotonicMs, random: IRandom): IWorkItem {
+  const cores = isLarge ? WORKER.cores : pick(random, [[8, 2], [12, 1], [16, 1]])
+  return {
+    id: `item-${number}`,
+    caller: `caller-${number % 100}`,
+    service: `service-${number % 1_000}`,
+    team: `team-${number % 95}`,
+    profile: PROFILES[number % PROFILES.length] ?? profileOf({}),
+    resources: { cores, memoryBytes: cores * GIB, accelerators: 0 },
+    arrivedAtMs: nowMs,
+    deadlineAtMs: Infinity,
+    declaredRunMs: 20_000,
+    idempotent: true
   }
 }
 
@@ -102,7 +68,7 @@
     return [size, heapBytes()]
   })
   printSlope({ slope: 'engine: memory per host', unit: 'bytes', points: step(HOSTS, (size) => engine.growHosts(hosts.slice(0, size))) })
-  printSlope({ slope: 'engine: memory per running task', unit: 'bytes', points: step(RUNNING, (size) => engine.growRunning(size)) })
+  printSlope({ slope: 'engine: memory per running task', unit: 'bytes', points: step(RUNNING, (size) => engine.fill(size)) })
   let queued = 0
   const queue = (size: number): void => {
     engine.queue(size - queued)
@@ -116,7 +82,7 @@
   for (const size of HOSTS) {
     const engine = new GrowingEngine()
     engine.growHosts(hostsOf(size, WORKER))
-    engine.growRunning(size * 4)
+    engine.fill(size * 4)
     engine.rounds(ROUNDS)
     perHosts.push([size, await processorUsOf(() => { engine.rounds(ROUNDS) }) / ROUNDS])
   }
@@ -125,7 +91,7 @@
   engine.growHosts(hostsOf(HOSTS.at(-1) ?? 0, WORKER))
   const perTasks: Points = []
   for (const size of RUNNING) {
-    engine.growRunning(size * 0.8)
+    engine.fill(size * 0.8)
     engine.rounds(ROUNDS)
     perTasks.push([size * 0.8, await processorUsOf(() => { engine.rounds(ROUNDS) }) / ROUNDS])
   }
