--- a/test/prove/JobProofs.ts
+++ b/test/prove/JobProofs.ts
@@ -25,7 +25,7 @@
   readonly end?: string
 }
 
-interface IWorkerRecords {
+export interface IWorkerRecords {
   readonly hostId: string
   readonly records: readonly IAttemptRecord[]
   readonly overCapacity: number
@@ -46,7 +46,7 @@
 }
 
 /** Submits jobs through any gateway for as long as `harm` takes; gives those that were accepted. */
-async function submitDuring (cell: Cell, harm: () => Promise<void>): Promise<readonly IJobSpec[]> {
+export async function submitDuring (cell: Cell, harm: () => Promise<void>): Promise<readonly IJobSpec[]> {
   const random = new SeededRandom(15)
   const accepted: IJobSpec[] = []
   const clients = cell.gateways().map((gateway) => new CallerClient(gateway.url, 16))
--- a/test/prove/LifecycleProofs.ts
+++ b/test/prove/LifecycleProofs.ts
@@ -4,9 +4,12 @@
 
 import { Judge } from './Judge.js'
 import { DEFAULT_LOAD, Load } from './Load.js'
+import { submitDuring } from './JobProofs.js'
 import { NON_IDEMPOTENT, setRunners, sleep, verdict, withCell } from './Harness.js'
 
 import type { Cell } from '../support/Cell.js'
+import type { IHostRecord } from '../../src/platform/Types.js'
+import type { IWorkerRecords } from './JobProofs.js'
 import type { IProof } from './Types.js'
 
 /** What the brief's "a few seconds" means here. */
@@ -17,10 +20,8 @@
   readonly at: number
 }
 
-async function leaveBoth (cell: Cell): Promise<readonly INotice[]> {
-  const runners = cell.hosts.filter((host) => host.kind === 'runner')
-  const byList = runners[0]
-  const byItself = runners[1]
+async function leaveBoth (cell: Cell, hosts: readonly IHostRecord[]): Promise<readonly INotice[]> {
+  const [byList, byItself] = hosts
   if (byList === undefined || byItself === undefined) return []
   const at = Date.now()
   await cell.control(cell.hostListUrl, { state: { [byList.hostId]: 'leaving' } })
@@ -42,13 +43,13 @@
     const load = new Load(cell, { ...DEFAULT_LOAD, perSecond: 400, services: ['chip-lookup', 'pivot-stop'], seed: 16 })
     await load.start()
     await sleep(1000)
-    const first = await leaveBoth(cell)
+    const first = await leaveBoth(cell, runnersOf(cell))
     await sleep(5000 * scale)
     await cell.control(cell.storeControlUrl, { outage: 'hang' })
     await cell.control(cell.hostListUrl, { state: { [first[0]?.hostId ?? '']: 'live' } })
     await cell.control(cell.hosts.find((host) => host.hostId === first[1]?.hostId)?.url ?? '', { leaving: false })
     await sleep(4000)
-    const second = await leaveBoth(cell)
+    const second = await leaveBoth(cell, runnersOf(cell))
     await sleep(5000 * scale)
     await cell.control(cell.storeControlUrl, { outage: 'none' })
     const open = await load.finish()
@@ -69,6 +70,43 @@
   }
 }
 
+function runnersOf (cell: Cell): readonly IHostRecord[] {
+  return cell.hosts.filter((host) => host.kind === 'runner')
+}
+
+async function workersOf (cell: Cell): Promise<ReadonlyArray<{ readonly host: IHostRecord, readonly records: IWorkerRecords['records'] }>> {
+  const hosts = cell.hosts.filter((host) => host.kind === 'worker')
+  return await Promise.all(hosts.map(async (host) => ({ host, records: (await cell.dump<IWorkerRecords>(host.url)).records })))
+}
+
+async function busiestWorkers (cell: Cell): Promise<readonly IHostRecord[]> {
+  return [...await workersOf(cell)].sort((a, b) => b.records.length - a.records.length).map(({ host }) => host)
+}
+
+/**
+ * The same for workers: a task that is started on a host about to be switched off dies with it, and its job waits for
+ * another attempt.
+ */
+const leavingWorkers: IProof = {
+  name: 'leaving-workers',
+  isTimed: true,
+  property: 'a worker is started nothing new on from 3 s after it began to leave',
+  failure: 'one worker leaves by the host list and one by its own word, while jobs come',
+  run: async (scale) => await withCell({ runnersPerRegion: 1, workersPerRegion: 4 }, async (cell) => {
+    let notices: readonly INotice[] = []
+    const jobs = await submitDuring(cell, async () => {
+      await sleep(4000)
+      notices = await leaveBoth(cell, await busiestWorkers(cell))
+      await sleep(8000 * scale)
+    })
+    const starts = (await workersOf(cell)).flatMap(({ host: { hostId }, records }) => records.map(({ startedAt }) => ({ hostId, startedAt })))
+    const late = starts.filter((start) => notices.some(({ hostId, at }) => hostId === start.hostId && start.startedAt > at + LEAVING_LIMIT_MS))
+    const before = starts.filter((start) => notices.some(({ hostId, at }) => hostId === start.hostId && start.startedAt < at))
+    const violations = late.map(({ hostId, startedAt }) => `${hostId} was started a task on at ${startedAt}`)
+    return { checked: before.length, violations: violations.slice(0, 10), notes: { jobs: jobs.length, starts: starts.length } }
+  })
+}
+
 /**
  * Every process is replaced on purpose, one after the other, while callers go on sending. A stop that cuts a request
  * off, or closes its door while the balancer still sends there, shows to callers as a broken connection.
@@ -103,4 +141,4 @@
   })
 }
 
-export const LIFECYCLE_PROOFS: readonly IProof[] = [leaving, gracefulStop]
+export const LIFECYCLE_PROOFS: readonly IProof[] = [leaving, leavingWorkers, gracefulStop]
