Tell of slots when they come into use, not up to a second later

Cause: a scheduler told of a shard when it had taken it over, before a host had accepted the epoch, so gateways saw it without slots until the next summary, and refused callers as if nobody could serve them. Ruled out: the takeover itself (2,956 ms at most, within its 5 s) and routing to other regions (allowed and linked; they were told of no slots either).

--- a/src/daemon/SchedulerDaemon.ts
+++ b/src/daemon/SchedulerDaemon.ts
@@ -20,6 +20,7 @@
 import type { IDaemon, IDaemonAddresses } from './Types.js'
 
 const DRAIN_CALL_MS = 2000
+const TELL_AFTER_MS = 20
 /** Rows of one answer to an operator. */
 const MAX_LISTED_JOBS = 1000
 
@@ -36,6 +37,7 @@
   private readonly _jobs: JobSide
   private readonly _load: LoadReporter
   private _draining = false
+  private _toldSlots = 0
 
   private constructor (private readonly _core: DaemonCore, private readonly _parts: ISchedulerParts) {
     this._ownership = _parts.ownership
@@ -43,6 +45,7 @@
     this._jobs = new JobSide(_core, this._ownership)
     this._load = this._createLoadReporter()
     this._ownership.connect(this._jobs.jobs, () => this._load.announce())
+    this._requests.runners.onChange(() => this._tellSlotsSoon())
     _core.watcher.onApplied((entries) => this._takeTeams(entries))
     _core.hub.handle('drain', async ({ hostId }) => {
       if (hostId !== undefined) this._ownership.directory.drain(hostId)
@@ -90,6 +93,20 @@
     await this._parts.broker.stop()
   }
 
+  /**
+   * Tells the others when runners come into use or go, a moment later so that a rack is told of once.
+   *
+   * What goes wrong otherwise: a shard is told of when it is taken over, before its first host has accepted the epoch.
+   * Until the next summary, a second or more later, gateways see a scheduler without slots, and callers of a region
+   * whose only rack has just changed hands are refused although its hosts are ready.
+   */
+  private _tellSlotsSoon (): void {
+    const slots = this._requests.engine.load().capacity.cores
+    if (slots === this._toldSlots) return
+    this._toldSlots = slots
+    this._core.clock.after(TELL_AFTER_MS, () => this._load.announce())
+  }
+
   private _operatorHandlers (): OperatorHandlers {
     return {
       hosts: () => okReply({ hosts: [...this._requests.runners.dump(), ...this._jobs.workers.dump()] }),
