--- a/bench/decisions/LoadedEngine.ts
+++ b/bench/decisions/LoadedEngine.ts
@@ -3,6 +3,7 @@
  */
 
 import { DecisionEngine } from '../../src/common/policy/DecisionEngine.js'
+import { GIB, profileOf } from './Arrivals.js'
 import { VirtualClock } from './VirtualRun.js'
 
 import type { IRandom } from '../../src/common/Types.js'
@@ -14,6 +15,28 @@
 /** Makes the item of this number; large ones are for the queue. */
 export type ItemMaker = (number: number, isLarge: boolean, nowMs: number) => IWorkItem
 
+const PROFILES = [
+  profileOf({ name: 'urgent', priorityClass: 'urgent' }),
+  profileOf({ name: 'normal' }),
+  profileOf({ name: 'patient', priorityClass: 'patient', floorShare: 0.1 })
+]
+
+/** A task of `cores` and as many GiB, spread over profiles, callers, services and `teams` teams by its number. */
+export function taskItem (number: number, cores: number, teams: number, nowMs: number): IWorkItem {
+  return {
+    id: `item-${number}`,
+    caller: `caller-${number % 100}`,
+    service: `service-${number % 1_000}`,
+    team: `team-${number % teams}`,
+    profile: PROFILES[number % PROFILES.length] ?? profileOf({}),
+    resources: { cores, memoryBytes: cores * GIB, accelerators: 0 },
+    arrivedAtMs: nowMs,
+    deadlineAtMs: Infinity,
+    declaredRunMs: RUN_MS,
+    idempotent: true
+  }
+}
+
 export class LoadedEngine {
   private readonly _clock = new VirtualClock()
   private readonly _engine: DecisionEngine
--- a/bench/decisions/Speed.ts
+++ b/bench/decisions/Speed.ts
@@ -7,7 +7,7 @@
 import { DecisionEngine } from '../../src/common/policy/DecisionEngine.js'
 import { SeededRandom } from '../../src/common/Random.js'
 import { GIB, hostsOf, pick, profileOf } from './Arrivals.js'
-import { LoadedEngine } from './LoadedEngine.js'
+import { LoadedEngine, taskItem } from './LoadedEngine.js'
 import { round } from './Outcomes.js'
 import { VirtualClock } from './VirtualRun.js'
 
@@ -16,11 +16,7 @@
 
 const MICROSECONDS = 1_000
 const WORKER: IResources = { cores: 64, memoryBytes: 128 * GIB, accelerators: 0 }
-const PROFILES = [
-  profileOf({ name: 'urgent', priorityClass: 'urgent' }),
-  profileOf({ name: 'normal' }),
-  profileOf({ name: 'patient', priorityClass: 'patient', floorShare: 0.1 })
-]
+const TEAMS = 10
 
 interface ISize {
   readonly hosts: number
@@ -89,18 +85,7 @@
 
 function toItem (number: number, isLarge: boolean, nowMs: MonotonicMs, random: IRandom): IWorkItem {
   const cores = isLarge ? pick(random, [[16, 1], [32, 1], [64, 1]]) : pick(random, [[8, 2], [12, 1], [16, 1]])
-  return {
-    id: `item-${number}`,
-    caller: `caller-${number % 100}`,
-    service: `service-${number % 1_000}`,
-    team: `team-${number % 10}`,
-    profile: PROFILES[number % PROFILES.length] ?? profileOf({}),
-    resources: { cores, memoryBytes: cores * GIB, accelerators: 0 },
-    arrivedAtMs: nowMs,
-    deadlineAtMs: Infinity,
-    declaredRunMs: 20_000,
-    idempotent: true
-  }
+  return taskItem(number, cores, TEAMS, nowMs)
 }
 
 function heapBytes (): number {
--- a/bench/slopes/EngineSlopes.ts
+++ b/bench/slopes/EngineSlopes.ts
@@ -3,8 +3,8 @@
  */
 
 import { SeededRandom } from '../../src/common/Random.js'
-import { GIB, hostsOf, pick, profileOf } from '../decisions/Arrivals.js'
-import { LoadedEngine } from '../decisions/LoadedEngine.js'
+import { GIB, hostsOf, pick } from '../decisions/Arrivals.js'
+import { LoadedEngine, taskItem } from '../decisions/LoadedEngine.js'
 import { heapBytes, processorUsOf } from './Readings.js'
 import { printSlope } from './Slope.js'
 
@@ -17,11 +17,7 @@
 const QUEUED = [10_000, 20_000, 40_000]
 const ROUNDS = 20_000
 const SEED = 5
-const PROFILES = [
-  profileOf({ name: 'urgent', priorityClass: 'urgent' }),
-  profileOf({ name: 'normal' }),
-  profileOf({ name: 'patient', priorityClass: 'patient', floorShare: 0.1 })
-]
+const TEAMS = 95
 
 type Points = Array<readonly [number, number]>
 
@@ -46,18 +42,7 @@
 
 function toItem (number: number, isLarge: boolean, nowMs: MonotonicMs, random: IRandom): IWorkItem {
   const cores = isLarge ? WORKER.cores : pick(random, [[8, 2], [12, 1], [16, 1]])
-  return {
-    id: `item-${number}`,
-    caller: `caller-${number % 100}`,
-    service: `service-${number % 1_000}`,
-    team: `team-${number % 95}`,
-    profile: PROFILES[number % PROFILES.length] ?? profileOf({}),
-    resources: { cores, memoryBytes: cores * GIB, accelerators: 0 },
-    arrivedAtMs: nowMs,
-    deadlineAtMs: Infinity,
-    declaredRunMs: 20_000,
-    idempotent: true
-  }
+  return taskItem(number, cores, TEAMS, nowMs)
 }
 
 async function measureMemory (): Promise<void> {
