--- a/bench/slopes/ClaimSlopes.ts
+++ b/bench/slopes/ClaimSlopes.ts
@@ -3,7 +3,7 @@
  */
 
 import { ManualClock } from '../../src/common/Clock.js'
-import { SETTINGS_DEFAULTS } from '../../src/platform/settings/SettingsDefaults.js'
+import { SETTINGS_DEFAULTS } from '../../src/runtime/settings/SettingsDefaults.js'
 import { ClaimService, DEFAULT_CLAIM_SERVICE_OPTIONS } from '../../src/scheduler/ownership/ClaimService.js'
 import { settle } from '../../test/support/advance.js'
 import { MeteredStore } from './MeteredStore.js'
--- a/bench/slopes/Hosts.ts
+++ b/bench/slopes/Hosts.ts
@@ -3,7 +3,7 @@
  */
 
 import type { ILogger } from '../../src/common/observability/Types.js'
-import type { HostKind, IHostRecord } from '../../src/platform/Types.js'
+import type { HostKind, IHostRecord } from '../../src/runtime/Types.js'
 
 const HOSTS_PER_RACK = 8
 
--- a/bench/slopes/IdleSlopes.ts
+++ b/bench/slopes/IdleSlopes.ts
@@ -5,7 +5,7 @@
 
 import { request } from 'undici'
 
-import { SETTINGS_DEFAULTS } from '../../src/platform/settings/SettingsDefaults.js'
+import { SETTINGS_DEFAULTS } from '../../src/runtime/settings/SettingsDefaults.js'
 import { Cell, OPERATOR_TOKEN } from '../../test/support/Cell.js'
 import { configureExamples } from '../../test/support/Configure.js'
 import { processorMs, residentBytes } from '../../test/support/ProcessStats.js'
--- a/bench/slopes/LinkSlopes.ts
+++ b/bench/slopes/LinkSlopes.ts
@@ -8,7 +8,7 @@
 import { SystemClock } from '../../src/common/Clock.js'
 import { SeededRandom } from '../../src/common/Random.js'
 import { PeerHub } from '../../src/peer/PeerHub.js'
-import { SETTINGS_DEFAULTS } from '../../src/platform/settings/SettingsDefaults.js'
+import { SETTINGS_DEFAULTS } from '../../src/runtime/settings/SettingsDefaults.js'
 import { pause, processorUsOf, processorUsPerSecond } from './Readings.js'
 import { printSlope } from './Slope.js'
 
--- a/bench/slopes/MeteredStore.ts
+++ b/bench/slopes/MeteredStore.ts
@@ -7,7 +7,7 @@
 import { MemoryStore } from '../../test/support/MemoryStore.js'
 
 import type { ConflictError } from '../../src/common/Errors.js'
-import type { IStoreRange, IStoreRecord, StoreError } from '../../src/platform/Types.js'
+import type { IStoreRange, IStoreRecord, StoreError } from '../../src/runtime/Types.js'
 import type { ITimers } from '../../src/common/Types.js'
 
 export class MeteredStore extends MemoryStore {
--- a/bench/slopes/RunnerSlopes.ts
+++ b/bench/slopes/RunnerSlopes.ts
@@ -5,8 +5,8 @@
 import { request } from 'undici'
 
 import { SystemClock } from '../../src/common/Clock.js'
-import { HostListClient } from '../../src/platform/HostListClient.js'
-import { RunnerClient } from '../../src/platform/RunnerClient.js'
+import { HostListClient } from '../../src/runtime/HostListClient.js'
+import { RunnerClient } from '../../src/runtime/RunnerClient.js'
 import { HostDirectory } from '../../src/scheduler/hosts/HostDirectory.js'
 import { RunnerSession } from '../../src/scheduler/hosts/RunnerSession.js'
 import { startProcess } from '../../test/support/Processes.js'
--- a/bench/slopes/TakeoverSlopes.ts
+++ b/bench/slopes/TakeoverSlopes.ts
@@ -5,7 +5,7 @@
 
 import { SystemClock } from '../../src/common/Clock.js'
 import { ShardAssignment, createHash32 } from '../../src/common/state/ShardAssignment.js'
-import { loadChart } from '../../src/platform/ChartLoader.js'
+import { loadChart } from '../../src/runtime/ChartLoader.js'
 import { DEFAULT_MEMBER_REGISTRATION_OPTIONS, MemberRegistration } from '../../src/scheduler/ownership/MemberRegistration.js'
 import { ShardOwner } from '../../src/scheduler/ownership/ShardOwner.js'
 import { DEFAULT_SHARD_OWNER_OPTIONS } from '../../src/scheduler/ownership/Types.js'
--- a/bench/slopes/WorkerSlopes.ts
+++ b/bench/slopes/WorkerSlopes.ts
@@ -4,7 +4,7 @@
  */
 
 import { SystemClock } from '../../src/common/Clock.js'
-import { WorkerClient } from '../../src/platform/WorkerClient.js'
+import { WorkerClient } from '../../src/runtime/WorkerClient.js'
 import { WorkerSession } from '../../src/scheduler/jobs/WorkerSession.js'
 import { startProcess } from '../../test/support/Processes.js'
 import { heapBytes, pause, processorUsPerSecond } from './Readings.js'
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -28,12 +28,12 @@
       'no-restricted-imports': ['error', {
         patterns: [
           { group: nodeIo, message: 'src/common is free of input and output.' },
-          { group: ['**/platform/**', '**/peer/**', '**/gateway/**', '**/scheduler/**', '**/operator/**'], message: 'src/common imports from no runtime folder.' }
+          { group: ['**/runtime/**', '**/peer/**', '**/gateway/**', '**/scheduler/**', '**/operator/**'], message: 'src/common imports from no runtime folder.' }
         ]
       }]
     }
   },
-  layer(['src/platform/**/*.ts'], ['**/peer/**', '**/gateway/**', '**/scheduler/**', '**/operator/**'], 'platform stands below these.'),
+  layer(['src/runtime/**/*.ts'], ['**/peer/**', '**/gateway/**', '**/scheduler/**', '**/operator/**'], 'runtime stands below these.'),
   layer(['src/peer/**/*.ts'], ['**/gateway/**', '**/scheduler/**', '**/operator/**'], 'peer stands below these.'),
   layer(['src/gateway/**/*.ts'], ['**/scheduler/**', '**/operator/**'], 'gateway and scheduler meet only in src/common/protocol.'),
   layer(['src/scheduler/**/*.ts'], ['**/gateway/**', '**/operator/**'], 'gateway and scheduler meet only in src/common/protocol.')
--- a/spec/OwnershipSpec.ts
+++ b/spec/OwnershipSpec.ts
@@ -7,7 +7,7 @@
  */
 
 import { ShardOwnership } from '../src/common/state/ShardOwnership.js'
-import { loadChart } from '../src/platform/ChartLoader.js'
+import { loadChart } from '../src/runtime/ChartLoader.js'
 
 import type { ChartTable } from '../src/common/state/ChartTable.js'
 import type { IOwnershipSnapshot, IRecordWrite } from '../src/common/state/ShardOwnership.js'
--- a/src/daemon/ConfigExchange.ts
+++ b/src/daemon/ConfigExchange.ts
@@ -12,7 +12,7 @@
 import type { IConfigEntry, IConfigReplica } from '../common/config/Types.js'
 import type { IDisposable, ITimers } from '../common/Types.js'
 import type { IPeerHub, IPeerLink } from '../peer/Types.js'
-import type { ConfigWatcher } from '../platform/config/ConfigWatcher.js'
+import type { ConfigWatcher } from '../runtime/config/ConfigWatcher.js'
 
 const CALL_TIMEOUT_MS = 2000
 /** A process that starts has no links yet; it waits this long for the first one. */
--- a/src/daemon/DaemonArguments.ts
+++ b/src/daemon/DaemonArguments.ts
@@ -3,7 +3,7 @@
  */
 
 import { basename } from 'node:path'
-import { packageVersion } from '../platform/Version.js'
+import { packageVersion } from '../runtime/Version.js'
 
 const CONFIG_FLAG = '--config'
 const EXIT_USAGE = 2
--- a/src/daemon/DaemonCore.ts
+++ b/src/daemon/DaemonCore.ts
@@ -13,14 +13,14 @@
 import { SchedulerRouter } from '../common/routing/SchedulerRouter.js'
 import { MembershipAgent } from '../peer/MembershipAgent.js'
 import { PeerHub } from '../peer/PeerHub.js'
-import { ConfigWatcher } from '../platform/config/ConfigWatcher.js'
-import { KEY_VALUE_DEFAULTS, KeyValueClient } from '../platform/KeyValueClient.js'
-import { Logger } from '../platform/Logger.js'
+import { ConfigWatcher } from '../runtime/config/ConfigWatcher.js'
+import { KEY_VALUE_DEFAULTS, KeyValueClient } from '../runtime/KeyValueClient.js'
+import { Logger } from '../runtime/Logger.js'
 import { ConfigExchange } from './ConfigExchange.js'
 
 import type { IMember } from '../common/protocol/Types.js'
 import type { IProcessIdentity } from '../common/Types.js'
-import type { ISettings } from '../platform/settings/Types.js'
+import type { ISettings } from '../runtime/settings/Types.js'
 
 const MAX_SEED = 0x7fffffff
 const CONFIG_RETRY_MS = 1000
--- a/src/daemon/JobSide.ts
+++ b/src/daemon/JobSide.ts
@@ -3,8 +3,8 @@
  */
 
 import { DecisionEngine } from '../common/policy/DecisionEngine.js'
-import { loadChart } from '../platform/ChartLoader.js'
-import { WorkerClient } from '../platform/WorkerClient.js'
+import { loadChart } from '../runtime/ChartLoader.js'
+import { WorkerClient } from '../runtime/WorkerClient.js'
 import { JobOwner, JobPeers, serveJobs, TaskService, WorkerPool } from '../scheduler/jobs/index.js'
 
 import type { IDisposable } from '../common/Types.js'
--- a/src/daemon/MembersFeed.ts
+++ b/src/daemon/MembersFeed.ts
@@ -11,7 +11,7 @@
 import type { IDisposable, ITimers } from '../common/Types.js'
 import type { MembershipAgent } from '../peer/MembershipAgent.js'
 import type { IPeerHub } from '../peer/Types.js'
-import type { IKeyValueStore, IStoreRecord } from '../platform/Types.js'
+import type { IKeyValueStore, IStoreRecord } from '../runtime/Types.js'
 import type { IMemberEntry, ShardOwner } from '../scheduler/ownership/index.js'
 
 /** At the target some hundreds of gateways start over again within a day: a read each second from those without links. */
--- a/src/daemon/OwnershipSide.ts
+++ b/src/daemon/OwnershipSide.ts
@@ -4,8 +4,8 @@
  */
 
 import { createHash32, ShardAssignment } from '../common/state/ShardAssignment.js'
-import { loadChart } from '../platform/ChartLoader.js'
-import { HostListClient } from '../platform/HostListClient.js'
+import { loadChart } from '../runtime/ChartLoader.js'
+import { HostListClient } from '../runtime/HostListClient.js'
 import { HostDirectory } from '../scheduler/hosts/HostDirectory.js'
 import { shardOfHost } from '../scheduler/hosts/Types.js'
 import {
@@ -15,7 +15,7 @@
 
 import type { IJobSpec } from '../common/protocol/Types.js'
 import type { IShardSpec } from '../common/state/Types.js'
-import type { IHostRecord } from '../platform/Types.js'
+import type { IHostRecord } from '../runtime/Types.js'
 import type { IShardEvents } from '../scheduler/hosts/Types.js'
 import type { IShardAcquired, IShardLost } from '../scheduler/ownership/index.js'
 import type { DaemonCore } from './DaemonCore.js'
--- a/src/daemon/RequestSide.ts
+++ b/src/daemon/RequestSide.ts
@@ -3,7 +3,7 @@
  */
 
 import { DecisionEngine } from '../common/policy/DecisionEngine.js'
-import { RunnerClient } from '../platform/RunnerClient.js'
+import { RunnerClient } from '../runtime/RunnerClient.js'
 import { RunnerPool } from '../scheduler/hosts/RunnerPool.js'
 import { adoptedItem } from '../scheduler/requests/AdoptedItem.js'
 import { ClaimClient } from '../scheduler/requests/ClaimClient.js'
--- a/src/daemon/SchedulerDaemon.ts
+++ b/src/daemon/SchedulerDaemon.ts
@@ -2,9 +2,9 @@
  * The scheduler process: owns shards, and decides alone about their hosts.
  */
 
-import { createBroker } from '../platform/Broker.js'
-import { DefaultsSeeder } from '../platform/config/DefaultsSeeder.js'
-import { faultReply, okReply } from '../platform/OperatorRoutes.js'
+import { createBroker } from '../runtime/Broker.js'
+import { DefaultsSeeder } from '../runtime/config/DefaultsSeeder.js'
+import { faultReply, okReply } from '../runtime/OperatorRoutes.js'
 import { LoadReporter } from '../scheduler/LoadReporter.js'
 import { DaemonCore } from './DaemonCore.js'
 import { JobSide } from './JobSide.js'
@@ -15,8 +15,8 @@
 
 import type { ServiceBroker } from 'moleculer'
 import type { IConfigEntry } from '../common/config/Types.js'
-import type { IOperatorRequest, OperatorHandlers } from '../platform/OperatorRoutes.js'
-import type { ISettings } from '../platform/settings/Types.js'
+import type { IOperatorRequest, OperatorHandlers } from '../runtime/OperatorRoutes.js'
+import type { ISettings } from '../runtime/settings/Types.js'
 import type { IDaemon, IDaemonAddresses } from './Types.js'
 
 const DRAIN_CALL_MS = 2000
--- a/src/daemon/runDaemon.ts
+++ b/src/daemon/runDaemon.ts
@@ -3,11 +3,11 @@
  */
 
 import { readFileSync } from 'node:fs'
-import { describeProblem } from '../platform/settings/SettingsError.js'
-import { SettingsLoader } from '../platform/settings/SettingsLoader.js'
+import { describeProblem } from '../runtime/settings/SettingsError.js'
+import { SettingsLoader } from '../runtime/settings/SettingsLoader.js'
 import { readConfigPath } from './DaemonArguments.js'
 
-import type { ISettings, ProcessRole } from '../platform/settings/Types.js'
+import type { ISettings, ProcessRole } from '../runtime/settings/Types.js'
 import type { IDaemon } from './Types.js'
 
 /** Exit codes, as docs/OPERATING.md lists them. */
--- a/src/operator/Program.test.ts
+++ b/src/operator/Program.test.ts
@@ -4,7 +4,7 @@
 import { URGENT_PROFILE } from '../common/config/DefaultProfiles.js'
 import { OutcomeCounters } from '../common/observability/OutcomeCounters.js'
 import { answerBody, answerHeaders, answerStatus } from '../common/requests/AnswerHeaders.js'
-import { okReply } from '../platform/OperatorRoutes.js'
+import { okReply } from '../runtime/OperatorRoutes.js'
 import { EXIT } from './ExitCodes.js'
 import { Program } from './Program.js'
 import { histogramLines, mergeBuckets, percentileMs } from './Waits.js'
@@ -12,7 +12,7 @@
 import type { AddressInfo } from 'node:net'
 import type { ExecutionContext } from 'ava'
 import type { IFinalAnswer } from '../common/Types.js'
-import type { OperatorHandlers } from '../platform/OperatorRoutes.js'
+import type { OperatorHandlers } from '../runtime/OperatorRoutes.js'
 import type { ExitCode } from './ExitCodes.js'
 
 async function setUp (t: ExecutionContext, handlers: OperatorHandlers = {}) {
--- a/src/operator/Program.ts
+++ b/src/operator/Program.ts
@@ -4,7 +4,7 @@
 
 import { err, ok } from 'neverthrow'
 import yargs from 'yargs'
-import { packageVersion } from '../platform/Version.js'
+import { packageVersion } from '../runtime/Version.js'
 import { CommandError } from './CommandError.js'
 import { addConfigCommands } from './arguments/ConfigArguments.js'
 import { addRequestCommands } from './arguments/RequestArguments.js'
--- a/src/operator/commands/CheckSettings.ts
+++ b/src/operator/commands/CheckSettings.ts
@@ -3,8 +3,8 @@
  */
 
 import { err, ok } from 'neverthrow'
-import { describeProblem } from '../../platform/settings/SettingsError.js'
-import { SettingsLoader } from '../../platform/settings/SettingsLoader.js'
+import { describeProblem } from '../../runtime/settings/SettingsError.js'
+import { SettingsLoader } from '../../runtime/settings/SettingsLoader.js'
 import { CommandError } from '../CommandError.js'
 import { EXIT } from '../ExitCodes.js'
 
--- a/src/platform/ChartLoader.ts
+++ b/src/runtime/ChartLoader.ts
@@ -11,7 +11,7 @@
 
 export type ChartName = 'shardOwnership' | 'task'
 
-/** From `dist/src/platform/` to the root. */
+/** From `dist/src/runtime/` to the root. */
 const CHARTS_URL = new URL('../../../charts/', import.meta.url)
 
 /** Reads and compiles one chart; for the start of a process. */
--- a/src/scheduler/hosts/HostDirectory.ts
+++ b/src/scheduler/hosts/HostDirectory.ts
@@ -6,7 +6,7 @@
 
 import type { ILogger } from '../../common/observability/Types.js'
 import type { IDisposable, ITimers } from '../../common/Types.js'
-import type { IHostList, IHostRecord } from '../../platform/Types.js'
+import type { IHostList, IHostRecord } from '../../runtime/Types.js'
 import type { IHostDirectory } from './Types.js'
 
 export class HostDirectory implements IHostDirectory, IDisposable {
--- a/src/scheduler/hosts/RunnerPool.ts
+++ b/src/scheduler/hosts/RunnerPool.ts
@@ -10,7 +10,7 @@
 import type { ILogger } from '../../common/observability/Types.js'
 import type { IDecisionEngine, IWorkItem } from '../../common/policy/Types.js'
 import type { IClock, IDisposable, ITimers } from '../../common/Types.js'
-import type { IFence, IHostRecord, IRunnerClient, IRunnerStatus } from '../../platform/Types.js'
+import type { IFence, IHostRecord, IRunnerClient, IRunnerStatus } from '../../runtime/Types.js'
 import type { IRunnerSessionEvents } from './RunnerSession.js'
 import type { IHostDirectory, IOwnedShard, IShardEvents } from './Types.js'
 
--- a/src/scheduler/hosts/RunnerSession.ts
+++ b/src/scheduler/hosts/RunnerSession.ts
@@ -6,7 +6,7 @@
 
 import type { ILogger } from '../../common/observability/Types.js'
 import type { IDisposable, ITimers } from '../../common/Types.js'
-import type { IFence, IHostRecord, IRunnerClient, IRunnerStatus, UpstreamError } from '../../platform/Types.js'
+import type { IFence, IHostRecord, IRunnerClient, IRunnerStatus, UpstreamError } from '../../runtime/Types.js'
 
 /** Also bounds how late a runner's own word that it leaves is heard; 3 s are allowed. */
 const POLL_MS = 1000
--- a/src/scheduler/hosts/Types.ts
+++ b/src/scheduler/hosts/Types.ts
@@ -3,7 +3,7 @@
  */
 
 import type { Event } from '../../common/Emitter.js'
-import type { IHostRecord } from '../../platform/Types.js'
+import type { IHostRecord } from '../../runtime/Types.js'
 
 /** The newest host list; keeps the last one while the platform does not answer. */
 export interface IHostDirectory {
--- a/src/scheduler/jobs/JobRun.test.ts
+++ b/src/scheduler/jobs/JobRun.test.ts
@@ -4,7 +4,7 @@
 
 import test from 'ava'
 import { SeededRandom } from '../../common/Random.js'
-import { loadChart } from '../../platform/ChartLoader.js'
+import { loadChart } from '../../runtime/ChartLoader.js'
 import { jobOf } from '../../../test/support/JobsCell.js'
 import { JobRun } from './JobRun.js'
 
--- a/src/scheduler/jobs/LiveAttempts.ts
+++ b/src/scheduler/jobs/LiveAttempts.ts
@@ -11,7 +11,7 @@
 import type { IHostClockSnapshot } from '../../common/state/HostClock.js'
 import type { ITaskLeasesOptions } from '../../common/state/TaskLeases.js'
 import type { MonotonicMs } from '../../common/Types.js'
-import type { ITaskStart, ITaskStatus, IWorkerStatus } from '../../platform/Types.js'
+import type { ITaskStart, ITaskStatus, IWorkerStatus } from '../../runtime/Types.js'
 import type { AttemptOutcome, IAttempt, IAttemptStart, IWorkerEvents } from './Types.js'
 
 export interface ILiveAttempt {
--- a/src/scheduler/jobs/SchedulerChoice.ts
+++ b/src/scheduler/jobs/SchedulerChoice.ts
@@ -6,7 +6,7 @@
 
 import type { ILoadSummary } from '../../common/protocol/Types.js'
 import type { IRandom, IResources } from '../../common/Types.js'
-import type { IHostRecord } from '../../platform/Types.js'
+import type { IHostRecord } from '../../runtime/Types.js'
 import type { IShardView } from './Types.js'
 
 interface ICandidate {
--- a/src/scheduler/jobs/TaskSurvey.ts
+++ b/src/scheduler/jobs/TaskSurvey.ts
@@ -14,7 +14,7 @@
 
 import type { ITasksOfAsk, ITasksOfReply, ITaskUpdate } from '../../common/protocol/Types.js'
 import type { IClock, MonotonicMs } from '../../common/Types.js'
-import type { IHostRecord } from '../../platform/Types.js'
+import type { IHostRecord } from '../../runtime/Types.js'
 import type { JobRun } from './JobRun.js'
 import type { TaskRun } from './TaskRun.js'
 import type { IJobPeers, IShardView } from './Types.js'
--- a/src/scheduler/jobs/Types.ts
+++ b/src/scheduler/jobs/Types.ts
@@ -12,7 +12,7 @@
 import type { IJobRecord } from '../../common/state/JobTable.js'
 import type { IClock, IRandom, ITimers } from '../../common/Types.js'
 import type { PeerError } from '../../peer/Types.js'
-import type { IHostRecord, IWorkerClient, TaskEnd } from '../../platform/Types.js'
+import type { IHostRecord, IWorkerClient, TaskEnd } from '../../runtime/Types.js'
 import type { IHostDirectory, IShardEvents } from '../hosts/Types.js'
 
 /** One attempt of one task, as its host knows it. */
--- a/src/scheduler/jobs/WorkerPool.ts
+++ b/src/scheduler/jobs/WorkerPool.ts
@@ -7,7 +7,7 @@
 import { WorkerSession } from './WorkerSession.js'
 
 import type { IDisposable, IResources } from '../../common/Types.js'
-import type { IHostRecord } from '../../platform/Types.js'
+import type { IHostRecord } from '../../runtime/Types.js'
 import type { IOwnedShard } from '../hosts/Types.js'
 import type { AttemptOutcome, IAttempt, IAttemptStart, IWorkerEvents, IWorkerPoolContext } from './Types.js'
 
--- a/src/scheduler/jobs/WorkerSession.ts
+++ b/src/scheduler/jobs/WorkerSession.ts
@@ -9,7 +9,7 @@
 import type { IHostClockSnapshot } from '../../common/state/HostClock.js'
 import type { IClock, IDisposable, IResources, ITimers } from '../../common/Types.js'
 import type { IShardEvents } from '../hosts/Types.js'
-import type { IFence, IHostRecord, IWorkerClient, IWorkerStatus, UpstreamError } from '../../platform/Types.js'
+import type { IFence, IHostRecord, IWorkerClient, IWorkerStatus, UpstreamError } from '../../runtime/Types.js'
 import type { ILiveAttempt } from './LiveAttempts.js'
 import type { IAttempt, IAttemptStart, IWorkerEvents } from './Types.js'
 
--- a/src/scheduler/ownership/MemberRegistration.ts
+++ b/src/scheduler/ownership/MemberRegistration.ts
@@ -12,7 +12,7 @@
 
 import type { IMember } from '../../common/protocol/Types.js'
 import type { IDisposable, ITimers } from '../../common/Types.js'
-import type { IKeyValueStore } from '../../platform/Types.js'
+import type { IKeyValueStore } from '../../runtime/Types.js'
 
 /** What a member says of itself; the state is for others to judge. */
 export interface IMemberEntry extends Omit<IMember, 'state'> {
--- a/src/scheduler/ownership/MemberView.ts
+++ b/src/scheduler/ownership/MemberView.ts
@@ -5,7 +5,7 @@
 import { MEMBER_PREFIX, parseMemberEntry } from './MemberRegistration.js'
 
 import type { IOwner } from '../../common/state/ShardOwnership.js'
-import type { IStoreChange, IStoreRecord } from '../../platform/Types.js'
+import type { IStoreChange, IStoreRecord } from '../../runtime/Types.js'
 import type { IMemberEntry } from './MemberRegistration.js'
 
 export class MemberView {
--- a/src/scheduler/ownership/ShardRecordWriter.ts
+++ b/src/scheduler/ownership/ShardRecordWriter.ts
@@ -7,7 +7,7 @@
 
 import type { IRecordWrite, OwnershipChange, ShardOwnership } from '../../common/state/ShardOwnership.js'
 import type { IDisposable, ITimers } from '../../common/Types.js'
-import type { IKeyValueStore, IStoreRecord } from '../../platform/Types.js'
+import type { IKeyValueStore, IStoreRecord } from '../../runtime/Types.js'
 
 export interface IRecordWriteListener {
   onChange (change: OwnershipChange | undefined): void
--- a/src/scheduler/ownership/ShardSet.ts
+++ b/src/scheduler/ownership/ShardSet.ts
@@ -11,7 +11,7 @@
 import type { OwnershipChange, ShardOwnership } from '../../common/state/ShardOwnership.js'
 import type { IShardRecord, IShardSpec } from '../../common/state/Types.js'
 import type { IDisposable } from '../../common/Types.js'
-import type { IStoreRecord } from '../../platform/Types.js'
+import type { IStoreRecord } from '../../runtime/Types.js'
 
 export const SHARD_PREFIX = 'shards/'
 
--- a/src/scheduler/ownership/SliceRecovery.ts
+++ b/src/scheduler/ownership/SliceRecovery.ts
@@ -13,7 +13,7 @@
 import type { InvalidInputError, StepError } from '../../common/Errors.js'
 import type { IReadRecord, IRecoveredSlice, ISliceClaimant } from '../../common/state/SliceTakeover.js'
 import type { ITimers } from '../../common/Types.js'
-import type { IKeyValueStore, IStoreRecord, StoreError } from '../../platform/Types.js'
+import type { IKeyValueStore, IStoreRecord, StoreError } from '../../runtime/Types.js'
 
 /** `FencedError`: a newer owner has been there. `InvalidInputError`: the stored log is damaged. */
 export type RecoveryError = FencedError | InvalidInputError
--- a/src/scheduler/ownership/SliceWriter.ts
+++ b/src/scheduler/ownership/SliceWriter.ts
@@ -15,7 +15,7 @@
 import type { SliceProgress } from '../../common/state/SliceLogTypes.js'
 import type { IStoreWrite, SliceEntry } from '../../common/state/Types.js'
 import type { IClock, IDisposable, ITimers, MonotonicMs } from '../../common/Types.js'
-import type { IKeyValueStore } from '../../platform/Types.js'
+import type { IKeyValueStore } from '../../runtime/Types.js'
 
 export interface ISliceWriterOptions {
   /** The least time between two commits, in milliseconds; asked before each, since it follows the fleet's size. */
--- a/src/scheduler/ownership/StoreOutcome.ts
+++ b/src/scheduler/ownership/StoreOutcome.ts
@@ -6,7 +6,7 @@
 
 import type { ResultAsync } from 'neverthrow'
 import type { IStoreWrite, WriteOutcome } from '../../common/state/Types.js'
-import type { IKeyValueStore, StoreError } from '../../platform/Types.js'
+import type { IKeyValueStore, StoreError } from '../../runtime/Types.js'
 
 export interface IWriteResult {
   readonly outcome: WriteOutcome
--- a/src/scheduler/ownership/index.ts
+++ b/src/scheduler/ownership/index.ts
@@ -1,7 +1,7 @@
 /**
  * Ownership of shards and the log of the id shards, ready to be wired into the scheduler.
  *
- *     const chart = loadChart('shardOwnership')                        // src/platform/ChartLoader.ts
+ *     const chart = loadChart('shardOwnership')                        // src/runtime/ChartLoader.ts
  *     const member = new MemberRegistration(store, clock, { ...identity, role: 'scheduler', peerUrl, operatorUrl, draining: false },
  *       DEFAULT_MEMBER_REGISTRATION_OPTIONS)
  *     const owner = new ShardOwner(store, clock, member, chart, new ShardAssignment(await createHash32()), user, nonce,
--- a/src/scheduler/requests/Dispatcher.ts
+++ b/src/scheduler/requests/Dispatcher.ts
@@ -7,7 +7,7 @@
 
 import type { IWorkItem } from '../../common/policy/Types.js'
 import type { IFinalAnswer } from '../../common/Types.js'
-import type { IFence, IHostRecord, IRunnerAnswer, UpstreamError } from '../../platform/Types.js'
+import type { IFence, IHostRecord, IRunnerAnswer, UpstreamError } from '../../runtime/Types.js'
 import type { IPendingRequest, IRequestContext } from './Types.js'
 
 const FIRST_SERVER_ERROR_STATUS = 500
--- a/src/scheduler/requests/Types.ts
+++ b/src/scheduler/requests/Types.ts
@@ -9,7 +9,7 @@
 import type { IdHasher } from '../../common/requests/AttemptIds.js'
 import type { IInFlightBounds } from '../../common/requests/InFlightLimit.js'
 import type { IClock, IFinalAnswer, IProcessIdentity, IRandom, ITimers, MonotonicMs } from '../../common/Types.js'
-import type { IRunnerClient } from '../../platform/Types.js'
+import type { IRunnerClient } from '../../runtime/Types.js'
 import type { RunnerPool } from '../hosts/RunnerPool.js'
 
 /** Asks the owner of a claim's id shard, wherever it is. */
--- a/test/Docs.test.ts
+++ b/test/Docs.test.ts
@@ -3,8 +3,8 @@
 import test from 'ava'
 import { PROFILE_FIELDS } from '../src/common/config/ProfileSchema.js'
 import { EXIT } from '../src/operator/ExitCodes.js'
-import { OPERATOR_ROUTES } from '../src/platform/OperatorRoutes.js'
-import { SETTINGS_SECTIONS } from '../src/platform/settings/SettingsSchema.js'
+import { OPERATOR_ROUTES } from '../src/runtime/OperatorRoutes.js'
+import { SETTINGS_SECTIONS } from '../src/runtime/settings/SettingsSchema.js'
 
 const LOG_CALL = /log(?:ger)?\??\.(?:debug|info|warn|error)\('([^']+)'/g
 const LINK = /\]\(([^)#]+)[^)]*\)/g
--- a/test/prove/LifecycleProofs.ts
+++ b/test/prove/LifecycleProofs.ts
@@ -8,7 +8,7 @@
 import { NON_IDEMPOTENT, setRunners, sleep, verdict, withCell } from './Harness.js'
 
 import type { Cell } from '../support/Cell.js'
-import type { IHostRecord } from '../../src/platform/Types.js'
+import type { IHostRecord } from '../../src/runtime/Types.js'
 import type { IWorkerRecords } from './JobProofs.js'
 import type { IProof } from './Types.js'
 
--- a/test/standins/HostListStandIn.ts
+++ b/test/standins/HostListStandIn.ts
@@ -4,7 +4,7 @@
 
 import { sendJson } from './StandInServer.js'
 
-import type { IHostRecord } from '../../src/platform/Types.js'
+import type { IHostRecord } from '../../src/runtime/Types.js'
 import type { IExchange, IStandIn } from './StandInServer.js'
 
 interface IVersion { readonly visibleAtMs: number, readonly hosts: ReadonlyMap<string, IHostRecord> }
--- a/test/standins/WorkerStandIn.ts
+++ b/test/standins/WorkerStandIn.ts
@@ -6,7 +6,7 @@
 import { drop, readJson, sendJson } from './StandInServer.js'
 
 import type { IResources } from '../../src/common/Types.js'
-import type { ITaskStart, ITaskStatus, TaskEnd } from '../../src/platform/Types.js'
+import type { ITaskStart, ITaskStatus, TaskEnd } from '../../src/runtime/Types.js'
 import type { IExchange, IStandIn } from './StandInServer.js'
 
 export interface IWorkerStandInOptions {
--- a/test/standins/inProcess.ts
+++ b/test/standins/inProcess.ts
@@ -9,7 +9,7 @@
 import { WorkerStandIn } from './WorkerStandIn.js'
 
 import type { ExecutionContext } from 'ava'
-import type { HostKind, IHostRecord } from '../../src/platform/Types.js'
+import type { HostKind, IHostRecord } from '../../src/runtime/Types.js'
 import type { IStandIn } from './StandInServer.js'
 
 export interface IStarted<T> { readonly standIn: T, readonly server: StandInServer, readonly url: string }
--- a/test/support/Cell.ts
+++ b/test/support/Cell.ts
@@ -12,7 +12,7 @@
 import { startProcess } from './Processes.js'
 import { TcpForwarder } from './TcpForwarder.js'
 
-import type { IHostRecord } from '../../src/platform/Types.js'
+import type { IHostRecord } from '../../src/runtime/Types.js'
 import type { ProcessHandle } from './Processes.js'
 
 export interface ICellOptions {
--- a/test/support/Configure.ts
+++ b/test/support/Configure.ts
@@ -4,7 +4,7 @@
 
 import { FRASER_EXAMPLE, PAWPRINT_EXAMPLE } from '../../src/common/config/ExampleServices.js'
 import { configKey, encodeEntry } from '../../src/common/config/ConfigCodec.js'
-import { KEY_VALUE_DEFAULTS, KeyValueClient } from '../../src/platform/KeyValueClient.js'
+import { KEY_VALUE_DEFAULTS, KeyValueClient } from '../../src/runtime/KeyValueClient.js'
 import { SeededRandom } from '../../src/common/Random.js'
 import { SystemClock } from '../../src/common/Clock.js'
 
--- a/test/support/FakeWorkers.ts
+++ b/test/support/FakeWorkers.ts
@@ -11,7 +11,7 @@
 import type { IResources } from '../../src/common/Types.js'
 import type {
   IFence, IHostRecord, ITaskStart, ITaskStatus, IWorkerClient, IWorkerStatus, IWorkerSync, TaskEnd, UpstreamError
-} from '../../src/platform/Types.js'
+} from '../../src/runtime/Types.js'
 
 export interface IRun {
   readonly hostId: string
--- a/test/support/MemoryStore.ts
+++ b/test/support/MemoryStore.ts
@@ -7,7 +7,7 @@
 import { AmbiguousError, ConflictError, RefusedError, UnreachableError } from '../../src/common/Errors.js'
 
 import type { IDisposable, ITimers } from '../../src/common/Types.js'
-import type { IKeyValueStore, IStoreChange, IStoreRange, IStoreRecord, IStoreWatchListener, StoreError } from '../../src/platform/Types.js'
+import type { IKeyValueStore, IStoreChange, IStoreRange, IStoreRecord, IStoreWatchListener, StoreError } from '../../src/runtime/Types.js'
 
 interface IStored {
   readonly value: string
--- a/test/support/OperatorUrls.ts
+++ b/test/support/OperatorUrls.ts
@@ -4,7 +4,7 @@
 
 import { SystemClock } from '../../src/common/Clock.js'
 import { SeededRandom } from '../../src/common/Random.js'
-import { KEY_VALUE_DEFAULTS, KeyValueClient } from '../../src/platform/KeyValueClient.js'
+import { KEY_VALUE_DEFAULTS, KeyValueClient } from '../../src/runtime/KeyValueClient.js'
 
 import type { IMember } from '../../src/common/protocol/Types.js'
 import type { Cell } from './Cell.js'
--- a/test/support/ScriptedStore.ts
+++ b/test/support/ScriptedStore.ts
@@ -7,7 +7,7 @@
 
 import type { ResultAsync } from 'neverthrow'
 import type { IDisposable } from '../../src/common/Types.js'
-import type { IKeyValueStore, IStoreChange, IStoreRange, IStoreRecord, IStoreWatchListener, StoreError } from '../../src/platform/Types.js'
+import type { IKeyValueStore, IStoreChange, IStoreRange, IStoreRecord, IStoreWatchListener, StoreError } from '../../src/runtime/Types.js'
 
 export type StoreFault =
   /** Nobody is reached. */
