--- /dev/null
+++ b/bin/jackdawreel-controller.ts
@@ -0,0 +1,9 @@
+#!/usr/bin/env -S node --max-old-space-size=180 --max-semi-space-size=8
+/**
+ * The controller's binary: `jackdawreel-controller [--config FILE]`. Without an argument the path of the settings file
+ * stands in the environment.
+ */
+
+import { runController } from '../src/daemon/runController.js'
+
+await runController()
--- /dev/null
+++ b/src/cell/CallerEntry.ts
@@ -0,0 +1,180 @@
+/**
+ * Callers' requests over HTTP: jobs handed in, asked for and cancelled, and the number that wait in a queue.
+ */
+
+import { createServer } from 'node:http'
+import { encodeJob } from '../common/cell/JobRecord.js'
+import type { IQueue, SubmitOutcome } from '../common/cell/Types.js'
+import type { LatencyTable } from '../common/observability/LatencyTable.js'
+import type { ILogger } from '../common/observability/Types.js'
+import type { IClock } from '../common/Types.js'
+import { readBody } from '../gateway/BodyReader.js'
+import type { ConfigFeed } from './ConfigFeed.js'
+import type { OwnerRoute } from './OwnerRoute.js'
+import type { ICallerWire } from './Types.js'
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+
+export interface ICallerEntryContext {
+  readonly wire: ICallerWire
+  readonly config: ConfigFeed
+  readonly route: OwnerRoute
+  readonly clock: IClock
+  readonly log: ILogger
+  readonly times: LatencyTable
+}
+
+/** How long a caller waits where it doesn't say so, in ms. */
+const DEFAULT_WAIT_MS = 3000
+/** Kept back from the caller's time, in ms: an answer has to reach it. */
+const ANSWER_MARGIN_MS = 50
+/** Connections are kept open while idle for this long, in ms; the platform's callers reuse theirs. */
+const KEEP_ALIVE_MS = 30_000
+const HEADERS_TIMEOUT_MS = 5000
+const MAX_HEADER_BYTES = 32_768
+const RETRY_AFTER_MS = 1000
+const MS_PER_S = 1000
+
+export class CallerEntry {
+  private readonly _server: Server
+  private _inFlight = 0
+  private _isClosing = false
+
+  public constructor (private readonly _context: ICallerEntryContext) {
+    this._server = createServer({
+      keepAliveTimeout: KEEP_ALIVE_MS, headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: HEADERS_TIMEOUT_MS, maxHeaderSize: MAX_HEADER_BYTES
+    }, (request, response) => {
+      this._serve(request, response).catch((error: unknown) => { this._fail(response, error) })
+    })
+  }
+
+  public get inFlight (): number {
+    return this._inFlight
+  }
+
+  public async listen (ip: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this._server.once('error', reject)
+      this._server.listen(port, ip, resolve)
+    })
+  }
+
+  /** From now on each answer ends its connection, so that callers go elsewhere. */
+  public startClosing (): void {
+    this._isClosing = true
+  }
+
+  /** Takes no more connections, waits for requests in flight, then cuts what is left. */
+  public async close (graceMs: number): Promise<void> {
+    this._isClosing = true
+    const cut = setTimeout(() => { this._server.closeAllConnections() }, graceMs)
+    await new Promise<void>((resolve) => {
+      this._server.close(() => { resolve() })
+      this._server.closeIdleConnections()
+    })
+    clearTimeout(cut)
+  }
+
+  private async _serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this._inFlight += 1
+    response.once('close', () => { this._inFlight -= 1 })
+    const { config, log } = this._context
+    if (config.config === undefined) return this._refuse(response, 'no configuration yet', RETRY_AFTER_MS)
+    const path = request.url ?? '/'
+    const queue = config.find(hostNameOf(request), path)
+    if (queue === undefined) {
+      log.info('caller.noQueue', { method: request.method, configVersion: config.version })
+      return this._send(response, 404, { error: 'no such queue' })
+    }
+    const jobId = path.slice(queue.pathPrefix.length)
+    if (jobId === '' && request.method === 'GET') return await this._tellWaiting(response, queue)
+    if (!this._context.wire.isJobId(jobId)) return this._send(response, 404, { error: 'no such job' })
+    switch (request.method) {
+      case 'POST': return await this._submit(request, response, queue, jobId)
+      case 'GET': return await this._tellState(response, jobId)
+      case 'DELETE': return await this._cancel(response, jobId)
+      default: this._send(response, 405, { error: 'POST, GET or DELETE' })
+    }
+  }
+
+  private async _submit (request: IncomingMessage, response: ServerResponse, queue: IQueue, jobId: string): Promise<void> {
+    const { config, wire, clock, route, log, times } = this._context
+    const beganAtMs = clock.nowMs()
+    const configVersion = config.version
+    const body = await readBody(request, config.config?.maxBodyBytes ?? 0)
+    if (body.isErr()) return this._send(response, body.error.status, { error: body.error.message })
+    const job = wire.decodeJob(jobId, body.value)
+    if (job.isErr()) return this._send(response, 400, { error: job.error })
+    const remainingMs = (wire.remainingMs(request.headers) ?? DEFAULT_WAIT_MS) - ANSWER_MARGIN_MS
+    const submission = { jobId, queue: queue.name, record: encodeJob(job.value), ageMs: clock.nowMs() - beganAtMs, configVersion }
+    const outcome = await route.submit(submission, remainingMs)
+    const durationMs = Math.round(clock.nowMs() - beganAtMs)
+    times.record(`submit ${outcome.kind}`, durationMs)
+    const reason = outcome.kind === 'accepted' || outcome.kind === 'noQueue' ? undefined : outcome.reason
+    log.info('caller.answered', { requestId: jobId, queue: queue.name, outcome: outcome.kind, reason, durationMs, configVersion })
+    this._sendSubmitted(response, outcome)
+  }
+
+  private _sendSubmitted (response: ServerResponse, outcome: SubmitOutcome): void {
+    switch (outcome.kind) {
+      case 'accepted': return this._send(response, 200, { state: 'queued' })
+      case 'refused': return this._refuse(response, outcome.reason, outcome.retryAfterMs)
+      case 'noQueue': return this._send(response, 404, { error: 'no such queue' })
+      case 'invalid': return this._send(response, 400, { error: outcome.reason })
+      // It may be stored: neither "taken" nor "not taken" would be true.
+      case 'inDoubt': return this._send(response, 504, { error: `not known whether it is stored: ${outcome.reason}` })
+    }
+  }
+
+  private async _tellState (response: ServerResponse, jobId: string): Promise<void> {
+    const outcome = await this._context.route.state(jobId)
+    if (outcome.kind === 'known') return this._sendText(response, 200, this._context.wire.encodePhase(outcome.phase))
+    if (outcome.kind === 'unknownJob') return this._send(response, 410, { error: 'no such job' })
+    this._context.log.warn('caller.stateUnknown', { requestId: jobId, reason: outcome.reason })
+    this._refuse(response, outcome.reason, RETRY_AFTER_MS)
+  }
+
+  private async _cancel (response: ServerResponse, jobId: string): Promise<void> {
+    const outcome = await this._context.route.cancel(jobId)
+    this._context.log.info('caller.cancelAnswered', { requestId: jobId, outcome })
+    switch (outcome) {
+      case 'cancelled': return this._send(response, 200, { state: 'cancelled' })
+      case 'unknownJob': return this._send(response, 410, { error: 'no such job' })
+      case 'unavailable': return this._send(response, 504, { error: 'not known whether it is cancelled' })
+    }
+  }
+
+  private async _tellWaiting (response: ServerResponse, queue: IQueue): Promise<void> {
+    const count = await this._context.route.waiting(queue.name)
+    if (count === undefined) return this._refuse(response, 'the owner can\'t be asked', RETRY_AFTER_MS)
+    this._sendText(response, 200, this._context.wire.encodeWaiting(count))
+  }
+
+  private _refuse (response: ServerResponse, reason: string, retryAfterMs: number): void {
+    response.setHeader('retry-after', String(Math.max(1, Math.ceil(retryAfterMs / MS_PER_S))))
+    this._send(response, 503, { error: reason })
+  }
+
+  private _send (response: ServerResponse, status: number, value: Readonly<Record<string, string>>): void {
+    this._sendText(response, status, JSON.stringify(value))
+  }
+
+  private _sendText (response: ServerResponse, status: number, body: string): void {
+    if (response.destroyed || response.headersSent) return
+    if (this._isClosing) response.setHeader('connection', 'close')
+    response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) })
+    response.end(body)
+  }
+
+  private _fail (response: ServerResponse, error: unknown): void {
+    this._context.log.error('caller.failed', { reason: error instanceof Error ? error.stack ?? error.message : String(error) })
+    this._send(response, 500, { error: 'internal' })
+  }
+}
+
+/** Without a port; names are compared as they come. */
+function hostNameOf (request: IncomingMessage): string {
+  const host = request.headers.host ?? ''
+  const colon = host.lastIndexOf(':')
+  return colon === -1 ? host : host.slice(0, colon)
+}
--- /dev/null
+++ b/src/cell/CellOwner.ts
@@ -0,0 +1,355 @@
+/**
+ * The owner of the cell while it is one: takes over what the store and the hosts tell, then decides, orders and records
+ * until it is disposed. All its orders carry the fencing token, all its writes expect the ownership record.
+ */
+
+import { Job } from '../common/cell/Job.js'
+import { CellScheduler } from '../common/cell/CellScheduler.js'
+import type { HostState } from '../common/cell/HostState.js'
+import { applyProgress, decodeAccepted, decodeJob, termsOf } from '../common/cell/JobRecord.js'
+import type { IAdviceSender } from '../common/cell/AdviceDesk.js'
+import type {
+  CancelOutcome, ICellOwnerPort, IHostEntry, IHostOrders, IMetadataItem, IMetadataStore, StateOutcome, SubmitOutcome
+} from '../common/cell/Types.js'
+import type { ICellSubmission } from '../common/protocol/Types.js'
+import type { ILogger } from '../common/observability/Types.js'
+import type { ChartTable } from '../common/state/ChartTable.js'
+import { DisposableStore } from '../common/Emitter.js'
+import type { IClock, IDisposable, ITimers, MonotonicMs } from '../common/Types.js'
+import type { ConfigFeed } from './ConfigFeed.js'
+import { HostSession } from './HostSession.js'
+import { JobStore } from './JobStore.js'
+import { JOB_PREFIX, LANE_PREFIX, PROGRESS_PREFIX } from './Keys.js'
+import type { Ownership } from './Ownership.js'
+import type { ICellRecords } from './Types.js'
+
+export interface ICellOwnerOptions {
+  readonly writerId: string
+  /** The longest lease that a host grants, in ms. */
+  readonly maxHoldMs: number
+  /** How many times as long a task runs away from its data. */
+  readonly farFactor: number
+  /** How long a finished job can be asked for, in ms. */
+  readonly statusMs: number
+}
+
+export interface ICellOwnerContext {
+  readonly store: IMetadataStore
+  readonly orders: IHostOrders
+  readonly advice: IAdviceSender
+  readonly records: ICellRecords
+  readonly config: ConfigFeed
+  readonly ownership: Ownership
+  readonly chart: ChartTable
+  readonly clock: IClock & ITimers
+  readonly log: ILogger
+}
+
+/** How long hosts go on being held while the store can't confirm the ownership, beyond the longest lease, in ms. */
+const UNCONFIRMED_HOLD_MS = 4000
+/** Hosts' clocks may be this much slow. */
+const SLOW_CLOCK_FACTOR = 1.02
+const INHERITED_MARGIN_MS = 1000
+const HOSTS_POLL_MS = 600
+const SWEEP_MS = 400
+/** Changes gather for this long before the next look at what can be placed, in ms. */
+const PASS_DELAY_MS = 4
+const READ_RETRY_MS = 100
+const COLLECT_MS = 10_000
+/** Finished jobs are kept this much longer than callers may ask, in ms. */
+const STATUS_SLACK_MS = 60_000
+/** When to come back if the store is away or the cell has no owner, in ms. */
+const RETRY_AFTER_MS = 1000
+const NEVER_FITS_RETRY_MS = 60_000
+
+export class CellOwner implements ICellOwnerPort, IDisposable {
+  private readonly _scheduler: CellScheduler
+  private readonly _jobStore: Promise<JobStore>
+  private readonly _sessions = new Map<string, HostSession>()
+  private readonly _disposables = new DisposableStore()
+  private readonly _accepting = new Map<string, Promise<SubmitOutcome>>()
+  private _isDisposed = false
+  private _isPassDue = false
+  private _store: JobStore | undefined
+
+  /** Resolves when this owner can answer; its store's jobs are known from then on. */
+  public readonly ready: Promise<void>
+
+  public constructor (
+    private readonly _context: ICellOwnerContext, private readonly _options: ICellOwnerOptions, private readonly _fence: number
+  ) {
+    const { clock, chart, log, advice, orders } = _context
+    const inheritedMs = (_options.maxHoldMs + UNCONFIRMED_HOLD_MS) * SLOW_CLOCK_FACTOR + INHERITED_MARGIN_MS
+    this._scheduler = new CellScheduler({
+      save: async (job) => { await (await this._jobStore).save(job) },
+      start: async (host, order) => {
+        // Recorded, but the store may have another owner by now: what isn't sent can be placed again.
+        if (!_context.ownership.isConfirmed) return { kind: 'unsent' }
+        return await orders.start(host, { ...order, fence: _fence })
+      },
+      stop: async (host, ref) => await orders.stop(host, ref, _fence),
+      stopUnknown: async (host, ref) => await orders.stop(host, ref, _fence),
+      noteFenced: (hostId) => { this._onFenced(hostId) },
+      machines: () => advice.machines(),
+      send: async (machine, ask, timeoutMs) => await advice.send(machine, ask, timeoutMs),
+      requestPass: () => { this._requestPass() }
+    }, { farFactor: _options.farFactor, inheritedUntilMs: clock.nowMs() + inheritedMs }, chart, clock, log)
+    this._jobStore = this._load()
+    this.ready = this._jobStore.then(() => {})
+  }
+
+  public async submit (submission: ICellSubmission): Promise<SubmitOutcome> {
+    const { jobId } = submission
+    if (this._scheduler.jobs.has(jobId)) return { kind: 'accepted' }
+    const known = this._accepting.get(jobId)
+    if (known !== undefined) return await known
+    const accepting = this._accept(submission)
+    this._accepting.set(jobId, accepting)
+    return await accepting.finally(() => { this._accepting.delete(jobId) })
+  }
+
+  public async state (jobId: string): Promise<StateOutcome> {
+    const job = this._scheduler.jobs.get(jobId)
+    return job === undefined ? { kind: 'unknownJob' } : { kind: 'known', phase: job.shownPhase }
+  }
+
+  public async cancel (jobId: string): Promise<CancelOutcome> {
+    const accepting = this._accepting.get(jobId)
+    if (accepting !== undefined) await accepting
+    const job = this._scheduler.jobs.get(jobId)
+    if (job === undefined) return 'unknownJob'
+    if (!job.isFinished) {
+      job.phase = 'cancelled'
+      job.finishedAtMs = this._context.clock.nowMs()
+      this._context.log.info('job.cancelled', { requestId: jobId })
+    }
+    await (await this._jobStore).save(job)
+    this._scheduler.stopJob(job)
+    return 'cancelled'
+  }
+
+  public async waiting (queue: string): Promise<number | undefined> {
+    return this._scheduler.waiting(queue)
+  }
+
+  /** For the state dump. */
+  public dump (): unknown {
+    const hosts = [...this._scheduler.hosts.values()].map((host) => ({
+      host: host.hostId, freeCpu: host.freeCpu, runs: host.attempts.size, listed: host.isListed, fenced: host.isFenced, stored: host.storedSequence
+    }))
+    const open = [...this._scheduler.jobs.values()].filter((job) => !job.isFinished)
+    return { fence: this._fence, jobs: this._scheduler.jobs.size, open: open.length, hosts }
+  }
+
+  public dispose (): void {
+    this._isDisposed = true
+    this._disposables.dispose()
+    for (const session of this._sessions.values()) session.dispose()
+    this._sessions.clear()
+    this._scheduler.dispose()
+    this._store?.dispose()
+  }
+
+  private async _accept (submission: ICellSubmission): Promise<SubmitOutcome> {
+    const { clock, config, log } = this._context
+    const jobStore = await this._jobStore
+    const { jobId } = submission
+    if (this._scheduler.jobs.has(jobId)) return { kind: 'accepted' }
+    await config.catchUp(submission.configVersion)
+    const queue = config.queue(submission.queue)
+    if (queue === undefined) return { kind: 'noQueue' }
+    if (jobStore.isOut) return this._refuse(jobId, 'the store is away', RETRY_AFTER_MS)
+    const job = new Job(decodeJob(submission.record), termsOf(queue), clock.nowMs() - submission.ageMs)
+    const misfit = this._misfit(job)
+    if (misfit !== undefined) return this._refuse(jobId, misfit, NEVER_FITS_RETRY_MS)
+    this._scheduler.prefetch(job)
+    const outcome = await jobStore.accept(job)
+    if (outcome.kind === 'refused') {
+      job.phase = 'cancelled'
+      return this._refuse(jobId, outcome.reason, RETRY_AFTER_MS)
+    }
+    this._scheduler.admit(job)
+    log.info('job.accepted', { requestId: jobId, queue: queue.name, tasks: job.steps.reduce((sum, step) => sum + step.tasks.length, 0) })
+    return { kind: 'accepted' }
+  }
+
+  private _refuse (jobId: string, reason: string, retryAfterMs: number): SubmitOutcome {
+    this._context.log.info('job.refused', { requestId: jobId, reason })
+    return { kind: 'refused', reason, retryAfterMs }
+  }
+
+  /** Why no host could ever run the job, if so. */
+  private _misfit (job: Job): string | undefined {
+    if (job.spec.occurrences > 0) return 'jobs on a schedule are not taken'
+    if (job.spec.steps.some((step) => step.fills)) return 'steps that fill up hosts are not taken'
+    const hosts = [...this._scheduler.hosts.values()].filter((host) => host.entry.service === job.queue.service)
+    if (hosts.length === 0) return undefined
+    const tooLarge = job.spec.steps.find((step) => !hosts.some((host) => host.couldHold(step)))
+    return tooLarge === undefined ? undefined : 'no host could ever hold one of its tasks'
+  }
+
+  private async _load (): Promise<JobStore> {
+    const { clock, log, config, store } = this._context
+    const startedAtMs = clock.nowMs()
+    const [lanes, accepted, progress, hosts] = await Promise.all([
+      this._readAll(LANE_PREFIX), this._readAll(JOB_PREFIX), this._readAll(PROGRESS_PREFIX), this._readAll(this._context.records.hostsPrefix)
+    ])
+    const laneRevisions = new Map(lanes.map((item) => [item.key, item.revision]))
+    const jobStore = new JobStore(store, this._fence, this._options.writerId, laneRevisions, clock, log, (reason) => {
+      if (!this._isDisposed) this._context.ownership.resign(reason)
+    })
+    this._store = jobStore
+    if (this._isDisposed) return jobStore
+    this._seeHosts(hosts)
+    this._restore(accepted, progress)
+    this._startTimers()
+    this._disposables.add(config.onChange(() => { this._followQueues() }))
+    const durationMs = Math.round(clock.nowMs() - startedAtMs)
+    log.info('owner.ready', { revision: this._fence, jobs: accepted.length, hosts: this._sessions.size, durationMs })
+    return jobStore
+  }
+
+  private _startTimers (): void {
+    const { clock } = this._context
+    this._disposables.add(clock.every(HOSTS_POLL_MS, () => { this._pollHosts() }))
+    this._disposables.add(clock.every(SWEEP_MS, () => { this._scheduler.sweep() }))
+    this._disposables.add(clock.every(COLLECT_MS, () => { this._collect() }))
+  }
+
+  private async _readAll (prefix: string): Promise<readonly IMetadataItem[]> {
+    while (!this._isDisposed) {
+      const read = await this._context.store.range(prefix)
+      if (read.kind === 'read') return read.value.items
+      this._context.log.warn('owner.readFailed', { prefix, reason: read.reason })
+      await new Promise<void>((resolve) => { this._context.clock.after(READ_RETRY_MS, resolve) })
+    }
+    return []
+  }
+
+  private _restore (accepted: readonly IMetadataItem[], progress: readonly IMetadataItem[]): void {
+    const { clock, log } = this._context
+    const progressById = new Map(progress.map((item) => [item.key.slice(PROGRESS_PREFIX.length), item.value]))
+    for (const item of accepted) {
+      const jobId = item.key.slice(JOB_PREFIX.length)
+      try {
+        const job = decodeAccepted(item.value, clock.nowMs(), clock.wallMs())
+        const record = progressById.get(jobId)
+        const runs = record === undefined ? [] : applyProgress(job, record)
+        if (job.isFinished) job.finishedAtMs = clock.nowMs()
+        this._scheduler.restore(job, runs, (hostId, bornMs) => this._hostOf(hostId, bornMs))
+      } catch (error) {
+        log.error('job.unreadable', { requestId: jobId, reason: String(error) })
+      }
+    }
+  }
+
+  /** A host that a run was recorded on; one that isn't listed any more may still run it until its lease has ended. */
+  private _hostOf (hostId: string, bornMs: number): HostState {
+    const known = this._scheduler.hosts.get(hostId)
+    if (known !== undefined) return known
+    const entry: IHostEntry = {
+      hostId, bornMs, service: '', address: '', failureDomain: '', draining: true, cpuMillicores: 0, memoryMb: 0, accelerators: 0, labels: [], rack: ''
+    }
+    const host = this._scheduler.addHost(entry)
+    host.isListed = false
+    return host
+  }
+
+  private _pollHosts (): void {
+    const { store, records, log } = this._context
+    store.range(records.hostsPrefix).then((read) => {
+      if (this._isDisposed) return
+      if (read.kind === 'read') this._seeHosts(read.value.items)
+      this._forgetLapsed()
+    }, (error: unknown) => { log.error('hosts.pollFailed', { reason: String(error) }) })
+  }
+
+  private _seeHosts (items: readonly IMetadataItem[]): void {
+    const listed = new Set<string>()
+    for (const item of items) {
+      const entry = this._context.records.decodeHostEntry(item)
+      if (entry === undefined) continue
+      listed.add(entry.hostId)
+      const known = this._scheduler.hosts.get(entry.hostId)
+      if (known === undefined || known.entry.draining !== entry.draining || known.bornMs !== entry.bornMs) this._logHost(entry)
+      this._scheduler.addHost(entry).isListed = true
+      if (!this._sessions.has(entry.hostId)) this._openSession(entry.hostId)
+    }
+    for (const host of this._scheduler.hosts.values()) {
+      if (host.isListed && !listed.has(host.hostId)) {
+        host.isListed = false
+        this._context.log.warn('host.unlisted', { host: host.hostId, runs: host.attempts.size })
+      }
+    }
+    this._requestPass()
+  }
+
+  private _logHost ({ hostId, draining, bornMs, service }: IHostEntry): void {
+    this._context.log.info('host.seen', { host: hostId, draining, bornMs, service })
+  }
+
+  private _openSession (hostId: string): void {
+    const { clock, log, orders, ownership } = this._context
+    const host = this._scheduler.hosts.get(hostId)
+    if (host === undefined) return
+    const session = new HostSession(host, {
+      hold: async (entry, order, signal) => await orders.hold(entry, { ...order, fence: this._fence }, signal),
+      holdUntilMs: () => this._holdUntilMs(ownership.confirmedAtMs),
+      onHeld: (held, answer, sentAtMs) => { if (!this._isDisposed) this._scheduler.readHold(held, answer, sentAtMs) },
+      onFenced: (held) => { this._onFenced(held.hostId) },
+      onSilent: (silent) => this._scheduler.noteSilence(silent)
+    }, this._options.maxHoldMs, clock, log)
+    this._sessions.set(hostId, session)
+    session.start()
+  }
+
+  /** The next owner counts on it that no host is held for longer after this one's last confirmation. */
+  private _holdUntilMs (confirmedAtMs: MonotonicMs): MonotonicMs {
+    return confirmedAtMs + this._options.maxHoldMs + UNCONFIRMED_HOLD_MS
+  }
+
+  /** Hosts that are neither listed nor answer, once nothing can run there any more. */
+  private _forgetLapsed (): void {
+    for (const host of [...this._scheduler.hosts.values()]) {
+      if (host.isListed || !this._scheduler.noteSilence(host)) continue
+      this._sessions.get(host.hostId)?.dispose()
+      this._sessions.delete(host.hostId)
+      this._scheduler.hosts.delete(host.hostId)
+      this._context.orders.forget(host.hostId)
+      this._context.log.info('host.forgotten', { host: host.hostId })
+    }
+  }
+
+  private _onFenced (hostId: string): void {
+    if (this._isDisposed) return
+    this._context.log.warn('owner.fenced', { host: hostId, revision: this._fence })
+    this._context.ownership.resign('a host takes orders of a newer owner')
+  }
+
+  /** Accepted jobs go on under what their queue says now; those of a dropped queue as they were accepted. */
+  private _followQueues (): void {
+    for (const job of this._scheduler.jobs.values()) {
+      const queue = job.isFinished ? undefined : this._context.config.queue(job.queue.name)
+      if (queue !== undefined) job.queue = termsOf(queue)
+    }
+    this._requestPass()
+  }
+
+  private _collect (): void {
+    const beforeMs = this._context.clock.nowMs() - this._options.statusMs - STATUS_SLACK_MS
+    for (const [jobId, job] of this._scheduler.jobs) {
+      if (job.finishedAtMs === undefined || job.finishedAtMs > beforeMs || job.steps.some((step) => !step.isQuiet)) continue
+      this._scheduler.jobs.delete(jobId)
+      this._store?.remove(jobId)
+    }
+  }
+
+  private _requestPass (): void {
+    if (this._isPassDue || this._isDisposed) return
+    this._isPassDue = true
+    this._context.clock.after(PASS_DELAY_MS, () => {
+      this._isPassDue = false
+      if (!this._isDisposed) this._scheduler.pass()
+    })
+  }
+}
--- /dev/null
+++ b/src/cell/ConfigFeed.ts
@@ -0,0 +1,91 @@
+/**
+ * The operator's configuration in this process: the newest version that it has seen, and never an older one again.
+ */
+
+import { Emitter } from '../common/Emitter.js'
+import type { ICellConfig, IMetadataItem, IMetadataStore, IQueue } from '../common/cell/Types.js'
+import type { ILogger } from '../common/observability/Types.js'
+import type { IClock, IDisposable, ITimers } from '../common/Types.js'
+import type { ICellRecords } from './Types.js'
+import { WatchedPrefix } from './WatchedPrefix.js'
+
+/** How long a poll waits, in ms: a silent connection is noticed within this and a second more, and a change is due in 2.5 s. */
+const WATCH_WAIT_MS = 1200
+
+export class ConfigFeed implements IDisposable {
+  private _config: ICellConfig | undefined
+  /** Queues by host name, longest prefix first. */
+  private _queuesByHost = new Map<string, readonly IQueue[]>()
+  private readonly _watch: WatchedPrefix
+  private readonly _changeEmitter = new Emitter<ICellConfig>()
+  public readonly onChange = this._changeEmitter.event
+
+  public constructor (
+    private readonly _store: IMetadataStore,
+    private readonly _records: ICellRecords,
+    clock: IClock & ITimers,
+    private readonly _log: ILogger
+  ) {
+    this._watch = new WatchedPrefix(_store, { prefix: _records.operatorPrefix, waitMs: WATCH_WAIT_MS }, {
+      onAll: (items) => { for (const item of items) this._take(item) },
+      onChange: (_key, item) => { if (item !== undefined) this._take(item) }
+    }, clock, _log)
+  }
+
+  public start (): void {
+    this._watch.start()
+  }
+
+  public get config (): ICellConfig | undefined {
+    return this._config
+  }
+
+  public get version (): number {
+    return this._config?.version ?? -1
+  }
+
+  /** The queue that a request belongs to: by host name and the longest prefix that its path begins with. */
+  public find (hostName: string, path: string): IQueue | undefined {
+    return this._queuesByHost.get(hostName)?.find((queue) => path.startsWith(queue.pathPrefix))
+  }
+
+  public queue (name: string): IQueue | undefined {
+    return this._config?.queues.find((queue) => queue.name === name)
+  }
+
+  /** Reads once more if this process is behind a version that another one acts on. */
+  public async catchUp (version: number): Promise<void> {
+    if (this.version >= version) return
+    const read = await this._store.get(this._records.configKey)
+    if (read.kind === 'read' && read.value !== undefined) this._take(read.value)
+  }
+
+  public dispose (): void {
+    this._watch.dispose()
+  }
+
+  private _take (item: IMetadataItem): void {
+    if (item.key !== this._records.configKey) return
+    const config = this._records.decodeConfig(item.value)
+    if (config === undefined) {
+      this._log.error('config.unreadable', { revision: item.revision })
+      return
+    }
+    if (config.version <= this.version) return
+    this._config = config
+    this._queuesByHost = indexQueues(config)
+    this._log.info('config.applied', { version: config.version, revision: item.revision, queues: config.queues.length })
+    this._changeEmitter.fire(config)
+  }
+}
+
+function indexQueues (config: ICellConfig): Map<string, readonly IQueue[]> {
+  const byHost = new Map<string, IQueue[]>()
+  for (const queue of config.queues) {
+    const queues = byHost.get(queue.hostName)
+    if (queues === undefined) byHost.set(queue.hostName, [queue])
+    else queues.push(queue)
+  }
+  for (const queues of byHost.values()) queues.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
+  return byHost
+}
--- /dev/null
+++ b/src/cell/Keys.ts
@@ -0,0 +1,27 @@
+/**
+ * Keys of the cell's own records in the store.
+ */
+
+export const CONTROL_PREFIX = 'jd/control/'
+/** Who owns the cell; under its owner's lease. */
+export const OWNER_KEY = `${CONTROL_PREFIX}owner`
+/** The secret that the cell's processes prove to each other. */
+export const LINK_SECRET_KEY = `${CONTROL_PREFIX}link-secret`
+
+const JOB_PREFIX = 'jd/job/'
+const PROGRESS_PREFIX = 'jd/progress/'
+const LANE_PREFIX = 'jd/lane/'
+
+export { JOB_PREFIX, LANE_PREFIX, PROGRESS_PREFIX }
+
+export function jobKey (jobId: string): string {
+  return JOB_PREFIX + jobId
+}
+
+export function progressKey (jobId: string): string {
+  return PROGRESS_PREFIX + jobId
+}
+
+export function laneKey (lane: number): string {
+  return `${LANE_PREFIX}${lane}`
+}
--- /dev/null
+++ b/src/cell/LinkSecret.ts
@@ -0,0 +1,32 @@
+/**
+ * The secret that the cell's processes prove to each other. The first process of a cell draws it and keeps it in the
+ * store, so that whoever may write the store, and nobody else, can join.
+ */
+
+import { randomBytes } from 'node:crypto'
+import type { IMetadataStore } from '../common/cell/Types.js'
+import type { ILogger } from '../common/observability/Types.js'
+import type { ITimers } from '../common/Types.js'
+import { LINK_SECRET_KEY } from './Keys.js'
+
+const SECRET_BYTES = 24
+const RETRY_MS = 150
+const COMMIT_TIMEOUT_MS = 1000
+
+/** Waits for the store for as long as it takes: without it a process can serve nobody anyway. */
+export async function readLinkSecret (store: IMetadataStore, timers: ITimers, log: ILogger): Promise<string> {
+  for (let failures = 0; ;) {
+    const read = await store.get(LINK_SECRET_KEY)
+    if (read.kind === 'read' && read.value !== undefined) return read.value.value
+    if (read.kind === 'read') {
+      const secret = randomBytes(SECRET_BYTES).toString('base64url')
+      const expect = [{ key: LINK_SECRET_KEY, revision: 0 }]
+      // Whatever became of it, the next read tells whose secret is there.
+      await store.commit({ expect, puts: [{ key: LINK_SECRET_KEY, value: secret }], removes: [] }, COMMIT_TIMEOUT_MS)
+      continue
+    }
+    failures += 1
+    if (failures === 1) log.warn('store.lost', { step: 'linkSecret', reason: read.reason })
+    await new Promise<void>((resolve) => { timers.after(RETRY_MS, resolve) })
+  }
+}
--- /dev/null
+++ b/src/cell/OwnerRoute.ts
@@ -0,0 +1,171 @@
+/**
+ * The way from this process's callers to the owner of the cell, wherever it is: in this process, or over a link. When
+ * the owner goes, a submission that it may have stored is sent to the next one, which knows what is stored.
+ */
+
+import type { CancelOutcome, ICellOwnerPort, StateOutcome, SubmitOutcome } from '../common/cell/Types.js'
+import { AmbiguousError, RefusedError } from '../common/Errors.js'
+import type { ICellSubmission, ICellSubmitReply } from '../common/protocol/Types.js'
+import type { IClock, IDisposable, ITimers, MonotonicMs } from '../common/Types.js'
+import type { IPeerHub } from '../peer/Types.js'
+import type { IOwnerRecord } from './Types.js'
+
+/** What this process has of the owner. */
+export interface IOwnerDirectory {
+  readonly record: IOwnerRecord | undefined
+  /** The owner, if it is this process. */
+  local (): ILocalOwner | undefined
+}
+
+export interface ILocalOwner extends Omit<ICellOwnerPort, 'submit'> {
+  readonly ready: Promise<void>
+  submit (submission: ICellSubmission): Promise<SubmitOutcome>
+}
+
+/**
+ * How long a new request waits for an owner where there is none, in ms. A takeover from a dead process takes about this
+ * long; a caller told to come back would wait for a second.
+ */
+const OWNER_WAIT_MS = 500
+/** How long a submission that may have been stored waits for the next owner to say so, in ms. */
+const DOUBT_WAIT_MS = 2200
+const CALL_TIMEOUT_MS = 2500
+const STATE_TIMEOUT_MS = 1500
+const POLL_MS = 25
+const RETRY_AFTER_MS = 1000
+
+type Attempted<T> =
+  | { readonly kind: 'answered', readonly value: T }
+  /** It can't have had any effect. */
+  | { readonly kind: 'unsent', readonly reason: string }
+  | { readonly kind: 'inDoubt', readonly reason: string }
+
+export class OwnerRoute {
+  private _dial: { readonly record: IOwnerRecord, readonly link: IDisposable } | undefined
+
+  public constructor (
+    private readonly _hub: IPeerHub, private readonly _directory: IOwnerDirectory, private readonly _clock: IClock & ITimers
+  ) {}
+
+  /** Keeps a link to the owner that the record names; to be called whenever it changes. */
+  public follow (record: IOwnerRecord | undefined): void {
+    const isSame = record !== undefined && record.peerUrl === this._dial?.record.peerUrl && record.incarnation === this._dial.record.incarnation
+    if (isSame) return
+    this._dial?.link.dispose()
+    this._dial = undefined
+    if (record === undefined || record.processId === this._hub.self.processId) return
+    this._dial = { record, link: this._hub.dial(record.peerUrl, record.processId) }
+  }
+
+  public get isConnected (): boolean {
+    const { record } = this._directory
+    if (this._directory.local() !== undefined) return true
+    return record !== undefined && this._hub.link(record.processId) !== undefined
+  }
+
+  /** @param remainingMs how long the caller goes on waiting */
+  public async submit (submission: ICellSubmission, remainingMs: number): Promise<SubmitOutcome> {
+    const beganAtMs = this._clock.nowMs()
+    const untilMs = beganAtMs + remainingMs
+    let doubt: string | undefined
+    for (;;) {
+      const waitedMs = this._clock.nowMs() - beganAtMs
+      const giveUpAtMs = Math.min(untilMs, this._clock.nowMs() + (doubt === undefined ? OWNER_WAIT_MS - waitedMs : DOUBT_WAIT_MS))
+      if (!await this._owner(giveUpAtMs)) return doubt === undefined ? noOwner() : { kind: 'inDoubt', reason: doubt }
+      const aged = { ...submission, ageMs: submission.ageMs + this._clock.nowMs() - beganAtMs }
+      const attempted = await this._submitOnce(aged, Math.min(CALL_TIMEOUT_MS, untilMs - this._clock.nowMs()))
+      if (attempted.kind === 'answered') return attempted.value
+      if (attempted.kind === 'inDoubt') doubt = attempted.reason
+      await this._pause()
+    }
+  }
+
+  public async state (jobId: string): Promise<StateOutcome> {
+    if (!await this._owner(this._clock.nowMs() + OWNER_WAIT_MS)) return { kind: 'unavailable', reason: 'the cell has no owner' }
+    const local = this._directory.local()
+    if (local !== undefined) return await local.ready.then(async () => await local.state(jobId))
+    const reply = await this._link()?.call('cellState', { jobId }, STATE_TIMEOUT_MS)
+    if (reply === undefined || reply.isErr()) return { kind: 'unavailable', reason: reply?.error.message ?? 'no link' }
+    const { kind, phase } = reply.value
+    if (kind === 'known' && phase !== undefined) return { kind, phase }
+    return kind === 'unknownJob' ? { kind } : { kind: 'unavailable', reason: 'the owner can\'t tell' }
+  }
+
+  public async cancel (jobId: string): Promise<CancelOutcome> {
+    if (!await this._owner(this._clock.nowMs() + OWNER_WAIT_MS)) return 'unavailable'
+    const local = this._directory.local()
+    if (local !== undefined) return await local.ready.then(async () => await local.cancel(jobId))
+    const reply = await this._link()?.call('cellCancel', { jobId }, CALL_TIMEOUT_MS)
+    return reply?.isOk() === true ? reply.value.result : 'unavailable'
+  }
+
+  public async waiting (queue: string): Promise<number | undefined> {
+    const local = this._directory.local()
+    if (local !== undefined) return await local.waiting(queue)
+    const reply = await this._link()?.call('cellWaiting', { queue }, STATE_TIMEOUT_MS)
+    return reply?.isOk() === true ? reply.value.count : undefined
+  }
+
+  private async _submitOnce (submission: ICellSubmission, timeoutMs: number): Promise<Attempted<SubmitOutcome>> {
+    const local = this._directory.local()
+    if (local !== undefined) return await this._submitLocally(local, submission, timeoutMs)
+    const link = this._link()
+    if (link === undefined) return { kind: 'unsent', reason: 'no link' }
+    const reply = await link.call('cellSubmit', submission, timeoutMs)
+    if (reply.isOk()) return attemptedOf(reply.value)
+    if (reply.error instanceof AmbiguousError) return { kind: 'inDoubt', reason: reply.error.message }
+    if (reply.error instanceof RefusedError) return { kind: 'answered', value: refused(reply.error.message) }
+    return { kind: 'unsent', reason: reply.error.message }
+  }
+
+  private async _submitLocally (local: ILocalOwner, submission: ICellSubmission, timeoutMs: number): Promise<Attempted<SubmitOutcome>> {
+    const late = new Promise<Attempted<SubmitOutcome>>((resolve) => {
+      this._clock.after(timeoutMs, () => { resolve({ kind: 'inDoubt', reason: 'not stored in time' }) })
+    })
+    const answer = local.ready.then(async () => await local.submit(submission))
+    const attempted = answer.then((value): Attempted<SubmitOutcome> => ({ kind: 'answered', value }))
+    return await Promise.race([attempted, this._ownerGone(local), late])
+  }
+
+  /** Resolves when this process is the owner no longer: what it was about to store may be stored. */
+  private async _ownerGone (local: ILocalOwner): Promise<Attempted<SubmitOutcome>> {
+    while (this._directory.local() === local) await this._pause()
+    return { kind: 'inDoubt', reason: 'no longer the owner' }
+  }
+
+  /** Waits until the owner can be reached. */
+  private async _owner (untilMs: MonotonicMs): Promise<boolean> {
+    while (!this.isConnected) {
+      if (this._clock.nowMs() >= untilMs) return false
+      await this._pause()
+    }
+    return true
+  }
+
+  private _link (): ReturnType<IPeerHub['link']> {
+    const { record } = this._directory
+    return record === undefined ? undefined : this._hub.link(record.processId)
+  }
+
+  private async _pause (): Promise<void> {
+    await new Promise<void>((resolve) => { this._clock.after(POLL_MS, resolve) })
+  }
+}
+
+function attemptedOf (reply: ICellSubmitReply): Attempted<SubmitOutcome> {
+  const { kind, reason = '', retryAfterMs = RETRY_AFTER_MS } = reply
+  switch (kind) {
+    case 'refused': return { kind: 'answered', value: { kind, reason, retryAfterMs } }
+    case 'invalid': return { kind: 'answered', value: { kind, reason } }
+    case 'inDoubt': return { kind, reason }
+    default: return { kind: 'answered', value: { kind } }
+  }
+}
+
+function noOwner (): SubmitOutcome {
+  return refused('the cell has no owner at the moment')
+}
+
+function refused (reason: string): SubmitOutcome {
+  return { kind: 'refused', reason, retryAfterMs: RETRY_AFTER_MS }
+}
--- /dev/null
+++ b/src/cell/WatchedPrefix.ts
@@ -0,0 +1,108 @@
+/**
+ * Follows all records under a prefix: a whole read first, then a loop of long polls. Starts over where the store has
+ * forgotten what lies between, and asks again on a new connection where a poll goes silent.
+ */
+
+import type { IMetadataItem, IMetadataStore } from '../common/cell/Types.js'
+import type { ILogger } from '../common/observability/Types.js'
+import type { IDisposable, ITimers } from '../common/Types.js'
+
+export interface IWatchListener {
+  /** Everything that is there, as of one read. */
+  onAll (items: readonly IMetadataItem[], revision: number): void
+  /** One record that was written, or deleted where `item` is absent. */
+  onChange (key: string, item: IMetadataItem | undefined, revision: number): void
+}
+
+export interface IWatchOptions {
+  readonly prefix: string
+  /** How long a poll waits in the store, in ms; also bounds how long a silent connection goes unnoticed. */
+  readonly waitMs: number
+}
+
+const RETRY_MS = 150
+/** Polls that fail in a row before everything is read anew: what the poll went on from may be what is wrong. */
+const FAILURES_TO_READ = 4
+
+export class WatchedPrefix implements IDisposable {
+  private readonly _abort = new AbortController()
+  private _failures = 0
+  private _isDown = false
+
+  public constructor (
+    private readonly _store: IMetadataStore,
+    private readonly _options: IWatchOptions,
+    private readonly _listener: IWatchListener,
+    private readonly _timers: ITimers,
+    private readonly _log: ILogger
+  ) {}
+
+  public start (): void {
+    this._run().catch((error: unknown) => { this._log.error('watch.failed', { prefix: this._options.prefix, reason: String(error) }) })
+  }
+
+  public dispose (): void {
+    this._abort.abort()
+  }
+
+  private async _run (): Promise<void> {
+    while (!this._isDisposed) {
+      const revision = await this._readAll()
+      if (revision === undefined) await this._pause()
+      else await this._follow(revision)
+    }
+  }
+
+  private async _readAll (): Promise<number | undefined> {
+    const read = await this._store.range(this._options.prefix)
+    if (this._isDisposed) return undefined
+    if (read.kind === 'failed') {
+      this._noteDown(read.reason)
+      return undefined
+    }
+    this._noteUp()
+    this._listener.onAll(read.value.items, read.value.revision)
+    return read.value.revision
+  }
+
+  private async _follow (fromRevision: number): Promise<void> {
+    let revision = fromRevision
+    this._failures = 0
+    while (!this._isDisposed && this._failures < FAILURES_TO_READ) {
+      const outcome = await this._store.watch(this._options.prefix, revision, this._options.waitMs, this._abort.signal)
+      if (this._isDisposed || outcome.kind === 'historyGone') return
+      if (outcome.kind === 'failed') {
+        this._failures += 1
+        this._noteDown(outcome.reason)
+        await this._pause()
+        continue
+      }
+      this._failures = 0
+      this._noteUp()
+      // A revision below ours would mean that the store has lost its past: nothing between can be trusted.
+      if (outcome.revision < revision) return
+      revision = outcome.revision
+      for (const { key, item, revision: at } of outcome.events) this._listener.onChange(key, item, at)
+    }
+  }
+
+  private async _pause (): Promise<void> {
+    await new Promise<void>((resolve) => { this._timers.after(RETRY_MS, resolve) })
+  }
+
+  private _noteDown (reason: string): void {
+    if (this._isDown) return
+    this._isDown = true
+    this._log.warn('watch.lost', { prefix: this._options.prefix, reason })
+  }
+
+  private _noteUp (): void {
+    if (!this._isDown) return
+    this._isDown = false
+    this._log.info('watch.regained', { prefix: this._options.prefix })
+  }
+
+  private get _isDisposed (): boolean {
+    return this._abort.signal.aborted
+  }
+}
--- /dev/null
+++ b/src/common/cell/CellScheduler.ts
@@ -0,0 +1,281 @@
+/**
+ * The owner's decisions: which job is taken, what runs next and where, what is stopped. Free of input and output; what
+ * it wants done goes through its effects.
+ */
+
+import type { ILogger } from '../observability/Types.js'
+import type { ChartTable } from '../state/ChartTable.js'
+import type { IClock, MonotonicMs } from '../Types.js'
+import { AdviceDesk } from './AdviceDesk.js'
+import type { IAdviceSender } from './AdviceDesk.js'
+import { Attempt } from './Attempt.js'
+import { hostsToGather } from './GangRoom.js'
+import { HoldReader } from './HoldReader.js'
+import { HostState } from './HostState.js'
+import type { Job, Step } from './Job.js'
+import type { IRecordedRun } from './JobRecord.js'
+import { planGang, planTasks, urgentHeadroom } from './Placement.js'
+import type { IPlacement, IPlacementView } from './Placement.js'
+import { RunController } from './RunController.js'
+import type { IRunEffects } from './RunController.js'
+import { StalledRuns } from './StalledRuns.js'
+import { StepAdvice } from './StepAdvice.js'
+import type { IHoldAnswer, IHostEntry, IRunRef, StopOutcome } from './Types.js'
+
+export interface ICellEffects extends Omit<IRunEffects, 'noteChange'>, IAdviceSender {
+  stopUnknown (host: IHostEntry, ref: IRunRef): Promise<StopOutcome>
+  /** Asks for `pass` to be called soon. */
+  requestPass (): void
+}
+
+export interface ICellSchedulerOptions {
+  readonly farFactor: number
+  /** When leases that an earlier owner may have given have surely ended, by the monotonic clock. */
+  readonly inheritedUntilMs: MonotonicMs
+}
+
+/** Waiting gangs that may keep room together; each one more leaves that much more of the cell idle. */
+const MAX_GATHERING_GANGS = 2
+/** How long after a failed call for advice a step is asked for again, in ms. */
+const ADVICE_RETRY_MS = 300
+/** Hosts named in one call for advice: the service takes no more. */
+const MAX_ADVISED_HOSTS = 100
+/** Past this many times its objective a job earns nothing more and goes behind all others. */
+const LOST_AFTER_OBJECTIVES = 3
+
+export class CellScheduler {
+  public readonly jobs = new Map<string, Job>()
+  public readonly hosts = new Map<string, HostState>()
+  private readonly _open = new Set<Job>()
+  private readonly _runs: RunController
+  private readonly _reader: HoldReader
+  private readonly _desk: AdviceDesk
+  private readonly _stalled: StalledRuns
+
+  public constructor (
+    private readonly _effects: ICellEffects,
+    private readonly _options: ICellSchedulerOptions,
+    private readonly _chart: ChartTable,
+    private readonly _clock: IClock,
+    private readonly _log: ILogger
+  ) {
+    const noteChange = (): void => { _effects.requestPass() }
+    this._runs = new RunController({
+      save: async (job) => { await _effects.save(job) },
+      start: async (host, order) => await _effects.start(host, order),
+      stop: async (host, ref) => await _effects.stop(host, ref),
+      noteFenced: (hostId) => { _effects.noteFenced(hostId) },
+      noteChange
+    }, _chart, _clock, _log)
+    this._reader = new HoldReader(this._runs, {
+      save: async (job) => { await _effects.save(job) },
+      stopUnknown: async (host, ref) => await _effects.stopUnknown(host.entry, ref)
+    }, _clock, _log)
+    this._desk = new AdviceDesk(_effects)
+    this._stalled = new StalledRuns(this._runs, _clock, _log)
+  }
+
+  /** Takes over a job as an earlier owner left it, with the runs that may exist. */
+  public restore (job: Job, runs: readonly IRecordedRun[], hostOf: (hostId: string, bornMs: number) => HostState): void {
+    this.jobs.set(job.spec.jobId, job)
+    if (!job.isFinished) this._open.add(job)
+    for (const recorded of runs) {
+      const task = job.steps[recorded.step]?.tasks[recorded.index]
+      if (task === undefined) continue
+      const host = hostOf(recorded.hostId, recorded.bornMs)
+      const attempt = new Attempt(task, recorded.run, host, this._chart, this._clock.nowMs(), 'recovering')
+      task.attempt = attempt
+      host.take(attempt)
+    }
+  }
+
+  /** Asks for advice early: a job's steps may be asked for before it is stored, its tasks may not start. */
+  public prefetch (job: Job): void {
+    for (const step of job.steps) if (step.isReady) this._adviceOf(step)
+  }
+
+  /** The job is stored: its tasks may start. */
+  public admit (job: Job): void {
+    this.jobs.set(job.spec.jobId, job)
+    this._open.add(job)
+    this._effects.requestPass()
+  }
+
+  /** The job's caller wants it no more, and the store has it so. */
+  public stopJob (job: Job): void {
+    this._open.delete(job)
+    this._runs.stopAll(job)
+    this._effects.requestPass()
+  }
+
+  public addHost (entry: IHostEntry): HostState {
+    const known = this.hosts.get(entry.hostId)
+    if (known !== undefined) {
+      known.entry = entry
+      return known
+    }
+    const host = new HostState(entry, this._options.inheritedUntilMs)
+    this.hosts.set(entry.hostId, host)
+    return host
+  }
+
+  public readHold (host: HostState, answer: IHoldAnswer, sentAtMs: MonotonicMs): void {
+    this._reader.read(host, answer, sentAtMs)
+    this._effects.requestPass()
+  }
+
+  /** A host that has been silent for longer than any lease; gives whether nothing is left to wait for. */
+  public noteSilence (host: HostState): boolean {
+    if (!host.hasLapsed(this._clock.nowMs())) return false
+    if (host.attempts.size > 0) this._reader.noteLapsed(host)
+    return host.attempts.size === 0
+  }
+
+  /** How many accepted jobs of the queue have not begun. */
+  public waiting (queue: string): number {
+    let count = 0
+    for (const job of this._open) if (job.queue.name === queue && !job.hasStarted) count += 1
+    return count
+  }
+
+  /** Looks for runs that stand still, and asks again for stops that had no answer; to be called about twice a second. */
+  public sweep (): void {
+    for (const host of this.hosts.values()) {
+      for (const attempt of [...host.attempts]) {
+        if (attempt.phase === 'stopping') this._runs.stop(attempt)
+      }
+      this._stalled.look(host)
+    }
+    this._desk.pump()
+    this._effects.requestPass()
+  }
+
+  /** Places what can be placed now, the most urgent first. */
+  public pass (): void {
+    const nowMs = this._clock.nowMs()
+    const claimed = new Map<HostState, number>()
+    const view: IPlacementView = {
+      nowMs,
+      hosts: [...this.hosts.values()],
+      farFactor: this._options.farFactor,
+      headroom: (host, priority) => urgentHeadroom(host, priority) + (claimed.get(host) ?? 0)
+    }
+    let gathering = 0
+    for (const step of this._readySteps(nowMs)) {
+      const advice = this._adviceOf(step)
+      if (step.job.queue.advice !== undefined && !advice.isKnown) continue
+      if (!step.spec.gang) this._placeTasks(step, view)
+      else if (!this._placeGang(step, view) && gathering < MAX_GATHERING_GANGS) {
+        gathering += 1
+        this._keepRoom(step, view, claimed)
+      }
+    }
+  }
+
+  public dispose (): void {
+    this._desk.dispose()
+  }
+
+  private _readySteps (nowMs: MonotonicMs): readonly Step[] {
+    const steps: Step[] = []
+    for (const job of this._open) {
+      if (job.isFinished) {
+        this._open.delete(job)
+        continue
+      }
+      for (const step of job.steps) {
+        if (!step.isDone && step.isReady && step.tasks.some((task) => task.isIdle)) steps.push(step)
+      }
+    }
+    return steps.sort((a, b) => a.job.queue.priority - b.job.queue.priority || lateness(a.job, nowMs) - lateness(b.job, nowMs) ||
+      a.job.dueMs - b.job.dueMs)
+  }
+
+  private _placeTasks (step: Step, view: IPlacementView): void {
+    const idle = step.tasks.filter((task) => task.isIdle && task.notBeforeMs <= view.nowMs)
+    if (idle.length === 0) return
+    this._start(step, planTasks(step, idle, view))
+  }
+
+  private _placeGang (step: Step, view: IPlacementView): boolean {
+    // Every run of the last try has to be gone, or one of its tasks could run twice.
+    if (!step.isQuiet || step.tasks.some((task) => task.notBeforeMs > view.nowMs)) return true
+    const plan = planGang(step, view)
+    if (plan === undefined) return false
+    this._start(step, plan)
+    return true
+  }
+
+  private _keepRoom (step: Step, view: IPlacementView, claimed: Map<HostState, number>): void {
+    for (const host of hostsToGather(step, view)) claimed.set(host, host.entry.cpuMillicores)
+  }
+
+  private _start (step: Step, plan: readonly IPlacement[]): void {
+    if (plan.length === 0) return
+    const attempts = this._runs.prepare(step, plan)
+    const unticketed = attempts.filter((attempt) => attempt.ticket === '')
+    if (step.job.queue.advice === undefined || unticketed.length === 0) return
+    this._askAdvice(step, [...new Set(unticketed.map((attempt) => attempt.host.hostId))], () => {
+      // What got no ticket now is planned anew.
+      const advice = step.advice
+      this._runs.drop(unticketed.filter(({ host }) => advice?.ticket(host.hostId, host.bornMs, this._clock.nowMs()) === undefined))
+      this._runs.orderReady(step)
+    })
+  }
+
+  /** The step's advice; asks for it where there is none, or none of the hosts it allows is left. */
+  private _adviceOf (step: Step): StepAdvice {
+    step.advice ??= new StepAdvice()
+    const { advice } = step
+    if (step.job.queue.advice === undefined || advice.isAsking) return advice
+    const nowMs = this._clock.nowMs()
+    if (nowMs - advice.askedAtMs < ADVICE_RETRY_MS) return advice
+    const unasked = this._unaskedHosts(step)
+    const hasAllowed = [...this.hosts.values()].some((host) => advice.allows(host.hostId) && host.isPlaceable(nowMs))
+    if (unasked.length > 0 && !hasAllowed) this._askAdvice(step, unasked, () => {})
+    return advice
+  }
+
+  private _unaskedHosts (step: Step): readonly string[] {
+    const names: string[] = []
+    for (const host of this.hosts.values()) {
+      if (host.entry.service !== step.job.queue.service || !host.isListed || host.entry.draining) continue
+      if (host.couldHold(step.spec) && step.advice?.wasAsked(host.hostId) !== true) names.push(host.hostId)
+    }
+    return names.slice(0, MAX_ADVISED_HOSTS)
+  }
+
+  private _askAdvice (step: Step, hostIds: readonly string[], then: () => void): void {
+    const { job, advice } = step
+    const terms = job.queue.advice
+    if (terms === undefined || advice === undefined) return
+    advice.isAsking = true
+    advice.askedAtMs = this._clock.nowMs()
+    this._desk.ask({
+      jobId: job.spec.jobId,
+      step: step.number,
+      hostIds,
+      priority: job.queue.priority,
+      dueMs: job.dueMs,
+      expectedMs: terms.baseMs + terms.perHostMs * hostIds.length,
+      isWanted: () => !job.isFinished,
+      settle: (outcome) => {
+        const nowMs = this._clock.nowMs()
+        advice.isAsking = false
+        if (outcome.kind === 'advised') {
+          advice.note(hostIds, outcome.allowed, nowMs + terms.validMs, (hostId) => this.hosts.get(hostId)?.bornMs)
+        }
+        const waitMs = Math.round(nowMs - advice.askedAtMs)
+        const allowed = outcome.kind === 'advised' ? outcome.allowed.length : undefined
+        this._log.info('advice.answered', { requestId: job.spec.jobId, step: String(step.number), outcome: outcome.kind, allowed, hosts: hostIds.length, waitMs })
+        then()
+        this._effects.requestPass()
+      }
+    })
+  }
+}
+
+/** 0 while the job can still earn something, 1 after. */
+function lateness (job: Job, nowMs: MonotonicMs): number {
+  return nowMs - job.receivedAtMs > LOST_AFTER_OBJECTIVES * (job.dueMs - job.receivedAtMs) ? 1 : 0
+}
--- /dev/null
+++ b/src/common/cell/GangRoom.ts
@@ -0,0 +1,51 @@
+/**
+ * Keeps room together for an all-at-once step that waits.
+ *
+ * Without it, room that comes free in small pieces is taken by narrow tasks as fast as it comes: one sees wide steps
+ * wait without end in a cell that is four fifths full. So the first few waiting gangs hold back, on the hosts where their
+ * room will come free soonest, what work behind them would take. It is for a few only, since room held back stands idle.
+ */
+
+import type { MonotonicMs } from '../Types.js'
+import type { HostState } from './HostState.js'
+import type { Step } from './Job.js'
+import type { Attempt } from './Attempt.js'
+import type { IPlacementView } from './Placement.js'
+import { eligibleHosts } from './Placement.js'
+
+/** Room that will come free within this time counts as good as free, in ms: about half a wide step's run. */
+const SOON_MS = 2500
+
+/** The hosts that a waiting gang should fill: those with the most room now and soon, until they hold all of it. */
+export function hostsToGather (step: Step, view: IPlacementView): readonly HostState[] {
+  const { spec } = step
+  const candidates = eligibleHosts(step, view)
+    .map((host) => ({ host, soon: roomSoon(step, host, view) }))
+    .filter(({ soon }) => soon > 0)
+    .sort((a, b) => b.soon - a.soon)
+  const chosen: HostState[] = []
+  let room = 0
+  for (const { host, soon } of candidates) {
+    if (room >= spec.count) break
+    chosen.push(host)
+    room += soon
+  }
+  return chosen
+}
+
+function roomSoon (step: Step, host: HostState, view: IPlacementView): number {
+  const { spec, job } = step
+  let soonFree = host.freeCpu - view.headroom(host, job.queue.priority)
+  for (const attempt of host.attempts) {
+    if (endsWithin(attempt, view.nowMs, SOON_MS)) soonFree += attempt.task.step.spec.cpuMillicores
+  }
+  const room = Math.floor(soonFree / Math.max(1, spec.cpuMillicores))
+  return spec.maxPerHost === 0 ? room : Math.min(room, spec.maxPerHost)
+}
+
+/** By its progress so far, or by its estimate before there is any. */
+function endsWithin (attempt: Attempt, nowMs: MonotonicMs, withinMs: number): boolean {
+  const ranMs = nowMs - attempt.startedAtMs
+  if (attempt.percent > 0) return ranMs * (100 - attempt.percent) / attempt.percent < withinMs
+  return attempt.task.step.spec.estimateMs - ranMs < withinMs
+}
--- /dev/null
+++ b/src/common/cell/JobRecord.ts
@@ -0,0 +1,126 @@
+/**
+ * Jobs as they stand in the store: what was accepted, written once, and how far it is, written with each change. A task
+ * that was never placed takes no space.
+ */
+
+import type { EpochMs, MonotonicMs } from '../Types.js'
+import { Job } from './Job.js'
+import type { QueueTerms } from './Job.js'
+import type { IJobSpec, IQueue, IStepSpec, JobPhase } from './Types.js'
+
+const EMPTY_STEP: IStepSpec = {
+  count: 0,
+  cpuMillicores: 0,
+  memoryMb: 0,
+  accelerators: 0,
+  estimateMs: 0,
+  after: [],
+  checkpointing: false,
+  gang: false,
+  sameRack: false,
+  requiredLabel: '',
+  preferredRack: '',
+  maxPerHost: 0,
+  speculative: false,
+  longRunning: false,
+  fills: false
+}
+
+interface IAcceptedRecord {
+  readonly queue: QueueTerms
+  readonly receivedAtWallMs: EpochMs
+  readonly job: IJobSpec
+}
+
+/** [step, index, last run, failures, done, checkpoint, host, born]; the last two only for a run that may exist. */
+type TaskRow = readonly [number, number, number, number, 0 | 1, string, string?, number?]
+/** [step, gang failures, last failed run] */
+type StepRow = readonly [number, number, number]
+
+interface IProgressRecord {
+  readonly phase: JobPhase
+  readonly started: boolean
+  readonly steps: readonly StepRow[]
+  readonly tasks: readonly TaskRow[]
+}
+
+/** A run that an earlier owner recorded. */
+export interface IRecordedRun {
+  readonly step: number
+  readonly index: number
+  readonly run: number
+  readonly hostId: string
+  readonly bornMs: EpochMs
+}
+
+/** The caller's job in short form: fields that are 0, false or empty are left out. */
+export function encodeJob (spec: IJobSpec): string {
+  return JSON.stringify({ ...spec, steps: spec.steps.map(shortened) })
+}
+
+export function decodeJob (record: string): IJobSpec {
+  const spec = JSON.parse(record) as IJobSpec
+  return { ...spec, steps: spec.steps.map((step) => ({ ...EMPTY_STEP, ...step })) }
+}
+
+export function termsOf (queue: IQueue): QueueTerms {
+  const { name, service, priority, maxAttempts, stretch, targetMs, advice } = queue
+  return { name, service, priority, maxAttempts, stretch, targetMs, advice }
+}
+
+export function encodeAccepted (job: Job, receivedAtWallMs: EpochMs): string {
+  const { spec, queue } = job
+  return JSON.stringify({ queue, receivedAtWallMs, job: { ...spec, steps: spec.steps.map(shortened) } })
+}
+
+/** The job as it was accepted. Throws where the record isn't one of ours. */
+export function decodeAccepted (record: string, nowMs: MonotonicMs, wallMs: EpochMs): Job {
+  const { queue, receivedAtWallMs, job } = JSON.parse(record) as IAcceptedRecord
+  const spec = { ...job, steps: job.steps.map((step) => ({ ...EMPTY_STEP, ...step })) }
+  return new Job(spec, queue, nowMs - Math.max(0, wallMs - receivedAtWallMs))
+}
+
+export function encodeProgress (job: Job): string {
+  const tasks = job.isFinished && job.steps.every((step) => step.isQuiet) ? [] : job.steps.flatMap((step) => step.tasks.flatMap(toTaskRow))
+  const steps = job.steps.flatMap(({ number, gangFailures, lastFailedRun }): readonly StepRow[] =>
+    gangFailures === 0 ? [] : [[number, gangFailures, lastFailedRun]])
+  return JSON.stringify({ phase: job.phase, started: job.hasStarted, steps, tasks } satisfies IProgressRecord)
+}
+
+/** Puts recorded progress into a job that was just decoded, and gives the runs that may exist. */
+export function applyProgress (job: Job, record: string): readonly IRecordedRun[] {
+  const { phase, started, steps, tasks } = JSON.parse(record) as IProgressRecord
+  job.phase = phase
+  job.storedPhase = phase
+  job.hasStarted = started
+  for (const [number, failures, run] of steps) {
+    const step = job.steps[number]
+    if (step !== undefined) Object.assign(step, { gangFailures: failures, lastFailedRun: run })
+  }
+  return tasks.flatMap((row) => applyTaskRow(job, row))
+}
+
+function toTaskRow (task: Job['steps'][number]['tasks'][number]): readonly TaskRow[] {
+  const { step, index, lastRun, failures, isDone, checkpoint, attempt } = task
+  if (lastRun === 0) return []
+  const done = isDone ? 1 : 0
+  if (attempt === undefined) return [[step.number, index, lastRun, failures, done, checkpoint]]
+  return [[step.number, index, lastRun, failures, done, checkpoint, attempt.host.hostId, attempt.host.bornMs]]
+}
+
+function applyTaskRow (job: Job, row: TaskRow): readonly IRecordedRun[] {
+  const [stepNumber, index, lastRun, failures, done, checkpoint, hostId, bornMs] = row
+  const step = job.steps[stepNumber]
+  const task = step?.tasks[index]
+  if (step === undefined || task === undefined) return []
+  task.lastRun = lastRun
+  task.failures = failures
+  task.checkpoint = checkpoint
+  if (done === 1) step.noteDone(task)
+  if (hostId === undefined) return []
+  return [{ step: stepNumber, index, run: lastRun, hostId, bornMs: bornMs ?? 0 }]
+}
+
+function shortened (step: IStepSpec): Partial<IStepSpec> {
+  return Object.fromEntries(Object.entries(step).filter(([, value]) => Array.isArray(value) ? value.length > 0 : Boolean(value)))
+}
--- /dev/null
+++ b/src/common/cell/StepAdvice.ts
@@ -0,0 +1,63 @@
+/**
+ * What the advice service said of one step: the hosts that may run it, which never changes, and tickets for them, which
+ * age.
+ */
+
+import type { EpochMs, MonotonicMs } from '../Types.js'
+import type { ITicket } from './Types.js'
+
+/** A ticket is not used in the last part of its time: the order still has to be recorded and to reach the host, in ms. */
+const TICKET_MARGIN_MS = 200
+
+interface IHeldTicket {
+  readonly ticket: string
+  readonly validUntilMs: MonotonicMs
+  /** A ticket is good for one life of its host. */
+  readonly bornMs: EpochMs
+}
+
+export class StepAdvice {
+  private readonly _tickets = new Map<string, IHeldTicket>()
+  private readonly _asked = new Set<string>()
+  /** A call is on its way. */
+  public isAsking = false
+  public askedAtMs: MonotonicMs = -Infinity
+  /** A first answer has come. */
+  public isKnown = false
+
+  public allows (hostId: string): boolean {
+    return this._tickets.has(hostId)
+  }
+
+  public wasAsked (hostId: string): boolean {
+    return this._asked.has(hostId)
+  }
+
+  public get allowedCount (): number {
+    return this._tickets.size
+  }
+
+  /** A ticket that is good for an order given now. */
+  public ticket (hostId: string, bornMs: EpochMs, nowMs: MonotonicMs): string | undefined {
+    const held = this._tickets.get(hostId)
+    if (held === undefined || held.bornMs !== bornMs || held.validUntilMs - TICKET_MARGIN_MS < nowMs) return undefined
+    return held.ticket
+  }
+
+  /** @param validUntilMs counted from when the answer came in */
+  public note (
+    askedHostIds: readonly string[], allowed: readonly ITicket[], validUntilMs: MonotonicMs, bornOf: (hostId: string) => EpochMs | undefined
+  ): void {
+    for (const hostId of askedHostIds) this._asked.add(hostId)
+    for (const { hostId, ticket } of allowed) {
+      this._tickets.set(hostId, { ticket, validUntilMs, bornMs: bornOf(hostId) ?? 0 })
+    }
+    this.isKnown = true
+  }
+
+  /** The host refused the ticket: ask anew before the next order. */
+  public expire (hostId: string): void {
+    const held = this._tickets.get(hostId)
+    if (held !== undefined) this._tickets.set(hostId, { ...held, validUntilMs: 0 })
+  }
+}
--- a/src/common/protocol/Shapes.ts
+++ b/src/common/protocol/Shapes.ts
@@ -12,6 +12,8 @@
 
 const MAX_ID_LENGTH = 512
 const MAX_TEXT_LENGTH = 65_536
+/** A caller's job; its body is bounded before it becomes a record. */
+const MAX_RECORD_LENGTH = 1_048_576
 
 const id = z.string().max(MAX_ID_LENGTH)
 const text = z.string().max(MAX_TEXT_LENGTH)
@@ -56,6 +58,7 @@
   hops: count
 })
 
+const jobRef = z.object({ jobId: id })
 const claimRequest = z.object({ idShard: id, claimKey: id, attemptId: id, holder: id, ageMs: durationMs })
 const notOwner = z.object({ decision: z.literal('notOwner') })
 const unavailable = z.object({ decision: z.literal('unavailable'), retryAfterMs: durationMs })
@@ -177,7 +180,29 @@
   dropReservation: { ask: reservationRef, reply: z.object({ dropped: z.boolean() }) },
   configSince: { ask: z.object({ digest: id }), reply: z.object({ entries: z.array(configEntry) }) },
   dump: { ask: z.object({ section: id.exactOptional() }), reply: z.object({ json: z.string() }) },
-  drain: { ask: z.object({ hostId: id.exactOptional() }), reply: z.object({ draining: z.boolean() }) }
+  drain: { ask: z.object({ hostId: id.exactOptional() }), reply: z.object({ draining: z.boolean() }) },
+  cellSubmit: {
+    ask: z.object({ jobId: id, queue: id, record: z.string().max(MAX_RECORD_LENGTH), ageMs: amount, configVersion: count }),
+    reply: z.object({
+      kind: z.enum(['accepted', 'refused', 'noQueue', 'invalid', 'inDoubt']), reason: text.exactOptional(), retryAfterMs: amount.exactOptional()
+    })
+  },
+  cellState: {
+    ask: jobRef,
+    reply: z.object({
+      kind: z.enum(['known', 'unknownJob', 'unavailable']),
+      phase: z.enum(['queued', 'running', 'completed', 'failed', 'cancelled']).exactOptional()
+    })
+  },
+  cellCancel: { ask: jobRef, reply: z.object({ result: z.enum(['cancelled', 'unknownJob', 'unavailable']) }) },
+  cellWaiting: { ask: z.object({ queue: id }), reply: z.object({ count: count.exactOptional() }) },
+  cellAdvise: {
+    ask: z.object({ jobId: id, step: count, hostIds: z.array(id), timeoutMs: amount }),
+    reply: z.object({
+      kind: z.enum(['advised', 'busy', 'failed']),
+      allowed: z.array(z.object({ hostId: id, ticket: id })).exactOptional()
+    })
+  }
 }
 
 /** The body of each cast. */
--- a/src/common/protocol/Types.ts
+++ b/src/common/protocol/Types.ts
@@ -3,6 +3,9 @@
  * links in `src/peer` carry them and know nothing of their meaning.
  */
 
+import type {
+  AdviceOutcome, CancelOutcome, IAdviceAsk, ISubmission, ITicket, JobPhase, StateOutcome, SubmitOutcome
+} from '../cell/Types.js'
 import type { IConfigEntry } from '../config/Types.js'
 import type { IFinalAnswer, ILocation, IProcessIdentity, IResources, OutcomeReason } from '../Types.js'
 
@@ -240,6 +243,33 @@
   readonly onlyIfQueued?: boolean
 }
 
+/** A job on its way from the gateway that took it to the owner of the cell. */
+export interface ICellSubmission extends ISubmission {
+  /** The configuration under which the gateway took it: the owner acts on none that is older. */
+  readonly configVersion: number
+}
+
+export interface ICellSubmitReply {
+  readonly kind: SubmitOutcome['kind']
+  readonly reason?: string
+  readonly retryAfterMs?: number
+}
+
+export interface ICellStateReply {
+  readonly kind: StateOutcome['kind']
+  readonly phase?: JobPhase
+}
+
+/** Asks a machine to ask the advice service, which handles the calls of each machine one after the other. */
+export interface ICellAdviceAsk extends IAdviceAsk {
+  readonly timeoutMs: number
+}
+
+export interface ICellAdviceReply {
+  readonly kind: AdviceOutcome['kind']
+  readonly allowed?: readonly ITicket[]
+}
+
 /** Calls: a name, what is asked, what is answered. */
 export interface IPeerCalls {
   readonly submit: { readonly ask: ISubmitRequest, readonly reply: IFinalAnswer }
@@ -262,6 +292,11 @@
   readonly configSince: { readonly ask: { readonly digest: string }, readonly reply: { readonly entries: readonly IConfigEntry[] } }
   readonly dump: { readonly ask: { readonly section?: string }, readonly reply: { readonly json: string } }
   readonly drain: { readonly ask: { readonly hostId?: string }, readonly reply: { readonly draining: boolean } }
+  readonly cellSubmit: { readonly ask: ICellSubmission, readonly reply: ICellSubmitReply }
+  readonly cellState: { readonly ask: { readonly jobId: string }, readonly reply: ICellStateReply }
+  readonly cellCancel: { readonly ask: { readonly jobId: string }, readonly reply: { readonly result: CancelOutcome } }
+  readonly cellWaiting: { readonly ask: { readonly queue: string }, readonly reply: { readonly count?: number } }
+  readonly cellAdvise: { readonly ask: ICellAdviceAsk, readonly reply: ICellAdviceReply }
 }
 
 /** Casts: news that needs no reply. */
--- /dev/null
+++ b/src/daemon/ControllerDaemon.ts
@@ -0,0 +1,185 @@
+/**
+ * A controller: takes callers' jobs, asks for advice on behalf of the owner, and owns the cell when its turn comes. It
+ * keeps nothing that can't be lost with it.
+ */
+
+import { createServer } from 'node:http'
+import { randomInt } from 'node:crypto'
+import { CallerEntry } from '../cell/CallerEntry.js'
+import { CellOwner } from '../cell/CellOwner.js'
+import { ConfigFeed } from '../cell/ConfigFeed.js'
+import { readLinkSecret } from '../cell/LinkSecret.js'
+import { answerPeers } from '../cell/OwnerCalls.js'
+import { OwnerRoute } from '../cell/OwnerRoute.js'
+import { Ownership } from '../cell/Ownership.js'
+import { OwnerWatch } from '../cell/OwnerWatch.js'
+import { SystemClock } from '../common/Clock.js'
+import { DisposableStore } from '../common/Emitter.js'
+import { LatencyTable } from '../common/observability/LatencyTable.js'
+import { SeededRandom } from '../common/Random.js'
+import { PeerHub } from '../peer/PeerHub.js'
+import { loadChart } from '../runtime/ChartLoader.js'
+import { Logger } from '../runtime/Logger.js'
+import { Adviser } from '../../platform/Adviser.js'
+import { callerWire } from '../../platform/CallerWire.js'
+import { cellRecords } from '../../platform/CellRecords.js'
+import { HostOrders } from '../../platform/HostOrders.js'
+import { MetadataStore } from '../../platform/MetadataStore.js'
+import { READINESS_PATH } from '../../platform/Names.js'
+
+import type { Server } from 'node:http'
+import type { IAdviceSender } from '../common/cell/AdviceDesk.js'
+import type { AdviceOutcome, IAdviceAsk } from '../common/cell/Types.js'
+import type { IProcessIdentity } from '../common/Types.js'
+import type { IControllerSettings } from '../runtime/settings/ControllerSettings.js'
+
+const MAX_SEED = 0x7fffffff
+/** Names in the table of answer times; there are six. */
+const MAX_TIMES = 20
+/** How long a stopping process goes on taking connections: the balancer notices within two looks, one a second. */
+const NOTICE_MS = 2300
+/** Of the time to stop, this is kept for closing, in ms. */
+const CLOSE_RESERVE_MS = 1500
+/** What a call for advice through a peer may take beyond the service's own time, in ms. */
+const PEER_SLACK_MS = 300
+
+export class ControllerDaemon implements IAdviceSender {
+  private readonly _clock = new SystemClock()
+  private readonly _random = new SeededRandom(randomInt(MAX_SEED))
+  private readonly _disposables = new DisposableStore()
+  private readonly _times = new LatencyTable(MAX_TIMES)
+  private readonly _log: Logger
+  private readonly _store: MetadataStore
+  private readonly _orders = new HostOrders()
+  private readonly _adviser: Adviser
+  private readonly _self: IProcessIdentity
+  private _config: ConfigFeed
+  private _hub: PeerHub | undefined
+  private _ownership: Ownership | undefined
+  private _owner: CellOwner | undefined
+  private _entry: CallerEntry | undefined
+  private _readiness: Server | undefined
+  private _isStopping = false
+
+  public constructor (private _settings: IControllerSettings) {
+    const { process: { id, region, failureDomain }, log, store, advice } = _settings
+    this._log = new Logger(this._clock, { processId: id, level: log.level, maxLinesPerSecond: log.maxLinesPerSecond })
+    this._self = { processId: id, incarnation: this._clock.wallMs(), region, failureDomain }
+    this._store = new MetadataStore(`${store.address.ip}:${store.address.port}`)
+    this._adviser = new Adviser(`${advice.address.ip}:${advice.address.port}`)
+    this._config = this._disposables.add(new ConfigFeed(this._store, cellRecords, this._clock, this._log))
+  }
+
+  public async start (): Promise<void> {
+    const { peer, callers, store } = this._settings
+    this._log.info('process.started', { incarnation: this._self.incarnation, startupMs: Math.round(this._clock.nowMs()) })
+    await this._listenForReadiness()
+    this._config.start()
+    const sharedKey = await readLinkSecret(this._store, this._clock, this._log)
+    const environment = { clock: this._clock, timers: this._clock, random: this._random, log: this._log }
+    const hub = new PeerHub(this._self, { sharedKey, listenIp: peer.listen.ip, listenPort: peer.listen.port }, environment)
+    this._hub = hub
+    const peerUrl = await hub.start()
+    if (peerUrl.isErr()) throw peerUrl.error
+    const ownership = new Ownership(
+      this._store, { self: this._self, peerUrl: peerUrl.value, minLeaseMs: store.minLeaseMs }, this._clock, this._random, this._log)
+    this._ownership = this._disposables.add(ownership)
+    const directory = { get record () { return ownership.record }, local: () => this._owner }
+    const route = new OwnerRoute(hub, directory, this._clock)
+    answerPeers(hub, () => this._owner, this._adviser)
+    this._disposables.add(ownership.onRecord((record) => { route.follow(record) }))
+    this._disposables.add(ownership.onOwned((revision) => { this._own(revision) }))
+    this._disposables.add(ownership.onLost(() => { this._disown() }))
+    this._disposables.add(new OwnerWatch(hub, ownership, this._clock, this._random, this._log))
+    ownership.start()
+    this._entry = new CallerEntry({
+      wire: callerWire, config: this._config, route, clock: this._clock, log: this._log, times: this._times
+    })
+    await this._entry.listen(callers.listen.ip, callers.listen.port)
+    this._log.info('process.serving', { startupMs: Math.round(this._clock.nowMs()) })
+  }
+
+  /** Gives the cell away, lets the balancer notice, finishes what is in flight. */
+  public async stop (): Promise<void> {
+    if (this._isStopping) return
+    this._isStopping = true
+    this._log.info('process.stopping', { inFlight: this._entry?.inFlight })
+    this._entry?.startClosing()
+    const released = this._ownership?.release()
+    await new Promise<void>((resolve) => { this._clock.after(NOTICE_MS, resolve) })
+    await released
+    const closeMs = Math.max(0, this._settings.stop.graceMs - NOTICE_MS - CLOSE_RESERVE_MS)
+    await this._entry?.close(closeMs)
+    this._disposables.dispose()
+    this._hub?.dispose()
+    this._log.info('process.stopped', {})
+  }
+
+  /** Takes what can change while the process runs: how much is logged. */
+  public reload (settings: IControllerSettings): void {
+    this._settings = settings
+    this._log.info('process.reloaded', { level: settings.log.level })
+  }
+
+  public noteReload (reason: string): void {
+    this._log.error('process.reloadFailed', { reason })
+  }
+
+  public dumpToLog (): void {
+    this._log.warn('process.dump', { state: JSON.stringify({ owner: this._owner?.dump(), times: this._times.summaries() }) })
+  }
+
+  public machines (): readonly string[] {
+    const peers = this._hub?.links().map((link) => link.peer.processId) ?? []
+    return [this._self.processId, ...peers]
+  }
+
+  public async send (machine: string, ask: IAdviceAsk, timeoutMs: number): Promise<AdviceOutcome> {
+    if (machine === this._self.processId) return await this._adviser.ask(ask, timeoutMs)
+    const link = this._hub?.link(machine)
+    if (link === undefined) return { kind: 'failed', reason: 'no link' }
+    const reply = await link.call('cellAdvise', { ...ask, timeoutMs }, timeoutMs + PEER_SLACK_MS)
+    if (reply.isErr()) return { kind: 'failed', reason: reply.error.message }
+    const { kind, allowed = [] } = reply.value
+    if (kind === 'advised') return { kind, allowed }
+    return kind === 'busy' ? { kind } : { kind, reason: 'asked through a peer' }
+  }
+
+  private _own (revision: number): void {
+    const { hosts } = this._settings
+    const chart = loadChart('attempt')
+    if (chart.isErr() || this._ownership === undefined) throw chart.isErr() ? chart.error : new Error('ownership comes first')
+    const writerId = `${this._self.processId}/${this._self.incarnation}/${revision}`
+    this._owner?.dispose()
+    this._owner = new CellOwner({
+      store: this._store,
+      orders: this._orders,
+      advice: this,
+      records: cellRecords,
+      config: this._config,
+      ownership: this._ownership,
+      chart: chart.value,
+      clock: this._clock,
+      log: this._log
+    }, { writerId, maxHoldMs: hosts.maxHoldMs, farFactor: hosts.farFactor, statusMs: hosts.statusMs }, revision)
+  }
+
+  private _disown (): void {
+    this._owner?.dispose()
+    this._owner = undefined
+  }
+
+  private async _listenForReadiness (): Promise<void> {
+    const { ip, port } = this._settings.readiness.listen
+    const server = createServer((request, response) => {
+      const isReady = !this._isStopping && this._entry !== undefined && this._config.config !== undefined
+      response.writeHead(request.url === READINESS_PATH && isReady ? 200 : 503, { 'content-length': 0 })
+      response.end()
+    })
+    this._readiness = server
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(port, ip, resolve)
+    })
+  }
+}
--- /dev/null
+++ b/src/daemon/runController.ts
@@ -0,0 +1,67 @@
+/**
+ * The life of a controller: settings from a file, start, reload on SIGHUP, a graceful stop on SIGTERM.
+ */
+
+import { readFileSync } from 'node:fs'
+import { describeProblem } from '../runtime/settings/SettingsError.js'
+import { loadControllerSettings } from '../runtime/settings/ControllerSettings.js'
+import { ControllerDaemon } from './ControllerDaemon.js'
+
+import type { IControllerSettings } from '../runtime/settings/ControllerSettings.js'
+
+/** Exit codes, as docs/OPERATIONS.md lists them. */
+const EXIT_SETTINGS = 2
+const EXIT_START = 3
+const CONFIG_VARIABLE = 'JACKDAWREEL_CONFIG'
+
+export async function runController (): Promise<void> {
+  const path = settingsPath(process.argv.slice(2))
+  const settings = load(path)
+  const daemon = new ControllerDaemon(settings)
+  process.once('SIGTERM', () => { stop(daemon) })
+  process.once('SIGINT', () => { stop(daemon) })
+  process.on('SIGHUP', () => { reload(daemon, path) })
+  process.on('SIGUSR2', () => { daemon.dumpToLog() })
+  await daemon.start().catch((error: unknown) => exit(EXIT_START, String(error)))
+}
+
+function settingsPath (args: readonly string[]): string {
+  const at = args.indexOf('--config')
+  const path = at === -1 ? process.env[CONFIG_VARIABLE] : args[at + 1]
+  return path ?? exit(EXIT_SETTINGS, `name the settings file: --config FILE, or ${CONFIG_VARIABLE} in the environment`)
+}
+
+function load (path: string): IControllerSettings {
+  const read = loadControllerSettings(readText(path))
+  return read.isOk() ? read.value : exit(EXIT_SETTINGS, `${path}: ${read.error.problems.map(describeProblem).join('; ')}`)
+}
+
+function readText (path: string): string {
+  try {
+    return readFileSync(path, 'utf8')
+  } catch (error) {
+    return exit(EXIT_SETTINGS, `the settings file can't be read: ${String(error)}`)
+  }
+}
+
+/** A file that can't be used leaves the running settings as they are. */
+function reload (daemon: ControllerDaemon, path: string): void {
+  let text = ''
+  try {
+    text = readFileSync(path, 'utf8')
+  } catch (error) {
+    return daemon.noteReload(String(error))
+  }
+  const read = loadControllerSettings(text)
+  if (read.isErr()) daemon.noteReload(read.error.problems.map(describeProblem).join('; '))
+  else daemon.reload(read.value)
+}
+
+function stop (daemon: ControllerDaemon): void {
+  daemon.stop().then(() => process.exit(0), (error: unknown) => exit(EXIT_START, String(error)))
+}
+
+function exit (code: number, message: string): never {
+  process.stderr.write(`${message}\n`)
+  process.exit(code)
+}
--- a/src/runtime/ChartLoader.ts
+++ b/src/runtime/ChartLoader.ts
@@ -9,7 +9,7 @@
 
 import type { IFlatChart } from '../common/state/Types.js'
 
-export type ChartName = 'shardOwnership' | 'task'
+export type ChartName = 'shardOwnership' | 'task' | 'attempt'
 
 /** From `dist/src/runtime/` to the root. */
 const CHARTS_URL = new URL('../../../charts/', import.meta.url)
--- a/src/runtime/HttpExchange.ts
+++ b/src/runtime/HttpExchange.ts
@@ -14,7 +14,7 @@
   /** For errors: what is being done, and with whom. */
   readonly step: string
   readonly peer: string
-  readonly method: 'GET' | 'POST'
+  readonly method: 'GET' | 'POST' | 'DELETE'
   readonly path: string
   /** Names and values in turn. */
   readonly headers: readonly string[]
