--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,7 +12,7 @@
 }
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'node_modules/**'] }),
   {
     files: ['**/*.ts'],
     rules: {
--- a/src/cell/HostSession.ts
+++ b/src/cell/HostSession.ts
@@ -51,6 +51,7 @@
       if (outcome.kind === 'held') {
         this._noteAnswered()
         this._effects.onHeld(this.host, outcome.answer, sentAtMs)
+        await this._endsStored()
         continue
       }
       if (outcome.kind === 'fenced') this._effects.onFenced(this.host)
@@ -65,11 +66,9 @@
     const lastSeen = host.storedSequence
     // The first look only tells the time there.
     if (!host.hasClock) return { lastSeen, deadlineMs: undefined, waitMs: 0 }
-    const holdForMs = Math.min(this._maxHoldMs, this._effects.holdUntilMs() - nowMs)
-    if (holdForMs <= 0) return { lastSeen, deadlineMs: undefined, waitMs: WAIT_MS }
-    const deadlineMs = Math.floor(host.clockAtLeast(nowMs) + holdForMs)
-    host.noteDeadline(deadlineMs)
-    return { lastSeen, deadlineMs, waitMs: WAIT_MS }
+    const deadlineMs = host.nextDeadline(nowMs, this._maxHoldMs, this._effects.holdUntilMs())
+    // A host that was silent is held as soon as it answers, without a wait.
+    return { lastSeen, deadlineMs, waitMs: host.isInContact(nowMs) ? WAIT_MS : 0 }
   }
 
   private _noteAnswered (): void {
@@ -84,6 +83,18 @@
     this._log.warn('host.silent', { host: this.host.hostId, reason })
   }
 
+  /**
+   * Waits until the host may be told to forget the ends it listed, for a moment at most.
+   *
+   * A host answers at once as long as it has ends that weren't seen. Asked again before they are stored, it would be asked
+   * hundreds of times a second while the store is slow or away.
+   */
+  private async _endsStored (): Promise<void> {
+    const { host } = this
+    if (host.storedSequence >= host.appliedSequence) return
+    await Promise.race([host.endsStored, this._pause()])
+  }
+
   private async _pause (): Promise<void> {
     await new Promise<void>((resolve) => { this._clock.after(RETRY_MS, resolve) })
   }
--- a/src/cell/JobStore.ts
+++ b/src/cell/JobStore.ts
@@ -11,8 +11,13 @@
 import { jobKey, laneKey, progressKey } from './Keys.js'
 import { StoreLane } from './StoreLane.js'
 
-/** Transactions on the way at once: at 350 ms an answer they still carry 300 records a second. */
+/**
+ * Transactions on the way at once while the store is slow: at 350 ms an answer they still carry 300 records a second. A
+ * store that is quick gets all writes through one of them: fewer and fuller transactions.
+ */
 export const LANE_COUNT = 4
+/** A usual answer above which the store counts as slow, in ms: twice what one from another region takes. */
+const SLOW_STORE_MS = 100
 /** The store's outage after which new jobs are refused without waiting, in ms. */
 const OUTAGE_MS = 400
 
@@ -20,6 +25,7 @@
 
 export class JobStore {
   private readonly _lanes: readonly StoreLane[]
+  private readonly _laneByJob = new Map<string, StoreLane>()
 
   public constructor (
     store: IMetadataStore,
@@ -78,15 +84,22 @@
     for (const key of [jobKey(jobId), progressKey(jobId)]) {
       this._laneOf(jobId).write({ key, value: () => undefined, onStored: () => {} })
     }
+    this._laneByJob.delete(jobId)
   }
 
   public dispose (): void {
     for (const lane of this._lanes) lane.dispose()
   }
 
+  /** A job stays in its lane: two lanes may overtake each other. */
   private _laneOf (jobId: string): StoreLane {
-    const lane = this._lanes[Number.parseInt(jobId.slice(-4), 16) % LANE_COUNT]
+    const known = this._laneByJob.get(jobId)
+    if (known !== undefined) return known
+    const [first] = this._lanes
+    const isSlow = first !== undefined && first.latencyMs > SLOW_STORE_MS
+    const lane = this._lanes[isSlow ? Number.parseInt(jobId.slice(-4), 16) % LANE_COUNT : 0]
     if (lane === undefined) throw new Error('a cell has lanes')
+    this._laneByJob.set(jobId, lane)
     return lane
   }
 }
--- a/src/cell/OwnerRoute.ts
+++ b/src/cell/OwnerRoute.ts
@@ -23,10 +23,10 @@
 }
 
 /**
- * How long a new request waits for an owner where there is none, in ms. A takeover from a dead process takes about this
- * long; a caller told to come back would wait for a second.
+ * How long a new request waits for an owner where there is none, in ms: a takeover from an owner that vanished takes about
+ * as long as its lease. A caller told to come back would wait for a second from now.
  */
-const OWNER_WAIT_MS = 500
+const OWNER_WAIT_MS = 1200
 /** How long a submission that may have been stored waits for the next owner to say so, in ms. */
 const DOUBT_WAIT_MS = 2200
 const CALL_TIMEOUT_MS = 2500
--- a/src/cell/Ownership.ts
+++ b/src/cell/Ownership.ts
@@ -22,8 +22,8 @@
  * How long the record outlives its owner's last renewal, in ms, where the store allows it. It bounds how long a cell whose
  * owner vanished goes without one; four renewals fit in, so that one slow answer costs nothing.
  */
-const LEASE_MS = 1600
-const RENEW_MS = 400
+const LEASE_MS = 1000
+const RENEW_MS = 250
 /** A free record is taken after a random part of this, in ms, so that not all processes ask for it at once. */
 const TAKE_JITTER_MS = 120
 /** A failed try is followed by another after this time, in ms. */
@@ -173,6 +173,10 @@
       removes: []
     }, COMMIT_TIMEOUT_MS)
     this._log.info('owner.take', { outcome: outcome.kind, revision: outcome.kind === 'committed' ? outcome.revision : undefined })
+    if (outcome.kind === 'conflict') {
+      this._leaseId = undefined
+      await this._store.endLease(granted.value)
+    }
     if (outcome.kind !== 'committed') return false
     this._record = { processId: self.processId, incarnation: self.incarnation, peerUrl, revision: outcome.revision }
     this._recordEmitter.fire(this._record)
--- a/src/cell/StoreLane.ts
+++ b/src/cell/StoreLane.ts
@@ -34,8 +34,11 @@
 const MAX_WRITES = 28
 /** Kept well below the store's bound of a request, in characters. */
 const MAX_CHARS = 400_000
-/** The time in which further writes gather into one transaction, in ms. */
-const GATHER_MS = 3
+/**
+ * The time in which further writes gather into one transaction, in ms. Each transaction is paid for; a job makes about four
+ * of them wait, which is little beside the half second of the most urgent objective.
+ */
+const GATHER_MS = 12
 /** The bounds of the time after which an answer counts as lost, in ms. */
 const MIN_TIMEOUT_MS = 250
 const MAX_TIMEOUT_MS = 1500
@@ -80,6 +83,11 @@
     return this._failingSinceMs === undefined ? 0 : this._clock.nowMs() - this._failingSinceMs
   }
 
+  /** How long an answer takes, usually. */
+  public get latencyMs (): number {
+    return this._latencyMs
+  }
+
   public get queuedCount (): number {
     return this._queue.size
   }
@@ -195,7 +203,9 @@
     this._failingSinceMs = undefined
     this._sent = undefined
     for (const write of batch.writes) write.onStored()
-    this._sendNext()
+    // What has gathered meanwhile goes at once if it fills a transaction.
+    if (this._queue.size >= MAX_WRITES) this._sendNext()
+    else if (this._queue.size > 0) this._schedule(GATHER_MS)
   }
 
   private _noteLatency (tookMs: number): void {
--- /dev/null
+++ b/src/common/cell/CellScheduler.test.ts
@@ -0,0 +1,178 @@
+/**
+ * The owner's decisions on simulated hosts, in calm and with faults.
+ */
+
+import test from 'ava'
+import { SimulatedCell } from '../../../test/support/SimulatedCell.js'
+
+test('a job of two steps runs them in order and is completed', async (t) => {
+  const cell = new SimulatedCell({ hosts: 2 })
+  const job = cell.submit([{ count: 4 }, { count: 2, after: [0] }])
+  await cell.run(800)
+  t.is(job.shownPhase, 'running')
+  t.is(job.steps[1]?.tasks.filter((task) => task.lastRun > 0).length, 0)
+  await cell.run(3000)
+  t.is(job.shownPhase, 'completed')
+  t.is(cell.hosts.flatMap((host) => host.started).length, 6)
+})
+
+test('completed is told only once it is stored', async (t) => {
+  // The store goes away while the last task runs. Were completion told from memory, a caller would hear "completed", and
+  // after the owner's death "running" for the same job.
+  const cell = new SimulatedCell({ hosts: 1 })
+  const job = cell.submit([{}])
+  await cell.run(500)
+  cell.isStoreDown = true
+  await cell.run(2000)
+  t.is(job.phase, 'completed')
+  t.is(job.shownPhase, 'running')
+  cell.isStoreDown = false
+  await cell.run(200)
+  t.is(job.shownPhase, 'completed')
+})
+
+test('work behind a gang that can never fit goes on', async (t) => {
+  // A gang is so wide that the few hosts it may use could not hold it if they were empty. Keeping room for it would leave
+  // those hosts idle for ever: a caller behind it would see a job wait beside empty hosts.
+  const cell = new SimulatedCell({ hosts: 4, allows: () => true })
+  const advice = { baseMs: 10, perHostMs: 0.1, validMs: 1500 }
+  cell.submit([{ count: 5, cpuMillicores: 8000, gang: true }], { advice })
+  await cell.run(300)
+  const behind = cell.submit([{ count: 2 }], { advice, priority: 2 })
+  await cell.run(3000)
+  t.is(behind.shownPhase, 'completed')
+})
+
+test('a waiting gang gets its room although narrow work comes without end', async (t) => {
+  // Narrow tasks take each piece of room as it comes free. Without room kept together, the gang's caller would wait until
+  // the stream of narrow work ends.
+  const cell = new SimulatedCell({ hosts: 2 })
+  for (let i = 0; i < 14; i += 1) cell.submit([{ estimateMs: 1000 }], { priority: 2 })
+  await cell.run(300)
+  const gang = cell.submit([{ count: 2, cpuMillicores: 7000, gang: true }])
+  for (let i = 0; i < 30 && !gang.hasStarted; i += 1) {
+    cell.submit([{}], { priority: 2 })
+    await cell.run(100)
+  }
+  t.true(gang.hasStarted)
+  await cell.run(2000)
+  t.is(gang.shownPhase, 'completed')
+})
+
+test('after the owner has died, its successor starts nothing twice and loses nothing', async (t) => {
+  // The owner dies with tasks running. Its successor knows only the store and what the hosts tell; a caller would notice a
+  // task that runs twice, or a job that never ends.
+  const cell = new SimulatedCell({ hosts: 3 })
+  const jobs = Array.from({ length: 6 }, () => cell.submit([{ count: 3 }, { count: 1, after: [0] }]))
+  await cell.run(700)
+  cell.takeOver()
+  await cell.run(6000)
+  for (const { spec } of jobs) t.is(cell.job(spec.jobId).shownPhase, 'completed')
+  t.is(cell.mostRunsOfOneTask, 1)
+  t.is(cell.hosts.flatMap((host) => host.started).length, 24)
+})
+
+test('what a silent host may run is started elsewhere only after its last lease has ended', async (t) => {
+  // A host is cut off and runs on. Started elsewhere too early, a task would run in two places.
+  const cell = new SimulatedCell({ hosts: 2, host: { workMs: () => 60_000 } })
+  const job = cell.submit([{ count: 2, maxPerHost: 1 }])
+  await cell.run(1000)
+  cell.host(0).isSilent = true
+  await cell.run(5000)
+  t.is(cell.host(0).running.size, 1)
+  await cell.run(4000)
+  t.is(cell.mostRunsOfOneTask, 1)
+  t.true(job.steps[0]?.tasks.every((task) => task.attempt?.host.hostId === 'host-1' || task.attempt === undefined))
+})
+
+test('an order without an answer that is carried out late neither doubles a task nor overfills a host', async (t) => {
+  // Answers are lost and the orders are carried out seconds later. A caller would see a task run twice; an operator would
+  // see a host above its capacity.
+  const cell = new SimulatedCell({ hosts: 2, host: { cpuMillicores: 2000 } })
+  cell.host(0).losesStarts = true
+  const jobs = Array.from({ length: 4 }, () => cell.submit([{}], { priority: 0 }))
+  await cell.run(2000)
+  cell.host(0).carryOutLate()
+  cell.host(0).losesStarts = false
+  await cell.run(3000)
+  cell.host(0).carryOutLate()
+  await cell.run(4000)
+  for (const job of jobs) t.is(job.shownPhase, 'completed')
+  t.is(cell.mostRunsOfOneTask, 1)
+  t.true(cell.mostOverCapacity <= 0)
+})
+
+test('a late order is not carried out by the next life of its host', async (t) => {
+  // A start had no answer, and its host restarts under the same id. The new life knows no fence and no run: were the run not
+  // barred there, it would run late, beside the one that took its place.
+  const cell = new SimulatedCell({ hosts: 2, host: { workMs: () => 5000 } })
+  cell.host(0).losesStarts = true
+  cell.host(1).losesStarts = true
+  cell.submit([{ count: 2 }])
+  await cell.run(500)
+  cell.host(0).restart()
+  cell.host(1).restart()
+  cell.host(0).losesStarts = false
+  cell.host(1).losesStarts = false
+  await cell.run(1500)
+  cell.host(0).carryOutLate()
+  cell.host(1).carryOutLate()
+  await cell.run(1000)
+  t.is(cell.mostRunsOfOneTask, 1)
+})
+
+test('a run that stands still is stopped and started on another host', async (t) => {
+  // A host keeps its tasks without doing anything, in good health. The caller would wait for ever.
+  const cell = new SimulatedCell({ hosts: 2 })
+  cell.host(0).isStuck = true
+  const jobs = Array.from({ length: 4 }, () => cell.submit([{ count: 2, maxPerHost: 1 }], { priority: 0 }))
+  await cell.run(9000)
+  for (const job of jobs) t.is(job.shownPhase, 'completed')
+  t.is(cell.mostRunsOfOneTask, 1)
+})
+
+test('a host that fails all it starts does not use up the attempts of many jobs', async (t) => {
+  // One host of four ends each task at once as failed, so it always has room and would draw all work to itself. Callers would
+  // see jobs fail whose work was never at fault.
+  const cell = new SimulatedCell({ hosts: 4 })
+  Object.assign(cell.host(0).options, { workMs: () => 50, endOf: () => 'failed' })
+  const jobs = []
+  for (let i = 0; i < 40; i += 1) {
+    jobs.push(cell.submit([{ count: 2 }]))
+    await cell.run(100)
+  }
+  await cell.run(8000)
+  t.is(jobs.filter((job) => job.shownPhase === 'failed').length, 0)
+  t.is(jobs.filter((job) => job.shownPhase === 'completed').length, 40)
+})
+
+test('a job fails after as many failed runs as its queue allows, and no run is started after that', async (t) => {
+  // A job can't be done. Its caller is told so, and hosts aren't kept busy with it.
+  const cell = new SimulatedCell({ hosts: 3, host: { endOf: () => 'failed' } })
+  const job = cell.submit([{}], { maxAttempts: 3 })
+  await cell.run(15_000)
+  t.is(job.shownPhase, 'failed')
+  t.is(cell.hosts.flatMap((host) => host.started).length, 3)
+})
+
+test('a draining host gets no new work', async (t) => {
+  const cell = new SimulatedCell({ hosts: 2 })
+  await cell.run(400)
+  cell.host(0).isDraining = true
+  await cell.run(400)
+  cell.submit([{ count: 6 }])
+  await cell.run(3000)
+  t.is(cell.host(0).started.length, 0)
+  t.is(cell.host(1).started.length, 6)
+})
+
+test('a job that is cancelled is stopped everywhere', async (t) => {
+  const cell = new SimulatedCell({ hosts: 2, host: { workMs: () => 30_000 } })
+  const job = cell.submit([{ count: 4 }])
+  await cell.run(1000)
+  job.phase = 'cancelled'
+  cell.scheduler.stopJob(job)
+  await cell.run(1000)
+  t.is(cell.hosts.reduce((sum, host) => sum + host.running.size, 0), 0)
+  t.true(job.steps.every((step) => step.isQuiet))
+})
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -158,7 +158,7 @@
       nowMs,
       hosts: [...this.hosts.values()],
       farFactor: this._options.farFactor,
-      headroom: (host, priority) => urgentHeadroom(host, priority) + (claimed.get(host) ?? 0)
+      headroom: (host, step) => urgentHeadroom(host, step) + (claimed.get(host) ?? 0)
     }
     let gathering = 0
     for (const step of this._readySteps(nowMs)) {
--- a/src/common/cell/GangRoom.ts
+++ b/src/common/cell/GangRoom.ts
@@ -19,7 +19,9 @@
 /** The hosts that a waiting gang should fill: those with the most room now and soon, until they hold all of it. */
 export function hostsToGather (step: Step, view: IPlacementView): readonly HostState[] {
   const { spec } = step
-  const candidates = eligibleHosts(step, view)
+  const hosts = eligibleHosts(step, view)
+  if (!couldEverFit(step, hosts)) return []
+  const candidates = hosts
     .map((host) => ({ host, soon: roomSoon(step, host, view) }))
     .filter(({ soon }) => soon > 0)
     .sort((a, b) => b.soon - a.soon)
@@ -33,9 +35,19 @@
   return chosen
 }
 
+/**
+ * Whether the hosts would hold the gang if they were empty. One that is too wide for the few hosts it may use can't be
+ * helped; keeping room for it would leave these hosts idle for ever, and work behind it would wait beside empty hosts.
+ */
+function couldEverFit (step: Step, hosts: readonly HostState[]): boolean {
+  let room = 0
+  for (const host of hosts) room += host.capacityFor(step.spec)
+  return room >= step.spec.count
+}
+
 function roomSoon (step: Step, host: HostState, view: IPlacementView): number {
-  const { spec, job } = step
-  let soonFree = host.freeCpu - view.headroom(host, job.queue.priority)
+  const { spec } = step
+  let soonFree = host.freeCpu - view.headroom(host, step)
   for (const attempt of host.attempts) {
     if (endsWithin(attempt, view.nowMs, SOON_MS)) soonFree += attempt.task.step.spec.cpuMillicores
   }
--- a/src/common/cell/HostState.ts
+++ b/src/common/cell/HostState.ts
@@ -12,6 +12,8 @@
 const LAPSE_MARGIN_MS = 300
 /** A host that didn't answer for so long takes no new work, in ms. A hold is answered every 1.5 s at the latest. */
 const CONTACT_FRESH_MS = 2500
+/** A host that didn't answer for so long is held no longer, in ms: a look takes a second and a round trip. */
+const HOLD_CONTACT_MS = 1800
 /** Failures of different jobs in a row after which a host is suspected to fail whatever it is given. */
 const SUSPECT_FAILURES = 3
 /** How long a suspect gets no work before it is tried again, in ms; doubles with each try that fails. */
@@ -71,6 +73,16 @@
     return Math.max(0, Math.floor(Math.min(byCpu, byMemory, byAccelerators, step.count)))
   }
 
+  /** How many tasks of this step it would hold if it were empty. */
+  public capacityFor (step: IStepSpec): number {
+    const { cpuMillicores, memoryMb, accelerators } = this.entry
+    const byCpu = step.cpuMillicores === 0 ? Infinity : cpuMillicores / step.cpuMillicores
+    const byMemory = step.memoryMb === 0 ? Infinity : memoryMb / step.memoryMb
+    const byAccelerators = step.accelerators === 0 ? Infinity : accelerators / step.accelerators
+    const byBound = step.maxPerHost === 0 ? step.count : step.maxPerHost
+    return Math.floor(Math.min(byCpu, byMemory, byAccelerators, byBound))
+  }
+
   /** Whether it could ever hold a task of this step. */
   public couldHold (step: IStepSpec): boolean {
     const { cpuMillicores, memoryMb, accelerators, labels } = this.entry
@@ -109,6 +121,26 @@
     this._maxDeadlineMs = Math.max(this._maxDeadlineMs, deadlineMs)
   }
 
+  public isInContact (nowMs: MonotonicMs): boolean {
+    return nowMs - this._clockAtMs <= HOLD_CONTACT_MS
+  }
+
+  /**
+   * Until when to hold the host, on its clock; nothing where it isn't to be held any longer.
+   *
+   * A host that doesn't answer is looked at, and not held: each order that it may still carry out would move the moment at
+   * which its leases have surely ended, and one would see the tasks of a dead host wait for ever.
+   *
+   * @param untilMs the latest that this owner may hold anything, by the monotonic clock
+   */
+  public nextDeadline (nowMs: MonotonicMs, maxHoldMs: number, untilMs: MonotonicMs): number | undefined {
+    const holdForMs = Math.min(maxHoldMs, untilMs - nowMs)
+    if (holdForMs <= 0 || !this.isInContact(nowMs)) return undefined
+    const deadlineMs = Math.floor(this.clockAtLeast(nowMs) + holdForMs)
+    this.noteDeadline(deadlineMs)
+    return deadlineMs
+  }
+
   /** Whether every lease that was ever given here has surely ended, without a word from the host. */
   public hasLapsed (nowMs: MonotonicMs): boolean {
     if (nowMs < this._inheritedUntilMs) return false
--- a/src/common/cell/Placement.ts
+++ b/src/common/cell/Placement.ts
@@ -20,8 +20,8 @@
   readonly hosts: readonly HostState[]
   /** How many times as long a task runs away from its data. */
   readonly farFactor: number
-  /** Room on a host, in millicores, that a step of this priority has to leave free. */
-  headroom (host: HostState, priority: number): number
+  /** Room on a host, in millicores, that the step has to leave free. */
+  headroom (host: HostState, step: Step): number
 }
 
 /**
@@ -31,8 +31,14 @@
 const URGENT_SHARE = 0.1
 const URGENT_PRIORITY = 0
 
-export function urgentHeadroom (host: HostState, priority: number): number {
-  return priority === URGENT_PRIORITY ? 0 : host.entry.cpuMillicores * URGENT_SHARE
+/**
+ * What a step has to leave free for urgent work. A gang is exempt, and a task that needs nearly a whole host: with the
+ * room left aside they might never fit, however empty the cell.
+ */
+export function urgentHeadroom (host: HostState, step: Step): number {
+  if (step.job.queue.priority === URGENT_PRIORITY || step.spec.gang) return 0
+  const { cpuMillicores } = host.entry
+  return Math.max(0, Math.min(cpuMillicores * URGENT_SHARE, cpuMillicores - step.spec.cpuMillicores))
 }
 
 /** The hosts on which a task of the step may start, as far as room is left aside. */
@@ -129,8 +135,8 @@
   }
 
   private _roomOn (host: HostState): number {
-    const { spec, job } = this._step
-    const room = host.roomFor(spec, this._view.headroom(host, job.queue.priority))
+    const { spec } = this._step
+    const room = host.roomFor(spec, this._view.headroom(host, this._step))
     if (spec.maxPerHost === 0) return room
     return Math.max(0, Math.min(room, spec.maxPerHost - runsOfStepOn(this._step, host)))
   }
