Ask for a new ticket where one ran out while its run was recorded

Test: 'a run whose ticket ran out while it was recorded gets a new one' failed first, passes now. A gang's tickets that would run out during a call are asked for with the others.

--- a/src/common/cell/CellScheduler.test.ts
+++ b/src/common/cell/CellScheduler.test.ts
@@ -176,3 +176,15 @@
   t.is(cell.hosts.reduce((sum, host) => sum + host.running.size, 0), 0)
   t.true(job.steps.every((step) => step.isQuiet))
 })
+
+test('a run whose ticket ran out while it was recorded gets a new one', async (t) => {
+  // The store takes longer to record a run than its ticket is good for. The run would keep its room and its task for ever:
+  // a caller would see a job stop halfway in an empty cell.
+  const cell = new SimulatedCell({ hosts: 2, saveMs: 700 })
+  const advice = { baseMs: 10, perHostMs: 0.1, validMs: 600 }
+  const job = cell.submit([{ count: 3 }], { advice })
+  const gang = cell.submit([{ count: 2, gang: true }], { advice })
+  await cell.run(6000)
+  t.is(job.shownPhase, 'completed')
+  t.is(gang.shownPhase, 'completed')
+})
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -22,7 +22,7 @@
 import { StepAdvice } from './StepAdvice.js'
 import type { IHoldAnswer, IHostEntry, IRunRef, StopOutcome } from './Types.js'
 
-export interface ICellEffects extends Omit<IRunEffects, 'noteChange'>, IAdviceSender {
+export interface ICellEffects extends Omit<IRunEffects, 'noteChange' | 'requestTickets'>, IAdviceSender {
   stopUnknown (host: IHostEntry, ref: IRunRef): Promise<StopOutcome>
   /** Asks for `pass` to be called soon. */
   requestPass (): void
@@ -65,6 +65,7 @@
       start: async (host, order) => await _effects.start(host, order),
       stop: async (host, ref) => await _effects.stop(host, ref),
       noteFenced: (hostId) => { _effects.noteFenced(hostId) },
+      requestTickets: (step) => { this._requestTickets(step) },
       noteChange
     }, _chart, _clock, _log)
     this._reader = new HoldReader(this._runs, {
@@ -138,14 +139,20 @@
     return count
   }
 
-  /** Looks for runs that stand still, and asks again for stops that had no answer; to be called about twice a second. */
+  /**
+   * Looks for runs that stand still, and asks again for stops that had no answer and for tickets that weren't to be had; to
+   * be called about twice a second.
+   */
   public sweep (): void {
+    const preparing = new Set<Step>()
     for (const host of this.hosts.values()) {
       for (const attempt of [...host.attempts]) {
         if (attempt.phase === 'stopping') this._runs.stop(attempt)
+        if (attempt.phase === 'preparing') preparing.add(attempt.task.step)
       }
       this._stalled.look(host)
     }
+    for (const step of preparing) this._runs.orderReady(step)
     this._desk.pump()
     this._effects.requestPass()
   }
@@ -212,13 +219,23 @@
 
   private _start (step: Step, plan: readonly IPlacement[]): void {
     if (plan.length === 0) return
-    const attempts = this._runs.prepare(step, plan)
-    const unticketed = attempts.filter((attempt) => attempt.ticket === '')
-    if (step.job.queue.advice === undefined || unticketed.length === 0) return
-    this._askAdvice(step, [...new Set(unticketed.map((attempt) => attempt.host.hostId))], () => {
-      // What got no ticket now is planned anew.
-      const advice = step.advice
-      this._runs.drop(unticketed.filter(({ host }) => advice?.ticket(host.hostId, host.bornMs, this._clock.nowMs()) === undefined))
+    this._runs.prepare(step, plan)
+    this._requestTickets(step)
+  }
+
+  /** Asks for the tickets that runs of the step wait for; what gets none is placed anew. */
+  private _requestTickets (step: Step): void {
+    const { advice } = step
+    if (step.job.queue.advice === undefined || advice === undefined || advice.isAsking) return
+    const waiting = step.tasks.flatMap(({ attempt }) => attempt?.phase === 'preparing' ? [attempt] : [])
+    const isMissing = (attempt: Attempt, atMs: MonotonicMs): boolean =>
+      advice.ticket(attempt.host.hostId, attempt.host.bornMs, atMs) === undefined
+    if (!waiting.some((attempt) => isMissing(attempt, this._clock.nowMs()))) return
+    // A gang needs all its tickets at once: those that would run out during the call are asked for with the others.
+    const goodAtMs = this._clock.nowMs() + (step.spec.gang ? expectedAdviceMs(step, waiting.length) : 0)
+    const asked = waiting.filter((attempt) => isMissing(attempt, goodAtMs))
+    this._askAdvice(step, [...new Set(asked.map((attempt) => attempt.host.hostId))], () => {
+      this._runs.drop(asked.filter((attempt) => isMissing(attempt, this._clock.nowMs())))
       this._runs.orderReady(step)
     })
   }
@@ -257,11 +274,12 @@
       hostIds,
       priority: job.queue.priority,
       dueMs: job.dueMs,
-      expectedMs: terms.baseMs + terms.perHostMs * hostIds.length,
+      expectedMs: expectedAdviceMs(step, hostIds.length),
       isWanted: () => !job.isFinished,
       settle: (outcome) => {
         const nowMs = this._clock.nowMs()
         advice.isAsking = false
+        if (outcome.kind !== 'advised') advice.retryAtMs = nowMs + ADVICE_RETRY_MS
         if (outcome.kind === 'advised') {
           advice.note(hostIds, outcome.allowed, nowMs + terms.validMs, (hostId) => this.hosts.get(hostId)?.bornMs)
         }
@@ -275,6 +293,12 @@
   }
 }
 
+/** How long the service takes for a call that names so many hosts. */
+function expectedAdviceMs (step: Step, hosts: number): number {
+  const terms = step.job.queue.advice
+  return terms === undefined ? 0 : terms.baseMs + terms.perHostMs * hosts
+}
+
 /** 0 while the job can still earn something, 1 after. */
 function lateness (job: Job, nowMs: MonotonicMs): number {
   return nowMs - job.receivedAtMs > LOST_AFTER_OBJECTIVES * (job.dueMs - job.receivedAtMs) ? 1 : 0
--- a/src/common/cell/Placement.ts
+++ b/src/common/cell/Placement.ts
@@ -50,10 +50,10 @@
     (!needsAdvice || isAdvised(advice, host, view.nowMs)))
 }
 
-/** While tickets are being asked for, only those at hand count: each call more would wait behind the one on its way. */
+/** While tickets are being asked for, or just after that has failed, only those at hand count: calls would pile up. */
 function isAdvised (advice: StepAdvice | undefined, host: HostState, nowMs: MonotonicMs): boolean {
   if (advice?.allows(host.hostId) !== true) return false
-  return !advice.isAsking || advice.ticket(host.hostId, host.bornMs, nowMs) !== undefined
+  return (!advice.isAsking && nowMs >= advice.retryAtMs) || advice.ticket(host.hostId, host.bornMs, nowMs) !== undefined
 }
 
 /** A place for each idle task that finds one, best tasks and hosts first. */
--- a/src/common/cell/RunController.ts
+++ b/src/common/cell/RunController.ts
@@ -19,6 +19,8 @@
   stop (host: IHostEntry, ref: IRunRef): Promise<StopOutcome>
   /** A host takes orders of a newer owner only. */
   noteFenced (hostId: string): void
+  /** Runs of the step that are recorded have no ticket that is still good. */
+  requestTickets (step: Step): void
   /** Room or a task has come free, or a job has moved on. */
   noteChange (): void
 }
@@ -60,7 +62,10 @@
     const usable = waiting.filter((attempt) => this._isUsable(attempt))
     if (step.spec.gang && usable.length < waiting.length) return this.drop(waiting)
     this.drop(waiting.filter((attempt) => !usable.includes(attempt)))
-    const ready = usable.filter((attempt) => attempt.isRecorded && this._hasTicket(attempt))
+    const recorded = usable.filter((attempt) => attempt.isRecorded)
+    const ready = recorded.filter((attempt) => this._hasTicket(attempt))
+    // Recording may take longer than a ticket is good for.
+    if (ready.length < recorded.length) this._effects.requestTickets(step)
     if (step.spec.gang && ready.length < step.tasks.length) return
     for (const attempt of ready) this._order(attempt)
   }
--- a/src/common/cell/StepAdvice.ts
+++ b/src/common/cell/StepAdvice.ts
@@ -22,6 +22,8 @@
   /** A call is on its way. */
   public isAsking = false
   public askedAtMs: MonotonicMs = -Infinity
+  /** After a call that failed, none is made before. */
+  public retryAtMs: MonotonicMs = -Infinity
   /** A first answer has come. */
   public isKnown = false
 
@@ -37,10 +39,10 @@
     return this._tickets.size
   }
 
-  /** A ticket that is good for an order given now. */
-  public ticket (hostId: string, bornMs: EpochMs, nowMs: MonotonicMs): string | undefined {
+  /** A ticket that is good for an order given at this time. */
+  public ticket (hostId: string, bornMs: EpochMs, atMs: MonotonicMs): string | undefined {
     const held = this._tickets.get(hostId)
-    if (held === undefined || held.bornMs !== bornMs || held.validUntilMs - TICKET_MARGIN_MS < nowMs) return undefined
+    if (held === undefined || held.bornMs !== bornMs || held.validUntilMs - TICKET_MARGIN_MS < atMs) return undefined
     return held.ticket
   }
 
