Ask advice for the hosts with most room, hold back room for gangs by cores, let strong machines own the cell first

Ruled out: processor of the owner (0.49 cores of 1.35), advice capacity (471 s of work on 32 machines in 50 s). Asked are hosts with the most room, as many as the step needs and some to spare, by the share that the queue's advice allows (learned); more when a step finds no room for 2 s. Gangs hold back cores, 30% of all at most, instead of whole hosts of two.

--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -52,8 +52,12 @@
 const INHERITED_MARGIN_MS = 1000
 const HOSTS_POLL_MS = 600
 const SWEEP_MS = 400
-/** Changes gather for this long before the next look at what can be placed, in ms. */
+/**
+ * Changes gather before the next look at what can be placed, in ms: at least so long, and a multiple of what the last look
+ * took, so that looks never take more than a fifth of the processor, however long the queue is.
+ */
 const PASS_DELAY_MS = 4
+const PASS_REST_FACTOR = 4
 const READ_RETRY_MS = 100
 const COLLECT_MS = 10_000
 /** Finished jobs are kept this much longer than callers may ask, in ms. */
@@ -70,6 +74,7 @@
   private readonly _accepting = new Map<string, Promise<SubmitOutcome>>()
   private _isDisposed = false
   private _isPassDue = false
+  private _lastPassMs = 0
   private _store: JobStore | undefined
 
   /** Resolves when this owner can answer; its store's jobs are known from then on. */
@@ -347,9 +352,12 @@
   private _requestPass (): void {
     if (this._isPassDue || this._isDisposed) return
     this._isPassDue = true
-    this._context.clock.after(PASS_DELAY_MS, () => {
+    this._context.clock.after(Math.max(PASS_DELAY_MS, this._lastPassMs * PASS_REST_FACTOR), () => {
       this._isPassDue = false
-      if (!this._isDisposed) this._scheduler.pass()
+      if (this._isDisposed) return
+      const beganAtMs = this._context.clock.nowMs()
+      this._scheduler.pass()
+      this._lastPassMs = this._context.clock.nowMs() - beganAtMs
     })
   }
 }
--- a/src/cell/Ownership.ts
+++ b/src/cell/Ownership.ts
@@ -16,6 +16,8 @@
   readonly peerUrl: string
   /** The shortest time to live that the store grants a lease, in ms. */
   readonly minLeaseMs: number
+  /** How long this process lets others go first, in ms. */
+  readonly yieldMs: number
 }
 
 /**
@@ -145,7 +147,7 @@
   }
 
   private _takeSoon (): void {
-    this._clock.after(this._random.next() * TAKE_JITTER_MS, () => { if (this._record === undefined) this._take(0) })
+    this._clock.after(this._options.yieldMs + this._random.next() * TAKE_JITTER_MS, () => { if (this._record === undefined) this._take(0) })
   }
 
   private _take (expectedRevision: number): void {
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -7,20 +7,21 @@
 import type { ChartTable } from '../state/ChartTable.js'
 import type { IClock, MonotonicMs } from '../Types.js'
 import { AdviceDesk } from './AdviceDesk.js'
+import { AllowedShares, hostsToAsk } from './AdviceReach.js'
 import type { IAdviceSender } from './AdviceDesk.js'
 import { Attempt } from './Attempt.js'
-import { hostsToGather } from './GangRoom.js'
+import { GangRoom, couldEverFit } from './GangRoom.js'
 import { HoldReader } from './HoldReader.js'
 import { HostState } from './HostState.js'
 import type { Job, Step } from './Job.js'
 import type { IRecordedRun } from './JobRecord.js'
-import { planGang, planTasks, urgentHeadroom } from './Placement.js'
+import { allowedHosts, planGang, planTasks, urgentHeadroom } from './Placement.js'
 import type { IPlacement, IPlacementView } from './Placement.js'
 import { RunController } from './RunController.js'
 import type { IRunEffects } from './RunController.js'
 import { StalledRuns } from './StalledRuns.js'
 import { StepAdvice } from './StepAdvice.js'
-import type { IHoldAnswer, IHostEntry, IRunRef, StopOutcome } from './Types.js'
+import type { IHoldAnswer, IHostEntry, IRunRef, ITicket, StopOutcome } from './Types.js'
 
 export interface ICellEffects extends Omit<IRunEffects, 'noteChange' | 'requestTickets'>, IAdviceSender {
   stopUnknown (host: IHostEntry, ref: IRunRef): Promise<StopOutcome>
@@ -34,12 +35,10 @@
   readonly inheritedUntilMs: MonotonicMs
 }
 
-/** Waiting gangs that may keep room together; each one more leaves that much more of the cell idle. */
-const MAX_GATHERING_GANGS = 2
 /** How long after a failed call for advice a step is asked for again, in ms. */
 const ADVICE_RETRY_MS = 300
-/** Hosts named in one call for advice: the service takes no more. */
-const MAX_ADVISED_HOSTS = 100
+/** A step that found no room for so long on the hosts it may use asks for more of them, in ms: two calls of the slowest kind. */
+const WIDEN_AFTER_MS = 2000
 /** Past this many times its objective a job earns nothing more and goes behind all others. */
 const LOST_AFTER_OBJECTIVES = 3
 
@@ -47,6 +46,7 @@
   public readonly jobs = new Map<string, Job>()
   public readonly hosts = new Map<string, HostState>()
   private readonly _open = new Set<Job>()
+  private readonly _shares = new AllowedShares()
   private readonly _runs: RunController
   private readonly _reader: HoldReader
   private readonly _desk: AdviceDesk
@@ -160,22 +160,18 @@
   /** Places what can be placed now, the most urgent first. */
   public pass (): void {
     const nowMs = this._clock.nowMs()
-    const claimed = new Map<HostState, number>()
+    const gangRoom = new GangRoom(this.hosts.values())
     const view: IPlacementView = {
       nowMs,
-      hosts: [...this.hosts.values()],
+      hosts: this.hosts,
       farFactor: this._options.farFactor,
-      headroom: (host, step) => urgentHeadroom(host, step) + (claimed.get(host) ?? 0)
+      headroom: (host, step) => urgentHeadroom(host, step) + gangRoom.heldOn(host)
     }
-    let gathering = 0
     for (const step of this._readySteps(nowMs)) {
       const advice = this._adviceOf(step)
       if (step.job.queue.advice !== undefined && !advice.isKnown) continue
       if (!step.spec.gang) this._placeTasks(step, view)
-      else if (!this._placeGang(step, view) && gathering < MAX_GATHERING_GANGS) {
-        gathering += 1
-        this._keepRoom(step, view, claimed)
-      }
+      else if (!this._placeGang(step, view)) gangRoom.hold(step, view)
     }
   }
 
@@ -213,10 +209,6 @@
     return true
   }
 
-  private _keepRoom (step: Step, view: IPlacementView, claimed: Map<HostState, number>): void {
-    for (const host of hostsToGather(step, view)) claimed.set(host, host.entry.cpuMillicores)
-  }
-
   private _start (step: Step, plan: readonly IPlacement[]): void {
     if (plan.length === 0) return
     this._runs.prepare(step, plan)
@@ -240,26 +232,31 @@
     })
   }
 
-  /** The step's advice; asks for it where there is none, or none of the hosts it allows is left. */
+  /** The step's advice; asks for it where there is none yet, or too little. */
   private _adviceOf (step: Step): StepAdvice {
     step.advice ??= new StepAdvice()
     const { advice } = step
     if (step.job.queue.advice === undefined || advice.isAsking) return advice
     const nowMs = this._clock.nowMs()
-    if (nowMs - advice.askedAtMs < ADVICE_RETRY_MS) return advice
-    const unasked = this._unaskedHosts(step)
-    const hasAllowed = [...this.hosts.values()].some((host) => advice.allows(host.hostId) && host.isPlaceable(nowMs))
-    if (unasked.length > 0 && !hasAllowed) this._askAdvice(step, unasked, () => {})
+    if (nowMs < advice.retryAtMs || !this._needsMoreHosts(step, advice, nowMs)) return advice
+    const hostIds = hostsToAsk(step, this.hosts.values(), this._shares.of(step.job.queue.name))
+    if (hostIds.length > 0) this._askAdvice(step, hostIds, () => {})
+    else advice.askedAtMs = nowMs
     return advice
   }
 
-  private _unaskedHosts (step: Step): readonly string[] {
-    const names: string[] = []
-    for (const host of this.hosts.values()) {
-      if (host.entry.service !== step.job.queue.service || !host.isListed || host.entry.draining) continue
-      if (host.couldHold(step.spec) && step.advice?.wasAsked(host.hostId) !== true) names.push(host.hostId)
-    }
-    return names.slice(0, MAX_ADVISED_HOSTS)
+  /** Only of hosts that were named for the first time: tickets are asked anew for allowed ones. */
+  private _noteShare (queue: string, named: readonly string[], allowed: readonly ITicket[]): void {
+    const ids = new Set(named)
+    this._shares.note(queue, named.length, allowed.filter(({ hostId }) => ids.has(hostId)).length)
+  }
+
+  /** Whether the hosts allowed so far can't run the step, or have had no room for it for a while. */
+  private _needsMoreHosts (step: Step, advice: StepAdvice, nowMs: MonotonicMs): boolean {
+    if (!advice.isKnown) return true
+    const usable = allowedHosts(step, this.hosts).filter((host) => host.isPlaceable(nowMs))
+    if (usable.length === 0 || (step.spec.gang && !couldEverFit(step, usable))) return true
+    return nowMs - advice.askedAtMs > WIDEN_AFTER_MS && step.tasks.some((task) => task.isIdle)
   }
 
   private _askAdvice (step: Step, hostIds: readonly string[], then: () => void): void {
@@ -281,6 +278,7 @@
         advice.isAsking = false
         if (outcome.kind !== 'advised') advice.retryAtMs = nowMs + ADVICE_RETRY_MS
         if (outcome.kind === 'advised') {
+          this._noteShare(job.queue.name, hostIds.filter((hostId) => !advice.wasAsked(hostId)), outcome.allowed)
           advice.note(hostIds, outcome.allowed, nowMs + terms.validMs, (hostId) => this.hosts.get(hostId)?.bornMs)
         }
         const waitMs = Math.round(nowMs - advice.askedAtMs)
--- a/src/common/cell/Placement.ts
+++ b/src/common/cell/Placement.ts
@@ -17,7 +17,7 @@
 
 export interface IPlacementView {
   readonly nowMs: MonotonicMs
-  readonly hosts: readonly HostState[]
+  readonly hosts: ReadonlyMap<string, HostState>
   /** How many times as long a task runs away from its data. */
   readonly farFactor: number
   /** Room on a host, in millicores, that the step has to leave free. */
@@ -44,10 +44,27 @@
 /** The hosts on which a task of the step may start, as far as room is left aside. */
 export function eligibleHosts (step: Step, view: IPlacementView): readonly HostState[] {
   const { spec, job, advice } = step
-  const needsAdvice = job.queue.advice !== undefined
-  return view.hosts.filter((host) =>
-    host.entry.service === job.queue.service && host.isPlaceable(view.nowMs) && host.couldHold(spec) &&
-    (!needsAdvice || isAdvised(advice, host, view.nowMs)))
+  const eligible: HostState[] = []
+  for (const host of candidates(step, view)) {
+    if (host.entry.service !== job.queue.service || !host.isPlaceable(view.nowMs) || !host.couldHold(spec)) continue
+    if (job.queue.advice === undefined || isAdvised(advice, host, view.nowMs)) eligible.push(host)
+  }
+  return eligible
+}
+
+function candidates (step: Step, view: IPlacementView): Iterable<HostState> {
+  if (step.job.queue.advice === undefined) return view.hosts.values()
+  return allowedHosts(step, view.hosts)
+}
+
+/** The hosts that the advice service allows for the step, placeable or not. */
+export function allowedHosts (step: Step, hosts: ReadonlyMap<string, HostState>): readonly HostState[] {
+  const allowed: HostState[] = []
+  for (const hostId of step.advice?.allowedHostIds() ?? []) {
+    const host = hosts.get(hostId)
+    if (host !== undefined) allowed.push(host)
+  }
+  return allowed
 }
 
 /** While tickets are being asked for, or just after that has failed, only those at hand count: calls would pile up. */
--- a/src/common/cell/StepAdvice.ts
+++ b/src/common/cell/StepAdvice.ts
@@ -35,8 +35,9 @@
     return this._asked.has(hostId)
   }
 
-  public get allowedCount (): number {
-    return this._tickets.size
+  /** The hosts that may run the step, of those asked about so far. */
+  public allowedHostIds (): Iterable<string> {
+    return this._tickets.keys()
   }
 
   /** A ticket that is good for an order given at this time. */
--- a/src/daemon/ControllerDaemon.ts
+++ b/src/daemon/ControllerDaemon.ts
@@ -40,6 +40,12 @@
 const NOTICE_MS = 2300
 /** Of the time to stop, this is kept for closing, in ms. */
 const CLOSE_RESERVE_MS = 1500
+/**
+ * Processor that an owner should have, in cores: at 250 hosts and 80 jobs a second it takes half of one. A machine with less
+ * lets others go first, for this long in ms; it still owns the cell where nobody else does.
+ */
+const OWNER_CORES = 0.6
+const WEAK_YIELD_MS = 250
 /** What a call for advice through a peer may take beyond the service's own time, in ms. */
 const PEER_SLACK_MS = 300
 
@@ -81,8 +87,9 @@
     this._hub = hub
     const peerUrl = await hub.start()
     if (peerUrl.isErr()) throw peerUrl.error
+    const yieldMs = this._settings.process.processorShare * this._settings.process.processorSpeed < OWNER_CORES ? WEAK_YIELD_MS : 0
     const ownership = new Ownership(
-      this._store, { self: this._self, peerUrl: peerUrl.value, minLeaseMs: store.minLeaseMs }, this._clock, this._random, this._log)
+      this._store, { self: this._self, peerUrl: peerUrl.value, minLeaseMs: store.minLeaseMs, yieldMs }, this._clock, this._random, this._log)
     this._ownership = this._disposables.add(ownership)
     const directory = { get record () { return ownership.record }, local: () => this._owner }
     const route = new OwnerRoute(hub, directory, this._clock)
@@ -90,7 +97,7 @@
     this._disposables.add(ownership.onRecord((record) => { route.follow(record) }))
     this._disposables.add(ownership.onOwned((revision) => { this._own(revision) }))
     this._disposables.add(ownership.onLost(() => { this._disown() }))
-    this._disposables.add(new OwnerWatch(hub, ownership, this._clock, this._random, this._log))
+    this._disposables.add(new OwnerWatch(hub, ownership, yieldMs, this._clock, this._random, this._log))
     ownership.start()
     this._entry = new CallerEntry({
       wire: callerWire, config: this._config, route, clock: this._clock, log: this._log, times: this._times
--- a/src/runtime/settings/ControllerSettings.ts
+++ b/src/runtime/settings/ControllerSettings.ts
@@ -22,7 +22,13 @@
 }
 
 const SECTIONS = {
-  process: z.strictObject({ id: simpleName(), region: simpleName(), failureDomain: simpleName() }),
+  process: z.strictObject({
+    id: simpleName(),
+    region: simpleName(),
+    failureDomain: simpleName(),
+    processorShare: number(0.01, 1, 'the machine\'s processor'),
+    processorSpeed: number(0.01, 1000, 'cores that the processor is worth')
+  }),
   callers: z.strictObject({ listen: listenAddress() }),
   readiness: z.strictObject({ listen: listenAddress() }),
   peer: z.strictObject({ listen: listenAddress() }),
