Stand-ins of the platform, tests of the whole path through real processes, a fault soak, metrics and dump

- Found: a count of waiting jobs was refused at once between two owners (ControllerPath failed first); it waits now as states do.

--- a/src/cell/CallerEntry.ts
+++ b/src/cell/CallerEntry.ts
@@ -5,6 +5,7 @@
 import { createServer } from 'node:http'
 import { encodeJob } from '../common/cell/JobRecord.js'
 import type { IQueue, SubmitOutcome } from '../common/cell/Types.js'
+import type { Counters } from '../common/observability/Counters.js'
 import type { LatencyTable } from '../common/observability/LatencyTable.js'
 import type { ILogger } from '../common/observability/Types.js'
 import type { IClock } from '../common/Types.js'
@@ -14,6 +15,7 @@
 import type { ICallerWire } from './Types.js'
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
 
 export interface ICallerEntryContext {
   readonly wire: ICallerWire
@@ -22,6 +24,7 @@
   readonly clock: IClock
   readonly log: ILogger
   readonly times: LatencyTable
+  readonly counters: Counters
 }
 
 /** How long a caller waits where it doesn't say so, in ms. */
@@ -52,11 +55,13 @@
     return this._inFlight
   }
 
-  public async listen (ip: string, port: number): Promise<void> {
+  /** Binds, and gives the base URL with the port that was taken. */
+  public async listen (ip: string, port: number): Promise<string> {
     await new Promise<void>((resolve, reject) => {
       this._server.once('error', reject)
       this._server.listen(port, ip, resolve)
     })
+    return `http://${ip}:${(this._server.address() as AddressInfo).port}`
   }
 
   /** From now on each answer ends its connection, so that callers go elsewhere. */
@@ -98,7 +103,7 @@
   }
 
   private async _submit (request: IncomingMessage, response: ServerResponse, queue: IQueue, jobId: string): Promise<void> {
-    const { config, wire, clock, route, log, times } = this._context
+    const { config, wire, clock, route, log, times, counters } = this._context
     const beganAtMs = clock.nowMs()
     const configVersion = config.version
     const body = await readBody(request, config.config?.maxBodyBytes ?? 0)
@@ -110,6 +115,7 @@
     const outcome = await route.submit(submission, remainingMs)
     const durationMs = Math.round(clock.nowMs() - beganAtMs)
     times.record(`submit ${outcome.kind}`, durationMs)
+    counters.add('submissions', outcome.kind)
     const reason = outcome.kind === 'accepted' || outcome.kind === 'noQueue' ? undefined : outcome.reason
     log.info('caller.answered', { requestId: jobId, queue: queue.name, outcome: outcome.kind, reason, durationMs, configVersion })
     this._sendSubmitted(response, outcome)
@@ -128,6 +134,7 @@
 
   private async _tellState (response: ServerResponse, jobId: string): Promise<void> {
     const outcome = await this._context.route.state(jobId)
+    this._context.counters.add('states', outcome.kind)
     if (outcome.kind === 'known') return this._sendText(response, 200, this._context.wire.encodePhase(outcome.phase))
     if (outcome.kind === 'unknownJob') return this._send(response, 410, { error: 'no such job' })
     this._context.log.warn('caller.stateUnknown', { requestId: jobId, reason: outcome.reason })
@@ -136,6 +143,7 @@
 
   private async _cancel (response: ServerResponse, jobId: string): Promise<void> {
     const outcome = await this._context.route.cancel(jobId)
+    this._context.counters.add('cancels', outcome)
     this._context.log.info('caller.cancelAnswered', { requestId: jobId, outcome })
     switch (outcome) {
       case 'cancelled': return this._send(response, 200, { state: 'cancelled' })
--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -12,6 +12,8 @@
   CancelOutcome, ICellOwnerPort, IHostEntry, IHostOrders, IMetadataItem, IMetadataStore, StateOutcome, SubmitOutcome
 } from '../common/cell/Types.js'
 import type { ICellSubmission } from '../common/protocol/Types.js'
+import type { Counters } from '../common/observability/Counters.js'
+import type { LatencyTable } from '../common/observability/LatencyTable.js'
 import type { ILogger } from '../common/observability/Types.js'
 import type { ChartTable } from '../common/state/ChartTable.js'
 import { DisposableStore } from '../common/Emitter.js'
@@ -43,6 +45,8 @@
   readonly chart: ChartTable
   readonly clock: IClock & ITimers
   readonly log: ILogger
+  readonly times: LatencyTable
+  readonly counters: Counters
 }
 
 /** How long hosts go on being held while the store can't confirm the ownership, beyond the longest lease, in ms. */
@@ -97,7 +101,9 @@
       noteFenced: (hostId) => { this._onFenced(hostId) },
       machines: () => advice.machines(),
       send: async (machine, ask, timeoutMs) => await advice.send(machine, ask, timeoutMs),
-      requestPass: () => { this._requestPass() }
+      requestPass: () => { this._requestPass() },
+      noteTime: (name, ms) => { _context.times.record(name, ms) },
+      count: (name, kind) => { _context.counters.add(name, kind) }
     }, { farFactor: _options.farFactor, inheritedUntilMs: clock.nowMs() + inheritedMs }, chart, clock, log)
     this._jobStore = this._load()
     this.ready = this._jobStore.then(() => {})
@@ -146,6 +152,11 @@
     return { fence: this._fence, jobs: this._scheduler.jobs.size, open: open.length, hosts }
   }
 
+  /** Values of the moment, for the metrics. */
+  public gauges (): Readonly<Record<string, number>> {
+    return this._scheduler.gauges()
+  }
+
   public dispose (): void {
     this._isDisposed = true
     this._disposables.dispose()
--- a/src/cell/OwnerRoute.ts
+++ b/src/cell/OwnerRoute.ts
@@ -100,8 +100,9 @@
   }
 
   public async waiting (queue: string): Promise<number | undefined> {
+    if (!await this._owner(this._clock.nowMs() + OWNER_WAIT_MS)) return undefined
     const local = this._directory.local()
-    if (local !== undefined) return await local.waiting(queue)
+    if (local !== undefined) return await local.ready.then(async () => await local.waiting(queue))
     const reply = await this._link()?.call('cellWaiting', { queue }, STATE_TIMEOUT_MS)
     return reply?.isOk() === true ? reply.value.count : undefined
   }
--- /dev/null
+++ b/src/cell/StoreLane.test.ts
@@ -0,0 +1,139 @@
+/**
+ * A lane of writes against a store whose answers are scripted.
+ */
+
+import test from 'ava'
+import { ManualClock } from '../common/Clock.js'
+import { SilentLogger } from '../common/observability/SilentLogger.js'
+import { OWNER_KEY } from './Keys.js'
+import { StoreLane } from './StoreLane.js'
+
+import type { CommitOutcome, IMetadataStore, ITransaction } from '../common/cell/Types.js'
+
+const LANE = 'lane'
+
+/** Carries transactions out, or not, and answers, or not, as the script says. */
+class ScriptedStore {
+  public readonly transactions: ITransaction[] = []
+  public readonly values = new Map<string, string>()
+  public readonly revisions = new Map<string, number>([[OWNER_KEY, 5]])
+  public script: ('ok' | 'lost' | 'never' | 'busy')[] = []
+  private _revision = 10
+
+  public async commit (transaction: ITransaction): Promise<CommitOutcome> {
+    this.transactions.push(transaction)
+    const step = this.script.shift() ?? 'ok'
+    if (step === 'busy') return { kind: 'refused', reason: 'busy' }
+    if (step === 'never') return { kind: 'unanswered', reason: 'silent' }
+    const outcome = this.carryOut(transaction)
+    return step === 'lost' ? { kind: 'unanswered', reason: 'lost' } : outcome
+  }
+
+  public carryOut (transaction: ITransaction): CommitOutcome {
+    if (transaction.expect.some(({ key, revision }) => (this.revisions.get(key) ?? 0) !== revision)) {
+      const items = transaction.expect.flatMap(({ key }) => {
+        const revision = this.revisions.get(key)
+        return revision === undefined ? [] : [{ key, value: this.values.get(key) ?? '', revision }]
+      })
+      return { kind: 'conflict', items }
+    }
+    this._revision += 1
+    for (const { key, value } of transaction.puts) {
+      this.values.set(key, value)
+      this.revisions.set(key, this._revision)
+    }
+    return { kind: 'committed', revision: this._revision }
+  }
+}
+
+function lane () {
+  const store = new ScriptedStore()
+  const clock = new ManualClock()
+  const lost: string[] = []
+  const options = { laneKey: LANE, laneRevision: 0, ownerRevision: 5, writerId: 'me' }
+  const writer = new StoreLane(store as unknown as IMetadataStore, options, clock, new SilentLogger(), (reason) => { lost.push(reason) })
+  const stored: string[] = []
+  const refused: string[] = []
+  const write = (key: string, value: string, mayRefuse = false): void => {
+    writer.write({
+      key, value: () => value, onStored: () => { stored.push(`${key}=${value}`) }, ...(mayRefuse ? { onRefused: () => { refused.push(key) } } : {})
+    })
+  }
+  const run = async (ms: number): Promise<void> => {
+    for (let passed = 0; passed < ms; passed += 5) {
+      clock.advance(5)
+      await new Promise<void>((resolve) => { setImmediate(resolve) })
+    }
+  }
+  return { store, write, run, stored, refused, lost }
+}
+
+test('writes of a moment go out together, and the last value of a key counts', async (t) => {
+  const { store, write, run, stored } = lane()
+  write('a', '1')
+  write('b', '1')
+  write('a', '2')
+  await run(30)
+  t.is(store.transactions.length, 1)
+  t.is(store.values.get('a'), '2')
+  t.deepEqual(stored, ['a=1', 'a=2', 'b=1'])
+})
+
+test('a write whose answer was lost is found done, not done again', async (t) => {
+  // The store carries a transaction out and its answer is lost. Sent again, it must not be taken for another writer's, or
+  // the owner would give up the cell.
+  const { store, write, run, stored, lost } = lane()
+  store.script = ['lost']
+  write('a', '1')
+  await run(100)
+  t.deepEqual(stored, ['a=1'])
+  t.deepEqual(lost, [])
+  write('a', '2')
+  await run(100)
+  t.is(store.values.get('a'), '2')
+})
+
+test('a lost write that is carried out seconds later changes nothing any more', async (t) => {
+  // The first try has no answer and is carried out late, after newer writes of the same key. Old progress over newer would make
+  // the next owner start tasks that are done.
+  const { store, write, run } = lane()
+  store.script = ['never']
+  write('a', '1')
+  await run(100)
+  write('a', '2')
+  await run(100)
+  const [late] = store.transactions
+  t.is(late === undefined ? undefined : store.carryOut(late).kind, 'conflict')
+  t.is(store.values.get('a'), '2')
+})
+
+test('what may be refused is refused only when it is certain that it was not stored', async (t) => {
+  const { store, write, run, stored, refused } = lane()
+  store.script = Array.from({ length: 20 }, () => 'busy' as const)
+  write('job', 'x', true)
+  write('progress', 'y')
+  await run(700)
+  t.deepEqual(refused, ['job'])
+  await run(3000)
+  t.deepEqual(stored, ['progress=y'])
+})
+
+test('what is in doubt is not refused, however long the store is away', async (t) => {
+  // The first try may have been carried out. A caller told "not accepted" could see its job run.
+  const { store, write, run, stored, refused } = lane()
+  store.script = ['never', ...Array.from({ length: 20 }, () => 'busy' as const)]
+  write('job', 'x', true)
+  await run(900)
+  t.deepEqual(refused, [])
+  await run(3000)
+  t.deepEqual(stored, ['job=x'])
+})
+
+test('another owner ends the lane', async (t) => {
+  const { store, write, run, stored, lost } = lane()
+  store.revisions.set(OWNER_KEY, 99)
+  write('a', '1')
+  await run(100)
+  t.deepEqual(stored, [])
+  t.deepEqual(lost, ['the ownership record has changed'])
+})
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -23,10 +23,12 @@
 import { StepAdvice } from './StepAdvice.js'
 import type { IHoldAnswer, IHostEntry, IRunRef, ITicket, StopOutcome } from './Types.js'
 
-export interface ICellEffects extends Omit<IRunEffects, 'noteChange' | 'requestTickets'>, IAdviceSender {
+export interface ICellEffects extends Omit<IRunEffects, 'noteChange' | 'requestTickets' | 'noteStarted'>, IAdviceSender {
   stopUnknown (host: IHostEntry, ref: IRunRef): Promise<StopOutcome>
   /** Asks for `pass` to be called soon. */
   requestPass (): void
+  noteTime (name: string, ms: number): void
+  count (name: string, kind: string): void
 }
 
 export interface ICellSchedulerOptions {
@@ -66,10 +68,15 @@
       stop: async (host, ref) => await _effects.stop(host, ref),
       noteFenced: (hostId) => { _effects.noteFenced(hostId) },
       requestTickets: (step) => { this._requestTickets(step) },
+      noteStarted: (job, waitedMs) => {
+        _effects.count('starts', job.queue.name)
+        _effects.noteTime('wait_for_start', waitedMs)
+      },
       noteChange
     }, _chart, _clock, _log)
     this._reader = new HoldReader(this._runs, {
       save: async (job) => { await _effects.save(job) },
+      count: (name, kind) => { _effects.count(name, kind) },
       stopUnknown: async (host, ref) => await _effects.stopUnknown(host.entry, ref)
     }, _clock, _log)
     this._desk = new AdviceDesk(_effects)
@@ -175,6 +182,20 @@
     }
   }
 
+  /** Values of the moment, for the metrics. */
+  public gauges (): Readonly<Record<string, number>> {
+    let runs = 0
+    let usedCpu = 0
+    let cpu = 0
+    for (const host of this.hosts.values()) {
+      runs += host.attempts.size
+      usedCpu += host.usedCpu
+      cpu += host.entry.cpuMillicores
+    }
+    const jobs = { jobs: this.jobs.size, jobs_open: this._open.size, advice_waiting: this._desk.waitingCount }
+    return { ...jobs, hosts: this.hosts.size, runs, used_millicores: usedCpu, host_millicores: cpu }
+  }
+
   public dispose (): void {
     this._desk.dispose()
   }
@@ -282,6 +303,8 @@
           advice.note(hostIds, outcome.allowed, nowMs + terms.validMs, (hostId) => this.hosts.get(hostId)?.bornMs)
         }
         const waitMs = Math.round(nowMs - advice.askedAtMs)
+        this._effects.noteTime('wait_for_advice', waitMs)
+        this._effects.count('advice', outcome.kind)
         const allowed = outcome.kind === 'advised' ? outcome.allowed.length : undefined
         this._log.info('advice.answered', { requestId: job.spec.jobId, step: String(step.number), outcome: outcome.kind, allowed, hosts: hostIds.length, waitMs })
         then()
--- a/src/common/cell/HoldReader.ts
+++ b/src/common/cell/HoldReader.ts
@@ -16,6 +16,7 @@
 
 export interface IHoldReaderEffects {
   save (job: Job): Promise<void>
+  count (name: string, kind: string): void
   /** Stops a run that this owner has no use for. */
   stopUnknown (host: HostState, ref: IRunRef): Promise<StopOutcome>
 }
@@ -105,6 +106,7 @@
     const { job } = task.step
     if (!attempt.take('ENDED')) return
     this._log.info('run.ended', { ...logged(attempt), end: row.end, ranMs: Math.round(nowMs - attempt.startedAtMs) })
+    this._effects.count('ends', row.end)
     applyEnd(task, row.ref.run, row.end, row.checkpoint, host.hostId, nowMs)
     if (row.end === 'done') host.noteSuccess()
     if (row.end === 'failed') host.noteFailure(job.spec.jobId, nowMs)
@@ -138,6 +140,7 @@
 
   private _lose (attempt: Attempt, reason: string): void {
     if (!attempt.take('LOST') && !attempt.take('NOT_RUN')) return
+    this._effects.count('ends', 'lost')
     this._log.warn('run.lost', { ...logged(attempt), reason })
     this._runs.release(attempt)
     const { step } = attempt.task
--- a/src/common/cell/RunController.ts
+++ b/src/common/cell/RunController.ts
@@ -21,6 +21,8 @@
   noteFenced (hostId: string): void
   /** Runs of the step that are recorded have no ticket that is still good. */
   requestTickets (step: Step): void
+  /** A task has begun; how long after its caller first sent its job. */
+  noteStarted (job: Job, waitedMs: number): void
   /** Room or a task has come free, or a job has moved on. */
   noteChange (): void
 }
@@ -152,6 +154,7 @@
     switch (outcome.kind) {
       case 'started':
         attempt.host.noteClock(outcome.clockMs, nowMs)
+        this._effects.noteStarted(attempt.task.step.job, ageMs)
         if (attempt.take('LISTED')) this.noteRunning(attempt, nowMs)
         return
       case 'unanswered':
--- a/src/daemon/ControllerDaemon.ts
+++ b/src/daemon/ControllerDaemon.ts
@@ -15,11 +15,14 @@
 import { OwnerWatch } from '../cell/OwnerWatch.js'
 import { SystemClock } from '../common/Clock.js'
 import { DisposableStore } from '../common/Emitter.js'
+import { Counters } from '../common/observability/Counters.js'
 import { LatencyTable } from '../common/observability/LatencyTable.js'
+import { renderMetrics } from '../common/observability/MetricsText.js'
 import { SeededRandom } from '../common/Random.js'
 import { PeerHub } from '../peer/PeerHub.js'
 import { loadChart } from '../runtime/ChartLoader.js'
 import { Logger } from '../runtime/Logger.js'
+import { MetricsServer } from '../runtime/MetricsServer.js'
 import { Adviser } from '../../platform/Adviser.js'
 import { callerWire } from '../../platform/CallerWire.js'
 import { cellRecords } from '../../platform/CellRecords.js'
@@ -49,6 +52,13 @@
 /** What a call for advice through a peer may take beyond the service's own time, in ms. */
 const PEER_SLACK_MS = 300
 
+const MICROS_PER_S = 1_000_000
+
+export interface IControllerAddresses {
+  readonly url: string
+  readonly metricsUrl: string
+}
+
 export class ControllerDaemon implements IAdviceSender {
   private readonly _clock = new SystemClock()
   private readonly _random = new SeededRandom(randomInt(MAX_SEED))
@@ -59,6 +69,8 @@
   private readonly _orders = new HostOrders()
   private readonly _adviser: Adviser
   private readonly _self: IProcessIdentity
+  private readonly _counters = new Counters()
+  private readonly _metrics: MetricsServer
   private _config: ConfigFeed
   private _hub: PeerHub | undefined
   private _ownership: Ownership | undefined
@@ -73,10 +85,11 @@
     this._self = { processId: id, incarnation: this._clock.wallMs(), region, failureDomain }
     this._store = new MetadataStore(`${store.address.ip}:${store.address.port}`)
     this._adviser = new Adviser(`${advice.address.ip}:${advice.address.port}`)
+    this._metrics = new MetricsServer(id, { metrics: () => this._metricsText(), dump: () => this._dump() }, this._log)
     this._config = this._disposables.add(new ConfigFeed(this._store, cellRecords, this._clock, this._log))
   }
 
-  public async start (): Promise<void> {
+  public async start (): Promise<IControllerAddresses> {
     const { peer, callers, store } = this._settings
     this._log.info('process.started', { incarnation: this._self.incarnation, startupMs: Math.round(this._clock.nowMs()) })
     await this._listenForReadiness()
@@ -100,10 +113,13 @@
     this._disposables.add(new OwnerWatch(hub, ownership, yieldMs, this._clock, this._random, this._log))
     ownership.start()
     this._entry = new CallerEntry({
-      wire: callerWire, config: this._config, route, clock: this._clock, log: this._log, times: this._times
+      wire: callerWire, config: this._config, route, clock: this._clock, log: this._log, times: this._times, counters: this._counters
     })
-    await this._entry.listen(callers.listen.ip, callers.listen.port)
+    const url = await this._entry.listen(callers.listen.ip, callers.listen.port)
+    const metricsUrl = await this._metrics.listen(this._settings.metrics.listen)
+    if (metricsUrl.isErr()) throw metricsUrl.error
     this._log.info('process.serving', { startupMs: Math.round(this._clock.nowMs()) })
+    return { url, metricsUrl: metricsUrl.value }
   }
 
   /** Gives the cell away, lets the balancer notice, finishes what is in flight. */
@@ -117,6 +133,7 @@
     await released
     const closeMs = Math.max(0, this._settings.stop.graceMs - NOTICE_MS - CLOSE_RESERVE_MS)
     await this._entry?.close(closeMs)
+    await this._metrics.close()
     this._disposables.dispose()
     this._hub?.dispose()
     this._log.info('process.stopped', {})
@@ -133,7 +150,30 @@
   }
 
   public dumpToLog (): void {
-    this._log.warn('process.dump', { state: JSON.stringify({ owner: this._owner?.dump(), times: this._times.summaries() }) })
+    this._log.warn('process.dump', { state: this._dump() })
+  }
+
+  private _dump (): string {
+    const { record } = this._ownership ?? {}
+    const links = this._hub?.links().map(({ peer }) => peer.processId)
+    return JSON.stringify({
+      process: this._self, owner: record, configVersion: this._config.version, links, cell: this._owner?.dump(), times: this._times.summaries()
+    })
+  }
+
+  private _metricsText (): string {
+    return renderMetrics(this._counters, this._times, {
+      owner: this._owner === undefined ? 0 : 1,
+      config_version: this._config.version,
+      links: this._hub?.links().length ?? 0,
+      callers_in_flight: this._entry?.inFlight ?? 0,
+      store_calls: this._store.callCount,
+      peer_sent_bytes: this._hub?.traffic().sentBytes ?? 0,
+      cross_region_sent_bytes: this._hub?.traffic().crossRegionSentBytes ?? 0,
+      resident_bytes: process.memoryUsage.rss(),
+      processor_seconds: (process.cpuUsage().user + process.cpuUsage().system) / MICROS_PER_S,
+      ...this._owner?.gauges()
+    })
   }
 
   public machines (): readonly string[] {
@@ -167,7 +207,9 @@
       ownership: this._ownership,
       chart: chart.value,
       clock: this._clock,
-      log: this._log
+      log: this._log,
+      times: this._times,
+      counters: this._counters
     }, { writerId, maxHoldMs: hosts.maxHoldMs, farFactor: hosts.farFactor, statusMs: hosts.statusMs }, revision)
   }
 
--- a/src/daemon/runController.ts
+++ b/src/daemon/runController.ts
@@ -6,6 +6,7 @@
 import { describeProblem } from '../runtime/settings/SettingsError.js'
 import { loadControllerSettings } from '../runtime/settings/ControllerSettings.js'
 import { ControllerDaemon } from './ControllerDaemon.js'
+import { readConfigPath } from './DaemonArguments.js'
 
 import type { IControllerSettings } from '../runtime/settings/ControllerSettings.js'
 
@@ -15,20 +16,22 @@
 const CONFIG_VARIABLE = 'JACKDAWREEL_CONFIG'
 
 export async function runController (): Promise<void> {
-  const path = settingsPath(process.argv.slice(2))
+  const path = await settingsPath()
   const settings = load(path)
   const daemon = new ControllerDaemon(settings)
   process.once('SIGTERM', () => { stop(daemon) })
   process.once('SIGINT', () => { stop(daemon) })
   process.on('SIGHUP', () => { reload(daemon, path) })
   process.on('SIGUSR2', () => { daemon.dumpToLog() })
-  await daemon.start().catch((error: unknown) => exit(EXIT_START, String(error)))
+  const addresses = await daemon.start().catch((error: unknown) => exit(EXIT_START, String(error)))
+  process.stdout.write(JSON.stringify({ ready: true, ...addresses, processId: settings.process.id }) + '\n')
 }
 
-function settingsPath (args: readonly string[]): string {
-  const at = args.indexOf('--config')
-  const path = at === -1 ? process.env[CONFIG_VARIABLE] : args[at + 1]
-  return path ?? exit(EXIT_SETTINGS, `name the settings file: --config FILE, or ${CONFIG_VARIABLE} in the environment`)
+/** From the arguments, or, where there are none, from the environment. */
+async function settingsPath (): Promise<string> {
+  const [, script = '', ...args] = process.argv
+  const path = process.env[CONFIG_VARIABLE]
+  return args.length === 0 && path !== undefined ? path : await readConfigPath(script, args)
 }
 
 function load (path: string): IControllerSettings {
--- a/test/standins/StandInServer.ts
+++ b/test/standins/StandInServer.ts
@@ -29,7 +29,7 @@
   close? (): void
 }
 
-const LOOPBACK = '127.0.0.1'
+export const LOOPBACK = '127.0.0.1'
 
 export class StandInServer {
   private readonly _server = createServer((request, response) => { this._receive(request, response) })
--- a/test/support/SimulatedCell.ts
+++ b/test/support/SimulatedCell.ts
@@ -136,6 +136,8 @@
       stopUnknown: async (entry, ref) => this._hostOf(entry.hostId).stop(ref, fence),
       noteFenced: () => {},
       requestPass: () => { this._isPassDue = true },
+      noteTime: () => {},
+      count: () => {},
       machines: () => ['machine-1', 'machine-2'],
       send: async (_machine, ask) => this._advise(ask)
     }, { farFactor: 3, inheritedUntilMs }, CHART, this.clock, new SilentLogger())
