--- a/src/daemon/runController.ts
+++ b/src/daemon/runController.ts
@@ -13,6 +13,7 @@
 /** Exit codes, as docs/OPERATIONS.md lists them. */
 const EXIT_SETTINGS = 2
 const EXIT_START = 3
+const EXIT_STOP = 4
 const CONFIG_VARIABLE = 'JACKDAWREEL_CONFIG'
 
 export async function runController (): Promise<void> {
@@ -61,7 +62,7 @@
 }
 
 function stop (daemon: ControllerDaemon): void {
-  daemon.stop().then(() => process.exit(0), (error: unknown) => exit(EXIT_START, String(error)))
+  daemon.stop().then(() => process.exit(0), (error: unknown) => exit(EXIT_STOP, String(error)))
 }
 
 function exit (code: number, message: string): never {
--- a/test/Docs.test.ts
+++ b/test/Docs.test.ts
@@ -15,8 +15,8 @@
     .map(name => readFileSync(join(folder, name), 'utf8'))
 }
 
-test('every log event, setting and exit code stands in the operating page', t => {
-  const page = readFileSync('docs/OPERATING.md', 'utf8')
+test('every log event, setting and exit code stands in the operating pages', t => {
+  const page = readFileSync('docs/OPERATING.md', 'utf8') + readFileSync('docs/OPERATIONS.md', 'utf8')
   const events = sources('src').flatMap(text => [...text.matchAll(LOG_CALL)].map(match => match[1] ?? ''))
   t.true(events.length > 0)
   for (const event of events) t.true(page.includes(`\`${event}\``), event)
@@ -34,7 +34,7 @@
 })
 
 test('links between the pages lead somewhere', t => {
-  const pages = ['README.md', 'CONTRIBUTING.md', ...readdirSync('docs').map(name => `docs/${name}`)].filter(name => name.endsWith('.md'))
+  const pages = ['README.md', 'CONTRIBUTING.md', 'DEVELOPERS.md', ...readdirSync('docs').map(name => `docs/${name}`)].filter(name => name.endsWith('.md'))
   for (const page of pages) {
     const links = [...readFileSync(page, 'utf8').matchAll(LINK)].map(match => match[1] ?? '')
     for (const link of links.filter(each => !each.includes('://'))) t.true(existsSync(join(dirname(page), link)), `${page}: ${link}`)
