--- /dev/null
+++ b/bench/controller.ts
@@ -0,0 +1,59 @@
+/**
+ * What the owner of a cell costs: one controller beside many stand-in hosts, a steady stream of jobs, processor time from its
+ * metrics. `npm run bench -- controller [--hosts N] [--perSecond N] [--seconds N]`; `--profile` leaves a processor profile in the working folder.
+ */
+
+import { request } from 'undici'
+import yargs from 'yargs'
+import { hideBin } from 'yargs/helpers'
+import { PlatformStandIn } from '../platform/standins/PlatformStandIn.js'
+import { SeededRandom } from '../src/common/Random.js'
+import { Callers } from '../test/soak/Callers.js'
+import { Judge } from '../test/soak/Judge.js'
+import { ControllerCell } from '../test/support/ControllerCell.js'
+
+const HOST_CPU = 8000
+const MAX_HOLD_MS = 6000
+const WARM_UP_MS = 4000
+const MS_PER_S = 1000
+
+const args = await yargs(hideBin(process.argv).filter((arg) => arg !== 'controller'))
+  .option('hosts', { type: 'number', default: 100 })
+  .option('perSecond', { type: 'number', default: 60 })
+  .option('seconds', { type: 'number', default: 10 })
+  .option('profile', { type: 'boolean', default: false })
+  .parseAsync()
+
+const platform = new PlatformStandIn({ seed: 1, hosts: args.hosts, hostCpu: HOST_CPU, maxHoldMs: MAX_HOLD_MS, failShare: 0 })
+const judge = new Judge(HOST_CPU)
+await platform.start(judge)
+const cell = new ControllerCell(platform, MAX_HOLD_MS, args.profile ? ['--cpu-prof'] : [])
+await cell.start(1)
+const callers = new Callers(cell.controllers, judge, new SeededRandom(3))
+const calling = setInterval(() => { callers.submit() }, MS_PER_S / args.perSecond)
+await pause(WARM_UP_MS)
+const before = await readings()
+await pause(args.seconds * MS_PER_S)
+const after = await readings()
+clearInterval(calling)
+const cores = (after.processorSeconds - before.processorSeconds) / args.seconds
+const startsPerSecond = (after.starts - before.starts) / args.seconds
+process.stdout.write(`${args.hosts} hosts, ${args.perSecond} jobs/s, ${startsPerSecond.toFixed(0)} starts/s: ${cores.toFixed(3)} cores, ` +
+  `${(after.residentBytes / 2 ** 20).toFixed(0)} MiB resident, ${((after.storeCalls - before.storeCalls) / args.seconds).toFixed(0)} store calls/s\n`)
+const controller = cell.controllers[0]
+if (args.profile) await controller?.process.stop()
+await callers.close()
+await cell.close()
+await platform.close()
+process.exit(0)
+
+async function readings () {
+  const port = cell.controllers[0]?.metricsPort
+  const text = await (await request(`http://127.0.0.1:${port}/metrics`)).body.text()
+  const value = (name: string): number => Number(new RegExp(`^jackdawreel_${name} ([0-9.]+)`, 'm').exec(text)?.[1] ?? 0)
+  return { processorSeconds: value('processor_seconds'), residentBytes: value('resident_bytes'), storeCalls: value('store_calls'), starts: judge.starts }
+}
+
+async function pause (ms: number): Promise<void> {
+  await new Promise<void>((resolve) => { setTimeout(resolve, ms) })
+}
--- a/src/cell/CallerEntry.ts
+++ b/src/cell/CallerEntry.ts
@@ -159,7 +159,7 @@
   }
 
   private _refuse (response: ServerResponse, reason: string, retryAfterMs: number): void {
-    response.setHeader('retry-after', String(Math.max(1, Math.ceil(retryAfterMs / MS_PER_S))))
+    response.setHeader('retry-after', String(Math.ceil(retryAfterMs / MS_PER_S)))
     this._send(response, 503, { error: reason })
   }
 
--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -6,7 +6,7 @@
 import { Job } from '../common/cell/Job.js'
 import { CellScheduler } from '../common/cell/CellScheduler.js'
 import type { HostState } from '../common/cell/HostState.js'
-import { applyProgress, decodeAccepted, decodeJob, termsOf } from '../common/cell/JobRecord.js'
+import { applyProgress, decodeAccepted, decodeJob, decodeOutcome, termsOf } from '../common/cell/JobRecord.js'
 import type { IAdviceSender } from '../common/cell/AdviceDesk.js'
 import type {
   CancelOutcome, ICellOwnerPort, IHostEntry, IHostOrders, IMetadataItem, IMetadataStore, StateOutcome, SubmitOutcome
@@ -63,6 +63,8 @@
 const PASS_DELAY_MS = 4
 const PASS_REST_FACTOR = 4
 const READ_RETRY_MS = 100
+/** An owner that hasn't read the store after this time leaves the cell to another one, in ms: ten times what it usually takes. */
+const LOAD_LIMIT_MS = 4000
 const COLLECT_MS = 10_000
 /** Finished jobs are kept this much longer than callers may ask, in ms. */
 const STATUS_SLACK_MS = 60_000
@@ -174,7 +176,7 @@
     await config.catchUp(submission.configVersion)
     const queue = config.queue(submission.queue)
     if (queue === undefined) return { kind: 'noQueue' }
-    if (jobStore.isOut) return this._refuse(jobId, 'the store is away', RETRY_AFTER_MS)
+    if (jobStore.isOut) return { ...this._refuse(jobId, 'the store is away', RETRY_AFTER_MS), isStoreAway: true }
     const job = new Job(decodeJob(submission.record), termsOf(queue), clock.nowMs() - submission.ageMs)
     const misfit = this._misfit(job)
     if (misfit !== undefined) return this._refuse(jobId, misfit, NEVER_FITS_RETRY_MS)
@@ -182,14 +184,14 @@
     const outcome = await jobStore.accept(job)
     if (outcome.kind === 'refused') {
       job.phase = 'cancelled'
-      return this._refuse(jobId, outcome.reason, RETRY_AFTER_MS)
+      return { ...this._refuse(jobId, outcome.reason, RETRY_AFTER_MS), isStoreAway: true }
     }
     this._scheduler.admit(job)
     log.info('job.accepted', { requestId: jobId, queue: queue.name, tasks: job.steps.reduce((sum, step) => sum + step.tasks.length, 0) })
     return { kind: 'accepted' }
   }
 
-  private _refuse (jobId: string, reason: string, retryAfterMs: number): SubmitOutcome {
+  private _refuse (jobId: string, reason: string, retryAfterMs: number): Extract<SubmitOutcome, { kind: 'refused' }> {
     this._context.log.info('job.refused', { requestId: jobId, reason })
     return { kind: 'refused', reason, retryAfterMs }
   }
@@ -207,6 +209,7 @@
   private async _load (): Promise<JobStore> {
     const { clock, log, config, store } = this._context
     const startedAtMs = clock.nowMs()
+    this._disposables.add(clock.after(LOAD_LIMIT_MS, () => { if (this._store === undefined) this._giveUpLoading() }))
     const [lanes, accepted, progress, hosts] = await Promise.all([
       this._readAll(LANE_PREFIX), this._readAll(JOB_PREFIX), this._readAll(PROGRESS_PREFIX), this._readAll(this._context.records.hostsPrefix)
     ])
@@ -225,6 +228,13 @@
     return jobStore
   }
 
+  /** On a weak link reading everything may take so long that another process had better do it. */
+  private _giveUpLoading (): void {
+    const { ownership, log } = this._context
+    ownership.stepAside('could not read the jobs in time')
+      .catch((error: unknown) => { log.error('owner.stepAsideFailed', { reason: String(error) }) })
+  }
+
   private _startTimers (): void {
     const { clock } = this._context
     this._disposables.add(clock.every(HOSTS_POLL_MS, () => { this._pollHosts() }))
@@ -243,22 +253,27 @@
   }
 
   private _restore (accepted: readonly IMetadataItem[], progress: readonly IMetadataItem[]): void {
-    const { clock, log } = this._context
+    const { log } = this._context
+    const acceptedById = new Map(accepted.map((item) => [item.key.slice(JOB_PREFIX.length), item.value]))
     const progressById = new Map(progress.map((item) => [item.key.slice(PROGRESS_PREFIX.length), item.value]))
-    for (const item of accepted) {
-      const jobId = item.key.slice(JOB_PREFIX.length)
+    for (const jobId of new Set([...acceptedById.keys(), ...progressById.keys()])) {
       try {
-        const job = decodeAccepted(item.value, clock.nowMs(), clock.wallMs())
-        const record = progressById.get(jobId)
-        const runs = record === undefined ? [] : applyProgress(job, record)
-        if (job.isFinished) job.finishedAtMs = clock.nowMs()
-        this._scheduler.restore(job, runs, (hostId, bornMs) => this._hostOf(hostId, bornMs))
+        this._restoreOne(jobId, acceptedById.get(jobId), progressById.get(jobId))
       } catch (error) {
         log.error('job.unreadable', { requestId: jobId, reason: String(error) })
       }
     }
   }
 
+  private _restoreOne (jobId: string, accepted: string | undefined, progress: string | undefined): void {
+    const { clock } = this._context
+    const nowMs = clock.nowMs()
+    const job = accepted === undefined ? decodeOutcome(jobId, progress ?? '', nowMs) : decodeAccepted(accepted, nowMs, clock.wallMs())
+    const runs = accepted === undefined || progress === undefined ? [] : applyProgress(job, progress)
+    if (job.isFinished) job.finishedAtMs = nowMs
+    this._scheduler.restore(job, runs, (hostId, bornMs) => this._hostOf(hostId, bornMs))
+  }
+
   /** A host that a run was recorded on; one that isn't listed any more may still run it until its lease has ended. */
   private _hostOf (hostId: string, bornMs: number): HostState {
     const known = this._scheduler.hosts.get(hostId)
--- a/src/cell/JobStore.ts
+++ b/src/cell/JobStore.ts
@@ -11,13 +11,14 @@
 import { jobKey, laneKey, progressKey } from './Keys.js'
 import { StoreLane } from './StoreLane.js'
 
+/** Transactions on the way at once at most: at 350 ms an answer they still carry 300 records a second. */
+export const LANE_COUNT = 4
 /**
- * Transactions on the way at once while the store is slow: at 350 ms an answer they still carry 300 records a second. A
- * store that is quick gets all writes through one of them: fewer and fuller transactions.
+ * Records that wait in a lane before the next one is used as well. One lane alone makes the fewest and fullest transactions,
+ * and carries 1,400 records a second to a store in the same region; to one in another region only 400, less than a burst
+ * brings, and accepting a job then takes half a second instead of 60 ms.
  */
-export const LANE_COUNT = 4
-/** A usual answer above which the store counts as slow, in ms: twice what one from another region takes. */
-const SLOW_STORE_MS = 100
+const FULL_LANE_RECORDS = 14
 /** The store's outage after which new jobs are refused without waiting, in ms. */
 const OUTAGE_MS = 400
 
@@ -26,6 +27,8 @@
 export class JobStore {
   private readonly _lanes: readonly StoreLane[]
   private readonly _laneByJob = new Map<string, StoreLane>()
+  /** Jobs whose outcome alone is kept. */
+  private readonly _shortened = new Set<string>()
 
   public constructor (
     store: IMetadataStore,
@@ -74,31 +77,45 @@
         },
         onStored: () => {
           if (phase !== 'queued') job.storedPhase = phase
+          this._shorten(job)
           resolve()
         }
       })
     })
   }
 
+  /**
+   * Of a finished job that runs nowhere, only its outcome is kept. The next owner reads all records before it serves anybody:
+   * after a minute nine in ten are of finished jobs, and reading them whole took it half a second.
+   */
+  private _shorten (job: Job): void {
+    const { jobId } = job.spec
+    if (this._shortened.has(jobId) || job.storedPhase !== job.phase || !job.isFinished || job.steps.some((step) => !step.isQuiet)) return
+    this._shortened.add(jobId)
+    this._laneOf(jobId).write({ key: jobKey(jobId), value: () => undefined, onStored: () => {} })
+  }
+
   public remove (jobId: string): void {
     for (const key of [jobKey(jobId), progressKey(jobId)]) {
       this._laneOf(jobId).write({ key, value: () => undefined, onStored: () => {} })
     }
     this._laneByJob.delete(jobId)
+    this._shortened.delete(jobId)
   }
 
   public dispose (): void {
     for (const lane of this._lanes) lane.dispose()
   }
 
+  private _emptiestLane (): StoreLane {
+    return this._lanes.reduce((best, lane) => lane.queuedCount < best.queuedCount ? lane : best)
+  }
+
   /** A job stays in its lane: two lanes may overtake each other. */
   private _laneOf (jobId: string): StoreLane {
     const known = this._laneByJob.get(jobId)
     if (known !== undefined) return known
-    const [first] = this._lanes
-    const isSlow = first !== undefined && first.latencyMs > SLOW_STORE_MS
-    const lane = this._lanes[isSlow ? Number.parseInt(jobId.slice(-4), 16) % LANE_COUNT : 0]
-    if (lane === undefined) throw new Error('a cell has lanes')
+    const lane = this._lanes.find((each) => each.queuedCount < FULL_LANE_RECORDS) ?? this._emptiestLane()
     this._laneByJob.set(jobId, lane)
     return lane
   }
--- a/src/cell/OwnerCalls.ts
+++ b/src/cell/OwnerCalls.ts
@@ -47,7 +47,7 @@
 
 function replyOf (outcome: SubmitOutcome): ICellSubmitReply {
   switch (outcome.kind) {
-    case 'refused': return { kind: outcome.kind, reason: outcome.reason, retryAfterMs: outcome.retryAfterMs }
+    case 'refused': return outcome
     case 'invalid': case 'inDoubt': return { kind: outcome.kind, reason: outcome.reason }
     default: return { kind: outcome.kind }
   }
--- /dev/null
+++ b/src/cell/OwnerIsolation.ts
@@ -0,0 +1,53 @@
+/**
+ * Notices that this process owns the cell and most of its peers can't reach it.
+ *
+ * The store and the hosts may still be in reach, so its lease lives on, and one would see a cell whose owner works while most
+ * callers are refused. Its silent links give it away: it steps aside, and one that the others reach takes over.
+ */
+
+import type { IClock, IDisposable, ITimers, MonotonicMs } from '../common/Types.js'
+import type { IPeerHub } from '../peer/Types.js'
+
+const LOOK_MS = 200
+/** How long most links have to be silent, in ms, beyond the time after which a link counts as silent. */
+const SETTLED_MS = 400
+/** With fewer silent peers it may as well be they that are cut off. */
+const MIN_SILENT = 2
+
+export class OwnerIsolation implements IDisposable {
+  private readonly _silent = new Set<string>()
+  private readonly _registrations: readonly IDisposable[]
+  private _sinceMs: MonotonicMs | undefined
+
+  /** @param _onIsolated called once each time, while this process owns the cell */
+  public constructor (
+    private readonly _hub: IPeerHub,
+    private readonly _isOwner: () => boolean,
+    private readonly _onIsolated: (silent: number) => void,
+    private readonly _clock: IClock & ITimers
+  ) {
+    this._registrations = [
+      _hub.onLink(({ peer }) => { this._silent.delete(peer.processId) }),
+      _hub.onLost((peer, cause) => { if (cause === 'silent') this._silent.add(peer.processId) }),
+      _clock.every(LOOK_MS, () => { this._look() })
+    ]
+  }
+
+  public dispose (): void {
+    for (const registration of this._registrations) registration.dispose()
+  }
+
+  private _look (): void {
+    if (!this._isOwner()) {
+      this._silent.clear()
+      this._sinceMs = undefined
+      return
+    }
+    const nowMs = this._clock.nowMs()
+    const isCut = this._silent.size >= MIN_SILENT && this._silent.size > this._hub.links().length
+    this._sinceMs = isCut ? this._sinceMs ?? nowMs : undefined
+    if (this._sinceMs === undefined || nowMs - this._sinceMs < SETTLED_MS) return
+    this._sinceMs = undefined
+    this._onIsolated(this._silent.size)
+  }
+}
--- a/src/cell/OwnerRoute.ts
+++ b/src/cell/OwnerRoute.ts
@@ -15,6 +15,8 @@
   readonly record: IOwnerRecord | undefined
   /** The owner, if it is this process. */
   local (): ILocalOwner | undefined
+  /** Takes over from an owner that can't reach the store, if this process can; gives whether it can. */
+  challenge (from: IOwnerRecord): Promise<boolean>
 }
 
 export interface ILocalOwner extends Omit<ICellOwnerPort, 'submit'> {
@@ -27,9 +29,15 @@
  * as long as its lease. A caller told to come back would wait for a second from now.
  */
 const OWNER_WAIT_MS = 1200
-/** How long a submission that may have been stored waits for the next owner to say so, in ms. */
-const DOUBT_WAIT_MS = 2200
-const CALL_TIMEOUT_MS = 2500
+/**
+ * How long a submission that may have been stored waits for an owner that can say so, in ms. After that its caller is told that
+ * nobody knows, and sends it again, under the same id, to another gateway.
+ */
+const DOUBT_WAIT_MS = 700
+/** An owner answers within 100 ms, with a slow store within a second; a link that is cut doesn't. */
+const CALL_TIMEOUT_MS = 1300
+/** An owner that is there and wasn't reached for so long can't be reached from here, in ms: several tries to dial. */
+const ISOLATED_MS = 400
 const STATE_TIMEOUT_MS = 1500
 const POLL_MS = 25
 const RETRY_AFTER_MS = 1000
@@ -42,10 +50,20 @@
 
 export class OwnerRoute {
   private _dial: { readonly record: IOwnerRecord, readonly link: IDisposable } | undefined
+  /** Since when there is an owner, and no link to it. */
+  private _unlinkedSinceMs: MonotonicMs | undefined
 
   public constructor (
     private readonly _hub: IPeerHub, private readonly _directory: IOwnerDirectory, private readonly _clock: IClock & ITimers
-  ) {}
+  ) {
+    _hub.onLink(({ peer }) => { if (peer.processId === this._dial?.record.processId) this._unlinkedSinceMs = undefined })
+    _hub.onLost((peer) => { if (peer.processId === this._dial?.record.processId) this._unlinkedSinceMs ??= _clock.nowMs() })
+  }
+
+  /** Whether the cell has an owner, as far as the store tells, that this process has not reached for a while. */
+  public get isIsolated (): boolean {
+    return this._unlinkedSinceMs !== undefined && this._clock.nowMs() - this._unlinkedSinceMs > ISOLATED_MS
+  }
 
   /** Keeps a link to the owner that the record names; to be called whenever it changes. */
   public follow (record: IOwnerRecord | undefined): void {
@@ -53,7 +71,10 @@
     if (isSame) return
     this._dial?.link.dispose()
     this._dial = undefined
-    if (record === undefined || record.processId === this._hub.self.processId) return
+    if (record === undefined) return
+    this._unlinkedSinceMs = undefined
+    if (record.processId === this._hub.self.processId) return
+    if (this._hub.link(record.processId) === undefined) this._unlinkedSinceMs = this._clock.nowMs()
     this._dial = { record, link: this._hub.dial(record.peerUrl, record.processId) }
   }
 
@@ -69,12 +90,18 @@
     const untilMs = beganAtMs + remainingMs
     let doubt: string | undefined
     for (;;) {
-      const waitedMs = this._clock.nowMs() - beganAtMs
-      const giveUpAtMs = Math.min(untilMs, this._clock.nowMs() + (doubt === undefined ? OWNER_WAIT_MS - waitedMs : DOUBT_WAIT_MS))
-      if (!await this._owner(giveUpAtMs)) return doubt === undefined ? noOwner() : { kind: 'inDoubt', reason: doubt }
+      const nowMs = this._clock.nowMs()
+      const waitMs = doubt === undefined ? beganAtMs + OWNER_WAIT_MS - nowMs : DOUBT_WAIT_MS
+      if (!await this._owner(Math.min(untilMs, nowMs + waitMs))) {
+        return doubt === undefined ? this._unreachable() : { kind: 'inDoubt', reason: doubt }
+      }
+      const { record } = this._directory
       const aged = { ...submission, ageMs: submission.ageMs + this._clock.nowMs() - beganAtMs }
       const attempted = await this._submitOnce(aged, Math.min(CALL_TIMEOUT_MS, untilMs - this._clock.nowMs()))
-      if (attempted.kind === 'answered') return attempted.value
+      if (attempted.kind === 'answered') {
+        const isLeft = isStoreAway(attempted.value) && this._clock.nowMs() < beganAtMs + OWNER_WAIT_MS
+        if (!isLeft || !await this._nextOwner(record, beganAtMs + OWNER_WAIT_MS)) return attempted.value
+      }
       if (attempted.kind === 'inDoubt') doubt = attempted.reason
       await this._pause()
     }
@@ -115,7 +142,7 @@
     const reply = await link.call('cellSubmit', submission, timeoutMs)
     if (reply.isOk()) return attemptedOf(reply.value)
     if (reply.error instanceof AmbiguousError) return { kind: 'inDoubt', reason: reply.error.message }
-    if (reply.error instanceof RefusedError) return { kind: 'answered', value: refused(reply.error.message) }
+    if (reply.error instanceof RefusedError) return { kind: 'answered', value: refused(reply.error.message, RETRY_AFTER_MS) }
     return { kind: 'unsent', reason: reply.error.message }
   }
 
@@ -134,15 +161,31 @@
     return { kind: 'inDoubt', reason: 'no longer the owner' }
   }
 
-  /** Waits until the owner can be reached. */
+  /** Waits until the owner can be reached; not where it is there and only this process can't reach it. */
   private async _owner (untilMs: MonotonicMs): Promise<boolean> {
     while (!this.isConnected) {
+      if (this._clock.nowMs() >= untilMs || this.isIsolated) return false
+      await this._pause()
+    }
+    return true
+  }
+
+  /** The owner can't reach the store. Waits for another one, if this process can reach it: then there will be one. */
+  private async _nextOwner (record: IOwnerRecord | undefined, untilMs: MonotonicMs): Promise<boolean> {
+    if (record === undefined || !await this._directory.challenge(record)) return false
+    while (this._directory.record?.revision === record.revision) {
       if (this._clock.nowMs() >= untilMs) return false
       await this._pause()
     }
     return true
   }
 
+  /** Another gateway may well reach the owner: then the caller had better come back at once than in a second. */
+  private _unreachable (): SubmitOutcome {
+    if (!this.isIsolated) return refused('the cell has no owner at the moment', RETRY_AFTER_MS)
+    return refused('the owner can\'t be reached from here', 0)
+  }
+
   private _link (): ReturnType<IPeerHub['link']> {
     const { record } = this._directory
     return record === undefined ? undefined : this._hub.link(record.processId)
@@ -156,17 +199,17 @@
 function attemptedOf (reply: ICellSubmitReply): Attempted<SubmitOutcome> {
   const { kind, reason = '', retryAfterMs = RETRY_AFTER_MS } = reply
   switch (kind) {
-    case 'refused': return { kind: 'answered', value: { kind, reason, retryAfterMs } }
+    case 'refused': return { kind: 'answered', value: { kind, reason, retryAfterMs, isStoreAway: reply.isStoreAway === true } }
     case 'invalid': return { kind: 'answered', value: { kind, reason } }
     case 'inDoubt': return { kind, reason }
     default: return { kind: 'answered', value: { kind } }
   }
 }
 
-function noOwner (): SubmitOutcome {
-  return refused('the cell has no owner at the moment')
+function isStoreAway (outcome: SubmitOutcome): boolean {
+  return outcome.kind === 'refused' && outcome.isStoreAway === true
 }
 
-function refused (reason: string): SubmitOutcome {
-  return { kind: 'refused', reason, retryAfterMs: RETRY_AFTER_MS }
+function refused (reason: string, retryAfterMs: number): SubmitOutcome {
+  return { kind: 'refused', reason, retryAfterMs }
 }
--- a/src/cell/OwnerWatch.ts
+++ b/src/cell/OwnerWatch.ts
@@ -23,14 +23,13 @@
   public constructor (
     hub: IPeerHub,
     private readonly _ownership: Ownership,
-    private readonly _yieldMs: number,
     private readonly _timers: ITimers,
     private readonly _random: IRandom,
     private readonly _log: ILogger
   ) {
     this._subscription = hub.onLost((peer, cause) => {
       const { record } = _ownership
-      if (cause === 'failed' && record !== undefined && record.processId === peer.processId) this._probe(record)
+      if (cause !== 'released' && record !== undefined && record.processId === peer.processId) this._probe(record)
     })
   }
 
@@ -39,7 +38,7 @@
   }
 
   private _probe (record: IOwnerRecord): void {
-    this._timers.after(this._yieldMs + this._random.next() * TAKE_JITTER_MS, () => {
+    this._timers.after(this._ownership.yieldMs + this._random.next() * TAKE_JITTER_MS, () => {
       if (this._ownership.record?.revision !== record.revision) return
       isRefused(record.peerUrl).then((refused) => {
         this._log.warn('owner.linkLost', { peer: record.processId, revision: record.revision, refused })
--- a/src/cell/Ownership.ts
+++ b/src/cell/Ownership.ts
@@ -16,8 +16,8 @@
   readonly peerUrl: string
   /** The shortest time to live that the store grants a lease, in ms. */
   readonly minLeaseMs: number
-  /** How long this process lets others go first, in ms. */
-  readonly yieldMs: number
+  /** How long this process lets others go first now, in ms. */
+  yieldMs (): number
 }
 
 /**
@@ -31,6 +31,15 @@
 /** A failed try is followed by another after this time, in ms. */
 const RETRY_MS = 250
 const WATCH_WAIT_MS = 1500
+/** How long a process that stepped aside leaves the record to others, in ms: longer than any takeover. */
+const ASIDE_MS = 3000
+/** How long a store that is up may take to answer, in ms, when it is asked whether the owner or the store is cut off. */
+const CHALLENGE_MS = 400
+/** What was found holds for all callers of this long, in ms. */
+const CHALLENGE_REST_MS = 500
+/** A store in another region answers after 45 ms, one in the same after 5: the near ones go 160 ms before the others. */
+const DISTANCE_YIELD_FACTOR = 4
+const MAX_DISTANCE_YIELD_MS = 250
 const COMMIT_TIMEOUT_MS = 1200
 
 export class Ownership implements IDisposable {
@@ -41,6 +50,9 @@
   private _renewal: IDisposable | undefined
   private _isTaking = false
   private _isLeaving = false
+  private _asideUntilMs: MonotonicMs = -Infinity
+  private _challengedAtMs: MonotonicMs = -Infinity
+  private _canChallenge: Promise<boolean> = Promise.resolve(false)
   private readonly _watch: WatchedPrefix
   private readonly _recordEmitter = new Emitter<IOwnerRecord | undefined>()
   private readonly _ownedEmitter = new Emitter<number>()
@@ -94,6 +106,27 @@
     if (this._record?.revision === from.revision) this._take(from.revision)
   }
 
+  /**
+   * Takes the record from an owner that can't reach the store, if this process can; gives whether it can.
+   *
+   * Such an owner loses its lease anyway, a second later. Until then it can take no job, and its callers would be told to come
+   * back although any other process could serve them.
+   */
+  public async challenge (from: IOwnerRecord): Promise<boolean> {
+    if (this._clock.nowMs() - this._challengedAtMs > CHALLENGE_REST_MS) {
+      this._challengedAtMs = this._clock.nowMs()
+      this._canChallenge = this._readsInTime()
+    }
+    if (!await this._canChallenge) return false
+    this._clock.after(this.yieldMs + this._random.next() * TAKE_JITTER_MS, () => { this.takeOver(from) })
+    return true
+  }
+
+  private async _readsInTime (): Promise<boolean> {
+    const late = new Promise<boolean>((resolve) => { this._clock.after(CHALLENGE_MS, () => { resolve(false) }) })
+    return await Promise.race([this._store.get(OWNER_KEY).then((read) => read.kind === 'read'), late])
+  }
+
   /** Something has shown that another process owns the cell. */
   public resign (reason: string): void {
     this._lose(reason)
@@ -104,9 +137,25 @@
   /** Gives the record back, so that another process can take it at once. */
   public async release (): Promise<void> {
     this._isLeaving = true
+    await this._giveBack('released')
+  }
+
+  /** Gives the record back because others can serve the cell better, and doesn't take it again for a while. */
+  public async stepAside (reason: string): Promise<void> {
+    this._asideUntilMs = this._clock.nowMs() + ASIDE_MS
+    this._clock.after(ASIDE_MS, () => { if (!this._isLeaving) this._look() })
+    await this._giveBack(reason)
+  }
+
+  /** How long this process lets others go first, in ms: the further the store, the longer, since each write waits for it. */
+  public get yieldMs (): number {
+    return this._options.yieldMs() + Math.min(MAX_DISTANCE_YIELD_MS, this._watch.readMs * DISTANCE_YIELD_FACTOR)
+  }
+
+  private async _giveBack (reason: string): Promise<void> {
     const revision = this._ownedRevision
     if (revision === undefined) return
-    this._lose('released')
+    this._lose(reason)
     await this._store.commit({ expect: [{ key: OWNER_KEY, revision }], puts: [], removes: [OWNER_KEY] }, COMMIT_TIMEOUT_MS)
   }
 
@@ -147,11 +196,11 @@
   }
 
   private _takeSoon (): void {
-    this._clock.after(this._options.yieldMs + this._random.next() * TAKE_JITTER_MS, () => { if (this._record === undefined) this._take(0) })
+    this._clock.after(this.yieldMs + this._random.next() * TAKE_JITTER_MS, () => { if (this._record === undefined) this._take(0) })
   }
 
   private _take (expectedRevision: number): void {
-    if (this._isTaking || this._isLeaving || this.isOwner) return
+    if (this._isTaking || this._isLeaving || this.isOwner || this._clock.nowMs() < this._asideUntilMs) return
     this._isTaking = true
     this._tryTake(expectedRevision).then((isSettled) => {
       this._isTaking = false
--- a/src/cell/WatchedPrefix.ts
+++ b/src/cell/WatchedPrefix.ts
@@ -5,7 +5,7 @@
 
 import type { IMetadataItem, IMetadataStore } from '../common/cell/Types.js'
 import type { ILogger } from '../common/observability/Types.js'
-import type { IDisposable, ITimers } from '../common/Types.js'
+import type { IClock, IDisposable, ITimers } from '../common/Types.js'
 
 export interface IWatchListener {
   /** Everything that is there, as of one read. */
@@ -28,15 +28,21 @@
   private readonly _abort = new AbortController()
   private _failures = 0
   private _isDown = false
+  private _readMs = 0
 
   public constructor (
     private readonly _store: IMetadataStore,
     private readonly _options: IWatchOptions,
     private readonly _listener: IWatchListener,
-    private readonly _timers: ITimers,
+    private readonly _timers: IClock & ITimers,
     private readonly _log: ILogger
   ) {}
 
+  /** How long the last whole read took, in ms: tells how far the store is. */
+  public get readMs (): number {
+    return this._readMs
+  }
+
   public start (): void {
     this._run().catch((error: unknown) => { this._log.error('watch.failed', { prefix: this._options.prefix, reason: String(error) }) })
   }
@@ -54,7 +60,9 @@
   }
 
   private async _readAll (): Promise<number | undefined> {
+    const beganAtMs = this._timers.nowMs()
     const read = await this._store.range(this._options.prefix)
+    this._readMs = this._timers.nowMs() - beganAtMs
     if (this._isDisposed) return undefined
     if (read.kind === 'failed') {
       this._noteDown(read.reason)
--- a/src/common/cell/JobRecord.ts
+++ b/src/common/cell/JobRecord.ts
@@ -26,6 +26,9 @@
   fills: false
 }
 
+/** Of a finished job nobody asks for its queue. */
+const NO_QUEUE: QueueTerms = { name: '', service: '', priority: 0, maxAttempts: 0, stretch: 0, targetMs: 0, advice: undefined }
+
 interface IAcceptedRecord {
   readonly queue: QueueTerms
   readonly receivedAtWallMs: EpochMs
@@ -80,6 +83,15 @@
   return new Job(spec, queue, nowMs - Math.max(0, wallMs - receivedAtWallMs))
 }
 
+/** A finished job of which only its outcome was kept. */
+export function decodeOutcome (jobId: string, record: string, nowMs: MonotonicMs): Job {
+  const { phase } = JSON.parse(record) as IProgressRecord
+  const job = new Job({ jobId, description: '', steps: [], occurrences: 0 }, NO_QUEUE, nowMs)
+  job.phase = phase
+  job.storedPhase = phase
+  return job
+}
+
 export function encodeProgress (job: Job): string {
   const tasks = job.isFinished && job.steps.every((step) => step.isQuiet) ? [] : job.steps.flatMap((step) => step.tasks.flatMap(toTaskRow))
   const steps = job.steps.flatMap(({ number, gangFailures, lastFailedRun }): readonly StepRow[] =>
--- a/src/common/cell/Types.ts
+++ b/src/common/cell/Types.ts
@@ -261,7 +261,13 @@
  */
 export type SubmitOutcome =
   | { readonly kind: 'accepted' }
-  | { readonly kind: 'refused', readonly reason: string, readonly retryAfterMs: number }
+  | {
+    readonly kind: 'refused'
+    readonly reason: string
+    readonly retryAfterMs: number
+    /** The owner can't reach the store; another process may. */
+    readonly isStoreAway?: boolean
+  }
   | { readonly kind: 'noQueue' }
   | { readonly kind: 'invalid', readonly reason: string }
   | { readonly kind: 'inDoubt', readonly reason: string }
--- a/src/common/protocol/Types.ts
+++ b/src/common/protocol/Types.ts
@@ -253,6 +253,7 @@
   readonly kind: SubmitOutcome['kind']
   readonly reason?: string
   readonly retryAfterMs?: number
+  readonly isStoreAway?: boolean
 }
 
 export interface ICellStateReply {
--- a/src/daemon/ControllerDaemon.ts
+++ b/src/daemon/ControllerDaemon.ts
@@ -10,6 +10,7 @@
 import { ConfigFeed } from '../cell/ConfigFeed.js'
 import { readLinkSecret } from '../cell/LinkSecret.js'
 import { answerPeers } from '../cell/OwnerCalls.js'
+import { OwnerIsolation } from '../cell/OwnerIsolation.js'
 import { OwnerRoute } from '../cell/OwnerRoute.js'
 import { Ownership } from '../cell/Ownership.js'
 import { OwnerWatch } from '../cell/OwnerWatch.js'
@@ -48,7 +49,12 @@
  * lets others go first, for this long in ms; it still owns the cell where nobody else does.
  */
 const OWNER_CORES = 0.6
-const WEAK_YIELD_MS = 250
+const WEAK_YIELD_MS = 600
+/** One that couldn't reach the last owner may be out of reach itself: it lets others go first for this long, in ms. */
+const ISOLATED_YIELD_MS = 600
+/** How often links are used at least, and after how much silence they are lost, in ms: a cut is noticed about as fast as a lease ends. */
+const HEARTBEAT_MS = 250
+const SILENCE_MS = 1200
 /** What a call for advice through a peer may take beyond the service's own time, in ms. */
 const PEER_SLACK_MS = 300
 
@@ -76,6 +82,7 @@
   private _ownership: Ownership | undefined
   private _owner: CellOwner | undefined
   private _entry: CallerEntry | undefined
+  private _route: OwnerRoute | undefined
   private _readiness: Server | undefined
   private _isStopping = false
 
@@ -96,21 +103,27 @@
     this._config.start()
     const sharedKey = await readLinkSecret(this._store, this._clock, this._log)
     const environment = { clock: this._clock, timers: this._clock, random: this._random, log: this._log }
-    const hub = new PeerHub(this._self, { sharedKey, listenIp: peer.listen.ip, listenPort: peer.listen.port }, environment)
+    const links = { sharedKey, listenIp: peer.listen.ip, listenPort: peer.listen.port, heartbeatMs: HEARTBEAT_MS, silenceLimitMs: SILENCE_MS }
+    const hub = new PeerHub(this._self, links, environment)
     this._hub = hub
     const peerUrl = await hub.start()
     if (peerUrl.isErr()) throw peerUrl.error
-    const yieldMs = this._settings.process.processorShare * this._settings.process.processorSpeed < OWNER_CORES ? WEAK_YIELD_MS : 0
-    const ownership = new Ownership(
-      this._store, { self: this._self, peerUrl: peerUrl.value, minLeaseMs: store.minLeaseMs, yieldMs }, this._clock, this._random, this._log)
+    const ownership = new Ownership(this._store, {
+      self: this._self, peerUrl: peerUrl.value, minLeaseMs: store.minLeaseMs, yieldMs: () => this._yieldMs()
+    }, this._clock, this._random, this._log)
     this._ownership = this._disposables.add(ownership)
-    const directory = { get record () { return ownership.record }, local: () => this._owner }
-    const route = new OwnerRoute(hub, directory, this._clock)
+    const route = new OwnerRoute(hub, {
+      get record () { return ownership.record },
+      local: () => this._owner,
+      challenge: async (from) => await ownership.challenge(from)
+    }, this._clock)
+    this._route = route
     answerPeers(hub, () => this._owner, this._adviser)
     this._disposables.add(ownership.onRecord((record) => { route.follow(record) }))
     this._disposables.add(ownership.onOwned((revision) => { this._own(revision) }))
     this._disposables.add(ownership.onLost(() => { this._disown() }))
-    this._disposables.add(new OwnerWatch(hub, ownership, yieldMs, this._clock, this._random, this._log))
+    this._disposables.add(new OwnerWatch(hub, ownership, this._clock, this._random, this._log))
+    this._disposables.add(new OwnerIsolation(hub, () => ownership.isOwner, (silent) => { this._stepAside(silent) }, this._clock))
     ownership.start()
     this._entry = new CallerEntry({
       wire: callerWire, config: this._config, route, clock: this._clock, log: this._log, times: this._times, counters: this._counters
@@ -213,6 +226,19 @@
     }, { writerId, maxHoldMs: hosts.maxHoldMs, farFactor: hosts.farFactor, statusMs: hosts.statusMs }, revision)
   }
 
+  private _stepAside (silent: number): void {
+    this._log.warn('owner.isolated', { silent, links: this._hub?.links().length })
+    this._ownership?.stepAside('most peers are silent')
+      .catch((error: unknown) => { this._log.error('owner.stepAsideFailed', { reason: String(error) }) })
+  }
+
+  /** A weak machine, and one that didn't reach the last owner, leave the cell to others first. */
+  private _yieldMs (): number {
+    const { processorShare, processorSpeed } = this._settings.process
+    const weakMs = processorShare * processorSpeed < OWNER_CORES ? WEAK_YIELD_MS : 0
+    return weakMs + (this._route?.isIsolated === true ? ISOLATED_YIELD_MS : 0)
+  }
+
   private _disown (): void {
     this._owner?.dispose()
     this._owner = undefined
@@ -221,7 +247,7 @@
   private async _listenForReadiness (): Promise<void> {
     const { ip, port } = this._settings.readiness.listen
     const server = createServer((request, response) => {
-      const isReady = !this._isStopping && this._entry !== undefined && this._config.config !== undefined
+      const isReady = !this._isStopping && this._entry !== undefined && this._config.config !== undefined && this._route?.isIsolated !== true
       response.writeHead(request.url === READINESS_PATH && isReady ? 200 : 503, { 'content-length': 0 })
       response.end()
     })
--- a/src/peer/LinkSet.ts
+++ b/src/peer/LinkSet.ts
@@ -10,7 +10,7 @@
 import type { IProcessIdentity } from '../common/Types.js'
 import { LinkTable } from './LinkTable.js'
 import type { Admission } from './LinkTable.js'
-import { PeerLink } from './PeerLink.js'
+import { PeerLink, SILENT_REASON } from './PeerLink.js'
 import type { ILinkContext } from './PeerLink.js'
 import { PeerSocket } from './PeerSocket.js'
 import { TrafficMeter } from './TrafficMeter.js'
@@ -136,7 +136,7 @@
     this._traffic.addEnded(link)
     if (!this._links.remove(link)) return
     this._context.environment.log?.info('peer.lost', { peer: link.peer.processId, incarnation: link.peer.incarnation, reason })
-    this._lostEmitter.fire({ peer: link.peer, cause: link.isReleased ? 'released' : 'failed' })
+    this._lostEmitter.fire({ peer: link.peer, cause: link.isReleased ? 'released' : reason === SILENT_REASON ? 'silent' : 'failed' })
   }
 }
 
--- a/src/peer/PeerLink.ts
+++ b/src/peer/PeerLink.ts
@@ -29,6 +29,9 @@
   onGone (link: PeerLink, reason: string): void
 }
 
+/** Why a link was given up of whose peer nothing was heard. */
+export const SILENT_REASON = 'silent'
+
 export class PeerLink implements IPeerLink, IPeerSocketListener {
   public lastHeardMs: MonotonicMs
   private readonly _codec: FrameCodec
@@ -118,7 +121,7 @@
     if (this._monitor.noteReceived(this._socket.receivedBytes)) this.lastHeardMs = this._context.environment.clock.nowMs()
     if (this._monitor.isSilent()) {
       this._context.counters.silentLinks += 1
-      this.lose('silent')
+      this.lose(SILENT_REASON)
       return
     }
     if (this._sender.takeHasSent()) return
--- a/src/peer/Types.ts
+++ b/src/peer/Types.ts
@@ -13,8 +13,11 @@
  */
 export type PeerError = UnreachableError | RefusedError | AmbiguousError
 
-/** `released`: one side gave the link up in good order, which says nothing of the peer's health. */
-export type LinkLossCause = 'failed' | 'released'
+/**
+ * `released`: one side gave the link up in good order, which says nothing of the peer's health. `silent`: nothing was heard for
+ * too long, as of a peer that is cut off or without power; `failed`: the connection broke.
+ */
+export type LinkLossCause = 'failed' | 'silent' | 'released'
 
 export interface IPeerHandlers {
   /** What answers each call; a call without a handler is refused. */
--- a/test/support/ControllerCell.ts
+++ b/test/support/ControllerCell.ts
@@ -28,7 +28,9 @@
   public readonly controllers: IController[] = []
   private readonly _folder = mkdtempSync(join(tmpdir(), 'jackdawreel-'))
 
-  public constructor (private readonly _platform: PlatformStandIn, private readonly _maxHoldMs: number) {}
+  public constructor (
+    private readonly _platform: PlatformStandIn, private readonly _maxHoldMs: number, private readonly _nodeArgs: readonly string[] = []
+  ) {}
 
   public async start (count: number): Promise<void> {
     for (let number = 0; number < count; number += 1) await this._add(number)
@@ -54,7 +56,7 @@
     const { forwarder, port } = await this._platform.storeForwarder()
     const configPath = join(this._folder, `${id}.ini`)
     writeFileSync(configPath, settings(id, { callerPort, readinessPort, peerPort, metricsPort }, port, this._platform.advicePort, this._maxHoldMs))
-    const process = startProcess('bin/jackdawreel-controller.js', ['--config', configPath])
+    const process = startProcess('bin/jackdawreel-controller.js', ['--config', configPath], this._nodeArgs)
     this.controllers.push({ id, configPath, callerPort, metricsPort, readinessPort, store: forwarder, process })
   }
 }
