The owner tells its peers who it is, and dials those that have not found it

Each process writes where it can be reached; a new owner tells linked peers at once and dials the others.

--- a/src/cell/Keys.ts
+++ b/src/cell/Keys.ts
@@ -8,6 +8,9 @@
 /** The secret that the cell's processes prove to each other. */
 export const LINK_SECRET_KEY = `${CONTROL_PREFIX}link-secret`
 
+/** Where each process can be reached; without a lease, so that an owner finds also those that can't reach the store. */
+export const MEMBER_PREFIX = 'jd/member/'
+
 const JOB_PREFIX = 'jd/job/'
 const PROGRESS_PREFIX = 'jd/progress/'
 const LANE_PREFIX = 'jd/lane/'
--- /dev/null
+++ b/src/cell/MemberCalls.ts
@@ -0,0 +1,67 @@
+/**
+ * Lets gateways that can't reach the store hear of a new owner: it looks up where all processes are, dials them, and tells them.
+ *
+ * A store that turns some machines away would otherwise leave their gateways with the link to the last owner: one would see them
+ * refuse all callers for as long as that lasts, beside an owner that they could reach.
+ */
+
+import type { IMetadataStore } from '../common/cell/Types.js'
+import type { ILogger } from '../common/observability/Types.js'
+import type { IDisposable, ITimers } from '../common/Types.js'
+import type { IPeerHub } from '../peer/Types.js'
+import { MEMBER_PREFIX } from './Keys.js'
+import type { IOwnerRecord } from './Types.js'
+
+interface IMemberRecord {
+  readonly peerUrl: string
+}
+
+/** Most processes hear of a new owner from the store and dial it; those that haven't by then are dialled, in ms. */
+const DIAL_AFTER_MS = 250
+/** A process that can't be reached for so long is gone, or hears of the owner by itself when it is back, in ms. */
+const DIAL_FOR_MS = 8000
+const COMMIT_TIMEOUT_MS = 1500
+const RETRY_MS = 1000
+
+/** Writes where this process can be reached, until it is stored. */
+export function registerMember (store: IMetadataStore, hub: IPeerHub, peerUrl: string, timers: ITimers, log: ILogger): void {
+  const key = MEMBER_PREFIX + hub.self.processId
+  const value = JSON.stringify({ peerUrl } satisfies IMemberRecord)
+  store.commit({ expect: [], puts: [{ key, value }], removes: [] }, COMMIT_TIMEOUT_MS).then((outcome) => {
+    if (outcome.kind !== 'committed') timers.after(RETRY_MS, () => { registerMember(store, hub, peerUrl, timers, log) })
+  }, (error: unknown) => { log.error('member.registerFailed', { reason: String(error) }) })
+}
+
+/** While this process owns the cell: tells each peer that links up, and dials those that don't. */
+export class MemberCalls implements IDisposable {
+  private readonly _disposables: IDisposable[] = []
+
+  public constructor (
+    private readonly _store: IMetadataStore,
+    private readonly _hub: IPeerHub,
+    private readonly _record: IOwnerRecord,
+    private readonly _timers: ITimers,
+    private readonly _log: ILogger
+  ) {
+    for (const link of _hub.links()) link.cast('cellOwner', _record)
+    this._disposables.push(_hub.onLink((link) => { link.cast('cellOwner', _record) }))
+    this._disposables.push(_timers.after(DIAL_AFTER_MS, () => { this._dialOthers() }))
+  }
+
+  public dispose (): void {
+    for (const disposable of this._disposables.splice(0)) disposable.dispose()
+  }
+
+  private _dialOthers (): void {
+    this._store.range(MEMBER_PREFIX).then((read) => {
+      if (read.kind === 'failed' || this._disposables.length === 0) return
+      const members = read.value.items.map(({ key, value }) =>
+        ({ processId: key.slice(MEMBER_PREFIX.length), ...JSON.parse(value) as IMemberRecord }))
+      const missing = members.filter(({ processId }) => processId !== this._hub.self.processId && this._hub.link(processId) === undefined)
+      this._log.info('owner.dials', { revision: this._record.revision, members: members.length, missing: missing.length })
+      const dials = missing.map(({ processId, peerUrl }) => this._hub.dial(peerUrl, processId))
+      const dispose = (): void => { for (const dial of dials) dial.dispose() }
+      this._disposables.push({ dispose }, this._timers.after(DIAL_FOR_MS, dispose))
+    }, (error: unknown) => { this._log.error('owner.dialFailed', { reason: String(error) }) })
+  }
+}
--- a/src/cell/Ownership.ts
+++ b/src/cell/Ownership.ts
@@ -185,6 +185,15 @@
     else if (this._isOwn(record) && !this.isOwner && !this._isTaking) this._adopt(record)
   }
 
+  /** The owner itself has told of its record: this process may be cut off from the store. */
+  public noteRecord (record: IOwnerRecord): void {
+    if (this._record !== undefined && record.revision <= this._record.revision) return
+    this._record = record
+    this._log.info('owner.told', { owner: record.processId, revision: record.revision })
+    if (this.isOwner) this._lose('another owner has told of its record')
+    this._recordEmitter.fire(record)
+  }
+
   private _isOwn (record: IOwnerRecord): boolean {
     const { self } = this._options
     return record.processId === self.processId && record.incarnation === self.incarnation
--- a/src/common/protocol/Shapes.ts
+++ b/src/common/protocol/Shapes.ts
@@ -213,7 +213,8 @@
   loadSummary,
   configEntries: z.object({ entries: z.array(configEntry) }),
   members: membersCast,
-  taskUpdate
+  taskUpdate,
+  cellOwner: z.object({ processId: id, incarnation: count, peerUrl: id, revision: count })
 }
 
 type Shape = z.ZodType<unknown>
--- a/src/common/protocol/Types.ts
+++ b/src/common/protocol/Types.ts
@@ -271,6 +271,14 @@
   readonly allowed?: readonly ITicket[]
 }
 
+/** The owner of the cell tells who it is: a process that can't reach the store would not hear of it. */
+export interface ICellOwnerCast {
+  readonly processId: string
+  readonly incarnation: number
+  readonly peerUrl: string
+  readonly revision: number
+}
+
 /** Calls: a name, what is asked, what is answered. */
 export interface IPeerCalls {
   readonly submit: { readonly ask: ISubmitRequest, readonly reply: IFinalAnswer }
@@ -306,6 +314,7 @@
   readonly configEntries: { readonly entries: readonly IConfigEntry[] }
   readonly members: IMembersCast
   readonly taskUpdate: ITaskUpdate
+  readonly cellOwner: ICellOwnerCast
 }
 
 export type PeerCallName = keyof IPeerCalls
--- a/src/daemon/ControllerDaemon.ts
+++ b/src/daemon/ControllerDaemon.ts
@@ -9,6 +9,7 @@
 import { CellOwner } from '../cell/CellOwner.js'
 import { ConfigFeed } from '../cell/ConfigFeed.js'
 import { readLinkSecret } from '../cell/LinkSecret.js'
+import { MemberCalls, registerMember } from '../cell/MemberCalls.js'
 import { answerPeers } from '../cell/OwnerCalls.js'
 import { OwnerIsolation } from '../cell/OwnerIsolation.js'
 import { OwnerRoute } from '../cell/OwnerRoute.js'
@@ -81,6 +82,7 @@
   private _hub: PeerHub | undefined
   private _ownership: Ownership | undefined
   private _owner: CellOwner | undefined
+  private _memberCalls: MemberCalls | undefined
   private _entry: CallerEntry | undefined
   private _route: OwnerRoute | undefined
   private _readiness: Server | undefined
@@ -119,12 +121,14 @@
     }, this._clock)
     this._route = route
     answerPeers(hub, () => this._owner, this._adviser)
+    this._disposables.add(hub.listen('cellOwner', (record) => { ownership.noteRecord(record) }))
     this._disposables.add(ownership.onRecord((record) => { route.follow(record) }))
     this._disposables.add(ownership.onOwned((revision) => { this._own(revision) }))
     this._disposables.add(ownership.onLost(() => { this._disown() }))
     this._disposables.add(new OwnerWatch(hub, ownership, this._clock, this._random, this._log))
     this._disposables.add(new OwnerIsolation(hub, () => ownership.isOwner, (silent) => { this._stepAside(silent) }, this._clock))
     ownership.start()
+    registerMember(this._store, hub, peerUrl.value, this._clock, this._log)
     this._entry = new CallerEntry({
       wire: callerWire, config: this._config, route, clock: this._clock, log: this._log, times: this._times, counters: this._counters
     })
@@ -211,6 +215,11 @@
     if (chart.isErr() || this._ownership === undefined) throw chart.isErr() ? chart.error : new Error('ownership comes first')
     const writerId = `${this._self.processId}/${this._self.incarnation}/${revision}`
     this._owner?.dispose()
+    this._memberCalls?.dispose()
+    const { record } = this._ownership
+    if (record !== undefined && this._hub !== undefined) {
+      this._memberCalls = new MemberCalls(this._store, this._hub, record, this._clock, this._log)
+    }
     this._owner = new CellOwner({
       store: this._store,
       orders: this._orders,
@@ -240,6 +249,7 @@
   }
 
   private _disown (): void {
+    this._memberCalls?.dispose()
     this._owner?.dispose()
     this._owner = undefined
   }
