--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,8 +7,10 @@
 
 const nodeIo = ['node:*', 'undici', 'ws', 'moleculer', 'moleculer-web', 'tslog', 'yargs', 'ini']
 
+const platform = { group: ['**/platform/**'], message: 'Only what puts a process together knows the platform.' }
+
 function layer (files, group, message) {
-  return { files, rules: { 'no-restricted-imports': ['error', { patterns: [{ group, message }] }] } }
+  return { files, ignores: ['**/*.test.ts'], rules: { 'no-restricted-imports': ['error', { patterns: [{ group, message }, platform] }] } }
 }
 
 export default [
@@ -28,7 +30,8 @@
       'no-restricted-imports': ['error', {
         patterns: [
           { group: nodeIo, message: 'src/common is free of input and output.' },
-          { group: ['**/runtime/**', '**/peer/**', '**/gateway/**', '**/scheduler/**', '**/operator/**'], message: 'src/common imports from no runtime folder.' }
+          { group: ['**/runtime/**', '**/peer/**', '**/gateway/**', '**/scheduler/**', '**/operator/**'], message: 'src/common imports from no runtime folder.' },
+          platform
         ]
       }]
     }
@@ -36,5 +39,7 @@
   layer(['src/runtime/**/*.ts'], ['**/peer/**', '**/gateway/**', '**/scheduler/**', '**/operator/**'], 'runtime stands below these.'),
   layer(['src/peer/**/*.ts'], ['**/gateway/**', '**/scheduler/**', '**/operator/**'], 'peer stands below these.'),
   layer(['src/gateway/**/*.ts'], ['**/scheduler/**', '**/operator/**'], 'gateway and scheduler meet only in src/common/protocol.'),
+  layer(['src/cell/**/*.ts'], ['**/scheduler/**', '**/operator/**', '**/daemon/**'], 'cell stands beside these.'),
+  layer(['platform/**/*.ts'], ['**/peer/**', '**/gateway/**', '**/scheduler/**', '**/operator/**', '**/daemon/**'], 'platform decides nothing.'),
   layer(['src/scheduler/**/*.ts'], ['**/gateway/**', '**/operator/**'], 'gateway and scheduler meet only in src/common/protocol.')
 ]
