--- a/src/cell/StoreLane.test.ts
+++ b/src/cell/StoreLane.test.ts
@@ -18,10 +18,15 @@
   public readonly values = new Map<string, string>()
   public readonly revisions = new Map<string, number>([[OWNER_KEY, 5]])
   public script: ('ok' | 'lost' | 'never' | 'busy')[] = []
+  /** Answers take so long; one that takes longer than it is waited for doesn't come. */
+  public answerMs = 0
   private _revision = 10
 
-  public async commit (transaction: ITransaction): Promise<CommitOutcome> {
+  public constructor (private readonly _clock: ManualClock) {}
+
+  public async commit (transaction: ITransaction, timeoutMs: number): Promise<CommitOutcome> {
     this.transactions.push(transaction)
+    if (this.answerMs > 0) return await this._answerLate(transaction, timeoutMs)
     const step = this.script.shift() ?? 'ok'
     if (step === 'busy') return { kind: 'refused', reason: 'busy' }
     if (step === 'never') return { kind: 'unanswered', reason: 'silent' }
@@ -29,6 +34,12 @@
     return step === 'lost' ? { kind: 'unanswered', reason: 'lost' } : outcome
   }
 
+  private async _answerLate (transaction: ITransaction, timeoutMs: number): Promise<CommitOutcome> {
+    const outcome = this.carryOut(transaction)
+    await new Promise<void>((resolve) => { this._clock.after(Math.min(this.answerMs, timeoutMs), resolve) })
+    return this.answerMs > timeoutMs ? { kind: 'unanswered', reason: 'late' } : outcome
+  }
+
   public carryOut (transaction: ITransaction): CommitOutcome {
     if (transaction.expect.some(({ key, revision }) => (this.revisions.get(key) ?? 0) !== revision)) {
       const items = transaction.expect.flatMap(({ key }) => {
@@ -47,8 +58,8 @@
 }
 
 function lane () {
-  const store = new ScriptedStore()
   const clock = new ManualClock()
+  const store = new ScriptedStore(clock)
   const lost: string[] = []
   const options = { laneKey: LANE, laneRevision: 0, ownerRevision: 5, writerId: 'me' }
   const writer = new StoreLane(store as unknown as IMetadataStore, options, clock, new SilentLogger(), (reason) => { lost.push(reason) })
@@ -65,7 +76,7 @@
       await new Promise<void>((resolve) => { setImmediate(resolve) })
     }
   }
-  return { store, write, run, stored, refused, lost }
+  return { store, write, run, stored, refused, lost, writer }
 }
 
 test('writes of a moment go out together, and the last value of a key counts', async (t) => {
@@ -137,3 +148,20 @@
   t.deepEqual(stored, [])
   t.deepEqual(lost, ['the ownership record has changed'])
 })
+
+test('a store that becomes slow is not taken for one that is away', async (t) => {
+  // Answers take 400 ms from one moment to the next. Given up over and over, they would look like an outage: jobs would be refused
+  // and other processes would take the cell from an owner that is well.
+  const { store, write, run, stored, writer } = lane()
+  write('a', '0')
+  await run(100)
+  store.answerMs = 400
+  write('a', '1')
+  let longestFailingMs = 0
+  for (let passed = 0; passed < 2000; passed += 50) {
+    await run(50)
+    longestFailingMs = Math.max(longestFailingMs, writer.failingForMs)
+  }
+  t.deepEqual(stored, ['a=0', 'a=1'])
+  t.true(longestFailingMs < 900, `${longestFailingMs}`)
+})
--- a/src/cell/StoreLane.ts
+++ b/src/cell/StoreLane.ts
@@ -46,6 +46,8 @@
 const TIMEOUT_FACTOR = 5
 const LATENCY_WEIGHT = 0.2
 const FIRST_LATENCY_MS = 40
+/** After an answer that didn't come the next one is waited for two and a half times as long: the store may just be slow. */
+const LATE_WEIGHT = 0.5
 const RETRY_MS = 60
 /** What may be refused is tried for this long, in ms: a store over its rate for a moment is no reason to send callers away. */
 const REFUSE_AFTER_MS = 300
@@ -161,7 +163,7 @@
         return this._onOwnershipLost('the store knows no such lease')
       case 'unanswered':
         batch.isInDoubt = true
-        this._latencyMs = Math.min(MAX_TIMEOUT_MS, this._latencyMs * 1.5)
+        this._latencyMs = Math.min(MAX_TIMEOUT_MS, Math.max(this._latencyMs, tookMs * LATE_WEIGHT))
         break
       case 'refused':
     }
