--- a/src/cell/HostSession.ts
+++ b/src/cell/HostSession.ts
@@ -63,12 +63,12 @@
 
   private _order (nowMs: MonotonicMs): Omit<IHoldOrder, 'fence'> {
     const { host } = this
-    const lastSeen = host.storedSequence
+    const acknowledgedSequence = host.storedSequence
     // The first look only tells the time there.
-    if (!host.hasClock) return { lastSeen, deadlineMs: undefined, waitMs: 0 }
+    if (!host.hasClock) return { acknowledgedSequence, deadlineMs: undefined, waitMs: 0 }
     const deadlineMs = host.nextDeadline(nowMs, this._maxHoldMs, this._effects.holdUntilMs())
     // A host that was silent is held as soon as it answers, without a wait.
-    return { lastSeen, deadlineMs, waitMs: host.isInContact(nowMs) ? WAIT_MS : 0 }
+    return { acknowledgedSequence, deadlineMs, waitMs: host.isInContact(nowMs) ? WAIT_MS : 0 }
   }
 
   private _noteAnswered (): void {
--- a/src/common/cell/JobRecord.ts
+++ b/src/common/cell/JobRecord.ts
@@ -8,7 +8,8 @@
 import type { QueueTerms } from './Job.js'
 import type { IJobSpec, IQueue, IStepSpec, JobPhase } from './Types.js'
 
-const EMPTY_STEP: IStepSpec = {
+/** What a caller leaves out of a step. */
+export const EMPTY_STEP: IStepSpec = {
   count: 0,
   cpuMillicores: 0,
   memoryMb: 0,
--- a/src/common/cell/Types.ts
+++ b/src/common/cell/Types.ts
@@ -143,7 +143,7 @@
 export interface IHoldOrder {
   readonly fence: number
   /** Ends up to this sequence may be forgotten by the host. */
-  readonly lastSeen: number
+  readonly acknowledgedSequence: number
   /** On the host's clock; absent leaves it as it is. */
   readonly deadlineMs: number | undefined
   readonly waitMs: number
--- a/test/support/SimulatedCell.ts
+++ b/test/support/SimulatedCell.ts
@@ -6,7 +6,7 @@
 import { readFileSync } from 'node:fs'
 import { CellScheduler } from '../../src/common/cell/CellScheduler.js'
 import { Job } from '../../src/common/cell/Job.js'
-import { applyProgress, decodeAccepted, encodeAccepted, encodeProgress } from '../../src/common/cell/JobRecord.js'
+import { EMPTY_STEP, applyProgress, decodeAccepted, encodeAccepted, encodeProgress } from '../../src/common/cell/JobRecord.js'
 import { ManualClock } from '../../src/common/Clock.js'
 import { SilentLogger } from '../../src/common/observability/SilentLogger.js'
 import { ChartTable } from '../../src/common/state/ChartTable.js'
@@ -21,23 +21,7 @@
 const CHART = ChartTable.compile(JSON.parse(
   readFileSync(new URL('../../../charts/attempt.json', import.meta.url), 'utf8')) as IFlatChart)._unsafeUnwrap()
 
-export const STEP: IStepSpec = {
-  count: 1,
-  cpuMillicores: 1000,
-  memoryMb: 100,
-  accelerators: 0,
-  estimateMs: 1000,
-  after: [],
-  checkpointing: false,
-  gang: false,
-  sameRack: false,
-  requiredLabel: '',
-  preferredRack: '',
-  maxPerHost: 0,
-  speculative: false,
-  longRunning: false,
-  fills: false
-}
+export const STEP: IStepSpec = { ...EMPTY_STEP, count: 1, cpuMillicores: 1000, memoryMb: 100, estimateMs: 1000 }
 
 export const QUEUE: QueueTerms = { name: 'queue', service: 'pool', priority: 1, maxAttempts: 3, stretch: 2, targetMs: 1000, advice: undefined }
 
@@ -188,7 +172,7 @@
       state.entry = host.entry
       const nowMs = this.clock.nowMs()
       const deadlineMs = state.nextDeadline(nowMs, MAX_HOLD_MS, Infinity)
-      const answer = host.hold({ fence: this._fence, lastSeen: state.storedSequence, deadlineMs, waitMs: 0 })
+      const answer = host.hold({ fence: this._fence, acknowledgedSequence: state.storedSequence, deadlineMs, waitMs: 0 })
       if (answer === undefined || answer === 'fenced') this.scheduler.noteSilence(state)
       else this.scheduler.readHold(state, answer, nowMs)
     }
--- a/test/support/SimulatedHost.ts
+++ b/test/support/SimulatedHost.ts
@@ -96,7 +96,7 @@
     if (order.fence < this._fence) return 'fenced'
     this._fence = order.fence
     this._extend(order.deadlineMs)
-    this._ended = this._ended.filter((row) => row.sequence > order.lastSeen)
+    this._ended = this._ended.filter((row) => row.sequence > order.acknowledgedSequence)
     return {
       clockMs: this.clockMs,
       bornMs: this.bornMs,
