--- a/src/runtime/KeyValueClient.test.ts
+++ b/src/runtime/KeyValueClient.test.ts
@@ -66,8 +66,10 @@
 test('a key goes with its lease, and a lapsed lease refuses to be kept alive', async (t) => {
   const store = await startStore(t)
   const client = clientOf(t, store.url)
-  const leaseId = (await client.grantLease(60))._unsafeUnwrap()
+  const leaseId = (await client.grantLease(60_000))._unsafeUnwrap()
   t.true((await client.compareAndSwap('members/a', 0, 'here', leaseId)).isOk())
+  t.true((await client.keepAlive(leaseId)).isOk())
+  store.standIn.lapseAll()
   await eventually('the key is gone', async () => (await client.get('members/a'))._unsafeUnwrap() === undefined)
   t.is((await client.keepAlive(leaseId))._unsafeUnwrapErr().constructor, RefusedError)
 })
--- a/test/standins/KeyValueStandIn.ts
+++ b/test/standins/KeyValueStandIn.ts
@@ -198,6 +198,11 @@
     sendJson(exchange, 200, {})
   }
 
+  /** The time of all leases has run out. */
+  public lapseAll (): void {
+    for (const lease of this._leases.values()) lease.lapsesAtMs = performance.now()
+  }
+
   private _renewAll (): void {
     for (const lease of this._leases.values()) lease.lapsesAtMs = performance.now() + lease.ttlMs
   }
