Give up a gang whole when one member gets no ticket

Hosts that restart under their id bring it about: their old tickets are void. Test: 'a gang of which one member gets no ticket ...' failed first, passes now.

--- a/src/common/cell/CellScheduler.test.ts
+++ b/src/common/cell/CellScheduler.test.ts
@@ -188,3 +188,22 @@
   t.is(job.shownPhase, 'completed')
   t.is(gang.shownPhase, 'completed')
 })
+
+test('a gang of which one member gets no ticket is given up whole and tried again', async (t) => {
+  // The tickets of a gang ran out, and the call for new ones leaves out a host that has just restarted. Were only that member
+  // given up, the others would keep their room and wait for it for ever: a caller would see a job stop in an empty cell.
+  let calls = 0
+  const cell = new SimulatedCell({
+    hosts: 3,
+    saveMs: 700,
+    allows: (hostId, { hostIds }) => {
+      if (hostId === hostIds[0]) calls += 1
+      return calls !== 2 || hostId !== hostIds[0]
+    }
+  })
+  const advice = { baseMs: 10, perHostMs: 0.1, validMs: 600 }
+  const gang = cell.submit([{ count: 3, cpuMillicores: 6000, gang: true }], { advice })
+  await cell.run(8000)
+  t.true(calls > 2)
+  t.is(gang.shownPhase, 'completed')
+})
--- a/src/common/cell/RunController.ts
+++ b/src/common/cell/RunController.ts
@@ -62,7 +62,8 @@
     if (waiting.length === 0) return
     if (step.job.isFinished) return this.drop(waiting)
     const usable = waiting.filter((attempt) => this._isUsable(attempt))
-    if (step.spec.gang && usable.length < waiting.length) return this.drop(waiting)
+    // A gang of which one member was given up can't run: the others would keep their room for ever.
+    if (step.spec.gang && usable.length < step.tasks.length) return this.drop(waiting)
     this.drop(waiting.filter((attempt) => !usable.includes(attempt)))
     const recorded = usable.filter((attempt) => attempt.isRecorded)
     const ready = recorded.filter((attempt) => this._hasTicket(attempt))
