A gang asks for advice by the places that are free now

Cause: hosts were named by what they would hold if they were empty. In a cell that is two thirds full 40 named hosts gave a gang of 20 half its places; it asked again after 2 s, up to three times, and by then its tickets had run out (another 0.75 s).

The test plays 200 hosts that are three quarters full; it failed before.

--- a/src/common/cell/CellScheduler.test.ts
+++ b/src/common/cell/CellScheduler.test.ts
@@ -207,3 +207,21 @@
   t.true(calls > 2)
   t.is(gang.shownPhase, 'completed')
 })
+
+test('a gang in a large cell that is three quarters full starts after one round of advice', async (t) => {
+  // Every host has room for one member, and a quarter of the hosts may run the step. Asked about as many hosts as would hold the
+  // gang if they were empty, the service allows half of what it needs; a sweep's caller would see seconds go by in
+  // further rounds, beside room for all of it.
+  const cell = new SimulatedCell({
+    hosts: 200,
+    host: { workMs: ({ jobId }) => jobId.endsWith('1') ? 60_000 : 1000 },
+    allows: (hostId) => Number(hostId.slice('host-'.length)) % 4 === 0,
+    adviceMs: ({ hostIds }) => 700 + 5 * hostIds.length
+  })
+  cell.submit([{ count: 1200, maxPerHost: 6, estimateMs: 60_000 }])
+  await cell.run(600)
+  const gang = cell.submit([{ count: 20, cpuMillicores: 2000, gang: true }], { advice: { baseMs: 700, perHostMs: 5, validMs: 1500 } })
+  await cell.run(1300)
+  t.true(gang.hasStarted)
+  t.true(cell.mostOverCapacity <= 0)
+})
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -7,10 +7,10 @@
 import type { ChartTable } from '../state/ChartTable.js'
 import type { IClock, MonotonicMs } from '../Types.js'
 import { AdviceDesk } from './AdviceDesk.js'
-import { AllowedShares, hostsToAsk } from './AdviceReach.js'
+import { AllowedShares, callsFor, hostsNotAsked, hostsToAsk } from './AdviceReach.js'
 import type { IAdviceSender } from './AdviceDesk.js'
 import { Attempt } from './Attempt.js'
-import { GangRoom, couldEverFit } from './GangRoom.js'
+import { GangRoom } from './GangRoom.js'
 import { HoldReader } from './HoldReader.js'
 import { HostState } from './HostState.js'
 import type { Job, Step } from './Job.js'
@@ -21,7 +21,7 @@
 import type { IRunEffects } from './RunController.js'
 import { StalledRuns } from './StalledRuns.js'
 import { StepAdvice } from './StepAdvice.js'
-import type { IHoldAnswer, IHostEntry, IRunRef, ITicket, StopOutcome } from './Types.js'
+import type { AdviceOutcome, IHoldAnswer, IHostEntry, IRunRef, ITicket, StopOutcome } from './Types.js'
 
 export interface ICellEffects extends Omit<IRunEffects, 'noteChange' | 'requestTickets' | 'noteStarted'>, IAdviceSender {
   stopUnknown (host: IHostEntry, ref: IRunRef): Promise<StopOutcome>
@@ -39,6 +39,8 @@
 
 /** How long after a failed call for advice a step is asked for again, in ms. */
 const ADVICE_RETRY_MS = 300
+/** How often a step that waits looks whether it may use enough hosts, in ms: each look goes over all of them. */
+const REACH_LOOK_MS = 100
 /** A step that found no room for so long on the hosts it may use asks for more of them, in ms: two calls of the slowest kind. */
 const WIDEN_AFTER_MS = 2000
 /** Past this many times its objective a job earns nothing more and goes behind all others. */
@@ -259,7 +261,9 @@
     const { advice } = step
     if (step.job.queue.advice === undefined || advice.isAsking) return advice
     const nowMs = this._clock.nowMs()
-    if (nowMs < advice.retryAtMs || !this._needsMoreHosts(step, advice, nowMs)) return advice
+    if (nowMs < advice.retryAtMs || nowMs < advice.lookAgainAtMs) return advice
+    advice.lookAgainAtMs = nowMs + REACH_LOOK_MS
+    if (!this._needsMoreHosts(step, advice, nowMs)) return advice
     const hostIds = hostsToAsk(step, this.hosts.values(), this._shares.of(step.job.queue.name))
     if (hostIds.length > 0) this._askAdvice(step, hostIds, () => {})
     else advice.askedAtMs = nowMs
@@ -276,41 +280,55 @@
   private _needsMoreHosts (step: Step, advice: StepAdvice, nowMs: MonotonicMs): boolean {
     if (!advice.isKnown) return true
     const usable = allowedHosts(step, this.hosts).filter((host) => host.isPlaceable(nowMs))
-    if (usable.length === 0 || (step.spec.gang && !couldEverFit(step, usable))) return true
+    if (usable.length === 0) return true
+    if (step.spec.gang && missingPlaces(step, usable) > 0 && this._hasRoomElsewhere(step, missingPlaces(step, usable))) return true
     return nowMs - advice.askedAtMs > WIDEN_AFTER_MS && step.tasks.some((task) => task.isIdle)
   }
 
+  /** Whether asking about further hosts would likely give a gang the places that it lacks. */
+  private _hasRoomElsewhere (step: Step, missing: number): boolean {
+    return placesOn(step, hostsNotAsked(step, this.hosts.values())) * this._shares.of(step.job.queue.name) >= missing
+  }
+
+  /** @param then called once, when all calls have come back */
   private _askAdvice (step: Step, hostIds: readonly string[], then: () => void): void {
     const { job, advice } = step
-    const terms = job.queue.advice
-    if (terms === undefined || advice === undefined) return
-    advice.isAsking = true
-    advice.askedAtMs = this._clock.nowMs()
-    this._desk.ask({
-      jobId: job.spec.jobId,
-      step: step.number,
-      hostIds,
-      priority: job.queue.priority,
-      dueMs: job.dueMs,
-      expectedMs: expectedAdviceMs(step, hostIds.length),
-      isWanted: () => !job.isFinished,
-      settle: (outcome) => {
-        const nowMs = this._clock.nowMs()
-        advice.isAsking = false
-        if (outcome.kind !== 'advised') advice.retryAtMs = nowMs + ADVICE_RETRY_MS
-        if (outcome.kind === 'advised') {
-          this._noteShare(job.queue.name, hostIds.filter((hostId) => !advice.wasAsked(hostId)), outcome.allowed)
-          advice.note(hostIds, outcome.allowed, nowMs + terms.validMs, (hostId) => this.hosts.get(hostId)?.bornMs)
+    if (job.queue.advice === undefined || advice === undefined) return
+    const calls = callsFor(step, hostIds)
+    advice.noteAsked(calls.length, this._clock.nowMs())
+    for (const named of calls) {
+      this._desk.ask({
+        jobId: job.spec.jobId,
+        step: step.number,
+        hostIds: named,
+        priority: job.queue.priority,
+        dueMs: job.dueMs,
+        expectedMs: expectedAdviceMs(step, named.length),
+        isWanted: () => !job.isFinished,
+        settle: (outcome) => {
+          this._noteAdvice(step, advice, named, outcome)
+          if (!advice.isAsking) then()
+          this._effects.requestPass()
         }
-        const waitMs = Math.round(nowMs - advice.askedAtMs)
-        this._effects.noteTime('wait_for_advice', waitMs)
-        this._effects.count('advice', outcome.kind)
-        const allowed = outcome.kind === 'advised' ? outcome.allowed.length : undefined
-        this._log.info('advice.answered', { requestId: job.spec.jobId, step: String(step.number), outcome: outcome.kind, allowed, hosts: hostIds.length, waitMs })
-        then()
-        this._effects.requestPass()
-      }
-    })
+      })
+    }
+  }
+
+  private _noteAdvice (step: Step, advice: StepAdvice, hostIds: readonly string[], outcome: AdviceOutcome): void {
+    const { job } = step
+    const nowMs = this._clock.nowMs()
+    advice.noteSettled()
+    if (outcome.kind !== 'advised') advice.retryAtMs = nowMs + ADVICE_RETRY_MS
+    if (outcome.kind === 'advised') {
+      this._noteShare(job.queue.name, hostIds.filter((hostId) => !advice.wasAsked(hostId)), outcome.allowed)
+      const validUntilMs = nowMs + (job.queue.advice?.validMs ?? 0)
+      advice.note(hostIds, outcome.allowed, validUntilMs, (hostId) => this.hosts.get(hostId)?.bornMs)
+    }
+    const waitMs = Math.round(nowMs - advice.askedAtMs)
+    this._effects.noteTime('wait_for_advice', waitMs)
+    this._effects.count('advice', outcome.kind)
+    const allowed = outcome.kind === 'advised' ? outcome.allowed.length : undefined
+    this._log.info('advice.answered', { requestId: job.spec.jobId, step: String(step.number), outcome: outcome.kind, allowed, hosts: hostIds.length, waitMs })
   }
 }
 
@@ -320,6 +338,17 @@
   return terms === undefined ? 0 : terms.baseMs + terms.perHostMs * hosts
 }
 
+function missingPlaces (step: Step, hosts: readonly HostState[]): number {
+  return step.spec.count - placesOn(step, hosts)
+}
+
+/** How many tasks of the step the hosts have room for now. */
+function placesOn (step: Step, hosts: readonly HostState[]): number {
+  let places = 0
+  for (const host of hosts) places += host.roomFor(step.spec, 0)
+  return places
+}
+
 /** 0 while the job can still earn something, 1 after. */
 function lateness (job: Job, nowMs: MonotonicMs): number {
   return nowMs - job.receivedAtMs > LOST_AFTER_OBJECTIVES * (job.dueMs - job.receivedAtMs) ? 1 : 0
--- a/src/common/cell/StepAdvice.ts
+++ b/src/common/cell/StepAdvice.ts
@@ -19,13 +19,30 @@
 export class StepAdvice {
   private readonly _tickets = new Map<string, IHeldTicket>()
   private readonly _asked = new Set<string>()
-  /** A call is on its way. */
-  public isAsking = false
+  /** Calls on their way. */
+  private _calls = 0
   public askedAtMs: MonotonicMs = -Infinity
   /** After a call that failed, none is made before. */
   public retryAtMs: MonotonicMs = -Infinity
   /** A first answer has come. */
   public isKnown = false
+  /** When to look next whether the step needs more hosts than it may use so far. */
+  public lookAgainAtMs: MonotonicMs = -Infinity
+
+  public get isAsking (): boolean {
+    return this._calls > 0
+  }
+
+  /** So many calls are made at once. */
+  public noteAsked (calls: number, nowMs: MonotonicMs): void {
+    this._calls += calls
+    this.askedAtMs = nowMs
+  }
+
+  /** One of them has come back, with an answer or without. */
+  public noteSettled (): void {
+    this._calls -= 1
+  }
 
   public allows (hostId: string): boolean {
     return this._tickets.has(hostId)
--- a/test/support/SimulatedCell.ts
+++ b/test/support/SimulatedCell.ts
@@ -36,6 +36,8 @@
   /** Which hosts may run a step, where its queue takes advice. */
   allows? (hostId: string, ask: IAdviceAsk): boolean
   readonly saveMs?: number
+  /** How long the advice service takes for a call; no time where it isn't given. */
+  adviceMs? (ask: IAdviceAsk): number
 }
 
 export class SimulatedCell {
@@ -122,8 +124,8 @@
       requestPass: () => { this._isPassDue = true },
       noteTime: () => {},
       count: () => {},
-      machines: () => ['machine-1', 'machine-2'],
-      send: async (_machine, ask) => this._advise(ask)
+      machines: () => ['machine-1', 'machine-2', 'machine-3', 'machine-4', 'machine-5'],
+      send: async (_machine, ask) => await this._send(ask)
     }, { farFactor: 3, inheritedUntilMs }, CHART, this.clock, new SilentLogger())
     for (const host of this.hosts) scheduler.addHost(host.entry)
     return scheduler
@@ -135,6 +137,12 @@
     })
   }
 
+  private async _send (ask: IAdviceAsk): Promise<AdviceOutcome> {
+    const takesMs = this._options.adviceMs?.(ask) ?? 0
+    if (takesMs > 0) await new Promise<void>((resolve) => { this.clock.after(takesMs, resolve) })
+    return this._advise(ask)
+  }
+
   private _advise (ask: IAdviceAsk): AdviceOutcome {
     const allowed = ask.hostIds.filter((hostId) => this._options.allows?.(hostId, ask) ?? true)
     return { kind: 'advised', allowed: allowed.map((hostId) => ({ hostId, ticket: `t-${hostId}` })) }
