Refuse what never went out while the store is silent

Cause: with one transaction in doubt a lane sent it again until the store was back; jobs queued behind it, which had never gone out, waited with it, until their callers' 3 s were over, and were answered 504.

Now they are refused, for certain, once the store counts as away (900 ms), and their callers come back a second later. What did go out stays in doubt.

The new test failed before.

--- a/src/cell/JobStore.ts
+++ b/src/cell/JobStore.ts
@@ -19,12 +19,6 @@
  * brings, and accepting a job then takes half a second instead of 60 ms.
  */
 const FULL_LANE_RECORDS = 14
-/**
- * The store's outage after which new jobs are refused without waiting, in ms. A store that becomes slow costs one answer that is
- * given up and a slow one, 650 ms together: taken for an outage, gateways would challenge an owner that is well.
- */
-const OUTAGE_MS = 900
-
 export type AcceptOutcome = { readonly kind: 'stored' } | { readonly kind: 'refused', readonly reason: string }
 
 export class JobStore {
@@ -50,7 +44,7 @@
   }
 
   public get isOut (): boolean {
-    return this._lanes.some((lane) => lane.failingForMs > OUTAGE_MS)
+    return this._lanes.some((lane) => lane.isOut)
   }
 
   /** Keeps a new job; `refused` only where it is certain that the store hasn't got it and never will. */
--- a/src/cell/StoreLane.test.ts
+++ b/src/cell/StoreLane.test.ts
@@ -165,3 +165,20 @@
   t.deepEqual(stored, ['a=0', 'a=1'])
   t.true(longestFailingMs < 900, `${longestFailingMs}`)
 })
+
+test('what never went out is refused while the store is silent, instead of waiting behind what did', async (t) => {
+  // The store falls silent with one transaction on the way. Jobs that come behind it would wait for an answer until their
+  // callers' time is over, although it is certain that nobody has stored them.
+  const { store, write, run, stored, refused } = lane()
+  store.answerMs = 1_000_000
+  write('on the way', 'x', true)
+  await run(100)
+  write('behind', 'x', true)
+  write('progress', 'y')
+  await run(1000)
+  t.deepEqual(refused, ['behind'])
+  store.answerMs = 0
+  await run(2000)
+  t.deepEqual(stored, ['on the way=x', 'progress=y'])
+  t.deepEqual(refused, ['behind'])
+})
--- a/src/cell/StoreLane.ts
+++ b/src/cell/StoreLane.ts
@@ -52,6 +52,12 @@
 /** What may be refused is tried for this long, in ms: a store over its rate for a moment is no reason to send callers away. */
 const REFUSE_AFTER_MS = 300
 
+/**
+ * The store's outage after which new jobs are refused without waiting, in ms. A store that becomes slow costs one answer that is
+ * given up and a slow one, 650 ms together: taken for an outage, gateways would challenge an owner that is well.
+ */
+const OUTAGE_MS = 900
+
 interface ISentBatch {
   readonly writes: readonly ILaneWrite[]
   readonly transaction: ITransaction
@@ -85,6 +91,11 @@
     return this._failingSinceMs === undefined ? 0 : this._clock.nowMs() - this._failingSinceMs
   }
 
+  /** Whether the store counts as away. */
+  public get isOut (): boolean {
+    return this.failingForMs > OUTAGE_MS
+  }
+
   /** How long an answer takes, usually. */
   public get latencyMs (): number {
     return this._latencyMs
@@ -167,7 +178,7 @@
         break
       case 'refused':
     }
-    this._failingSinceMs ??= this._clock.nowMs() - tookMs
+    this._noteFailing(tookMs)
     this._log.warn('store.notCommitted', { outcome: outcome.kind, reason: outcome.reason, durationMs: Math.round(tookMs), writes: batch.writes.length })
     this._retry(batch, outcome)
   }
@@ -184,6 +195,25 @@
     this._clock.after(outcome.kind === 'unanswered' ? 0 : RETRY_MS, () => { if (!this._isDisposed) this._send(batch) })
   }
 
+  private _noteFailing (tookMs: number): void {
+    if (this._failingSinceMs !== undefined) return
+    const sinceMs = this._clock.nowMs() - tookMs
+    this._failingSinceMs = sinceMs
+    this._clock.after(Math.max(0, OUTAGE_MS - tookMs), () => { if (this._failingSinceMs === sinceMs) this._refuseQueued() })
+  }
+
+  /**
+   * What may be refused and never went out is, rather than kept behind a transaction in doubt: that it isn't stored is certain, and
+   * its caller can come back while it still has time. One would see callers wait out their 3 s for a store that is silent.
+   */
+  private _refuseQueued (): void {
+    for (const [key, writes] of this._queue) {
+      if (writes.some((write) => write.onRefused === undefined)) continue
+      this._queue.delete(key)
+      for (const write of writes) write.onRefused?.('the store is away')
+    }
+  }
+
   private _requeue (writes: readonly ILaneWrite[], reason: string): void {
     for (const write of writes) {
       if (write.onRefused !== undefined) write.onRefused(reason)
