--- a/spec/specs.ts
+++ b/spec/specs.ts
@@ -2,6 +2,7 @@
  * All specifications.
  */
 
+import { cellSpec } from './CellSpec.js'
 import { claimsSpec } from './ClaimsSpec.js'
 import { gangSpec } from './GangSpec.js'
 import { jobSpec } from './JobSpec.js'
@@ -12,4 +13,6 @@
 
 import type { ISpec } from './Model.js'
 
-export const specs = [ownershipSpec, claimsSpec, leaseSpec, gangSpec, profileSpec, jobSpec, membershipSpec] as unknown as readonly ISpec<unknown>[]
+export const specs = [
+  ownershipSpec, claimsSpec, leaseSpec, gangSpec, profileSpec, jobSpec, membershipSpec, cellSpec
+] as unknown as readonly ISpec<unknown>[]
