Wait for the link to a new owner

Ruled out: links that were lost (linked peers keep the 400 ms).

A new owner now has a second. Both cases have a test; the first one failed before.

--- a/src/cell/OwnerRoute.test.ts
+++ b/src/cell/OwnerRoute.test.ts
@@ -21,11 +21,13 @@
 const OWNER: IOwnerRecord = { processId: 'owner', incarnation: 1, peerUrl: 'ws://owner', revision: 7 }
 const CALLER_WAITS_MS = 3000
 
-function setUp (replies: readonly (() => Reply)[], records: readonly IOwnerRecord[] = [OWNER]) {
+/** @param linkAfterMs the link is there from then on */
+function setUp (replies: readonly (() => Reply)[], records: readonly IOwnerRecord[] = [OWNER], linkAfterMs = 0) {
   const clock = new ManualClock()
   let calls = 0
   const link = { peer: { processId: 'owner' }, call: () => replies[Math.min(calls++, replies.length - 1)]?.() }
-  const hub = { self: { processId: 'gateway' }, link: () => link, onLink: () => {}, onLost: () => {} }
+  const dial = (): object => ({ dispose: () => {} })
+  const hub = { self: { processId: 'gateway' }, link: () => clock.nowMs() < linkAfterMs ? undefined : link, dial, onLink: () => {}, onLost: () => {} }
   const route = new OwnerRoute(hub as unknown as IPeerHub, {
     get record () { return records[Math.min(calls, records.length - 1)] },
     local: () => undefined,
@@ -50,6 +52,7 @@
 const notTheOwner = (): Reply => errAsync(new UnreachableError('cellSubmit', 'owner', 'not the owner'))
 const noAnswer = (): Reply => errAsync(new AmbiguousError('cellSubmit', 'owner', 'the link broke'))
 const overloaded = (): Reply => errAsync(new RefusedError('cellSubmit', 'owner', 'too many calls'))
+const accepted = (): Reply => okAsync({ kind: 'accepted' })
 const refusal = (): Reply => okAsync({ kind: 'refused', reason: 'the store is away', retryAfterMs: 1000 })
 
 test('a caller isn\'t held back by a process that has lost the cell', async (t) => {
@@ -109,3 +112,21 @@
   t.is(result?.outcome.kind, 'refused')
   t.true((result?.afterMs ?? Infinity) <= 25)
 })
+
+test('callers wait for the link to a new owner, which nobody has yet', async (t) => {
+  // The cell has just been taken over, and all gateways dial the new owner while it reads the jobs. Sent on at once, a caller
+  // would be sent on by each of them in turn, and use up its tries.
+  const { route, clock } = setUp([accepted], [OWNER], 700)
+  route.follow(OWNER)
+  const result = await settled(clock, route.submit(SUBMISSION, CALLER_WAITS_MS))
+  t.is(result?.outcome.kind, 'accepted')
+})
+
+test('callers are sent on at once by a gateway that can\'t reach the owner at all', async (t) => {
+  const { route, clock } = setUp([accepted], [OWNER], Infinity)
+  route.follow(OWNER)
+  await advance(clock, 1100, 25)
+  const result = await settled(clock, route.submit(SUBMISSION, CALLER_WAITS_MS))
+  t.like(result?.outcome, { kind: 'refused', retryAfterMs: 0 })
+  t.true((result?.afterMs ?? Infinity) <= 25)
+})
--- a/src/cell/OwnerRoute.ts
+++ b/src/cell/OwnerRoute.ts
@@ -38,6 +38,12 @@
 const CALL_TIMEOUT_MS = 1300
 /** An owner that is there and wasn't reached for so long can't be reached from here, in ms: several tries to dial. */
 const ISOLATED_MS = 400
+/**
+ * The same for an owner that is new, in ms. Nobody has a link to it yet, and it takes over while all dial it: 400 to 600 ms in a
+ * cell of 36 machines. Sent on at once, callers would find every gateway in the same state, and those in doubt would hear
+ * that nobody knows, beside an owner that does.
+ */
+const NEW_OWNER_MS = 1000
 const STATE_TIMEOUT_MS = 1500
 const POLL_MS = 25
 const RETRY_AFTER_MS = 1000
@@ -62,17 +68,19 @@
   private _dial: { readonly record: IOwnerRecord, readonly link: IDisposable } | undefined
   /** Since when there is an owner, and no link to it. */
   private _unlinkedSinceMs: MonotonicMs | undefined
+  /** There was a link to this owner. */
+  private _wasLinked = false
 
   public constructor (
     private readonly _hub: IPeerHub, private readonly _directory: IOwnerDirectory, private readonly _clock: IClock & ITimers
   ) {
-    _hub.onLink(({ peer }) => { if (peer.processId === this._dial?.record.processId) this._unlinkedSinceMs = undefined })
+    _hub.onLink(({ peer }) => { if (peer.processId === this._dial?.record.processId) this._noteLinked() })
     _hub.onLost((peer) => { if (peer.processId === this._dial?.record.processId) this._unlinkedSinceMs ??= _clock.nowMs() })
   }
 
   /** Whether the cell has an owner, as far as the store tells, that this process has not reached for a while. */
   public get isIsolated (): boolean {
-    return this._unlinkedSinceMs !== undefined && this._clock.nowMs() - this._unlinkedSinceMs > ISOLATED_MS
+    return this._unlinkedSinceMs !== undefined && this._clock.nowMs() - this._unlinkedSinceMs > (this._wasLinked ? ISOLATED_MS : NEW_OWNER_MS)
   }
 
   /** Keeps a link to the owner that the record names; to be called whenever it changes. */
@@ -84,10 +92,16 @@
     if (record === undefined) return
     this._unlinkedSinceMs = undefined
     if (record.processId === this._hub.self.processId) return
-    if (this._hub.link(record.processId) === undefined) this._unlinkedSinceMs = this._clock.nowMs()
+    this._wasLinked = this._hub.link(record.processId) !== undefined
+    if (!this._wasLinked) this._unlinkedSinceMs = this._clock.nowMs()
     this._dial = { record, link: this._hub.dial(record.peerUrl, record.processId) }
   }
 
+  private _noteLinked (): void {
+    this._unlinkedSinceMs = undefined
+    this._wasLinked = true
+  }
+
   public get isConnected (): boolean {
     const { record } = this._directory
     if (this._directory.local() !== undefined) return true
