--- a/src/runtime/LogWriter.test.ts
+++ b/src/runtime/LogWriter.test.ts
@@ -7,6 +7,8 @@
 import { once } from 'node:events'
 import { text } from 'node:stream/consumers'
 import { fileURLToPath } from 'node:url'
+import { ManualClock } from '../common/Clock.js'
+import { LogWriter } from './LogWriter.js'
 
 const LOGGER_URL = new URL('./Logger.js', import.meta.url).href
 const CLOCK_URL = new URL('../common/Clock.js', import.meta.url).href
@@ -51,3 +53,15 @@
   const lines = (await text(child.stdout)).trim().split('\n').map((line) => JSON.parse(line) as { readonly number: number })
   t.deepEqual(lines.map((line) => line.number), [0, 1, 2, 3, 4])
 })
+
+test('lines go out whole, in pieces that a pipe takes at once', (t) => {
+  // Several processes may write to one collector. Lines in a larger piece would be cut by those of others, and could not be read.
+  const clock = new ManualClock()
+  const pieces: string[] = []
+  const writer = new LogWriter(clock, { writableLength: 0, write: (text) => pieces.push(text) > 0 })
+  for (let number = 0; number < 100; number += 1) writer.write(`${String(number).padStart(199, ' ')}\n`)
+  clock.advance(50)
+  writer.dispose()
+  t.true(pieces.every((piece) => piece.length <= 4096 && piece.endsWith('\n')))
+  t.is(pieces.join('').split('\n').length, 101)
+})
