--- a/bench/controller.ts
+++ b/bench/controller.ts
@@ -5,7 +5,6 @@
 
 import { request } from 'undici'
 import yargs from 'yargs'
-import { hideBin } from 'yargs/helpers'
 import { PlatformStandIn } from '../platform/standins/PlatformStandIn.js'
 import { SeededRandom } from '../src/common/Random.js'
 import { Callers } from '../test/soak/Callers.js'
@@ -17,37 +16,39 @@
 const WARM_UP_MS = 4000
 const MS_PER_S = 1000
 
-const args = await yargs(hideBin(process.argv).filter((arg) => arg !== 'controller'))
-  .option('hosts', { type: 'number', default: 100 })
-  .option('perSecond', { type: 'number', default: 60 })
-  .option('seconds', { type: 'number', default: 10 })
-  .option('profile', { type: 'boolean', default: false })
-  .parseAsync()
+/** `npm run bench -- controller --hosts N --perSecond N [--profile]` */
+export async function run (commandArgs: readonly string[]): Promise<void> {
+  const args = await yargs([...commandArgs])
+    .option('hosts', { type: 'number', default: 100 })
+    .option('perSecond', { type: 'number', default: 60 })
+    .option('seconds', { type: 'number', default: 10 })
+    .option('profile', { type: 'boolean', default: false })
+    .parseAsync()
 
-const platform = new PlatformStandIn({ seed: 1, hosts: args.hosts, hostCpu: HOST_CPU, maxHoldMs: MAX_HOLD_MS, failShare: 0 })
-const judge = new Judge(HOST_CPU)
-await platform.start(judge)
-const cell = new ControllerCell(platform, MAX_HOLD_MS, args.profile ? ['--cpu-prof'] : [])
-await cell.start(1)
-const callers = new Callers(cell.controllers, judge, new SeededRandom(3))
-const calling = setInterval(() => { callers.submit() }, MS_PER_S / args.perSecond)
-await pause(WARM_UP_MS)
-const before = await readings()
-await pause(args.seconds * MS_PER_S)
-const after = await readings()
-clearInterval(calling)
-const cores = (after.processorSeconds - before.processorSeconds) / args.seconds
-const startsPerSecond = (after.starts - before.starts) / args.seconds
-process.stdout.write(`${args.hosts} hosts, ${args.perSecond} jobs/s, ${startsPerSecond.toFixed(0)} starts/s: ${cores.toFixed(3)} cores, ` +
-  `${(after.residentBytes / 2 ** 20).toFixed(0)} MiB resident, ${((after.storeCalls - before.storeCalls) / args.seconds).toFixed(0)} store calls/s\n`)
-const controller = cell.controllers[0]
-if (args.profile) await controller?.process.stop()
-await callers.close()
-await cell.close()
-await platform.close()
-process.exit(0)
+  const platform = new PlatformStandIn({ seed: 1, hosts: args.hosts, hostCpu: HOST_CPU, maxHoldMs: MAX_HOLD_MS, failShare: 0 })
+  const judge = new Judge(HOST_CPU)
+  await platform.start(judge)
+  const cell = new ControllerCell(platform, MAX_HOLD_MS, args.profile ? ['--cpu-prof'] : [])
+  await cell.start(1)
+  const callers = new Callers(cell.controllers, judge, new SeededRandom(3))
+  const calling = setInterval(() => { callers.submit() }, MS_PER_S / args.perSecond)
+  await pause(WARM_UP_MS)
+  const before = await readings(cell, judge)
+  await pause(args.seconds * MS_PER_S)
+  const after = await readings(cell, judge)
+  clearInterval(calling)
+  const cores = (after.processorSeconds - before.processorSeconds) / args.seconds
+  const startsPerSecond = (after.starts - before.starts) / args.seconds
+  process.stdout.write(`${args.hosts} hosts, ${args.perSecond} jobs/s, ${startsPerSecond.toFixed(0)} starts/s: ${cores.toFixed(3)} cores, ` +
+    `${(after.residentBytes / 2 ** 20).toFixed(0)} MiB resident, ${((after.storeCalls - before.storeCalls) / args.seconds).toFixed(0)} store calls/s\n`)
+  const controller = cell.controllers[0]
+  if (args.profile) await controller?.process.stop()
+  await callers.close()
+  await cell.close()
+  await platform.close()
+}
 
-async function readings () {
+async function readings (cell: ControllerCell, judge: Judge) {
   const port = cell.controllers[0]?.metricsPort
   const text = await (await request(`http://127.0.0.1:${port}/metrics`)).body.text()
   const value = (name: string): number => Number(new RegExp(`^jackdawreel_${name} ([0-9.]+)`, 'm').exec(text)?.[1] ?? 0)
