Tests of all-at-once jobs in a file of their own; the packed test reads the flags that are deployed

PackedController.test.ts had a copy of the flags of deploy/system.toml; a change there alone would have passed while each start compiled anew. It reads them from the file now. No program is touched.

--- a/src/daemon/PackedController.test.ts
+++ b/src/daemon/PackedController.test.ts
@@ -4,18 +4,20 @@
 
 import test from 'ava'
 import { spawnSync } from 'node:child_process'
-import { existsSync } from 'node:fs'
+import { existsSync, readFileSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
 import { loadScript } from '../runtime/CodeCache.js'
 
 const ROOT_URL = new URL('../../../', import.meta.url)
 const SCRIPT_PATH = fileURLToPath(new URL('target/src/daemon/controller.cjs', ROOT_URL))
-/** As in deploy/system.toml: V8 takes no code that was kept under other flags. */
-const FLAGS = ['--max-old-space-size=180', '--max-semi-space-size=8']
+/** V8 takes no code that was kept under other flags. */
+const DEPLOYED = /^run = "node (.*) target\/bin\/\S+"$/m.exec(readFileSync(new URL('deploy/system.toml', ROOT_URL), 'utf8'))
+const FLAGS = DEPLOYED?.[1]?.split(' ') ?? []
 
 test('V8 takes the kept code under the flags that the controller is deployed with', (t) => {
   // With a flag that differs, all of it would be compiled anew at every start: nothing fails, and after each kill callers wait
   // for a second longer.
+  t.true(FLAGS.length > 0)
   t.true(existsSync(`${SCRIPT_PATH}.code`))
   const script = `
     import { loadScript } from '${new URL('./dist/src/runtime/CodeCache.js', ROOT_URL).href}'
--- /dev/null
+++ b/src/scheduler/jobs/GangJobs.test.ts
@@ -0,0 +1,100 @@
+/**
+ * Jobs whose tasks have to start together, over fakes and a manual clock: on one scheduler and over several.
+ */
+
+import test from 'ava'
+
+import { checkAlways, jobOf, startedJobs } from '../../../test/support/JobsCell.js'
+
+const WHILE_MS = 2000
+
+test('an all-at-once job waits for room for all its tasks, over several hosts', async (t) => {
+  const cell = await startedJobs(1, 2)
+  const owner = cell.scheduler(0).jobs
+  await owner.submit(jobOf(4, WHILE_MS, { jobId: 'first' }))
+  await cell.advance(100)
+  await owner.submit(jobOf(6, 500, { service: 'sector-sweep' }))
+  await cell.advance(WHILE_MS / 2)
+  t.is(cell.workers.running().filter((run) => run.start.jobId === 'job').length, 0)
+  await cell.advance(3 * WHILE_MS)
+  t.is(cell.status(), 'succeeded')
+  const starts = new Set(cell.workers.runs().filter((run) => run.start.jobId === 'job').map((run) => run.startedAtMs))
+  t.is(starts.size, 1)
+  checkAlways(t, cell)
+})
+
+test('a host dies under an all-at-once job: the others are stopped and all start again together', async (t) => {
+  // The tasks of such a job need each other. If the one that was lost started alone somewhere, or the others ran on
+  // without it, the job would hold its places and get nowhere.
+  const cell = await startedJobs(1, 3)
+  await cell.scheduler(0).jobs.submit(jobOf(8, 10_000, { service: 'sector-sweep' }))
+  await cell.advance(WHILE_MS)
+  const hostId = cell.workers.running()[0]?.hostId ?? ''
+  cell.workers.restart(hostId)
+  await cell.advance(2 * WHILE_MS)
+  const running = cell.workers.running()
+  t.is(running.length, 8)
+  t.is(new Set(running.map((run) => run.start.attempt)).size, 1)
+  await cell.advance(8 * WHILE_MS)
+  t.is(cell.status(), 'succeeded')
+  checkAlways(t, cell)
+})
+
+test('an all-at-once job larger than any scheduler starts over several, or not at all', async (t) => {
+  const cell = await startedJobs(3, 1)
+  const owner = cell.scheduler(0).jobs
+  await owner.submit(jobOf(2, 3000, { jobId: 'first' }))
+  await cell.advance(200)
+  await owner.submit(jobOf(11, 1000, { service: 'sector-sweep' }))
+  await cell.advance(1500)
+  t.is(cell.workers.running().filter((run) => run.start.jobId === 'job').length, 0)
+  await cell.advance(10_000)
+  t.is(cell.status(), 'succeeded')
+  const starts = new Set(cell.workers.runs().filter((run) => run.start.jobId === 'job').map((run) => run.startedAtMs))
+  t.is(starts.size, 1)
+  t.is(new Set(cell.workers.runs().map((run) => run.hostId)).size, 3)
+  checkAlways(t, cell)
+})
+
+test('two all-at-once jobs that together are too large run one after the other', async (t) => {
+  // Each of them holds half of the places and waits for the other half. Neither would ever start, and nothing else could
+  // use the places.
+  const cell = await startedJobs(3, 1)
+  const owner = cell.scheduler(0).jobs
+  await Promise.all(['job', 'other'].map(async (jobId) => await owner.submit(jobOf(9, 1000, { jobId, service: 'sector-sweep' }))))
+  await cell.advance(20_000)
+  t.is(cell.status('job'), 'succeeded')
+  t.is(cell.status('other'), 'succeeded')
+  checkAlways(t, cell)
+})
+
+test('one of several schedulers does not start its part: the others\' parts are stopped, and all start later', async (t) => {
+  // A reservation has run out or its scheduler was replaced between the reservation and the start. The parts that did
+  // start would wait for the missing one for ever, and hold their places.
+  const cell = await startedJobs(3, 1)
+  cell.scheduler(2).losesReservations = true
+  await cell.scheduler(0).jobs.submit(jobOf(12, 2000, { service: 'sector-sweep' }))
+  await cell.advance(WHILE_MS)
+  t.true(cell.workers.running().length < 12)
+  cell.scheduler(2).losesReservations = false
+  await cell.advance(20_000)
+  t.is(cell.status(), 'succeeded')
+  t.is(cell.workers.runs().filter((run) => run.end === 'succeeded').length, 12)
+  checkAlways(t, cell)
+})
+
+test('a scheduler dies in the middle of an all-at-once start', async (t) => {
+  // It has started its part and is gone before the others have. What it started must be found and stopped by the next
+  // owner of its workers, and the job must start whole after that.
+  const cell = await startedJobs(3, 1)
+  cell.scheduler(2).losesReservations = true
+  await cell.scheduler(0).jobs.submit(jobOf(12, 2000, { service: 'sector-sweep' }))
+  await cell.advance(30)
+  cell.scheduler(1).die()
+  await cell.advance(WHILE_MS)
+  cell.scheduler(2).losesReservations = false
+  cell.scheduler(2).take('workers/r1', 2)
+  await cell.advance(30_000)
+  t.is(cell.status(), 'succeeded')
+  checkAlways(t, cell)
+})
--- a/src/scheduler/jobs/Jobs.test.ts
+++ b/src/scheduler/jobs/Jobs.test.ts
@@ -5,26 +5,13 @@
 
 import test from 'ava'
 
-import { ID_SHARD, JobsCell, jobOf } from '../../../test/support/JobsCell.js'
-
-import type { ExecutionContext } from 'ava'
+import { ID_SHARD, checkAlways, jobOf, startedJobs } from '../../../test/support/JobsCell.js'
 
 const LEASE_MS = 15_000
 const WHILE_MS = 2000
 
-function checkAlways (t: ExecutionContext, cell: JobsCell): void {
-  t.deepEqual(cell.workers.overlaps(), [])
-  t.true(cell.workers.mostUse() <= 1)
-}
-
-async function started (schedulers: number, hostsPerRack: number): Promise<JobsCell> {
-  const cell = new JobsCell(schedulers, hostsPerRack)
-  await cell.advance(1200)
-  return cell
-}
-
 test('an accepted job runs its tasks and ends as succeeded', async (t) => {
-  const cell = await started(2, 2)
+  const cell = await startedJobs(2, 2)
   const owner = cell.scheduler(0).jobs
   t.like(await owner.submit(jobOf(6, 500)), { outcome: 'done', status: 202 })
   await cell.advance(200)
@@ -40,7 +27,7 @@
 })
 
 test('what can never run is refused with the reason, before anything is stored', async (t) => {
-  const cell = await started(1, 2)
+  const cell = await startedJobs(1, 2)
   const owner = cell.scheduler(0).jobs
   t.like(await owner.submit(jobOf(1, 500, { cores: 5 })), { outcome: 'refused', reason: 'infeasible' })
   t.like(await owner.submit(jobOf(9, 500, { service: 'sector-sweep' })), { outcome: 'refused', reason: 'infeasible' })
@@ -50,7 +37,7 @@
 test('a job that is not stored is not accepted, and one in doubt is not called refused', async (t) => {
   // The store is down when a job comes in. Were it accepted all the same, the death of this process would lose it, and
   // its caller would wait for a sweep that never comes.
-  const cell = await started(1, 1)
+  const cell = await startedJobs(1, 1)
   const owner = cell.scheduler(0).jobs
   cell.log.outcome = 'dropped'
   t.like(await owner.submit(jobOf(1, 500)), { outcome: 'refused', reason: 'storeUnavailable' })
@@ -62,7 +49,7 @@
 
 test('a start whose answer is lost runs once', async (t) => {
   // The host starts a task, and the answer is lost. Sent elsewhere at once, the task would be on two hosts.
-  const cell = await started(1, 2)
+  const cell = await startedJobs(1, 2)
   for (const hostId of ['w0', 'w1']) cell.workers.worker(hostId).reach = 'silent'
   await cell.scheduler(0).jobs.submit(jobOf(1, WHILE_MS))
   await cell.advance(100)
@@ -76,7 +63,7 @@
 test('a host that is cut off: its task starts elsewhere only when its lease has lapsed there', async (t) => {
   // The network to one host breaks while its tasks run on. They are started on another host, and must not be before the
   // cut-off host has stopped them, or a quarter section is swept twice at once.
-  const cell = await started(1, 2)
+  const cell = await startedJobs(1, 2)
   await cell.scheduler(0).jobs.submit(jobOf(1, 40_000))
   await cell.advance(WHILE_MS)
   const [first] = cell.workers.running()
@@ -92,7 +79,7 @@
 test('a host whose answers are lost keeps renewing nothing', async (t) => {
   // Requests still arrive at a host whose answers are lost. Renewals that are sent on and on would keep its tasks alive
   // for ever, with nobody to hear their end.
-  const cell = await started(1, 2)
+  const cell = await startedJobs(1, 2)
   await cell.scheduler(0).jobs.submit(jobOf(1, 100_000))
   await cell.advance(WHILE_MS)
   const [first] = cell.workers.running()
@@ -105,7 +92,7 @@
 
 test('a long-running service starts again when its host is gone', async (t) => {
   // A host dies for good and the platform's list says so. The service that ran there is down until it runs elsewhere.
-  const cell = await started(1, 2)
+  const cell = await startedJobs(1, 2)
   await cell.scheduler(0).jobs.submit(jobOf(1, undefined, { longRunning: true }))
   await cell.advance(WHILE_MS)
   const hostId = cell.workers.running()[0]?.hostId ?? ''
@@ -121,7 +108,7 @@
 test('a host that was restarted has lost its tasks, and they start again', async (t) => {
   // A worker reboots within seconds. It is reachable all the time but for a blink, and has forgotten its tasks; a
   // scheduler that only looks for silence would wait for them for ever.
-  const cell = await started(1, 2)
+  const cell = await startedJobs(1, 2)
   await cell.scheduler(0).jobs.submit(jobOf(4, 10_000))
   await cell.advance(WHILE_MS)
   cell.workers.restart('w0')
@@ -133,7 +120,7 @@
 test('a host that fails everything: tasks go elsewhere', async (t) => {
   // One worker is broken and fails whatever it starts, at once, so that it is always the one with room. Each retry on
   // it would fail too, until the job has failed.
-  const cell = await started(1, 2)
+  const cell = await startedJobs(1, 2)
   cell.workers.worker('w0').failsAll = true
   await cell.scheduler(0).jobs.submit(jobOf(4, 500))
   await cell.advance(5 * WHILE_MS)
@@ -142,7 +129,7 @@
 })
 
 test('a task that fails everywhere fails its job after the retries of its profile, and the rest is stopped', async (t) => {
-  const cell = await started(1, 2)
+  const cell = await startedJobs(1, 2)
   for (const hostId of ['w0', 'w1']) cell.workers.worker(hostId).failsAll = true
   await cell.scheduler(0).jobs.submit(jobOf(1, 500))
   await cell.advance(20 * WHILE_MS)
@@ -151,7 +138,7 @@
 })
 
 test('cancelling stops what runs and what waits, and is told once it is stored', async (t) => {
-  const cell = await started(1, 1)
+  const cell = await startedJobs(1, 1)
   const owner = cell.scheduler(0).jobs
   await owner.submit(jobOf(8, 60_000))
   await cell.advance(WHILE_MS)
@@ -167,42 +154,10 @@
   t.is(cell.workers.runs().length, 4)
 })
 
-test('an all-at-once job waits for room for all its tasks, over several hosts', async (t) => {
-  const cell = await started(1, 2)
-  const owner = cell.scheduler(0).jobs
-  await owner.submit(jobOf(4, WHILE_MS, { jobId: 'first' }))
-  await cell.advance(100)
-  await owner.submit(jobOf(6, 500, { service: 'sector-sweep' }))
-  await cell.advance(WHILE_MS / 2)
-  t.is(cell.workers.running().filter((run) => run.start.jobId === 'job').length, 0)
-  await cell.advance(3 * WHILE_MS)
-  t.is(cell.status(), 'succeeded')
-  const starts = new Set(cell.workers.runs().filter((run) => run.start.jobId === 'job').map((run) => run.startedAtMs))
-  t.is(starts.size, 1)
-  checkAlways(t, cell)
-})
-
-test('a host dies under an all-at-once job: the others are stopped and all start again together', async (t) => {
-  // The tasks of such a job need each other. If the one that was lost started alone somewhere, or the others ran on
-  // without it, the job would hold its places and get nowhere.
-  const cell = await started(1, 3)
-  await cell.scheduler(0).jobs.submit(jobOf(8, 10_000, { service: 'sector-sweep' }))
-  await cell.advance(WHILE_MS)
-  const hostId = cell.workers.running()[0]?.hostId ?? ''
-  cell.workers.restart(hostId)
-  await cell.advance(2 * WHILE_MS)
-  const running = cell.workers.running()
-  t.is(running.length, 8)
-  t.is(new Set(running.map((run) => run.start.attempt)).size, 1)
-  await cell.advance(8 * WHILE_MS)
-  t.is(cell.status(), 'succeeded')
-  checkAlways(t, cell)
-})
-
 test('a scheduler dies: its workers\' next owner takes the tasks over, and none starts twice', async (t) => {
   // The process that started a task is gone, and nobody else knows of it but the host. Its job's owner must neither wait
   // for ever nor start it again while it runs.
-  const cell = await started(3, 1)
+  const cell = await startedJobs(3, 1)
   await cell.scheduler(0).jobs.submit(jobOf(12, 8000))
   await cell.advance(WHILE_MS)
   const before = cell.workers.runs().length
@@ -216,7 +171,7 @@
 })
 
 test('a scheduler dies and so does its host: what ran there waits until the host is known to be gone', async (t) => {
-  const cell = await started(3, 1)
+  const cell = await startedJobs(3, 1)
   await cell.scheduler(0).jobs.submit(jobOf(12, 20_000))
   await cell.advance(WHILE_MS)
   cell.scheduler(1).die()
@@ -234,7 +189,7 @@
 test('a paused scheduler is fenced by its hosts and places nothing more', async (t) => {
   // A scheduler sleeps through the takeover of its shard and wakes up with tasks in its queue. Its hosts must refuse it,
   // and it must not start them on hosts that it gets later.
-  const cell = await started(2, 1)
+  const cell = await startedJobs(2, 1)
   await cell.scheduler(0).jobs.submit(jobOf(4, 60_000, { cores: 2 }))
   await cell.advance(WHILE_MS)
   cell.scheduler(0).take('workers/r1', 2)
@@ -247,7 +202,7 @@
 test('the owner of a job dies: the next one finds its tasks and carries it on', async (t) => {
   // Only the store and the hosts know of the job now. Tasks that run must be found, those that have ended must not run
   // again, those that waited must be placed again, and none may run twice at once.
-  const cell = await started(3, 1)
+  const cell = await startedJobs(3, 1)
   await cell.scheduler(0).jobs.submit(jobOf(20, 1500))
   await cell.advance(WHILE_MS)
   t.true(cell.workers.runs().some((run) => run.end === 'succeeded'))
@@ -267,7 +222,7 @@
 test('an owner of a job that was replaced while it slept can place nothing', async (t) => {
   // It wakes up believing that the job is still its own, and goes on placing. The tasks that its successor has started
   // would be started a second time.
-  const cell = await started(2, 2)
+  const cell = await startedJobs(2, 2)
   await cell.scheduler(0).jobs.submit(jobOf(4, undefined, { longRunning: true }))
   await cell.advance(WHILE_MS)
   cell.scheduler(1).take(ID_SHARD, 2)
@@ -290,7 +245,7 @@
 test('a command that is repeated after its host was lost starts nothing', async (t) => {
   // The answer to a placement gets lost, and its host changes hands meanwhile. The repeat finds nothing queued at the
   // scheduler; started again there, the task would run beside the one on its first host.
-  const cell = await started(3, 1)
+  const cell = await startedJobs(3, 1)
   await cell.scheduler(0).jobs.submit(jobOf(1, undefined, { longRunning: true }))
   await cell.advance(WHILE_MS)
   const [run] = cell.workers.running()
@@ -310,7 +265,7 @@
 
 test('tasks of a job that was cancelled while its owner died are stopped by the next owner', async (t) => {
   // The owner dies right after it has stored that a job is cancelled. Nobody would ever stop its long-running tasks.
-  const cell = await started(2, 1)
+  const cell = await startedJobs(2, 1)
   await cell.scheduler(0).jobs.submit(jobOf(8, undefined, { longRunning: true }))
   await cell.advance(WHILE_MS)
   t.is(cell.workers.running().length, 8)
@@ -323,7 +278,7 @@
 })
 
 test('a burst at one scheduler moves to another that has come free', async (t) => {
-  const cell = await started(2, 1)
+  const cell = await startedJobs(2, 1)
   const owner = cell.scheduler(0).jobs
   await owner.submit(jobOf(4, 1000, { jobId: 'short' }))
   await cell.advance(200)
@@ -336,7 +291,7 @@
 test('news that gets lost is noticed', async (t) => {
   // A link is overfull and drops the news that tasks have ended. The job would be shown as running for ever, and what
   // comes after it would never start.
-  const cell = await started(2, 1)
+  const cell = await startedJobs(2, 1)
   await cell.scheduler(0).jobs.submit(jobOf(8, 1000))
   await cell.advance(500)
   cell.scheduler(1).losesNews = true
@@ -347,69 +302,10 @@
   t.is(cell.workers.runs().length, 8)
 })
 
-test('an all-at-once job larger than any scheduler starts over several, or not at all', async (t) => {
-  const cell = await started(3, 1)
-  const owner = cell.scheduler(0).jobs
-  await owner.submit(jobOf(2, 3000, { jobId: 'first' }))
-  await cell.advance(200)
-  await owner.submit(jobOf(11, 1000, { service: 'sector-sweep' }))
-  await cell.advance(1500)
-  t.is(cell.workers.running().filter((run) => run.start.jobId === 'job').length, 0)
-  await cell.advance(10_000)
-  t.is(cell.status(), 'succeeded')
-  const starts = new Set(cell.workers.runs().filter((run) => run.start.jobId === 'job').map((run) => run.startedAtMs))
-  t.is(starts.size, 1)
-  t.is(new Set(cell.workers.runs().map((run) => run.hostId)).size, 3)
-  checkAlways(t, cell)
-})
-
-test('two all-at-once jobs that together are too large run one after the other', async (t) => {
-  // Each of them holds half of the places and waits for the other half. Neither would ever start, and nothing else could
-  // use the places.
-  const cell = await started(3, 1)
-  const owner = cell.scheduler(0).jobs
-  await Promise.all(['job', 'other'].map(async (jobId) => await owner.submit(jobOf(9, 1000, { jobId, service: 'sector-sweep' }))))
-  await cell.advance(20_000)
-  t.is(cell.status('job'), 'succeeded')
-  t.is(cell.status('other'), 'succeeded')
-  checkAlways(t, cell)
-})
-
-test('one of several schedulers does not start its part: the others\' parts are stopped, and all start later', async (t) => {
-  // A reservation has run out or its scheduler was replaced between the reservation and the start. The parts that did
-  // start would wait for the missing one for ever, and hold their places.
-  const cell = await started(3, 1)
-  cell.scheduler(2).losesReservations = true
-  await cell.scheduler(0).jobs.submit(jobOf(12, 2000, { service: 'sector-sweep' }))
-  await cell.advance(WHILE_MS)
-  t.true(cell.workers.running().length < 12)
-  cell.scheduler(2).losesReservations = false
-  await cell.advance(20_000)
-  t.is(cell.status(), 'succeeded')
-  t.is(cell.workers.runs().filter((run) => run.end === 'succeeded').length, 12)
-  checkAlways(t, cell)
-})
-
-test('a scheduler dies in the middle of an all-at-once start', async (t) => {
-  // It has started its part and is gone before the others have. What it started must be found and stopped by the next
-  // owner of its workers, and the job must start whole after that.
-  const cell = await started(3, 1)
-  cell.scheduler(2).losesReservations = true
-  await cell.scheduler(0).jobs.submit(jobOf(12, 2000, { service: 'sector-sweep' }))
-  await cell.advance(30)
-  cell.scheduler(1).die()
-  await cell.advance(WHILE_MS)
-  cell.scheduler(2).losesReservations = false
-  cell.scheduler(2).take('workers/r1', 2)
-  await cell.advance(30_000)
-  t.is(cell.status(), 'succeeded')
-  checkAlways(t, cell)
-})
-
 test('a lapsed lease is believed only when the store says that the host is still ours', async (t) => {
   // A scheduler is cut off from a host while another one, of which it has not heard, takes the host over and renews the
   // leases there. By its own count they have lapsed; started elsewhere on the strength of that, a task would run twice.
-  const cell = await started(1, 2)
+  const cell = await startedJobs(1, 2)
   await cell.scheduler(0).jobs.submit(jobOf(1, 100_000))
   await cell.advance(WHILE_MS)
   const hostId = cell.workers.running()[0]?.hostId ?? ''
--- a/test/support/JobsCell.ts
+++ b/test/support/JobsCell.ts
@@ -21,6 +21,7 @@
 import { advance } from './advance.js'
 import { FakeWorkers, workerHost } from './FakeWorkers.js'
 
+import type { ExecutionContext } from 'ava'
 import type { ConfigKind, IConfigEntry } from '../../src/common/config/Types.js'
 import type { IJobSpec, ILoadSummary, IPeerCalls, IPeerCasts, ITaskSpec, JobState, PeerCallName } from '../../src/common/protocol/Types.js'
 import type { IProcessIdentity, IResources } from '../../src/common/Types.js'
@@ -257,3 +258,15 @@
   const specs = Array.from({ length: tasks }, (_, index): ITaskSpec => ({ taskId: `t${index}`, resources, ...(runMs === undefined ? {} : { runMs }) }))
   return { jobId: 'job', service: 'season-budget', caller: 'farm', longRunning: false, tasks: specs, ...rest }
 }
+
+/** What must hold at any time: no task twice at once, no host above what it has. */
+export function checkAlways (t: ExecutionContext, cell: JobsCell): void {
+  t.deepEqual(cell.workers.overlaps(), [])
+  t.true(cell.workers.mostUse() <= 1)
+}
+
+export async function startedJobs (schedulers: number, hostsPerRack: number): Promise<JobsCell> {
+  const cell = new JobsCell(schedulers, hostsPerRack)
+  await cell.advance(1200)
+  return cell
+}
