Tests: controllers draw their own ports

Ruled out: a leftover process (none of the run's own controllers had that port). Now the settings say port 0, the ready line tells the addresses (the one of readiness is new), and each life of a process has its own. The new test failed before (no readinessUrl, ports of the file).

--- a/bench/controller.ts
+++ b/bench/controller.ts
@@ -49,8 +49,7 @@
 }
 
 async function readings (cell: ControllerCell, judge: Judge) {
-  const port = cell.controllers[0]?.metricsPort
-  const text = await (await request(`http://127.0.0.1:${port}/metrics`)).body.text()
+  const text = await (await request(`${cell.controllers[0]?.urls?.metrics}/metrics`)).body.text()
   const value = (name: string): number => Number(new RegExp(`^jackdawreel_${name} ([0-9.]+)`, 'm').exec(text)?.[1] ?? 0)
   return { processorSeconds: value('processor_seconds'), residentBytes: value('resident_bytes'), storeCalls: value('store_calls'), starts: judge.starts }
 }
--- a/src/daemon/ControllerDaemon.ts
+++ b/src/daemon/ControllerDaemon.ts
@@ -33,6 +33,7 @@
 import { READINESS_PATH } from '../../platform/Names.js'
 
 import type { Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import type { IAdviceMachine, IAdviceSender } from '../common/cell/AdviceDesk.js'
 import type { AdviceOutcome, IAdviceAsk } from '../common/cell/Types.js'
 import type { IProcessIdentity } from '../common/Types.js'
@@ -63,6 +64,7 @@
 
 export interface IControllerAddresses {
   readonly url: string
+  readonly readinessUrl: string
   readonly metricsUrl: string
 }
 
@@ -102,7 +104,7 @@
   public async start (): Promise<IControllerAddresses> {
     const { peer, callers, store } = this._settings
     this._log.info('process.started', { incarnation: this._self.incarnation, startupMs: Math.round(this._clock.nowMs()), isCodeKept: this._isCodeKept })
-    await this._listenForReadiness()
+    const readinessUrl = await this._listenForReadiness()
     this._config.start()
     const sharedKey = await readLinkSecret(this._store, this._clock, this._log)
     const environment = { clock: this._clock, timers: this._clock, random: this._random, log: this._log }
@@ -137,7 +139,7 @@
     const metricsUrl = await this._metrics.listen(this._settings.metrics.listen)
     if (metricsUrl.isErr()) throw metricsUrl.error
     this._log.info('process.serving', { startupMs: Math.round(this._clock.nowMs()) })
-    return { url, metricsUrl: metricsUrl.value }
+    return { url, readinessUrl, metricsUrl: metricsUrl.value }
   }
 
   /** Gives the cell away, lets the balancer notice, finishes what is in flight. */
@@ -256,7 +258,7 @@
     this._owner = undefined
   }
 
-  private async _listenForReadiness (): Promise<void> {
+  private async _listenForReadiness (): Promise<string> {
     const { ip, port } = this._settings.readiness.listen
     const server = createServer((request, response) => {
       const isReady = !this._isStopping && this._entry !== undefined && this._config.config !== undefined && this._route?.isIsolated !== true
@@ -268,5 +270,6 @@
       server.once('error', reject)
       server.listen(port, ip, resolve)
     })
+    return `http://${ip}:${(server.address() as AddressInfo).port}`
   }
 }
--- a/test/ControllerPath.test.ts
+++ b/test/ControllerPath.test.ts
@@ -5,6 +5,7 @@
 
 import test from 'ava'
 import { request } from 'undici'
+import { READINESS_PATH } from '../platform/Names.js'
 import { CALLER_HOST, PlatformStandIn } from '../platform/standins/PlatformStandIn.js'
 import { ControllerCell, PACKED_BINARY } from './support/ControllerCell.js'
 import { eventually } from './support/Eventually.js'
@@ -30,7 +31,7 @@
 }
 
 async function call (controller: IController | undefined, method: 'GET' | 'POST' | 'DELETE', path: string, body?: string, host = CALLER_HOST) {
-  const answer = await request(`http://127.0.0.1:${controller?.callerPort}${path}`, {
+  const answer = await request(`${controller?.urls?.callers}${path}`, {
     method, headers: { host, 'x-jackdawreel-deadline': '3000' }, ...(body === undefined ? {} : { body })
   })
   return { status: answer.statusCode, headers: answer.headers, text: await answer.body.text() }
@@ -116,6 +117,29 @@
   t.deepEqual(judge.violations, [])
 })
 
+test('controllers draw their own ports, at a restart as at the start', async (t) => {
+  // A port that was free when a settings file was written may be another process's when the controller starts. It then ends
+  // with "address already in use", or its callers talk to somebody else.
+  const { cell } = await withCell(t, 2)
+  const [first, second] = cell.controllers
+  if (first === undefined || second === undefined) return t.fail()
+  await isReady(first)
+  await isReady(second)
+  const ports = [first, second].flatMap(({ urls }) => Object.values(urls ?? {}).map((url) => new URL(String(url)).port))
+  t.is(new Set(ports).size, 6)
+  t.false(ports.includes('0'))
+  await first.process.kill()
+  t.is(first.urls, undefined)
+  cell.restart(first)
+  await first.process.ready
+  await isReady(first)
+})
+
+async function isReady (controller: IController): Promise<void> {
+  await eventually('the balancer is told that it is ready', async () =>
+    (await request(`${controller.urls?.readiness}${READINESS_PATH}`)).statusCode === 200)
+}
+
 test('a planned stop hands the cell over and answers what is in flight', async (t) => {
   const { cell, judge } = await withCell(t, 2)
   submitted(judge, '00000000000000e1', [2, 2])
@@ -143,7 +167,7 @@
 /** Waits until the page matches all: beside busy processes the owner's lease of a second may end, and it is owner again a moment later. */
 async function tells (controller: IController | undefined, page: 'metrics' | 'dump', expected: readonly RegExp[]): Promise<void> {
   await eventually(`${page} tells ${expected.join(', ')}`, async () => {
-    const answer = await request(`http://127.0.0.1:${controller?.metricsPort}/${page}`)
+    const answer = await request(`${controller?.urls?.metrics}/${page}`)
     const text = await answer.body.text()
     return answer.statusCode === 200 && expected.every((pattern) => pattern.test(text))
   })
@@ -151,7 +175,7 @@
 
 async function ownerOf (cell: ControllerCell): Promise<IController | undefined> {
   for (const controller of cell.controllers) {
-    const dump = await (await request(`http://127.0.0.1:${controller.metricsPort}/dump`)).body.json() as { readonly cell?: unknown }
+    const dump = await (await request(`${controller.urls?.metrics}/dump`)).body.json() as { readonly cell?: unknown }
     if (dump.cell !== undefined) return controller
   }
   return undefined
--- a/test/soak/Callers.ts
+++ b/test/soak/Callers.ts
@@ -118,9 +118,9 @@
   /** Nothing where no whole answer came. */
   private async _call (method: 'GET' | 'POST' | 'DELETE', path: string, body?: string): Promise<IAnswer | undefined> {
     const controller = this._controllers[Math.floor(this._random.next() * this._controllers.length)]
-    if (controller === undefined) return undefined
+    if (controller?.urls === undefined) return undefined
     try {
-      const answer = await request(`http://127.0.0.1:${controller.callerPort}${path}`, {
+      const answer = await request(controller.urls.callers + path, {
         method,
         dispatcher: this._agent,
         headers: { host: CALLER_HOST, 'content-type': 'application/json', 'x-jackdawreel-deadline': String(TRY_TIMEOUT_MS) },
--- a/test/support/ControllerCell.ts
+++ b/test/support/ControllerCell.ts
@@ -3,25 +3,29 @@
  */
 
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
-import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { startProcess } from './Processes.js'
 
-import type { AddressInfo } from 'node:net'
 import type { PlatformStandIn } from '../../platform/standins/PlatformStandIn.js'
 import type { ProcessHandle } from './Processes.js'
 import type { TcpForwarder } from './TcpForwarder.js'
 
+/** Where a controller serves. Each life draws its own ports: one that was chosen beforehand may be somebody else's by then. */
+export interface IControllerUrls {
+  readonly callers: string
+  readonly readiness: string
+  readonly metrics: string
+}
+
 export interface IController {
   readonly id: string
   readonly configPath: string
-  readonly callerPort: number
-  readonly metricsPort: number
-  readonly readinessPort: number
   /** Its way to the store. */
   readonly store: TcpForwarder
   process: ProcessHandle
+  /** Absent until this life of the process serves. */
+  urls: IControllerUrls | undefined
 }
 
 /** The controller as it is deployed, seen from `dist/`. */
@@ -43,9 +47,10 @@
     await Promise.all(this.controllers.map(async ({ process }) => await process.ready))
   }
 
-  /** Starts the process again, with the settings that it had. */
+  /** Starts the process again, with the settings that it had. It serves once it has an answer of the store. */
   public restart (controller: IController): void {
     controller.process = startProcess(this._binary, ['--config', controller.configPath])
+    followReady(controller)
   }
 
   public async close (): Promise<void> {
@@ -58,18 +63,32 @@
 
   private async _add (number: number): Promise<void> {
     const id = `controller-${number}`
-    const [callerPort = 0, readinessPort = 0, peerPort = 0, metricsPort = 0] = await freePorts(4)
     const { forwarder, port } = await this._platform.storeForwarder()
     const configPath = join(this._folder, `${id}.ini`)
-    writeFileSync(configPath, settings(id, { callerPort, readinessPort, peerPort, metricsPort }, port, this._platform.advicePort, this._maxHoldMs))
+    writeFileSync(configPath, settings(id, port, this._platform.advicePort, this._maxHoldMs))
     const process = startProcess(this._binary, ['--config', configPath], this._nodeArgs)
-    this.controllers.push({ id, configPath, callerPort, metricsPort, readinessPort, store: forwarder, process })
+    const controller: IController = { id, configPath, store: forwarder, process, urls: undefined }
+    this.controllers.push(controller)
+    followReady(controller)
   }
 }
 
-interface IPorts { readonly callerPort: number, readonly readinessPort: number, readonly peerPort: number, readonly metricsPort: number }
+/** Takes the addresses of the process that the controller has now, for as long as it runs. */
+function followReady (controller: IController): void {
+  const { process } = controller
+  controller.urls = undefined
+  process.ready.then(({ url, readinessUrl, metricsUrl }) => {
+    if (controller.process !== process) return
+    controller.urls = { callers: url, readiness: String(readinessUrl), metrics: String(metricsUrl) }
+  }, () => {
+    // It ended first: whoever waits for it reads why from its own `ready`.
+  })
+  process.ended.then(() => {
+    if (controller.process === process) controller.urls = undefined
+  }, () => {})
+}
 
-function settings (id: string, ports: IPorts, storePort: number, advicePort: number, maxHoldMs: number): string {
+function settings (id: string, storePort: number, advicePort: number, maxHoldMs: number): string {
   return `[process]
 id = ${id}
 region = region-a
@@ -77,13 +96,13 @@
 processorShare = 1
 processorSpeed = 1
 [callers]
-listen = 127.0.0.1:${ports.callerPort}
+listen = 127.0.0.1:0
 [readiness]
-listen = 127.0.0.1:${ports.readinessPort}
+listen = 127.0.0.1:0
 [peer]
-listen = 127.0.0.1:${ports.peerPort}
+listen = 127.0.0.1:0
 [metrics]
-listen = 127.0.0.1:${ports.metricsPort}
+listen = 127.0.0.1:0
 [store]
 address = 127.0.0.1:${storePort}
 minLeaseMs = 1000
@@ -101,15 +120,3 @@
 maxLinesPerSecond = 200
 `
 }
-
-/** Ports that are free now; held together while they are drawn, so that they differ. */
-async function freePorts (count: number): Promise<readonly number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, async () => {
-    const server = createServer()
-    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
-    return server
-  }))
-  const ports = servers.map((server) => (server.address() as AddressInfo).port)
-  await Promise.all(servers.map(async (server) => { await new Promise<void>((resolve) => { server.close(() => { resolve() }) }) }))
-  return ports
-}
