A planned stop hands the cell over while it is still served

Ruled out: the reading of jobs (0.4 s there). Now the owner asks its peers, picks the one near the store that started last, and serves until that one has taken the record. Tests of the choice, of the taking, and of the whole path: a cell that is never without an owner (failed before: the record was seen free).

--- a/src/cell/Ownership.test.ts
+++ b/src/cell/Ownership.test.ts
@@ -54,6 +54,8 @@
   }
 }
 
+const OTHER = { processId: 'b', incarnation: 1, peerUrl: 'ws://b' }
+
 function setUp () {
   const clock = new ManualClock()
   const store = new ScriptedStore()
@@ -82,3 +84,26 @@
   }
   t.true(calls <= 42)
 })
+
+test('a process takes the cell over from an owner that asks for it, while that one still has it', async (t) => {
+  const { clock, store, ownership } = setUp()
+  store.item = { key: OWNER_KEY, value: JSON.stringify(OTHER), revision: 10 }
+  ownership.start()
+  await advance(clock, 50, 10)
+  t.is(ownership.record?.processId, 'b')
+  t.true(await ownership.takeOverFrom({ ...OTHER, revision: 10 }))
+  t.is(ownership.record?.processId, 'a')
+})
+
+test('a process that is about to stop, or has heard of a newer owner, takes nothing over', async (t) => {
+  // Two machines are stopped at the same time, and the first hands the cell to the second: it would be handed on at once.
+  const { clock, store, ownership } = setUp()
+  store.item = { key: OWNER_KEY, value: JSON.stringify(OTHER), revision: 10 }
+  ownership.start()
+  await advance(clock, 50, 10)
+  t.false(await ownership.takeOverFrom({ ...OTHER, revision: 9 }))
+  ownership.leave()
+  t.false(ownership.canTake)
+  t.false(await ownership.takeOverFrom({ ...OTHER, revision: 10 }))
+  t.is(store.item.revision, 10)
+})
--- a/src/cell/Ownership.ts
+++ b/src/cell/Ownership.ts
@@ -139,9 +139,27 @@
     this._look()
   }
 
+  /** Takes the record from an owner that asks for it; gives whether this process owns the cell then. */
+  public async takeOverFrom (owner: IOwnerRecord): Promise<boolean> {
+    if (!this.canTake) return false
+    this.noteRecord(owner)
+    if (this._record?.revision === owner.revision) await this._takeNow(owner.revision)
+    return this.isOwner
+  }
+
+  /** Whether this process would take the cell now. */
+  public get canTake (): boolean {
+    return !this._isTaking && !this._isLeaving && !this.isOwner && this._clock.nowMs() >= this._asideUntilMs
+  }
+
+  /** This process is about to stop: it doesn't take the cell any more, and goes on owning it as long as it does. */
+  public leave (): void {
+    this._isLeaving = true
+  }
+
   /** Gives the record back, so that another process can take it at once. */
   public async release (): Promise<void> {
-    this._isLeaving = true
+    this.leave()
     await this._giveBack('released')
   }
 
@@ -214,15 +232,14 @@
   }
 
   private _take (expectedRevision: number): void {
-    if (this._isTaking || this._isLeaving || this.isOwner || this._clock.nowMs() < this._asideUntilMs) return
+    this._takeNow(expectedRevision).catch((error: unknown) => { this._log.error('owner.takeFailed', { reason: String(error) }) })
+  }
+
+  private async _takeNow (expectedRevision: number): Promise<void> {
+    if (!this.canTake) return
     this._isTaking = true
-    this._tryTake(expectedRevision).then((isSettled) => {
-      this._isTaking = false
-      if (!isSettled) this._clock.after(RETRY_MS, () => { this._look() })
-    }, (error: unknown) => {
-      this._isTaking = false
-      this._log.error('owner.takeFailed', { reason: String(error) })
-    })
+    const isSettled = await this._tryTake(expectedRevision).finally(() => { this._isTaking = false })
+    if (!isSettled) this._clock.after(RETRY_MS, () => { this._look() })
   }
 
   private async _tryTake (expectedRevision: number): Promise<boolean> {
--- a/src/common/protocol/Shapes.ts
+++ b/src/common/protocol/Shapes.ts
@@ -58,6 +58,7 @@
   hops: count
 })
 
+const ownerRecord = z.object({ processId: id, incarnation: count, peerUrl: id, revision: count })
 const jobRef = z.object({ jobId: id })
 const claimRequest = z.object({ idShard: id, claimKey: id, attemptId: id, holder: id, ageMs: durationMs })
 const notOwner = z.object({ decision: z.literal('notOwner') })
@@ -205,7 +206,9 @@
       kind: z.enum(['advised', 'busy', 'failed']),
       allowed: z.array(z.object({ hostId: id, ticket: id })).exactOptional()
     })
-  }
+  },
+  cellOffer: { ask: ownerRecord, reply: z.object({ isWilling: z.boolean(), yieldMs: amount }) },
+  cellTakeOver: { ask: ownerRecord, reply: z.object({ isOwner: z.boolean() }) }
 }
 
 /** The body of each cast. */
@@ -214,7 +217,7 @@
   configEntries: z.object({ entries: z.array(configEntry) }),
   members: membersCast,
   taskUpdate,
-  cellOwner: z.object({ processId: id, incarnation: count, peerUrl: id, revision: count })
+  cellOwner: ownerRecord
 }
 
 type Shape = z.ZodType<unknown>
--- a/src/common/protocol/Types.ts
+++ b/src/common/protocol/Types.ts
@@ -279,6 +279,13 @@
   readonly revision: number
 }
 
+/** Asks a process whether it would take the cell over from this owner, which is about to stop. */
+export interface ICellOfferReply {
+  readonly isWilling: boolean
+  /** How long it would let others go first: the further the store and the weaker the machine, the longer. */
+  readonly yieldMs: number
+}
+
 /** Calls: a name, what is asked, what is answered. */
 export interface IPeerCalls {
   readonly submit: { readonly ask: ISubmitRequest, readonly reply: IFinalAnswer }
@@ -306,6 +313,9 @@
   readonly cellCancel: { readonly ask: { readonly jobId: string }, readonly reply: { readonly result: CancelOutcome } }
   readonly cellWaiting: { readonly ask: { readonly queue: string }, readonly reply: { readonly count?: number } }
   readonly cellAdvise: { readonly ask: ICellAdviceAsk, readonly reply: ICellAdviceReply }
+  readonly cellOffer: { readonly ask: ICellOwnerCast, readonly reply: ICellOfferReply }
+  /** Has a process take the cell over from this owner; answered when that is done, or has failed. */
+  readonly cellTakeOver: { readonly ask: ICellOwnerCast, readonly reply: { readonly isOwner: boolean } }
 }
 
 /** Casts: news that needs no reply. */
--- a/src/daemon/ControllerDaemon.ts
+++ b/src/daemon/ControllerDaemon.ts
@@ -8,6 +8,7 @@
 import { CallerEntry } from '../cell/CallerEntry.js'
 import { CellOwner } from '../cell/CellOwner.js'
 import { ConfigFeed } from '../cell/ConfigFeed.js'
+import { answerOffers, handOver } from '../cell/Handover.js'
 import { readLinkSecret } from '../cell/LinkSecret.js'
 import { MemberCalls, registerMember } from '../cell/MemberCalls.js'
 import { answerPeers } from '../cell/OwnerCalls.js'
@@ -124,6 +125,7 @@
     }, this._clock)
     this._route = route
     answerPeers(hub, () => this._owner, this._adviser)
+    answerOffers(hub, ownership)
     this._disposables.add(hub.listen('cellOwner', (record) => { ownership.noteRecord(record) }))
     this._disposables.add(ownership.onRecord((record) => { route.follow(record) }))
     this._disposables.add(ownership.onOwned((revision) => { this._own(revision) }))
@@ -148,9 +150,9 @@
     this._isStopping = true
     this._log.info('process.stopping', { inFlight: this._entry?.inFlight })
     this._entry?.startClosing()
-    const released = this._ownership?.release()
+    const handedOver = this._hub !== undefined && this._ownership !== undefined ? handOver(this._hub, this._ownership, this._log) : undefined
     await new Promise<void>((resolve) => { this._clock.after(NOTICE_MS, resolve) })
-    await released
+    await handedOver
     const closeMs = Math.max(0, this._settings.stop.graceMs - NOTICE_MS - CLOSE_RESERVE_MS)
     await this._entry?.close(closeMs)
     await this._metrics.close()
--- a/test/ControllerPath.test.ts
+++ b/test/ControllerPath.test.ts
@@ -150,6 +150,8 @@
   t.is((await call(owner, 'GET', '/batch/')).status, 200)
   await completed(other, '/batch/00000000000000e1')
   t.is(await ended, 0)
+  const seen = other?.process.stdout.filter((line) => line.includes('"event":"owner.seen"')) ?? []
+  t.deepEqual(seen.filter((line) => !line.includes('"owner":')), [], 'the cell had an owner at each moment')
   t.deepEqual(judge.violations, [])
 })
 
