An owner that reaches the store again is left alone, and hears that the store is back when it has nothing to write

Gateways whose owner had refused a job a moment before could read it and took the cell (22.64 s, by a machine in another region), while callers returned. A challenger now has the owner try the store, and leaves it alone if it answers; the caller's job is sent to it again. Now an idle lane is told by the renewals of the lease. Tests of both failed first. Failing tries are logged at the first, second, fourth and so on: 16 lines a second a lane before.

--- a/src/cell/BatchCommit.ts
+++ b/src/cell/BatchCommit.ts
@@ -115,9 +115,7 @@
   }
 
   private _onFailed (kind: string, reason: string, tookMs: number): void {
-    this._log.warn('store.notCommitted', {
-      outcome: kind, reason, durationMs: Math.round(tookMs), writes: this._batch.transaction.puts.length, tries: this._tries
-    })
+    this._logFailed(kind, reason, tookMs)
     if (this._isAbandoned) {
       if (this._waitingFor === 0) this._settleAbandoned()
       return
@@ -128,6 +126,14 @@
     else this._tryAgainAfter(Math.max(0, RETRY_MS - tookMs))
   }
 
+  /** The first try, the second, the fourth and so on: a store that is away for seconds would fill the log with 16 lines a second for each lane. */
+  private _logFailed (outcome: string, reason: string, tookMs: number): void {
+    if (!Number.isInteger(Math.log2(this._tries))) return
+    this._log.warn('store.notCommitted', {
+      outcome, reason, durationMs: Math.round(tookMs), writes: this._batch.transaction.puts.length, tries: this._tries
+    })
+  }
+
   /** One of our own tries has been done, or another process has the ownership record or this lane. */
   private _onConflict (items: readonly IMetadataItem[]): void {
     const { laneKey, laneValue, laneRevision, ownerRevision } = this._batch
--- a/src/cell/CellOwner.test.ts
+++ b/src/cell/CellOwner.test.ts
@@ -4,6 +4,7 @@
 
 import test from 'ava'
 import { ManualClock } from '../common/Clock.js'
+import { Emitter } from '../common/Emitter.js'
 import { EMPTY_STEP, encodeJob } from '../common/cell/JobRecord.js'
 import { Counters } from '../common/observability/Counters.js'
 import { LatencyTable } from '../common/observability/LatencyTable.js'
@@ -30,6 +31,7 @@
 /** A store that answers when the test says so. */
 class HeldStore {
   public isSilent = false
+  public isBusy = false
   public readonly held: ((outcome: CommitOutcome) => void)[] = []
   public commits: ITransaction[] = []
 
@@ -40,6 +42,7 @@
 
   public async commit (transaction: ITransaction): Promise<CommitOutcome> {
     this.commits.push(transaction)
+    if (this.isBusy) return { kind: 'refused', reason: 'busy' }
     return await new Promise((resolve) => { this.held.push(resolve) })
   }
 }
@@ -48,7 +51,8 @@
   const clock = new ManualClock()
   const store = new HeldStore()
   store.isSilent = isSilent
-  const ownership = { isConfirmed: true, confirmedAtMs: 0, resign: () => {}, stepAside: async () => {} }
+  const confirmed = new Emitter<number>()
+  const ownership = { isConfirmed: true, confirmedAtMs: 0, resign: () => {}, stepAside: async () => {}, onConfirmed: confirmed.event }
   const config = { catchUp: async () => {}, queue: () => QUEUE as unknown as IQueue, onChange: () => ({ dispose: () => {} }) }
   const context = {
     store: store as unknown as IMetadataStore,
@@ -64,7 +68,7 @@
     counters: new Counters()
   } as unknown as ICellOwnerContext
   const owner = new CellOwner(context, { writerId: 'me', maxHoldMs: 3000, farFactor: 2, statusMs: 120_000 }, FENCE)
-  return { owner, clock, store, ownership }
+  return { owner, clock, store, ownership, confirmed }
 }
 
 test('an owner that loses the cell before it has read the jobs says of none that it does not exist', async (t) => {
@@ -145,3 +149,21 @@
   owner.dispose()
   t.is(await cancelled, 'unavailable')
 })
+
+test('an owner takes jobs again once the store is back, also when it had nothing left to write', async (t) => {
+  // The store turns all writes away for two seconds. Everything on the way is refused; after that only the renewals of the lease tell
+  // that the store is back.
+  const { owner, clock, store, confirmed } = setUp()
+  await owner.ready
+  store.isBusy = true
+  const refused = owner.submit(SUBMISSION)
+  await advance(clock, 2000, 10)
+  t.like(await refused, { kind: 'refused', isStoreAway: true })
+  t.like(await owner.submit(SUBMISSION), { kind: 'refused', isStoreAway: true })
+  store.isBusy = false
+  confirmed.fire(clock.nowMs())
+  const submitted = owner.submit(SUBMISSION)
+  await advance(clock, 50, 5)
+  store.held[0]?.({ kind: 'committed', revision: FENCE + 1 })
+  t.is((await submitted).kind, 'accepted')
+})
--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -259,6 +259,7 @@
     this._restore(accepted, progress)
     this._startTimers()
     this._disposables.add(config.onChange(() => { this._followQueues() }))
+    this._disposables.add(this._context.ownership.onConfirmed(() => { jobStore.noteReached() }))
     const durationMs = Math.round(clock.nowMs() - startedAtMs)
     log.info('owner.ready', { revision: this._fence, jobs: accepted.length, hosts: this._sessions.size, durationMs })
     return jobStore
--- a/src/cell/Handover.ts
+++ b/src/cell/Handover.ts
@@ -19,8 +19,9 @@
 /** Taking over is two calls of the store, in ms: 0.7 s where it is 90 times as slow as usual. After that the record is given back. */
 const TAKE_TIMEOUT_MS = 1400
 
-/** Answers owners that are about to stop. */
-export function answerOffers (handlers: IPeerHandlers, ownership: Ownership): void {
+/** Answers peers about this process's own part in who owns the cell. */
+export function answerOwnership (handlers: IPeerHandlers, ownership: Ownership): void {
+  handlers.handle('cellReach', async () => ({ isReached: ownership.isOwner && await ownership.reachesStore() }))
   handlers.handle('cellOffer', async () => ({ isWilling: ownership.canTake, yieldMs: ownership.yieldMs }))
   handlers.handle('cellTakeOver', async (owner) => ({ isOwner: await ownership.takeOverFrom(owner) }))
 }
--- a/src/cell/JobStore.ts
+++ b/src/cell/JobStore.ts
@@ -64,6 +64,11 @@
     return this._lanes.some((lane) => lane.isOut)
   }
 
+  /** The store has just answered this process. */
+  public noteReached (): void {
+    for (const lane of this._lanes) lane.noteReached()
+  }
+
   /** Keeps a new job. */
   public async accept (job: Job): Promise<AcceptOutcome> {
     const { jobId } = job.spec
--- a/src/cell/OwnerRoute.test.ts
+++ b/src/cell/OwnerRoute.test.ts
@@ -13,6 +13,7 @@
 import type { SubmitOutcome } from '../common/cell/Types.js'
 import type { ICellSubmitReply } from '../common/protocol/Types.js'
 import type { IPeerHub, PeerError } from '../peer/Types.js'
+import type { ChallengeOutcome } from './Ownership.js'
 import type { IOwnerRecord } from './Types.js'
 
 type Reply = ResultAsync<ICellSubmitReply, PeerError>
@@ -22,7 +23,7 @@
 const CALLER_WAITS_MS = 3000
 
 /** @param linkAfterMs the link is there from then on */
-function setUp (replies: readonly (() => Reply)[], records: readonly IOwnerRecord[] = [OWNER], linkAfterMs = 0) {
+function setUp (replies: readonly (() => Reply)[], records: readonly IOwnerRecord[] = [OWNER], linkAfterMs = 0, challenge: ChallengeOutcome = 'bothAway') {
   const clock = new ManualClock()
   let calls = 0
   const link = { peer: { processId: 'owner' }, call: () => replies[Math.min(calls++, replies.length - 1)]?.() }
@@ -31,7 +32,7 @@
   const route = new OwnerRoute(hub as unknown as IPeerHub, {
     get record () { return records[Math.min(calls, records.length - 1)] },
     local: () => undefined,
-    challenge: async () => false
+    challenge: async () => challenge
   }, clock)
   return { route, clock, calls: () => calls }
 }
@@ -54,6 +55,7 @@
 const overloaded = (): Reply => errAsync(new RefusedError('cellSubmit', 'owner', 'too many calls'))
 const accepted = (): Reply => okAsync({ kind: 'accepted' })
 const refusal = (): Reply => okAsync({ kind: 'refused', reason: 'the store is away', retryAfterMs: 1000 })
+const storeAway = (): Reply => okAsync({ kind: 'refused', reason: 'the store is away', retryAfterMs: 1000, isStoreAway: true })
 
 test('a caller isn\'t held back by a process that has lost the cell', async (t) => {
   // The record that this gateway has is old: the process it names still answers, and owns nothing any more. Its caller would
@@ -130,3 +132,18 @@
   t.like(result?.outcome, { kind: 'refused', retryAfterMs: 0 })
   t.true((result?.afterMs ?? Infinity) <= 25)
 })
+
+test('an owner that is back at the store is asked again, instead of sending its callers away', async (t) => {
+  // The store was away for all, and is back; the owner refused a moment before that. Its caller would come back a second later.
+  const { route, clock } = setUp([storeAway, storeAway, accepted], [OWNER], 0, 'ownerIsWell')
+  const result = await settled(clock, route.submit(SUBMISSION, CALLER_WAITS_MS))
+  t.is(result?.outcome.kind, 'accepted')
+  t.true((result?.afterMs ?? Infinity) <= 200)
+})
+
+test('while the store is away for all, callers are told so at once', async (t) => {
+  const { route, clock } = setUp([storeAway], [OWNER], 0, 'bothAway')
+  const result = await settled(clock, route.submit(SUBMISSION, CALLER_WAITS_MS))
+  t.like(result?.outcome, { kind: 'refused', retryAfterMs: 1000 })
+  t.true((result?.afterMs ?? Infinity) <= 25)
+})
--- a/src/cell/OwnerRoute.ts
+++ b/src/cell/OwnerRoute.ts
@@ -8,6 +8,7 @@
 import type { ICellStateReply, ICellSubmission, ICellSubmitReply, IPeerCalls } from '../common/protocol/Types.js'
 import type { IClock, IDisposable, ITimers, MonotonicMs } from '../common/Types.js'
 import type { IPeerHub } from '../peer/Types.js'
+import type { ChallengeOutcome } from './Ownership.js'
 import type { IOwnerRecord } from './Types.js'
 
 /** What this process has of the owner. */
@@ -15,8 +16,8 @@
   readonly record: IOwnerRecord | undefined
   /** The owner, if it is this process. */
   local (): ILocalOwner | undefined
-  /** Takes over from an owner that can't reach the store, if this process can; gives whether it can. */
-  challenge (from: IOwnerRecord): Promise<boolean>
+  /** Takes over from an owner that can't reach the store, if this process can. */
+  challenge (from: IOwnerRecord, ownerReaches: () => Promise<boolean>): Promise<ChallengeOutcome>
 }
 
 export interface ILocalOwner extends Omit<ICellOwnerPort, 'submit'> {
@@ -44,6 +45,8 @@
  * that nobody knows, beside an owner that does.
  */
 const NEW_OWNER_MS = 1000
+/** An owner tries the store for 400 ms; two round trips between regions more. */
+const REACH_TIMEOUT_MS = 500
 /** For what an owner answers from memory, or by one write, in ms. */
 const ASK_TIMEOUT_MS = 1500
 const POLL_MS = 25
@@ -197,10 +200,16 @@
     return true
   }
 
-  /** The owner can't reach the store. Waits for another one, if this process can reach it: then there will be one. */
+  /** The owner couldn't reach the store. Waits for another one, if this process can reach it, or tries the same one if that is back. */
   private async _nextOwner (record: IOwnerRecord | undefined, untilMs: MonotonicMs): Promise<boolean> {
-    if (record === undefined || !await this._directory.challenge(record)) return false
-    return await this._replaced(record, untilMs)
+    if (record === undefined) return false
+    const outcome = await this._directory.challenge(record, async () => await this._ownerReachesStore())
+    return outcome === 'ownerIsWell' || (outcome === 'takesOver' && await this._replaced(record, untilMs))
+  }
+
+  private async _ownerReachesStore (): Promise<boolean> {
+    const reply = await this._link()?.call('cellReach', {}, REACH_TIMEOUT_MS)
+    return reply?.isOk() === true && reply.value.isReached
   }
 
   /** Waits until this process knows of another owner than this one. */
--- a/src/cell/Ownership.test.ts
+++ b/src/cell/Ownership.test.ts
@@ -56,10 +56,10 @@
 
 const OTHER = { processId: 'b', incarnation: 1, peerUrl: 'ws://b' }
 
-function setUp () {
+function setUp (yieldMs = 0) {
   const clock = new ManualClock()
   const store = new ScriptedStore()
-  const options = { self: SELF, peerUrl: 'ws://a', minLeaseMs: 1000, yieldMs: () => 0 }
+  const options = { self: SELF, peerUrl: 'ws://a', minLeaseMs: 1000, yieldMs: () => yieldMs }
   const ownership = new Ownership(store as unknown as IMetadataStore, options, clock, new SeededRandom(1), new SilentLogger())
   return { clock, store, ownership }
 }
@@ -107,3 +107,32 @@
   t.false(await ownership.takeOverFrom({ ...OTHER, revision: 10 }))
   t.is(store.item.revision, 10)
 })
+
+test('the cell is not taken from an owner that reaches the store', async (t) => {
+  // The store was away for all and has just come back. Each gateway whose owner refused a job would take the cell from it, and callers that
+  // return would find the cell without an owner, or with one far from the store.
+  const { clock, store, ownership } = setUp()
+  store.item = { key: OWNER_KEY, value: JSON.stringify(OTHER), revision: 10 }
+  ownership.start()
+  await advance(clock, 50, 10)
+  const from = { ...OTHER, revision: 10 }
+  t.is(await ownership.challenge(from, async () => true), 'ownerIsWell')
+  await advance(clock, 1000, 10)
+  t.is(store.item.revision, 10)
+  t.is(await ownership.challenge(from, async () => false), 'takesOver')
+  await advance(clock, 1000, 10)
+  t.not(store.item.revision, 10)
+})
+
+test('an owner that is back before a slow challenger takes the cell keeps it', async (t) => {
+  // The challenger lets others go first for longer than the store needs to come back.
+  const { clock, store, ownership } = setUp(600)
+  store.item = { key: OWNER_KEY, value: JSON.stringify(OTHER), revision: 10 }
+  ownership.start()
+  await advance(clock, 50, 10)
+  let isBack = false
+  t.is(await ownership.challenge({ ...OTHER, revision: 10 }, async () => isBack), 'takesOver')
+  isBack = true
+  await advance(clock, 2000, 10)
+  t.is(store.item.revision, 10)
+})
--- a/src/cell/StoreLane.test.ts
+++ b/src/cell/StoreLane.test.ts
@@ -286,3 +286,29 @@
   await run(2000)
   t.deepEqual([refused, unknown], [[], ['on the way']])
 })
+
+test('an owner that has refused all it had takes jobs again when the store is back', async (t) => {
+  // The store is busy for a while and all jobs on the way are refused, so that nothing is left to try. Callers that come after the outage
+  // would be told for ever that the store is away.
+  const { store, write, run, stored, refused, writer } = lane()
+  store.script = Array.from({ length: 20 }, () => 'busy' as const)
+  write('job', 'x', true)
+  await run(2000)
+  t.deepEqual(refused, ['job'])
+  t.true(writer.isOut)
+  store.script = []
+  writer.noteReached()
+  t.false(writer.isOut)
+  write('next', 'x', true)
+  await run(100)
+  t.deepEqual(stored, ['next=x'])
+})
+
+test('a lane that still waits for an answer counts the store as away, whatever else the store answers', async (t) => {
+  const { store, write, run, writer } = lane()
+  store.answerMs = 1_000_000
+  write('job', 'x', true)
+  await run(2000)
+  writer.noteReached()
+  t.true(writer.isOut)
+})
--- a/src/cell/StoreLane.ts
+++ b/src/cell/StoreLane.ts
@@ -96,6 +96,14 @@
     return this.failingForMs > OUTAGE_MS
   }
 
+  /**
+   * The store has just answered this process. A lane that has nothing on the way can't find that out by itself: it would count the store
+   * as away for ever, and one would see an owner refuse all jobs beside a store that is well.
+   */
+  public noteReached (): void {
+    if (this._sent === undefined) this._failingSinceMs = undefined
+  }
+
   public get queuedCount (): number {
     return this._queue.size
   }
--- a/src/common/protocol/Shapes.ts
+++ b/src/common/protocol/Shapes.ts
@@ -208,6 +208,7 @@
     })
   },
   cellOffer: { ask: ownerRecord, reply: z.object({ isWilling: z.boolean(), yieldMs: amount }) },
+  cellReach: { ask: z.object({}), reply: z.object({ isReached: z.boolean() }) },
   cellTakeOver: { ask: ownerRecord, reply: z.object({ isOwner: z.boolean() }) }
 }
 
--- a/src/common/protocol/Types.ts
+++ b/src/common/protocol/Types.ts
@@ -314,6 +314,8 @@
   readonly cellWaiting: { readonly ask: { readonly queue: string }, readonly reply: { readonly count?: number } }
   readonly cellAdvise: { readonly ask: ICellAdviceAsk, readonly reply: ICellAdviceReply }
   readonly cellOffer: { readonly ask: ICellOwnerCast, readonly reply: ICellOfferReply }
+  /** Asks the owner whether it reaches the store now: it tries. */
+  readonly cellReach: { readonly ask: Readonly<Record<string, never>>, readonly reply: { readonly isReached: boolean } }
   /** Has a process take the cell over from this owner; answered when that is done, or has failed. */
   readonly cellTakeOver: { readonly ask: ICellOwnerCast, readonly reply: { readonly isOwner: boolean } }
 }
--- a/src/daemon/ControllerDaemon.ts
+++ b/src/daemon/ControllerDaemon.ts
@@ -8,7 +8,7 @@
 import { CallerEntry } from '../cell/CallerEntry.js'
 import { CellOwner } from '../cell/CellOwner.js'
 import { ConfigFeed } from '../cell/ConfigFeed.js'
-import { answerOffers, handOver } from '../cell/Handover.js'
+import { answerOwnership, handOver } from '../cell/Handover.js'
 import { readLinkSecret } from '../cell/LinkSecret.js'
 import { MemberCalls, registerMember } from '../cell/MemberCalls.js'
 import { answerPeers } from '../cell/OwnerCalls.js'
@@ -121,11 +121,11 @@
     const route = new OwnerRoute(hub, {
       get record () { return ownership.record },
       local: () => this._owner,
-      challenge: async (from) => await ownership.challenge(from)
+      challenge: async (from, ownerReaches) => await ownership.challenge(from, ownerReaches)
     }, this._clock)
     this._route = route
     answerPeers(hub, () => this._owner, this._adviser)
-    answerOffers(hub, ownership)
+    answerOwnership(hub, ownership)
     this._disposables.add(hub.listen('cellOwner', (record) => { ownership.noteRecord(record) }))
     this._disposables.add(ownership.onRecord((record) => { route.follow(record) }))
     this._disposables.add(ownership.onOwned((revision) => { this._own(revision) }))
