--- a/eslint.config.js
+++ b/eslint.config.js
@@ -39,7 +39,7 @@
   layer(['src/runtime/**/*.ts'], ['**/peer/**', '**/gateway/**', '**/scheduler/**', '**/operator/**'], 'runtime stands below these.'),
   layer(['src/peer/**/*.ts'], ['**/gateway/**', '**/scheduler/**', '**/operator/**'], 'peer stands below these.'),
   layer(['src/gateway/**/*.ts'], ['**/scheduler/**', '**/operator/**'], 'gateway and scheduler meet only in src/common/protocol.'),
-  layer(['src/cell/**/*.ts'], ['**/scheduler/**', '**/operator/**', '**/daemon/**'], 'cell stands beside these.'),
+  layer(['src/cell/**/*.ts'], ['**/gateway/**', '**/scheduler/**', '**/operator/**', '**/daemon/**'], 'cell stands beside these.'),
   layer(['platform/**/*.ts'], ['**/peer/**', '**/gateway/**', '**/scheduler/**', '**/operator/**', '**/daemon/**'], 'platform decides nothing.'),
   layer(['src/scheduler/**/*.ts'], ['**/gateway/**', '**/operator/**'], 'gateway and scheduler meet only in src/common/protocol.')
 ]
--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -5,11 +5,10 @@
 
 import { Job } from '../common/cell/Job.js'
 import { CellScheduler } from '../common/cell/CellScheduler.js'
-import type { HostState } from '../common/cell/HostState.js'
 import { applyProgress, decodeAccepted, decodeJob, decodeOutcome, termsOf } from '../common/cell/JobRecord.js'
 import type { IAdviceSender } from '../common/cell/AdviceDesk.js'
 import type {
-  CancelOutcome, ICellOwnerPort, IHostEntry, IHostOrders, IMetadataItem, IMetadataStore, OwnerAnswer, StateOutcome, SubmitOutcome
+  CancelOutcome, ICellOwnerPort, IHostOrders, IMetadataItem, IMetadataStore, OwnerAnswer, StateOutcome, SubmitOutcome
 } from '../common/cell/Types.js'
 import type { ICellSubmission } from '../common/protocol/Types.js'
 import type { Counters } from '../common/observability/Counters.js'
@@ -19,7 +18,7 @@
 import { DisposableStore } from '../common/Emitter.js'
 import type { IClock, IDisposable, ITimers, MonotonicMs } from '../common/Types.js'
 import type { ConfigFeed } from './ConfigFeed.js'
-import { HostSession } from './HostSession.js'
+import { HostSessions } from './HostSessions.js'
 import { JobStore } from './JobStore.js'
 import type { AcceptOutcome } from './JobStore.js'
 import { JOB_PREFIX, LANE_PREFIX, PROGRESS_PREFIX } from './Keys.js'
@@ -55,7 +54,6 @@
 /** Hosts' clocks may be this much slow. */
 const SLOW_CLOCK_FACTOR = 1.02
 const INHERITED_MARGIN_MS = 1000
-const HOSTS_POLL_MS = 600
 const SWEEP_MS = 400
 /**
  * Changes gather before the next look at what can be placed, in ms: at least so long, and a multiple of what the last look
@@ -76,7 +74,7 @@
 export class CellOwner implements ICellOwnerPort, IDisposable {
   private readonly _scheduler: CellScheduler
   private readonly _jobStore: Promise<JobStore>
-  private readonly _sessions = new Map<string, HostSession>()
+  private readonly _hosts: HostSessions
   private readonly _disposables = new DisposableStore()
   private readonly _accepting = new Map<string, Promise<OwnerAnswer>>()
   private _isDisposed = false
@@ -111,6 +109,13 @@
       noteTime: (name, ms) => { _context.times.record(name, ms) },
       count: (name, kind) => { _context.counters.add(name, kind) }
     }, { farFactor: _options.farFactor, inheritedUntilMs: clock.nowMs() + inheritedMs }, chart, clock, log)
+    this._hosts = new HostSessions({
+      ..._context,
+      scheduler: this._scheduler,
+      holdUntilMs: () => this._holdUntilMs(_context.ownership.confirmedAtMs),
+      onFenced: (hostId) => { this._onFenced(hostId) },
+      requestPass: () => { this._requestPass() }
+    }, _fence, _options.maxHoldMs)
     this._jobStore = this._load()
     this._disposed = new Promise((resolve) => { this._noteDisposed = resolve })
     this.ready = Promise.race([this._jobStore.then(() => {}), this._disposed])
@@ -184,8 +189,7 @@
     this._isDisposed = true
     this._noteDisposed()
     this._disposables.dispose()
-    for (const session of this._sessions.values()) session.dispose()
-    this._sessions.clear()
+    this._hosts.dispose()
     this._scheduler.dispose()
     this._store?.dispose()
   }
@@ -255,13 +259,13 @@
       jobStore.dispose()
       return jobStore
     }
-    this._seeHosts(hosts)
+    this._hosts.see(hosts)
     this._restore(accepted, progress)
     this._startTimers()
     this._disposables.add(config.onChange(() => { this._followQueues() }))
     this._disposables.add(this._context.ownership.onConfirmed(() => { jobStore.noteReached() }))
     const durationMs = Math.round(clock.nowMs() - startedAtMs)
-    log.info('owner.ready', { revision: this._fence, jobs: accepted.length, hosts: this._sessions.size, durationMs })
+    log.info('owner.ready', { revision: this._fence, jobs: accepted.length, hosts: this._hosts.size, durationMs })
     return jobStore
   }
 
@@ -274,7 +278,7 @@
 
   private _startTimers (): void {
     const { clock } = this._context
-    this._disposables.add(clock.every(HOSTS_POLL_MS, () => { this._pollHosts() }))
+    this._hosts.start()
     this._disposables.add(clock.every(SWEEP_MS, () => { this._scheduler.sweep() }))
     this._disposables.add(clock.every(COLLECT_MS, () => { this._collect() }))
   }
@@ -308,67 +312,7 @@
     const job = accepted === undefined ? decodeOutcome(jobId, progress ?? '', nowMs) : decodeAccepted(accepted, nowMs, clock.wallMs())
     const runs = accepted === undefined || progress === undefined ? [] : applyProgress(job, progress)
     if (job.isFinished) job.finishedAtMs = nowMs
-    this._scheduler.restore(job, runs, (hostId, bornMs) => this._hostOf(hostId, bornMs))
-  }
-
-  /** A host that a run was recorded on; one that isn't listed any more may still run it until its lease has ended. */
-  private _hostOf (hostId: string, bornMs: number): HostState {
-    const known = this._scheduler.hosts.get(hostId)
-    if (known !== undefined) return known
-    const entry: IHostEntry = {
-      hostId, bornMs, service: '', address: '', failureDomain: '', draining: true, cpuMillicores: 0, memoryMb: 0, accelerators: 0, labels: [], rack: ''
-    }
-    const host = this._scheduler.addHost(entry)
-    host.isListed = false
-    return host
-  }
-
-  private _pollHosts (): void {
-    const { store, records, log } = this._context
-    store.range(records.hostsPrefix).then((read) => {
-      if (this._isDisposed) return
-      if (read.kind === 'read') this._seeHosts(read.value.items)
-      this._forgetLapsed()
-    }, (error: unknown) => { log.error('hosts.pollFailed', { reason: String(error) }) })
-  }
-
-  private _seeHosts (items: readonly IMetadataItem[]): void {
-    const listed = new Set<string>()
-    for (const item of items) {
-      const entry = this._context.records.decodeHostEntry(item)
-      if (entry === undefined) continue
-      listed.add(entry.hostId)
-      const known = this._scheduler.hosts.get(entry.hostId)
-      if (known === undefined || known.entry.draining !== entry.draining || known.bornMs !== entry.bornMs) this._logHost(entry)
-      this._scheduler.addHost(entry).isListed = true
-      if (!this._sessions.has(entry.hostId)) this._openSession(entry.hostId)
-    }
-    for (const host of this._scheduler.hosts.values()) {
-      if (host.isListed && !listed.has(host.hostId)) {
-        host.isListed = false
-        this._context.log.warn('host.unlisted', { host: host.hostId, runs: host.attempts.size })
-      }
-    }
-    this._requestPass()
-  }
-
-  private _logHost ({ hostId, draining, bornMs, service }: IHostEntry): void {
-    this._context.log.info('host.seen', { host: hostId, draining, bornMs, service })
-  }
-
-  private _openSession (hostId: string): void {
-    const { clock, log, orders, ownership } = this._context
-    const host = this._scheduler.hosts.get(hostId)
-    if (host === undefined) return
-    const session = new HostSession(host, {
-      hold: async (entry, order, signal) => await orders.hold(entry, { ...order, fence: this._fence }, signal),
-      holdUntilMs: () => this._holdUntilMs(ownership.confirmedAtMs),
-      onHeld: (held, answer, sentAtMs) => { if (!this._isDisposed) this._scheduler.readHold(held, answer, sentAtMs) },
-      onFenced: (held) => { this._onFenced(held.hostId) },
-      onSilent: (silent) => this._scheduler.noteSilence(silent)
-    }, this._options.maxHoldMs, clock, log)
-    this._sessions.set(hostId, session)
-    session.start()
+    this._scheduler.restore(job, runs, (hostId, bornMs) => this._hosts.hostOf(hostId, bornMs))
   }
 
   /** The next owner counts on it that no host is held for longer after this one's last confirmation. */
@@ -376,18 +320,6 @@
     return confirmedAtMs + this._options.maxHoldMs + UNCONFIRMED_HOLD_MS
   }
 
-  /** Hosts that are neither listed nor answer, once nothing can run there any more. */
-  private _forgetLapsed (): void {
-    for (const host of [...this._scheduler.hosts.values()]) {
-      if (host.isListed || !this._scheduler.noteSilence(host)) continue
-      this._sessions.get(host.hostId)?.dispose()
-      this._sessions.delete(host.hostId)
-      this._scheduler.hosts.delete(host.hostId)
-      this._context.orders.forget(host.hostId)
-      this._context.log.info('host.forgotten', { host: host.hostId })
-    }
-  }
-
   private _onFenced (hostId: string): void {
     if (this._isDisposed) return
     this._context.log.warn('owner.fenced', { host: hostId, revision: this._fence })
--- /dev/null
+++ b/src/cell/HostSessions.ts
@@ -0,0 +1,129 @@
+/**
+ * The hosts of the cell as the store lists them, each with a session while its owner needs one.
+ */
+
+import { HostSession } from './HostSession.js'
+
+import type { CellScheduler } from '../common/cell/CellScheduler.js'
+import type { HostState } from '../common/cell/HostState.js'
+import type { IHostEntry, IHostOrders, IMetadataItem, IMetadataStore } from '../common/cell/Types.js'
+import type { ILogger } from '../common/observability/Types.js'
+import type { EpochMs, IClock, IDisposable, ITimers, MonotonicMs } from '../common/Types.js'
+import type { ICellRecords } from './Types.js'
+
+export interface IHostSessionsContext {
+  readonly store: IMetadataStore
+  readonly orders: IHostOrders
+  readonly records: ICellRecords
+  readonly scheduler: CellScheduler
+  readonly clock: IClock & ITimers
+  readonly log: ILogger
+  /** Until when a host may be held, by the monotonic clock. */
+  holdUntilMs (): MonotonicMs
+  /** The host takes orders of a newer owner only. */
+  onFenced (hostId: string): void
+  requestPass (): void
+}
+
+const POLL_MS = 600
+
+export class HostSessions implements IDisposable {
+  private readonly _sessions = new Map<string, HostSession>()
+  private _polling: IDisposable | undefined
+  private _isDisposed = false
+
+  public constructor (
+    private readonly _context: IHostSessionsContext, private readonly _fence: number, private readonly _maxHoldMs: number
+  ) {}
+
+  public get size (): number {
+    return this._sessions.size
+  }
+
+  /** Looks at the list from now on. */
+  public start (): void {
+    this._polling = this._context.clock.every(POLL_MS, () => { this._poll() })
+  }
+
+  public dispose (): void {
+    this._isDisposed = true
+    this._polling?.dispose()
+    for (const session of this._sessions.values()) session.dispose()
+    this._sessions.clear()
+  }
+
+  /** Takes the list as it was read. */
+  public see (items: readonly IMetadataItem[]): void {
+    const { records, scheduler, log } = this._context
+    const listed = new Set<string>()
+    for (const item of items) {
+      const entry = records.decodeHostEntry(item)
+      if (entry === undefined) continue
+      listed.add(entry.hostId)
+      const known = scheduler.hosts.get(entry.hostId)
+      if (known === undefined || known.entry.draining !== entry.draining || known.bornMs !== entry.bornMs) this._logHost(entry)
+      scheduler.addHost(entry).isListed = true
+      if (!this._sessions.has(entry.hostId)) this._open(entry.hostId)
+    }
+    for (const host of scheduler.hosts.values()) {
+      if (host.isListed && !listed.has(host.hostId)) {
+        host.isListed = false
+        log.warn('host.unlisted', { host: host.hostId, runs: host.attempts.size })
+      }
+    }
+    this._context.requestPass()
+  }
+
+  /** A host that a run was recorded on; one that isn't listed any more may still run it until its lease has ended. */
+  public hostOf (hostId: string, bornMs: EpochMs): HostState {
+    const { scheduler } = this._context
+    const known = scheduler.hosts.get(hostId)
+    if (known !== undefined) return known
+    const host = scheduler.addHost({
+      hostId, bornMs, service: '', address: '', failureDomain: '', draining: true, cpuMillicores: 0, memoryMb: 0, accelerators: 0, labels: [], rack: ''
+    })
+    host.isListed = false
+    return host
+  }
+
+  private _poll (): void {
+    const { store, records, log } = this._context
+    store.range(records.hostsPrefix).then((read) => {
+      if (this._isDisposed) return
+      if (read.kind === 'read') this.see(read.value.items)
+      this._forgetLapsed()
+    }, (error: unknown) => { log.error('hosts.pollFailed', { reason: String(error) }) })
+  }
+
+  private _logHost ({ hostId, draining, bornMs, service }: IHostEntry): void {
+    this._context.log.info('host.seen', { host: hostId, draining, bornMs, service })
+  }
+
+  private _open (hostId: string): void {
+    const { clock, log, orders, scheduler } = this._context
+    const host = scheduler.hosts.get(hostId)
+    if (host === undefined) return
+    const session = new HostSession(host, {
+      hold: async (entry, order, signal) => await orders.hold(entry, { ...order, fence: this._fence }, signal),
+      holdUntilMs: () => this._context.holdUntilMs(),
+      onHeld: (held, answer, sentAtMs) => { if (!this._isDisposed) scheduler.readHold(held, answer, sentAtMs) },
+      onFenced: (held) => { this._context.onFenced(held.hostId) },
+      onSilent: (silent) => scheduler.noteSilence(silent)
+    }, this._maxHoldMs, clock, log)
+    this._sessions.set(hostId, session)
+    session.start()
+  }
+
+  /** Hosts that are neither listed nor answer, once nothing can run there any more. */
+  private _forgetLapsed (): void {
+    const { scheduler, orders, log } = this._context
+    for (const host of [...scheduler.hosts.values()]) {
+      if (host.isListed || !scheduler.noteSilence(host)) continue
+      this._sessions.get(host.hostId)?.dispose()
+      this._sessions.delete(host.hostId)
+      scheduler.hosts.delete(host.hostId)
+      orders.forget(host.hostId)
+      log.info('host.forgotten', { host: host.hostId })
+    }
+  }
+}
--- a/src/cell/OwnerRoute.test.ts
+++ b/src/cell/OwnerRoute.test.ts
@@ -13,7 +13,7 @@
 import type { SubmitOutcome } from '../common/cell/Types.js'
 import type { ICellSubmitReply } from '../common/protocol/Types.js'
 import type { IPeerHub, PeerError } from '../peer/Types.js'
-import type { ChallengeOutcome } from './Ownership.js'
+import type { ChallengeOutcome } from './OwnerChallenge.js'
 import type { IOwnerRecord } from './Types.js'
 
 type Reply = ResultAsync<ICellSubmitReply, PeerError>
--- a/src/cell/OwnerRoute.ts
+++ b/src/cell/OwnerRoute.ts
@@ -8,7 +8,7 @@
 import type { ICellStateReply, ICellSubmission, ICellSubmitReply, IPeerCalls } from '../common/protocol/Types.js'
 import type { IClock, IDisposable, ITimers, MonotonicMs } from '../common/Types.js'
 import type { IPeerHub } from '../peer/Types.js'
-import type { ChallengeOutcome } from './Ownership.js'
+import type { ChallengeOutcome } from './OwnerChallenge.js'
 import type { IOwnerRecord } from './Types.js'
 
 /** What this process has of the owner. */
--- a/src/cell/Ownership.test.ts
+++ b/src/cell/Ownership.test.ts
@@ -8,6 +8,7 @@
 import { SeededRandom } from '../common/Random.js'
 import { advance } from '../../test/support/advance.js'
 import { OWNER_KEY } from './Keys.js'
+import { OwnerChallenge } from './OwnerChallenge.js'
 import { Ownership } from './Ownership.js'
 
 import type { IMetadataItem, IMetadataStore, ITransaction, RenewOutcome } from '../common/cell/Types.js'
@@ -61,7 +62,8 @@
   const store = new ScriptedStore()
   const options = { self: SELF, peerUrl: 'ws://a', minLeaseMs: 1000, yieldMs: () => yieldMs }
   const ownership = new Ownership(store as unknown as IMetadataStore, options, clock, new SeededRandom(1), new SilentLogger())
-  return { clock, store, ownership }
+  const challenge = new OwnerChallenge(ownership, clock, new SeededRandom(2), new SilentLogger())
+  return { clock, store, ownership, challenge }
 }
 
 test('an owner keeps its lease while the store loses answers', async (t) => {
@@ -111,27 +113,27 @@
 test('the cell is not taken from an owner that reaches the store', async (t) => {
   // The store was away for all and has just come back. Each gateway whose owner refused a job would take the cell from it, and callers that
   // return would find the cell without an owner, or with one far from the store.
-  const { clock, store, ownership } = setUp()
+  const { clock, store, ownership, challenge } = setUp()
   store.item = { key: OWNER_KEY, value: JSON.stringify(OTHER), revision: 10 }
   ownership.start()
   await advance(clock, 50, 10)
   const from = { ...OTHER, revision: 10 }
-  t.is(await ownership.challenge(from, async () => true), 'ownerIsWell')
+  t.is(await challenge.challenge(from, async () => true), 'ownerIsWell')
   await advance(clock, 1000, 10)
   t.is(store.item.revision, 10)
-  t.is(await ownership.challenge(from, async () => false), 'takesOver')
+  t.is(await challenge.challenge(from, async () => false), 'takesOver')
   await advance(clock, 1000, 10)
   t.not(store.item.revision, 10)
 })
 
 test('an owner that is back before a slow challenger takes the cell keeps it', async (t) => {
   // The challenger lets others go first for longer than the store needs to come back.
-  const { clock, store, ownership } = setUp(600)
+  const { clock, store, ownership, challenge } = setUp(600)
   store.item = { key: OWNER_KEY, value: JSON.stringify(OTHER), revision: 10 }
   ownership.start()
   await advance(clock, 50, 10)
   let isBack = false
-  t.is(await ownership.challenge({ ...OTHER, revision: 10 }, async () => isBack), 'takesOver')
+  t.is(await challenge.challenge({ ...OTHER, revision: 10 }, async () => isBack), 'takesOver')
   isBack = true
   await advance(clock, 2000, 10)
   t.is(store.item.revision, 10)
--- a/src/cell/Ownership.ts
+++ b/src/cell/Ownership.ts
@@ -39,19 +39,12 @@
 /** How long a process that stepped aside leaves the record to others, in ms: longer than any takeover. */
 const ASIDE_MS = 3000
 /** How long a store that is up may take to answer, in ms, when it is asked whether the owner or the store is cut off. */
-const CHALLENGE_MS = 400
-/** What was found holds for all callers of this long, in ms. */
-const CHALLENGE_REST_MS = 500
-/** What was found so long ago is asked again before the cell is taken, in ms. */
-const STALE_FINDING_MS = 200
+const REACH_MS = 400
 /** A store in another region answers after 45 ms, one in the same after 5: the near ones go 160 ms before the others. */
 const DISTANCE_YIELD_FACTOR = 4
 const MAX_DISTANCE_YIELD_MS = 250
 const COMMIT_TIMEOUT_MS = 1200
 
-/** What became of a challenge: the owner is left alone where it reaches the store, and where nobody does. */
-export type ChallengeOutcome = 'takesOver' | 'ownerIsWell' | 'bothAway'
-
 export class Ownership implements IDisposable {
   private _record: IOwnerRecord | undefined
   private _leaseId: number | undefined
@@ -61,8 +54,6 @@
   private _isTaking = false
   private _isLeaving = false
   private _asideUntilMs: MonotonicMs = -Infinity
-  private _challengedAtMs: MonotonicMs = -Infinity
-  private _challenge: Promise<ChallengeOutcome> = Promise.resolve('bothAway')
   private readonly _watch: WatchedPrefix
   private readonly _recordEmitter = new Emitter<IOwnerRecord | undefined>()
   private readonly _ownedEmitter = new Emitter<number>()
@@ -119,43 +110,9 @@
     if (this._record?.revision === from.revision) this._take(from.revision)
   }
 
-  /**
-   * Takes the record from an owner that can't reach the store, if this process can and the owner really can't.
-   *
-   * Such an owner loses its lease anyway, a second later. Until then it can take no job, and its callers would be told to come
-   * back although any other process could serve them. But when the store has been away for all, it comes back for all: taken from an owner
-   * that is well, the cell would be without one just when all callers return.
-   *
-   * @param ownerReaches asks the owner whether it reaches the store now
-   */
-  public async challenge (from: IOwnerRecord, ownerReaches: () => Promise<boolean>): Promise<ChallengeOutcome> {
-    if (this._clock.nowMs() - this._challengedAtMs > CHALLENGE_REST_MS) {
-      this._challengedAtMs = this._clock.nowMs()
-      this._challenge = this._compareReach(ownerReaches)
-    }
-    const outcome = await this._challenge
-    if (outcome === 'takesOver') this._takeOverUnless(from, ownerReaches)
-    return outcome
-  }
-
-  private async _compareReach (ownerReaches: () => Promise<boolean>): Promise<ChallengeOutcome> {
-    const [isReached, isReachedByOwner] = await Promise.all([this.reachesStore(), ownerReaches()])
-    if (isReachedByOwner) return 'ownerIsWell'
-    return isReached ? 'takesOver' : 'bothAway'
-  }
-
-  /** After a long wait for others to go first, what was found may no longer be so. */
-  private _takeOverUnless (from: IOwnerRecord, ownerReaches: () => Promise<boolean>): void {
-    const delayMs = this.yieldMs + this._random.next() * TAKE_JITTER_MS
-    this._clock.after(delayMs, () => {
-      const isBack = delayMs > STALE_FINDING_MS ? ownerReaches() : Promise.resolve(false)
-      isBack.then((back) => { if (!back) this.takeOver(from) }, (error: unknown) => { this._log.error('owner.takeFailed', { reason: String(error) }) })
-    })
-  }
-
   /** Whether the store answers this process within its time. */
   public async reachesStore (): Promise<boolean> {
-    const late = new Promise<boolean>((resolve) => { this._clock.after(CHALLENGE_MS, () => { resolve(false) }) })
+    const late = new Promise<boolean>((resolve) => { this._clock.after(REACH_MS, () => { resolve(false) }) })
     return await Promise.race([this._store.get(OWNER_KEY).then((read) => read.kind === 'read'), late])
   }
 
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -6,9 +6,8 @@
 import type { ILogger } from '../observability/Types.js'
 import type { ChartTable } from '../state/ChartTable.js'
 import type { IClock, MonotonicMs } from '../Types.js'
-import { AdviceDesk } from './AdviceDesk.js'
-import { AllowedShares, callsFor, hostsNotAsked, hostsToAsk } from './AdviceReach.js'
-import type { IAdviceSender } from './AdviceDesk.js'
+import { AdviceSeeker, expectedAdviceMs } from './AdviceSeeker.js'
+import type { IAdviceEffects } from './AdviceSeeker.js'
 import { Attempt } from './Attempt.js'
 import { GangRoom } from './GangRoom.js'
 import { HoldReader } from './HoldReader.js'
@@ -16,20 +15,15 @@
 import { HostState } from './HostState.js'
 import type { Job, Step } from './Job.js'
 import type { IRecordedRun } from './JobRecord.js'
-import { allowedHosts, planGang, planTasks, urgentHeadroom } from './Placement.js'
+import { planGang, planTasks, urgentHeadroom } from './Placement.js'
 import type { IPlacement, IPlacementView } from './Placement.js'
 import { RunController } from './RunController.js'
 import type { IRunEffects } from './RunController.js'
 import { StalledRuns } from './StalledRuns.js'
-import { StepAdvice } from './StepAdvice.js'
-import type { AdviceOutcome, IHoldAnswer, IHostEntry, IRunRef, ITicket, StopOutcome } from './Types.js'
+import type { IHoldAnswer, IHostEntry, IRunRef, StopOutcome } from './Types.js'
 
-export interface ICellEffects extends Omit<IRunEffects, 'noteChange' | 'requestTickets' | 'noteStarted'>, IAdviceSender {
+export interface ICellEffects extends Omit<IRunEffects, 'noteChange' | 'requestTickets' | 'noteStarted'>, IAdviceEffects {
   stopUnknown (host: IHostEntry, ref: IRunRef): Promise<StopOutcome>
-  /** Asks for `pass` to be called soon. */
-  requestPass (): void
-  noteTime (name: string, ms: number): void
-  count (name: string, kind: string): void
 }
 
 export interface ICellSchedulerOptions {
@@ -38,12 +32,6 @@
   readonly inheritedUntilMs: MonotonicMs
 }
 
-/** How long after a failed call for advice a step is asked for again, in ms. */
-const ADVICE_RETRY_MS = 300
-/** How often a step that waits looks whether it may use enough hosts, in ms: each look goes over all of them. */
-const REACH_LOOK_MS = 100
-/** A step that found no room for so long on the hosts it may use asks for more of them, in ms: two calls of the slowest kind. */
-const WIDEN_AFTER_MS = 2000
 /** Past this many times its objective a job earns nothing more and goes behind all others. */
 const LOST_AFTER_OBJECTIVES = 3
 
@@ -51,11 +39,10 @@
   public readonly jobs = new Map<string, Job>()
   public readonly hosts = new Map<string, HostState>()
   private readonly _open = new Set<Job>()
-  private readonly _shares = new AllowedShares()
   private readonly _speeds = new HostSpeeds()
   private readonly _runs: RunController
   private readonly _reader: HoldReader
-  private readonly _desk: AdviceDesk
+  private readonly _advice: AdviceSeeker
   private readonly _stalled: StalledRuns
 
   public constructor (
@@ -83,7 +70,7 @@
       count: (name, kind) => { _effects.count(name, kind) },
       stopUnknown: async (host, ref) => await _effects.stopUnknown(host.entry, ref)
     }, _clock, _log)
-    this._desk = new AdviceDesk(_effects)
+    this._advice = new AdviceSeeker(this.hosts, _effects, _clock, _log)
     this._stalled = new StalledRuns(this._runs, _clock, _log)
   }
 
@@ -103,7 +90,7 @@
 
   /** Asks for advice early: a job's steps may be asked for before it is stored, its tasks may not start. */
   public prefetch (job: Job): void {
-    for (const step of job.steps) if (step.isReady) this._adviceOf(step)
+    for (const step of job.steps) if (step.isReady) this._advice.adviceOf(step)
   }
 
   /** The job is stored: its tasks may start. */
@@ -164,7 +151,7 @@
       this._stalled.look(host)
     }
     for (const step of preparing) this._runs.orderReady(step)
-    this._desk.pump()
+    this._advice.pump()
     this._effects.requestPass()
   }
 
@@ -180,7 +167,7 @@
       headroom: (host, step) => urgentHeadroom(host, step) + gangRoom.heldOn(host)
     }
     for (const step of this._readySteps(nowMs)) {
-      const advice = this._adviceOf(step)
+      const advice = this._advice.adviceOf(step)
       if (step.job.queue.advice !== undefined && !advice.isKnown) continue
       if (!step.spec.gang) this._placeTasks(step, view)
       else if (!this._placeGang(step, view)) gangRoom.hold(step, view)
@@ -197,12 +184,12 @@
       usedCpu += host.usedCpu
       cpu += host.entry.cpuMillicores
     }
-    const jobs = { jobs: this.jobs.size, jobs_open: this._open.size, advice_waiting: this._desk.waitingCount }
+    const jobs = { jobs: this.jobs.size, jobs_open: this._open.size, advice_waiting: this._advice.waitingCount }
     return { ...jobs, hosts: this.hosts.size, runs, used_millicores: usedCpu, host_millicores: cpu }
   }
 
   public dispose (): void {
-    this._desk.dispose()
+    this._advice.dispose()
   }
 
   private _readySteps (nowMs: MonotonicMs): readonly Step[] {
@@ -252,104 +239,11 @@
     // A gang needs all its tickets at once: those that would run out during the call are asked for with the others.
     const goodAtMs = this._clock.nowMs() + (step.spec.gang ? expectedAdviceMs(step, waiting.length) : 0)
     const asked = waiting.filter((attempt) => isMissing(attempt, goodAtMs))
-    this._askAdvice(step, [...new Set(asked.map((attempt) => attempt.host.hostId))], () => {
+    this._advice.ask(step, [...new Set(asked.map((attempt) => attempt.host.hostId))], () => {
       this._runs.drop(asked.filter((attempt) => isMissing(attempt, this._clock.nowMs())))
       this._runs.orderReady(step)
     })
   }
-
-  /** The step's advice; asks for it where there is none yet, or too little. */
-  private _adviceOf (step: Step): StepAdvice {
-    step.advice ??= new StepAdvice()
-    const { advice } = step
-    if (step.job.queue.advice === undefined || advice.isAsking) return advice
-    const nowMs = this._clock.nowMs()
-    if (nowMs < advice.retryAtMs || nowMs < advice.lookAgainAtMs) return advice
-    advice.lookAgainAtMs = nowMs + REACH_LOOK_MS
-    if (!this._needsMoreHosts(step, advice, nowMs)) return advice
-    const hostIds = hostsToAsk(step, this.hosts.values(), this._shares.of(step.job.queue.name))
-    if (hostIds.length > 0) this._askAdvice(step, hostIds, () => {})
-    else advice.askedAtMs = nowMs
-    return advice
-  }
-
-  /** Only of hosts that were named for the first time: tickets are asked anew for allowed ones. */
-  private _noteShare (queue: string, named: readonly string[], allowed: readonly ITicket[]): void {
-    const ids = new Set(named)
-    this._shares.note(queue, named.length, allowed.filter(({ hostId }) => ids.has(hostId)).length)
-  }
-
-  /** Whether the hosts allowed so far can't run the step, or have had no room for it for a while. */
-  private _needsMoreHosts (step: Step, advice: StepAdvice, nowMs: MonotonicMs): boolean {
-    if (!advice.isKnown) return true
-    const usable = allowedHosts(step, this.hosts).filter((host) => host.isPlaceable(nowMs))
-    if (usable.length === 0) return true
-    if (step.spec.gang && missingPlaces(step, usable) > 0 && this._hasRoomElsewhere(step, missingPlaces(step, usable))) return true
-    return nowMs - advice.askedAtMs > WIDEN_AFTER_MS && step.tasks.some((task) => task.isIdle)
-  }
-
-  /** Whether asking about further hosts would likely give a gang the places that it lacks. */
-  private _hasRoomElsewhere (step: Step, missing: number): boolean {
-    return placesOn(step, hostsNotAsked(step, this.hosts.values())) * this._shares.of(step.job.queue.name) >= missing
-  }
-
-  /** @param then called once, when all calls have come back */
-  private _askAdvice (step: Step, hostIds: readonly string[], then: () => void): void {
-    const { job, advice } = step
-    if (job.queue.advice === undefined || advice === undefined) return
-    const calls = callsFor(step, hostIds)
-    advice.noteAsked(calls.length, this._clock.nowMs())
-    for (const named of calls) {
-      this._desk.ask({
-        jobId: job.spec.jobId,
-        step: step.number,
-        hostIds: named,
-        priority: job.queue.priority,
-        dueMs: job.dueMs,
-        expectedMs: expectedAdviceMs(step, named.length),
-        isWanted: () => !job.isFinished,
-        settle: (outcome) => {
-          this._noteAdvice(step, advice, named, outcome)
-          if (!advice.isAsking) then()
-          this._effects.requestPass()
-        }
-      })
-    }
-  }
-
-  private _noteAdvice (step: Step, advice: StepAdvice, hostIds: readonly string[], outcome: AdviceOutcome): void {
-    const { job } = step
-    const nowMs = this._clock.nowMs()
-    advice.noteSettled()
-    if (outcome.kind !== 'advised') advice.retryAtMs = nowMs + ADVICE_RETRY_MS
-    if (outcome.kind === 'advised') {
-      this._noteShare(job.queue.name, hostIds.filter((hostId) => !advice.wasAsked(hostId)), outcome.allowed)
-      const validUntilMs = nowMs + (job.queue.advice?.validMs ?? 0)
-      advice.note(hostIds, outcome.allowed, validUntilMs, (hostId) => this.hosts.get(hostId)?.bornMs)
-    }
-    const waitMs = Math.round(nowMs - advice.askedAtMs)
-    this._effects.noteTime('wait_for_advice', waitMs)
-    this._effects.count('advice', outcome.kind)
-    const allowed = outcome.kind === 'advised' ? outcome.allowed.length : undefined
-    this._log.info('advice.answered', { requestId: job.spec.jobId, step: String(step.number), outcome: outcome.kind, allowed, hosts: hostIds.length, waitMs })
-  }
-}
-
-/** How long the service takes for a call that names so many hosts. */
-function expectedAdviceMs (step: Step, hosts: number): number {
-  const terms = step.job.queue.advice
-  return terms === undefined ? 0 : terms.baseMs + terms.perHostMs * hosts
-}
-
-function missingPlaces (step: Step, hosts: readonly HostState[]): number {
-  return step.spec.count - placesOn(step, hosts)
-}
-
-/** How many tasks of the step the hosts have room for now. */
-function placesOn (step: Step, hosts: readonly HostState[]): number {
-  let places = 0
-  for (const host of hosts) places += host.roomFor(step.spec, 0)
-  return places
 }
 
 /** 0 while the job can still earn something, 1 after. */
--- a/src/daemon/ControllerDaemon.ts
+++ b/src/daemon/ControllerDaemon.ts
@@ -12,6 +12,7 @@
 import { readLinkSecret } from '../cell/LinkSecret.js'
 import { MemberCalls, registerMember } from '../cell/MemberCalls.js'
 import { answerPeers } from '../cell/OwnerCalls.js'
+import { OwnerChallenge } from '../cell/OwnerChallenge.js'
 import { OwnerIsolation } from '../cell/OwnerIsolation.js'
 import { OwnerRoute } from '../cell/OwnerRoute.js'
 import { Ownership } from '../cell/Ownership.js'
@@ -118,10 +119,11 @@
       self: this._self, peerUrl: peerUrl.value, minLeaseMs: store.minLeaseMs, yieldMs: () => this._yieldMs()
     }, this._clock, this._random, this._log)
     this._ownership = this._disposables.add(ownership)
+    const challenge = new OwnerChallenge(ownership, this._clock, this._random, this._log)
     const route = new OwnerRoute(hub, {
       get record () { return ownership.record },
       local: () => this._owner,
-      challenge: async (from, ownerReaches) => await ownership.challenge(from, ownerReaches)
+      challenge: async (from, ownerReaches) => await challenge.challenge(from, ownerReaches)
     }, this._clock)
     this._route = route
     answerPeers(hub, () => this._owner, this._adviser)
--- a/src/gateway/CallerServer.ts
+++ b/src/gateway/CallerServer.ts
@@ -7,7 +7,7 @@
 import { parseName, parseRequestHead } from '../common/requests/RequestParser.js'
 import { InFlightLimit } from '../common/requests/InFlightLimit.js'
 import { HttpListener } from '../runtime/HttpListener.js'
-import { readBody } from './BodyReader.js'
+import { readBody } from '../runtime/BodyReader.js'
 import { lingeringEnd } from './lingeringEnd.js'
 import { parseJob } from './JobFlow.js'
 import { route } from './RouteRequest.js'
