While the store is away for all, callers are refused by the last look at it

Now a comparison that found the store away for both holds for a second, and the next one goes on behind it. The test failed first (held back).

--- a/src/cell/OwnerChallenge.ts
+++ b/src/cell/OwnerChallenge.ts
@@ -16,6 +16,11 @@
 
 /** What was found holds for all callers of this long, in ms. */
 const REST_MS = 500
+/**
+ * While the store is away for both, callers are refused at once by what was found last, for this long in ms, and the next look goes on
+ * behind them: two looks. Each caller that waits for a look is held for 0.3 s of the three that it has.
+ */
+const AWAY_MS = 1000
 /** What was found so long ago is asked again before the cell is taken, in ms. */
 const STALE_FINDING_MS = 200
 /** A takeover begins after a random part of this, in ms, so that one of the processes is clearly first. */
@@ -23,7 +28,9 @@
 
 export class OwnerChallenge {
   private _comparedAtMs: MonotonicMs = -Infinity
-  private _outcome: Promise<ChallengeOutcome> = Promise.resolve('bothAway')
+  private _comparing: Promise<ChallengeOutcome> = Promise.resolve('bothAway')
+  /** When it was last found that the store is away for both. */
+  private _bothAwayAtMs: MonotonicMs = -Infinity
 
   public constructor (
     private readonly _ownership: Pick<Ownership, 'reachesStore' | 'takeOver' | 'yieldMs'>,
@@ -36,15 +43,18 @@
   public async challenge (from: IOwnerRecord, ownerReaches: () => Promise<boolean>): Promise<ChallengeOutcome> {
     if (this._clock.nowMs() - this._comparedAtMs > REST_MS) {
       this._comparedAtMs = this._clock.nowMs()
-      this._outcome = this._compareReach(ownerReaches)
+      this._comparing = this._compareReach(ownerReaches)
     }
-    const outcome = await this._outcome
+    if (this._clock.nowMs() - this._bothAwayAtMs < AWAY_MS) return 'bothAway'
+    const outcome = await this._comparing
     if (outcome === 'takesOver') this._takeOverUnlessBack(from, ownerReaches)
     return outcome
   }
 
   private async _compareReach (ownerReaches: () => Promise<boolean>): Promise<ChallengeOutcome> {
     const [isReached, isReachedByOwner] = await Promise.all([this._ownership.reachesStore(), ownerReaches()])
+    const isAway = !isReached && !isReachedByOwner
+    this._bothAwayAtMs = isAway ? this._clock.nowMs() : -Infinity
     if (isReachedByOwner) return 'ownerIsWell'
     return isReached ? 'takesOver' : 'bothAway'
   }
--- a/src/cell/Ownership.test.ts
+++ b/src/cell/Ownership.test.ts
@@ -6,12 +6,12 @@
 import { ManualClock } from '../common/Clock.js'
 import { SilentLogger } from '../common/observability/SilentLogger.js'
 import { SeededRandom } from '../common/Random.js'
-import { advance } from '../../test/support/advance.js'
+import { advance, settle } from '../../test/support/advance.js'
 import { OWNER_KEY } from './Keys.js'
 import { OwnerChallenge } from './OwnerChallenge.js'
 import { Ownership } from './Ownership.js'
 
-import type { IMetadataItem, IMetadataStore, ITransaction, RenewOutcome } from '../common/cell/Types.js'
+import type { IMetadataItem, IMetadataStore, ITransaction, ReadOutcome, RenewOutcome } from '../common/cell/Types.js'
 
 const SELF = { processId: 'a', incarnation: 1, region: 'r', failureDomain: 'd' }
 const NEVER = new Promise<never>(() => {})
@@ -26,9 +26,7 @@
     return { kind: 'read', value: { items: this.item === undefined ? [] : [this.item], revision: this._revision } } as const
   }
 
-  public async get () {
-    return { kind: 'read', value: this.item } as const
-  }
+  public get = async (): Promise<ReadOutcome<IMetadataItem | undefined>> => ({ kind: 'read', value: this.item })
 
   public async watch (): Promise<never> {
     return await NEVER
@@ -138,3 +136,31 @@
   await advance(clock, 2000, 10)
   t.is(store.item.revision, 10)
 })
+
+test('while the store is away for all, callers don\'t wait for each look at it', async (t) => {
+  // Each look takes 0.4 s, since nothing answers, and there is one every half second: most callers would wait for one before they hear
+  // that they have to come back.
+  const { clock, store, ownership, challenge } = setUp()
+  store.item = { key: OWNER_KEY, value: JSON.stringify(OTHER), revision: 10 }
+  ownership.start()
+  await advance(clock, 50, 10)
+  const from = { ...OTHER, revision: 10 }
+  store.get = async () => await NEVER
+  const ownerReaches = async (): Promise<boolean> => {
+    await new Promise<void>((resolve) => { clock.after(400, resolve) })
+    return false
+  }
+  const first = challenge.challenge(from, ownerReaches)
+  await advance(clock, 450, 10)
+  t.is(await first, 'bothAway')
+  await advance(clock, 100, 10)
+  t.is(await Promise.race([challenge.challenge(from, ownerReaches), settle().then(() => 'held back')]), 'bothAway')
+  await advance(clock, 450, 10)
+  store.get = async () => ({ kind: 'read', value: store.item })
+  await advance(clock, 100, 10)
+  t.is(await Promise.race([challenge.challenge(from, ownerReaches), settle().then(() => 'held back')]), 'bothAway')
+  await advance(clock, 600, 10)
+  const later = challenge.challenge(from, ownerReaches)
+  await advance(clock, 450, 10)
+  t.is(await later, 'takesOver')
+})
