A process that stops answers what it has not finished

It is answered now: 504 for what may be stored, 503 for a question. The test failed first (other side closed).

--- a/src/cell/CallerEntry.ts
+++ b/src/cell/CallerEntry.ts
@@ -36,11 +36,14 @@
 const HEADERS_TIMEOUT_MS = 5000
 const MAX_HEADER_BYTES = 32_768
 const RETRY_AFTER_MS = 1000
+/** The last answers of a process that stops have so long to go out, in ms: several round trips to callers. */
+const FLUSH_MS = 150
 const MS_PER_S = 1000
 
 export class CallerEntry {
   private readonly _server: Server
-  private _inFlight = 0
+  /** Requests without an answer so far. */
+  private readonly _open = new Map<ServerResponse, IncomingMessage>()
   private _isClosing = false
 
   public constructor (private readonly _context: ICallerEntryContext) {
@@ -52,7 +55,7 @@
   }
 
   public get inFlight (): number {
-    return this._inFlight
+    return this._open.size
   }
 
   /** Binds, and gives the base URL with the port that was taken. */
@@ -69,20 +72,35 @@
     this._isClosing = true
   }
 
-  /** Takes no more connections, waits for requests in flight, then cuts what is left. */
+  /** Takes no more connections, waits for requests in flight, then answers what is left and closes. */
   public async close (graceMs: number): Promise<void> {
     this._isClosing = true
-    const cut = setTimeout(() => { this._server.closeAllConnections() }, graceMs)
+    const givenUp = setTimeout(() => { this._giveUpOpen() }, graceMs)
+    const cut = setTimeout(() => { this._server.closeAllConnections() }, graceMs + FLUSH_MS)
     await new Promise<void>((resolve) => {
       this._server.close(() => { resolve() })
       this._server.closeIdleConnections()
     })
+    clearTimeout(givenUp)
     clearTimeout(cut)
   }
 
+  /**
+   * The process is about to end. A connection that was cut would tell a caller less than an answer does: it would wait for its own
+   * timeout, or not know whether it was this process or the network that failed.
+   */
+  private _giveUpOpen (): void {
+    const open = [...this._open]
+    if (open.length > 0) this._context.log.warn('caller.givenUp', { requests: open.length })
+    for (const [response, { method }] of open) {
+      if (method === 'GET') this._refuse(response, 'this process stops', RETRY_AFTER_MS)
+      else this._send(response, 504, { error: 'not known whether it is done: this process stops' })
+    }
+  }
+
   private async _serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    this._inFlight += 1
-    response.once('close', () => { this._inFlight -= 1 })
+    this._open.set(response, request)
+    response.once('close', () => { this._open.delete(response) })
     const { config, log } = this._context
     if (config.config === undefined) return this._refuse(response, 'no configuration yet', RETRY_AFTER_MS)
     const path = request.url ?? '/'
