--- a/src/cell/Ownership.ts
+++ b/src/cell/Ownership.ts
@@ -39,9 +39,7 @@
 /** How long a process that stepped aside leaves the record to others, in ms: longer than any takeover. */
 const ASIDE_MS = 3000
 /** How long a store that is up may take to answer, in ms, when it is asked whether the owner or the store is cut off. */
-const CHALLENGE_MS = 400
-/** What was found holds for all callers of this long, in ms. */
-const CHALLENGE_REST_MS = 500
+const REACH_MS = 400
 /** A store in another region answers after 45 ms, one in the same after 5: the near ones go 160 ms before the others. */
 const DISTANCE_YIELD_FACTOR = 4
 const MAX_DISTANCE_YIELD_MS = 250
@@ -56,17 +54,18 @@
   private _isTaking = false
   private _isLeaving = false
   private _asideUntilMs: MonotonicMs = -Infinity
-  private _challengedAtMs: MonotonicMs = -Infinity
-  private _canChallenge: Promise<boolean> = Promise.resolve(false)
   private readonly _watch: WatchedPrefix
   private readonly _recordEmitter = new Emitter<IOwnerRecord | undefined>()
   private readonly _ownedEmitter = new Emitter<number>()
   private readonly _lostEmitter = new Emitter<string>()
+  private readonly _confirmedEmitter = new Emitter<MonotonicMs>()
   /** The record has changed; absent: the cell has no owner. */
   public readonly onRecord = this._recordEmitter.event
   /** This process owns the cell now; gives its fencing token. */
   public readonly onOwned = this._ownedEmitter.event
   public readonly onLost = this._lostEmitter.event
+  /** The store has just said that this process owns the cell; gives when it was asked. */
+  public readonly onConfirmed = this._confirmedEmitter.event
 
   public constructor (
     private readonly _store: IMetadataStore,
@@ -111,24 +110,9 @@
     if (this._record?.revision === from.revision) this._take(from.revision)
   }
 
-  /**
-   * Takes the record from an owner that can't reach the store, if this process can; gives whether it can.
-   *
-   * Such an owner loses its lease anyway, a second later. Until then it can take no job, and its callers would be told to come
-   * back although any other process could serve them.
-   */
-  public async challenge (from: IOwnerRecord): Promise<boolean> {
-    if (this._clock.nowMs() - this._challengedAtMs > CHALLENGE_REST_MS) {
-      this._challengedAtMs = this._clock.nowMs()
-      this._canChallenge = this._readsInTime()
-    }
-    if (!await this._canChallenge) return false
-    this._clock.after(this.yieldMs + this._random.next() * TAKE_JITTER_MS, () => { this.takeOver(from) })
-    return true
-  }
-
-  private async _readsInTime (): Promise<boolean> {
-    const late = new Promise<boolean>((resolve) => { this._clock.after(CHALLENGE_MS, () => { resolve(false) }) })
+  /** Whether the store answers this process within its time. */
+  public async reachesStore (): Promise<boolean> {
+    const late = new Promise<boolean>((resolve) => { this._clock.after(REACH_MS, () => { resolve(false) }) })
     return await Promise.race([this._store.get(OWNER_KEY).then((read) => read.kind === 'read'), late])
   }
 
@@ -291,7 +275,9 @@
       if (renewed === 'gone') return this.resign('the lease has ended')
       if (read.kind === 'failed') return
       if (read.value?.revision !== revision) return this.resign('the record has changed')
-      if (renewed === 'renewed') this._confirmedAtMs = Math.max(this._confirmedAtMs, sentAtMs)
+      if (renewed !== 'renewed') return
+      this._confirmedAtMs = Math.max(this._confirmedAtMs, sentAtMs)
+      this._confirmedEmitter.fire(sentAtMs)
     }, (error: unknown) => { this._log.error('owner.renewFailed', { reason: String(error) }) })
   }
 
