--- a/src/cell/JobStore.ts
+++ b/src/cell/JobStore.ts
@@ -41,9 +41,8 @@
 
 export class JobStore {
   private readonly _lanes: readonly StoreLane[]
+  /** Kept also for a job that was refused: what is left to write of it has to come before the writes of its next try. */
   private readonly _laneByJob = new Map<string, StoreLane>()
-  /** Jobs with a write of their progress: further writes of the same id have to come after it, in its lane. */
-  private readonly _saved = new WeakSet<Job>()
   /** Jobs whose outcome alone is kept. */
   private readonly _shortened = new Set<string>()
 
@@ -84,7 +83,6 @@
           onRefused: (reason, cause) => {
             // At once: the next transaction must not carry a run of a job that isn't there.
             job.acceptance = 'withdrawn'
-            if (!this._saved.has(job)) this._laneByJob.delete(jobId)
             resolve({ kind: 'refused', reason, cause })
           },
           onUnknown: (reason) => { resolve({ kind: 'unknown', reason }) }
@@ -97,7 +95,6 @@
   public async save (job: Job): Promise<void> {
     const { jobId } = job.spec
     let { phase } = job
-    this._saved.add(job)
     await new Promise<void>((resolve) => {
       this._laneOf(jobId).write({
         key: progressKey(jobId),
