Logs tell what a lost watch waits for, and how old the configuration of a 404 is

`watch.lost` and `watch.regained` name the step (poll or whole read), the tries, the age of the last answer and whether the request was sent; `caller.noQueue` the queue asked for and the age of the configuration; the gauge `config_age_ms` the same for alerts.

--- a/src/cell/CallerEntry.ts
+++ b/src/cell/CallerEntry.ts
@@ -121,7 +121,9 @@
     const path = request.url ?? '/'
     const queue = config.find(hostNameOf(request), path)
     if (queue === undefined) {
-      log.info('caller.noQueue', { method: request.method, configVersion: config.version })
+      log.info('caller.noQueue', {
+        method: request.method, host: hostNameOf(request), path, configVersion: config.version, configAgeMs: Math.round(config.ageMs)
+      })
       return this._send(response, 404, { error: 'no such queue' })
     }
     const jobId = path.slice(queue.pathPrefix.length)
--- a/src/cell/ConfigFeed.ts
+++ b/src/cell/ConfigFeed.ts
@@ -44,6 +44,11 @@
     return this._config?.version ?? -1
   }
 
+  /** How long ago the store last confirmed that there is no newer version, in ms. */
+  public get ageMs (): number {
+    return this._watch.ageMs
+  }
+
   /** The queue that a request belongs to: by host name and the longest prefix that its path begins with. */
   public find (hostName: string, path: string): IQueue | undefined {
     return this._queuesByHost.get(hostName)?.find((queue) => path.startsWith(queue.pathPrefix))
--- a/src/cell/WatchedPrefix.ts
+++ b/src/cell/WatchedPrefix.ts
@@ -5,7 +5,7 @@
 
 import type { IMetadataItem, IMetadataStore } from '../common/cell/Types.js'
 import type { ILogger } from '../common/observability/Types.js'
-import type { IClock, IDisposable, ITimers } from '../common/Types.js'
+import type { IClock, IDisposable, ITimers, MonotonicMs } from '../common/Types.js'
 
 export interface IWatchListener {
   /** Everything that is there, as of one read. */
@@ -24,10 +24,21 @@
 /** Polls that fail in a row before everything is read anew: what the poll went on from may be what is wrong. */
 const FAILURES_TO_READ = 4
 
+type Step = 'read' | 'poll'
+
+/** The store as it has been since its last answer. */
+interface ILoss {
+  readonly tries: number
+  /** The last try that failed: what it was, and how it ended. */
+  readonly step: Step
+  readonly reason: string
+}
+
 export class WatchedPrefix implements IDisposable {
   private readonly _abort = new AbortController()
   private _failures = 0
-  private _isDown = false
+  private _loss: ILoss | undefined
+  private _answeredAtMs: MonotonicMs = -Infinity
   private _readMs = 0
 
   public constructor (
@@ -43,6 +54,11 @@
     return this._readMs
   }
 
+  /** How long ago the store last answered this watch, in ms: the age of what is known of the prefix. */
+  public get ageMs (): number {
+    return this._timers.nowMs() - this._answeredAtMs
+  }
+
   public start (): void {
     this._run().catch((error: unknown) => { this._log.error('watch.failed', { prefix: this._options.prefix, reason: String(error) }) })
   }
@@ -65,10 +81,10 @@
     this._readMs = this._timers.nowMs() - beganAtMs
     if (this._isDisposed) return undefined
     if (read.kind === 'failed') {
-      this._noteDown(read.reason)
+      this._noteFailed('read', read.reason)
       return undefined
     }
-    this._noteUp()
+    this._noteAnswered('read')
     this._listener.onAll(read.value.items, read.value.revision)
     return read.value.revision
   }
@@ -81,12 +97,12 @@
       if (this._isDisposed || outcome.kind === 'historyGone') return
       if (outcome.kind === 'failed') {
         this._failures += 1
-        this._noteDown(outcome.reason)
+        this._noteFailed('poll', outcome.reason)
         await this._pause()
         continue
       }
       this._failures = 0
-      this._noteUp()
+      this._noteAnswered('poll')
       // A revision below ours would mean that the store has lost its past: nothing between can be trusted.
       if (outcome.revision < revision) return
       revision = outcome.revision
@@ -98,16 +114,24 @@
     await new Promise<void>((resolve) => { this._timers.after(RETRY_MS, resolve) })
   }
 
-  private _noteDown (reason: string): void {
-    if (this._isDown) return
-    this._isDown = true
-    this._log.warn('watch.lost', { prefix: this._options.prefix, reason })
+  private _noteFailed (step: Step, reason: string): void {
+    if (this._loss === undefined) this._log.warn('watch.lost', { prefix: this._options.prefix, step, reason })
+    this._loss = { tries: (this._loss?.tries ?? 0) + 1, step, reason }
+  }
+
+  private _noteAnswered (step: Step): void {
+    const loss = this._loss
+    if (loss !== undefined) {
+      const { tries, step: lastStep, reason: lastReason } = loss
+      this._log.info('watch.regained', { prefix: this._options.prefix, step, ageMs: this._loggedAgeMs(), tries, lastStep, lastReason })
+    }
+    this._loss = undefined
+    this._answeredAtMs = this._timers.nowMs()
   }
 
-  private _noteUp (): void {
-    if (!this._isDown) return
-    this._isDown = false
-    this._log.info('watch.regained', { prefix: this._options.prefix })
+  /** Absent where the store has never answered. */
+  private _loggedAgeMs (): number | undefined {
+    return this._answeredAtMs === -Infinity ? undefined : Math.round(this.ageMs)
   }
 
   private get _isDisposed (): boolean {
--- a/src/daemon/ControllerDaemon.ts
+++ b/src/daemon/ControllerDaemon.ts
@@ -191,6 +191,7 @@
     return renderMetrics(this._counters, this._times, {
       owner: this._owner === undefined ? 0 : 1,
       config_version: this._config.version,
+      config_age_ms: this._config.ageMs,
       links: this._hub?.links().length ?? 0,
       callers_in_flight: this._entry?.inFlight ?? 0,
       store_calls: this._store.callCount,
