--- a/src/runtime/HttpExchange.ts
+++ b/src/runtime/HttpExchange.ts
@@ -21,6 +21,8 @@
   readonly body?: Uint8Array | string
   /** From the call to the whole answer, in milliseconds. */
   readonly timeoutMs: number
+  /** The longest that nothing of an answer may come, in milliseconds; for answers that are large. Absent: as long as `timeoutMs`. */
+  readonly silenceMs?: number
   readonly signal?: AbortSignal | undefined
 }
 
@@ -51,6 +53,7 @@
   private _state: 'queued' | 'written' | 'settled' = 'queued'
   private _controller: Dispatcher.DispatchController | undefined
   private _timer: NodeJS.Timeout | undefined
+  private _silence: NodeJS.Timeout | undefined
   private _status = 0
   private _headers: IncomingHttpHeaders = {}
   private _chunks: Uint8Array[] | undefined
@@ -59,12 +62,13 @@
   public constructor (private readonly _ask: IHttpAsk, private readonly _settle: Settle) {}
 
   public start (dispatcher: Dispatcher): void {
-    const { method, path, headers, body, timeoutMs, signal } = this._ask
+    const { method, path, headers, body, timeoutMs, silenceMs, signal } = this._ask
     if (signal?.aborted === true) {
       this._giveUp('aborted')
       return
     }
     this._timer = setTimeout(() => { this._giveUp(`no whole answer in ${timeoutMs} ms`) }, timeoutMs)
+    if (silenceMs !== undefined) this._silence = setTimeout(() => { this._giveUp(`silent for ${silenceMs} ms`) }, silenceMs)
     signal?.addEventListener('abort', this._onAbort)
     dispatcher.dispatch({ method, path, headers: headers as string[], body: body ?? null }, this)
   }
@@ -88,11 +92,13 @@
   }
 
   public onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+    this._silence?.refresh()
     this._status = status
     this._headers = headers
   }
 
   public onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this._silence?.refresh()
     if (this._body === EMPTY_BODY) {
       this._body = chunk
       return
@@ -148,6 +154,7 @@
     if (this._state === 'settled') return
     this._state = 'settled'
     clearTimeout(this._timer)
+    clearTimeout(this._silence)
     this._ask.signal?.removeEventListener('abort', this._onAbort)
     this._settle(result)
   }
