"No such queue" is said only by a configuration that the store has lately confirmed

What is believed was used without its age. Queues that are there are served as before: the owner, whose configuration is at least as new, decides.

Tests: CallerEntry.test.ts failed before (404), passes; ConfigFeed.test.ts is new (scripted store, manual clock). Ruled out as a cure by itself: it hides an old configuration from callers of new queues only, not from those of queues that changed.

--- a/src/cell/CallerEntry.test.ts
+++ b/src/cell/CallerEntry.test.ts
@@ -1,5 +1,5 @@
 /**
- * Callers of a process that stops.
+ * Callers of a process that starts, stops, or is cut off from the store.
  */
 
 import test from 'ava'
@@ -17,11 +17,13 @@
 
 const SILENT_ROUTE = { submit: async () => await NEVER, state: async () => await NEVER, cancel: async () => await NEVER }
 
-function setUp (route: Promise<object> = Promise.resolve(SILENT_ROUTE)): CallerEntry {
+const CONFIG = { config: { maxBodyBytes: 1000 }, version: 1, ageMs: 0, isCurrent: true, find: () => ({ name: 'queue', pathPrefix: '/queue/' }) }
+
+function setUp (route: Promise<object> = Promise.resolve(SILENT_ROUTE), config: object = CONFIG): CallerEntry {
   const job = { jobId: 'j', description: '', occurrences: 0, steps: [] }
   return new CallerEntry({
     wire: { isJobId: () => true, decodeJob: () => ok(job), remainingMs: () => 3000 },
-    config: { config: { maxBodyBytes: 1000 }, version: 1, find: () => ({ name: 'queue', pathPrefix: '/queue/' }) },
+    config,
     route,
     clock: new SystemClock(),
     log: new SilentLogger(),
@@ -63,3 +65,20 @@
   t.is(headers['retry-after'], '1')
   await entry.close(20)
 })
+
+test('a queue that an old configuration does not have may exist', async (t) => {
+  // Its caller was told that there is no such queue, seconds after the queue had been added.
+  const entry = setUp(undefined, { ...CONFIG, isCurrent: false, find: () => undefined })
+  const url = await entry.listen('127.0.0.1', 0)
+  const { statusCode, headers } = await request(`${url}/queue/j`, { method: 'POST', body: '{}' })
+  t.is(statusCode, 503)
+  t.is(headers['retry-after'], '1')
+  await entry.close(20)
+})
+
+test('a queue that the newest configuration does not have does not exist', async (t) => {
+  const entry = setUp(undefined, { ...CONFIG, find: () => undefined })
+  const url = await entry.listen('127.0.0.1', 0)
+  t.is((await request(`${url}/queue/j`, { method: 'GET' })).statusCode, 404)
+  await entry.close(20)
+})
--- a/src/cell/CallerEntry.ts
+++ b/src/cell/CallerEntry.ts
@@ -114,18 +114,13 @@
     const beganAtMs = this._context.clock.nowMs()
     this._open.set(response, request)
     response.once('close', () => { this._open.delete(response) })
-    const { config, log } = this._context
+    const { config } = this._context
     const route = await this._routeSoon()
     if (route === undefined) return this._refuse(response, 'this process is starting', RETRY_AFTER_MS)
     if (config.config === undefined) return this._refuse(response, 'no configuration yet', RETRY_AFTER_MS)
     const path = request.url ?? '/'
     const queue = config.find(hostNameOf(request), path)
-    if (queue === undefined) {
-      log.info('caller.noQueue', {
-        method: request.method, host: hostNameOf(request), path, configVersion: config.version, configAgeMs: Math.round(config.ageMs)
-      })
-      return this._send(response, 404, { error: 'no such queue' })
-    }
+    if (queue === undefined) return this._tellNoQueue(request, response, path)
     const jobId = path.slice(queue.pathPrefix.length)
     if (jobId === '' && request.method === 'GET') return await this._tellWaiting(route, response, queue)
     if (!this._context.wire.isJobId(jobId)) return this._send(response, 404, { error: 'no such job' })
@@ -137,6 +132,17 @@
     }
   }
 
+  /** Only a current configuration can tell that a queue does not exist: another process may have one that was just added. */
+  private _tellNoQueue (request: IncomingMessage, response: ServerResponse, path: string): void {
+    const { config, log } = this._context
+    const { isCurrent, version, ageMs } = config
+    log.info('caller.noQueue', {
+      method: request.method, host: hostNameOf(request), path, isCurrent, configVersion: version, configAgeMs: Math.round(ageMs)
+    })
+    if (isCurrent) this._send(response, 404, { error: 'no such queue' })
+    else this._refuse(response, 'no such queue in a configuration that may be old', RETRY_AFTER_MS)
+  }
+
   /** Absent where this process has not found its peers in time, as when the store is away while it starts. */
   private async _routeSoon (): Promise<OwnerRoute | undefined> {
     const { route, clock } = this._context
--- /dev/null
+++ b/src/cell/ConfigFeed.test.ts
@@ -0,0 +1,85 @@
+/**
+ * The configuration of a process against a store whose answers are scripted.
+ */
+
+import test from 'ava'
+import { ManualClock } from '../common/Clock.js'
+import { SilentLogger } from '../common/observability/SilentLogger.js'
+import { advance } from '../../test/support/advance.js'
+import { ConfigFeed } from './ConfigFeed.js'
+
+import type { IMetadataItem, IMetadataRange, IMetadataStore, ReadOutcome, WatchOutcome } from '../common/cell/Types.js'
+import type { ICellRecords } from './Types.js'
+
+const CONFIG_KEY = 'operator/config'
+const READ_AWAY = { kind: 'failed', reason: 'silent' } as const
+/** How long a call to a store that is away takes to fail, in ms. */
+const SILENCE_MS = 1500
+
+class ScriptedStore {
+  public version = 1
+  public isAway = false
+
+  public constructor (private readonly _clock: ManualClock) {}
+
+  public async range (): Promise<ReadOutcome<IMetadataRange>> {
+    if (await this._isUnanswered()) return READ_AWAY
+    return { kind: 'read', value: { items: [this._item()], revision: this.version } }
+  }
+
+  public async watch (_prefix: string, afterRevision: number, waitMs: number): Promise<WatchOutcome> {
+    if (afterRevision >= this.version) await this._after(waitMs)
+    if (await this._isUnanswered()) return READ_AWAY
+    const events = afterRevision < this.version ? [{ key: CONFIG_KEY, item: this._item(), revision: this.version }] : []
+    return { kind: 'events', events, revision: this.version }
+  }
+
+  private _item (): IMetadataItem {
+    return { key: CONFIG_KEY, value: String(this.version), revision: this.version }
+  }
+
+  private async _isUnanswered (): Promise<boolean> {
+    const { isAway } = this
+    if (isAway) await this._after(SILENCE_MS)
+    return isAway
+  }
+
+  private async _after (delayMs: number): Promise<void> {
+    await new Promise<void>((resolve) => { this._clock.after(delayMs, resolve) })
+  }
+}
+
+function setUp () {
+  const clock = new ManualClock()
+  const store = new ScriptedStore(clock)
+  const records = {
+    operatorPrefix: 'operator/', configKey: CONFIG_KEY, decodeConfig: (text: string) => ({ version: Number(text), queues: [] })
+  }
+  const feed = new ConfigFeed(store as unknown as IMetadataStore, records as unknown as ICellRecords, clock, new SilentLogger())
+  return { clock, store, feed }
+}
+
+test('a configuration stays current while polls find nothing new', async (t) => {
+  const { clock, feed } = setUp()
+  t.false(feed.isCurrent)
+  feed.start()
+  await advance(clock, 100)
+  for (let step = 0; step < 50; step += 1) {
+    await advance(clock, 100)
+    t.true(feed.isCurrent)
+  }
+})
+
+test('a configuration is not current while the store is away, and is again with its first answer', async (t) => {
+  const { clock, store, feed } = setUp()
+  feed.start()
+  await advance(clock, 100)
+  store.isAway = true
+  await advance(clock, 6000)
+  t.false(feed.isCurrent)
+  store.isAway = false
+  store.version = 2
+  await advance(clock, 2500)
+  t.true(feed.isCurrent)
+  t.is(feed.version, 2)
+})
