An owner that can't read the configuration by which a job was sent refuses it instead of deciding by its old one

An owner behind a gateway, with the store silent to it, answered "no such queue" (404) for a queue that the gateway had, or took the job under the service and terms that the queue had before. Now it says so, and the gateway looks for an owner that reaches the store, or refuses with 503.

Tests: CellOwner.test.ts failed before ("noQueue" for a missing queue, taken for a known one), ConfigFeed.test.ts too; both pass.

--- a/src/cell/CellOwner.test.ts
+++ b/src/cell/CellOwner.test.ts
@@ -113,7 +113,7 @@
   store.hasHost = hasHost
   const confirmed = new Emitter<number>()
   const ownership = { isConfirmed: true, confirmedAtMs: 0, resign: () => {}, stepAside: async () => {}, onConfirmed: confirmed.event }
-  const config = { catchUp: async () => {}, queue: () => QUEUE as unknown as IQueue, onChange: () => ({ dispose: () => {} }) }
+  const config = { catchUp: async () => true, queue: (): IQueue | undefined => QUEUE as unknown as IQueue, onChange: () => ({ dispose: () => {} }) }
   const started: string[] = []
   const orders = new Orders(started, clock)
   const context = {
@@ -131,7 +131,7 @@
   } as unknown as ICellOwnerContext
   const owner = new CellOwner(context, { writerId: 'me', maxHoldMs: 3000, farFactor: 2, statusMs: 120_000 }, FENCE)
   t.teardown(() => { owner.dispose() })
-  return { owner, clock, store, ownership, confirmed, started }
+  return { owner, clock, store, ownership, confirmed, started, config }
 }
 
 test('an owner that loses the cell before it has read the jobs says of none that it does not exist', async (t) => {
@@ -278,3 +278,18 @@
   t.deepEqual(started, [JOB_ID])
   t.true(store.valueOf(progressKey(JOB_ID))?.includes('"h"'), store.valueOf(progressKey(JOB_ID)))
 })
+
+test('an owner that can\'t read the configuration by which a job was sent does not decide by its old one', async (t) => {
+  // Its caller was told that there is no such queue, or its job ran as the queue had been before.
+  const { owner, clock, config, started } = setUpWithHost(t)
+  config.catchUp = async () => false
+  const refusals = []
+  for (const [jobId, queue] of [['a', QUEUE as unknown as IQueue], ['b', undefined]] as const) {
+    config.queue = () => queue
+    const outcome = owner.submit({ ...SUBMISSION, jobId, configVersion: 2 })
+    await advance(clock, 200)
+    refusals.push((await Promise.race([outcome, settle()]))?.kind)
+  }
+  t.deepEqual(refusals, ['refused', 'refused'])
+  t.deepEqual(started, [])
+})
--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -198,7 +198,9 @@
     const jobStore = await this._jobStore
     const { jobId } = submission
     if (this._scheduler.jobs.has(jobId)) return { kind: 'accepted' }
-    await config.catchUp(submission.configVersion)
+    if (!await config.catchUp(submission.configVersion)) {
+      return { ...this._refuse(jobId, 'the owner has an older configuration', RETRY_AFTER_MS), isStoreAway: true }
+    }
     const queue = config.queue(submission.queue)
     if (queue === undefined) return { kind: 'noQueue' }
     if (jobStore.isOut) return { ...this._refuse(jobId, 'the store is away', RETRY_AFTER_MS), isStoreAway: true }
--- a/src/cell/ConfigFeed.test.ts
+++ b/src/cell/ConfigFeed.test.ts
@@ -22,6 +22,10 @@
 
   public constructor (private readonly _clock: ManualClock) {}
 
+  public async get (): Promise<ReadOutcome<IMetadataItem | undefined>> {
+    return await this._isUnanswered() ? READ_AWAY : { kind: 'read', value: this._item() }
+  }
+
   public async range (): Promise<ReadOutcome<IMetadataRange>> {
     if (await this._isUnanswered()) return READ_AWAY
     return { kind: 'read', value: { items: [this._item()], revision: this.version } }
@@ -83,3 +87,13 @@
   t.true(feed.isCurrent)
   t.is(feed.version, 2)
 })
+
+test('a process that is behind tells whether it has caught up', async (t) => {
+  const { clock, store, feed } = setUp()
+  store.version = 3
+  t.true(await feed.catchUp(2))
+  store.isAway = true
+  const outcome = feed.catchUp(4)
+  await advance(clock, SILENCE_MS)
+  t.false(await outcome)
+})
--- a/src/cell/ConfigFeed.ts
+++ b/src/cell/ConfigFeed.ts
@@ -65,11 +65,13 @@
     return this._config?.queues.find((queue) => queue.name === name)
   }
 
-  /** Reads once more if this process is behind a version that another one acts on. */
-  public async catchUp (version: number): Promise<void> {
-    if (this.version >= version) return
+  /** Reads once more if this process is behind a version that another one acts on; gives whether it has that version then. */
+  public async catchUp (version: number): Promise<boolean> {
+    if (this.version >= version) return true
     const read = await this._store.get(this._records.configKey)
-    if (read.kind === 'read' && read.value !== undefined) this._take(read.value)
+    if (read.kind === 'failed') this._log.warn('config.notRead', { version: this.version, wanted: version, reason: read.reason })
+    else if (read.value !== undefined) this._take(read.value)
+    return this.version >= version
   }
 
   public dispose (): void {
