A list of hosts that was overtaken on its way does not undo a newer one

An answer that came late put a draining host back to ready, and one that had left back on the list, until the next look. Each list now counts only if its revision is not older than the one before.

Test: HostSessions.test.ts failed before (the host was ready again), passes.

--- a/src/cell/HostSessions.ts
+++ b/src/cell/HostSessions.ts
@@ -6,7 +6,7 @@
 
 import type { CellScheduler } from '../common/cell/CellScheduler.js'
 import type { HostState } from '../common/cell/HostState.js'
-import type { IHostEntry, IHostOrders, IMetadataItem, IMetadataStore } from '../common/cell/Types.js'
+import type { IHostEntry, IHostOrders, IMetadataItem, IMetadataRange, IMetadataStore } from '../common/cell/Types.js'
 import type { ILogger } from '../common/observability/Types.js'
 import type { EpochMs, IClock, IDisposable, ITimers, MonotonicMs } from '../common/Types.js'
 import type { ICellRecords } from './Types.js'
@@ -30,6 +30,8 @@
 export class HostSessions implements IDisposable {
   private readonly _sessions = new Map<string, HostSession>()
   private _polling: IDisposable | undefined
+  /** Of the newest list that was taken. */
+  private _revision = 0
   private _isDisposed = false
 
   public constructor (
@@ -89,11 +91,18 @@
     const { store, records, log } = this._context
     store.range(records.hostsPrefix).then((read) => {
       if (this._isDisposed) return
-      if (read.kind === 'read') this.see(read.value.items)
+      if (read.kind === 'read') this._take(read.value)
       this._forgetLapsed()
     }, (error: unknown) => { log.error('hosts.pollFailed', { reason: String(error) }) })
   }
 
+  /** Looks overlap where the store is slow, and answers overtake each other. */
+  private _take ({ items, revision }: IMetadataRange): void {
+    if (revision < this._revision) return
+    this._revision = revision
+    this.see(items)
+  }
+
   /** A new owner's first look would fill the log with hosts that it finds as they should be, just when it has most to do. */
   private _isNews (entry: IHostEntry): boolean {
     const known = this._context.scheduler.hosts.get(entry.hostId)
