An owner that loses most peers keeps the cell while the store is away

Now it steps aside only while the store confirms it.

Test: OwnerIsolation.test.ts is new; the one on the store being away failed before.

--- a/src/cell/OwnerIsolation.ts
+++ b/src/cell/OwnerIsolation.ts
@@ -7,6 +7,7 @@
 
 import type { IClock, IDisposable, ITimers, MonotonicMs } from '../common/Types.js'
 import type { IPeerHub } from '../peer/Types.js'
+import type { Ownership } from './Ownership.js'
 
 const LOOK_MS = 200
 /** How long most links have to be silent, in ms, beyond the time after which a link counts as silent. */
@@ -22,7 +23,7 @@
   /** @param _onIsolated called once each time, while this process owns the cell */
   public constructor (
     private readonly _hub: IPeerHub,
-    private readonly _isOwner: () => boolean,
+    private readonly _ownership: Pick<Ownership, 'isOwner' | 'isConfirmed'>,
     private readonly _onIsolated: (silent: number) => void,
     private readonly _clock: IClock & ITimers
   ) {
@@ -38,7 +39,7 @@
   }
 
   private _look (): void {
-    if (!this._isOwner()) {
+    if (!this._ownership.isOwner) {
       this._silent.clear()
       this._sinceMs = undefined
       return
@@ -47,6 +48,8 @@
     const isCut = this._silent.size >= MIN_SILENT && this._silent.size > this._hub.links().length
     this._sinceMs = isCut ? this._sinceMs ?? nowMs : undefined
     if (this._sinceMs === undefined || nowMs - this._sinceMs < SETTLED_MS) return
+    // While the store is away for this process, nobody can take a record that is given back.
+    if (!this._ownership.isConfirmed) return
     this._sinceMs = undefined
     this._onIsolated(this._silent.size)
   }
