An owner whose peers have lost power keeps the cell

Where more than half of the machines lose power at once, the owner found most peers silent, took itself for cut off and gave the cell to a process that reached no more of them: callers waited 0.2 to 0.6 s for a takeover, and the next owner was sometimes far from the store. Now it asks the peers that it still reaches whom they have links to (`cellLinks`): all have one to the process that stands by, so that an owner that is really cut off hears of at least one silent peer. If nobody reaches any of them, they are gone. With nobody to ask it steps aside as before.

--- a/src/common/protocol/Shapes.ts
+++ b/src/common/protocol/Shapes.ts
@@ -211,6 +211,7 @@
   cellReach: { ask: z.object({}), reply: z.object({ isReached: z.boolean() }) },
   cellPing: { ask: z.object({}), reply: z.object({}) },
   cellWitness: { ask: z.object({ processId: id }), reply: z.object({ isReached: z.boolean() }) },
+  cellLinks: { ask: z.object({}), reply: z.object({ processIds: z.array(id) }) },
   cellTakeOver: { ask: ownerRecord, reply: z.object({ isOwner: z.boolean() }) }
 }
 
--- a/src/daemon/ControllerDaemon.ts
+++ b/src/daemon/ControllerDaemon.ts
@@ -139,7 +139,7 @@
     this._disposables.add(ownership.onLost(() => { this._disown() }))
     this._disposables.add(new StandbyWatch(hub, ownership, this._clock, this._log))
     this._disposables.add(new OwnerWatch(hub, ownership, this._clock, this._random, this._log))
-    this._disposables.add(new OwnerIsolation(hub, ownership, (silent) => { this._stepAside(silent) }, this._clock))
+    this._disposables.add(new OwnerIsolation(hub, ownership, (silent) => { this._stepAside(silent) }, this._clock, this._log))
     ownership.start()
     registerMember(this._store, hub, peerUrl.value, this._clock, this._log)
     const metricsUrl = await this._metrics.listen(this._settings.metrics.listen)
