--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -40,6 +40,8 @@
 const LEAST_OF_ESTIMATE = 0.8
 /** A job that has waited for so long is not passed by any longer, in ms: callers of late work want it done all the same. */
 const PASSED_BY_FOR_MS = 60_000
+/** Of the time to its objective, a job waits for this share behind gangs that are late. */
+const PRESSED_SHARE = 0.5
 
 /** A waiting gang's tickets are asked for again so long before the service's answer is needed, in ms. */
 const ADVICE_AHEAD_MS = 300
@@ -186,7 +188,7 @@
       hosts: this.hosts,
       farFactor: this._options.farFactor,
       tooSlow: this._speeds.tooSlow(this.hosts.values()),
-      headroom: (host, step) => plus(urgentHeadroom(host, step), gangRoom.heldOn(host)),
+      headroom: (host, step) => plus(urgentHeadroom(host, step), gangRoom.heldOn(host, isPressed(step, nowMs))),
       // By the look before this one: urgent work is placed first, before this one knows which gangs have to wait.
       isHeld: (host) => this._gangRoom?.isHeld(host) === true
     }
@@ -228,7 +230,7 @@
         if (!step.isDone && step.isReady && step.tasks.some((task) => task.isIdle)) steps.push(step)
       }
     }
-    return steps.sort((a, b) => a.job.queue.priority - b.job.queue.priority || lateness(a.job, nowMs) - lateness(b.job, nowMs) ||
+    return steps.sort((a, b) => a.job.queue.priority - b.job.queue.priority || Number(isLate(a.job, nowMs)) - Number(isLate(b.job, nowMs)) ||
       a.job.dueMs - b.job.dueMs)
   }
 
@@ -249,7 +251,7 @@
 
   /** Keeps room for a gang that waits, and its tickets good for the moment at which that room will be there. */
   private _reserve (step: Step, gangRoom: GangRoom, view: IPlacementView): void {
-    const reservation = gangRoom.hold(step, view)
+    const reservation = gangRoom.hold(step, view, isLate(step.job, view.nowMs))
     const { advice } = step
     if (reservation === undefined || advice === undefined || step.job.queue.advice === undefined) return
     const callMs = expectedAdviceMs(step, reservation.hosts.length) + ADVICE_AHEAD_MS
@@ -282,10 +284,15 @@
   }
 }
 
-/** 1 for a job that can't make its objective any more, as far as that is known, and hasn't waited for very long; else 0. */
-function lateness (job: Job, nowMs: MonotonicMs): number {
-  if (nowMs - job.receivedAtMs > PASSED_BY_FOR_MS) return 0
+/** Whether a job can't make its objective any more, as far as that is known, and hasn't waited for very long. */
+function isLate (job: Job, nowMs: MonotonicMs): boolean {
+  if (nowMs - job.receivedAtMs > PASSED_BY_FOR_MS) return false
   let leftMs = 0
   for (const { spec, isDone } of job.steps) if (spec.gang && !isDone) leftMs += spec.estimateMs * LEAST_OF_ESTIMATE
-  return nowMs + leftMs > job.dueMs ? 1 : 0
+  return nowMs + leftMs > job.dueMs
+}
+
+/** Whether a job may still make its objective, and has used a good part of the time for that. Gangs wait for each other by their objectives. */
+function isPressed ({ spec, job: { receivedAtMs, dueMs } }: Step, nowMs: MonotonicMs): boolean {
+  return !spec.gang && nowMs < dueMs && nowMs - receivedAtMs > (dueMs - receivedAtMs) * PRESSED_SHARE
 }
--- a/src/common/cell/GangRoom.test.ts
+++ b/src/common/cell/GangRoom.test.ts
@@ -50,6 +50,24 @@
   t.is(late.shownPhase, 'completed')
 })
 
+test('work that can still be in time does not wait for a gang that can\'t', async (t) => {
+  // The gang's room comes free only after the narrow job's objective: both were late.
+  const workMs = new Map<string, number>()
+  const cell = new SimulatedCell({ hosts: 2, host: { workMs: ({ jobId }) => workMs.get(jobId) ?? 2000 } })
+  const long = cell.submit([{ count: 2, cpuMillicores: 4500, estimateMs: 4500 }])
+  workMs.set(long.spec.jobId, 4500)
+  await cell.run(200)
+  const late = cell.submit([{ count: 2, cpuMillicores: 8000, gang: true, estimateMs: 2000 }], { stretch: 1, targetMs: 0 })
+  const narrow = cell.submit([{ cpuMillicores: 2000, estimateMs: 500 }], { priority: 2, stretch: 1, targetMs: 3000 })
+  workMs.set(narrow.spec.jobId, 500)
+  await cell.run(1000)
+  t.false(narrow.hasStarted)
+  await cell.run(2400)
+  t.is(narrow.shownPhase, 'completed')
+  await cell.run(4000)
+  t.is(late.shownPhase, 'completed')
+})
+
 test('late work is done all the same, however much comes that isn\'t late yet', async (t) => {
   // The cell is asked for more than it can do for minutes. Passed by without end, the caller of a late gang would never get it.
   const cell = new SimulatedCell({ hosts: 1, host: { workMs: () => 2000 } })
--- a/src/common/cell/GangRoom.ts
+++ b/src/common/cell/GangRoom.ts
@@ -3,7 +3,8 @@
  *
  * Without it, room that comes free in small pieces is taken by narrow tasks as fast as it comes: one sees wide steps
  * wait without end in a cell that is four fifths full. So waiting gangs hold back, on the hosts where their room will come
- * free soonest, what work behind them would take. Room held back stands idle, so there is a bound on it.
+ * free soonest, what work behind them would take. Room held back stands idle, so there is a bound on it; and what is held for a gang that
+ * can't be in time any more is left to work that still can and has waited for long: one would see all that is behind such a gang late too.
  */
 
 import type { HostState } from './HostState.js'
@@ -32,6 +33,7 @@
 
 export class GangRoom {
   private readonly _held = new Map<HostState, IRoom>()
+  private readonly _heldForLate = new Map<HostState, IRoom>()
   private _leftMillicores: number
 
   public constructor (hosts: Iterable<HostState>) {
@@ -40,30 +42,36 @@
     this._leftMillicores = total * MAX_HELD_SHARE
   }
 
-  /** What work behind the gangs has to leave free on the host. */
-  public heldOn (host: HostState): IRoom {
-    return this._held.get(host) ?? NO_ROOM
+  /**
+   * What work behind the gangs has to leave free on the host.
+   *
+   * @param isPressed whether the work leaves nothing for gangs that are late
+   */
+  public heldOn (host: HostState, isPressed: boolean): IRoom {
+    const held = this._held.get(host) ?? NO_ROOM
+    return isPressed ? held : plus(held, this._heldForLate.get(host) ?? NO_ROOM)
   }
 
   public isHeld (host: HostState): boolean {
-    return this._held.has(host)
+    return this._held.has(host) || this._heldForLate.has(host)
   }
 
   /** Holds back room for a gang that couldn't be placed; gives where and when it will have all of it, if that can be foreseen. */
-  public hold (step: Step, view: IPlacementView): IReservation | undefined {
+  public hold (step: Step, view: IPlacementView, isLate: boolean): IReservation | undefined {
     const { spec } = step
     if (this._leftMillicores <= 0) return undefined
     const hosts = eligibleHosts(step, view)
     if (!couldEverFit(step, hosts)) return undefined
     const places = soonestPlaces(step, hosts, view)
-    for (const { host } of places) this._hold(host, roomOf(spec))
+    const held = isLate ? this._heldForLate : this._held
+    for (const { host } of places) this._hold(held, host, roomOf(spec))
     const last = places.at(-1)
     if (last === undefined || places.length < spec.count) return undefined
     return { hosts: [...new Set(places.map(({ host }) => host))], waitMs: last.waitMs }
   }
 
-  private _hold (host: HostState, room: IRoom): void {
-    this._held.set(host, plus(this.heldOn(host), room))
+  private _hold (held: Map<HostState, IRoom>, host: HostState, room: IRoom): void {
+    held.set(host, plus(held.get(host) ?? NO_ROOM, room))
     this._leftMillicores -= room.cpuMillicores
   }
 }
