--- a/test/soak/Judge.ts
+++ b/test/soak/Judge.ts
@@ -85,6 +85,16 @@
     if (job?.accepted === true) this._report(`${jobId} was accepted and is not known`)
   }
 
+  /** One life of a process had served a queue of this version. */
+  public noteOlderConfig (controllerId: string, version: number): void {
+    this._report(`${controllerId} went back behind version ${version} of the configuration`)
+  }
+
+  /** After all faults: every process has to have the newest version. */
+  public noteBehind (controllerId: string, version: number): void {
+    this._report(`${controllerId} does not have version ${version} of the configuration after the faults have ended`)
+  }
+
   /** After all faults: every accepted job has to have an end. */
   public noteUnfinished (jobId: string, state: string): void {
     this._report(`${jobId} is still ${state} after the faults have ended`)
--- a/test/soak/Soak.ts
+++ b/test/soak/Soak.ts
@@ -6,6 +6,7 @@
 import { SeededRandom } from '../../src/common/Random.js'
 import { ControllerCell } from '../support/ControllerCell.js'
 import { Callers } from './Callers.js'
+import { ConfigProbes } from './ConfigProbes.js'
 import { Faults } from './Faults.js'
 import { Judge } from './Judge.js'
 
@@ -44,12 +45,16 @@
   const cell = new ControllerCell(platform, MAX_HOLD_MS)
   const random = new SeededRandom(options.seed + 1)
   const callers = new Callers(cell.controllers, judge, new SeededRandom(options.seed + 2))
+  const probes = new ConfigProbes(cell.controllers, platform, judge)
   const faults = new Faults(cell, platform, judge, random)
   try {
     await cell.start(options.controllers)
+    probes.start()
     await play(options.faultsMs, callers, faults, random)
     await settle(callers, judge)
+    await settleConfig(probes, judge, platform.configVersion)
   } finally {
+    await probes.close()
     await callers.close()
     await cell.close()
     await platform.close()
@@ -83,6 +88,16 @@
   for (const { jobId } of open) judge.noteUnfinished(jobId, states.get(jobId) ?? 'not told')
 }
 
+async function settleConfig (probes: ConfigProbes, judge: Judge, version: number): Promise<void> {
+  const untilMs = performance.now() + SETTLE_MS
+  let behind = await probes.behind()
+  while (behind.length > 0 && performance.now() < untilMs) {
+    await pause(POLL_MS)
+    behind = await probes.behind()
+  }
+  for (const id of behind) judge.noteBehind(id, version)
+}
+
 async function pause (ms: number): Promise<void> {
   await new Promise<void>((resolve) => { setTimeout(resolve, ms) })
 }
