Read again: one refusal in one place, failure tests with one line of comment, two known faults with their cause

Behaviour and assertions stay as they were. `CellOwner` refused "without the store" in three places alike: one function.

Found by reading, with a failing test each in KNOWN-RED.txt: an owner cut off with all that it reaches keeps the cell (the entry names its cause now); an owner behind a gateway holds a job until the read of the configuration has failed, also where it knows that the store is away (older; `await catchUp` stands before the look at the store at too).

--- a/bench/cellLoad.test.ts
+++ b/bench/cellLoad.test.ts
@@ -12,8 +12,7 @@
 /** Nine in ten of each queue's jobs. */
 const AIM = 0.9
 
-// Room for a gang of fifty comes free in pieces, and its tickets run out while it waits: without room held, the wide ones are late; with room
-// held for those that are late already, the work behind them is.
+// Without room held the wide jobs are late; with room held for those that are late already, the work behind them is.
 for (const seed of [1, 2, 3]) {
   test.serial(`nine in ten jobs of each queue are done in time in a busy cell (seed ${seed})`, async (t) => { await inTime(t, seed) })
 }
--- a/src/cell/CallerEntry.test.ts
+++ b/src/cell/CallerEntry.test.ts
@@ -56,8 +56,7 @@
 })
 
 test('a caller is sent on by a process that can\'t find its peers', async (t) => {
-  // The store is away while the process starts, so that it can't learn how to reach the others. Held until its time is over, its caller
-  // couldn't try a process that has been there all along.
+  // Held until its time was over, it couldn't try a process that had been there all along.
   const entry = setUp(NEVER)
   const url = await entry.listen('127.0.0.1', 0)
   const { statusCode, headers } = await request(`${url}/queue/j`, { method: 'POST', body: '{}' })
--- a/src/cell/CellOwner.test.ts
+++ b/src/cell/CellOwner.test.ts
@@ -293,3 +293,16 @@
   t.deepEqual(refusals, ['refused', 'refused'])
   t.deepEqual(started, [])
 })
+
+// Known to fail, KNOWN-RED.txt: the owner tries to read the configuration first, and its caller hears nothing until that has failed.
+test.failing('an owner whose store is away refuses a job at once, also one that was sent by a newer configuration', async (t) => {
+  const { owner, clock, store, config } = setUp(t)
+  await owner.ready
+  store.isBusy = true
+  const refused = owner.submit(SUBMISSION)
+  await advance(clock, 2000, 10)
+  t.like(await refused, { kind: 'refused', isStoreAway: true })
+  config.catchUp = async () => await new Promise<never>(() => {})
+  const outcome = owner.submit({ ...SUBMISSION, configVersion: 2 })
+  t.like(await Promise.race([outcome, settle()]), { kind: 'refused', isStoreAway: true })
+})
--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -199,11 +199,11 @@
     const { jobId } = submission
     if (this._scheduler.jobs.has(jobId)) return { kind: 'accepted' }
     if (!await config.catchUp(submission.configVersion)) {
-      return { ...this._refuse(jobId, 'the owner has an older configuration', RETRY_AFTER_MS), isStoreAway: true }
+      return this._refuseWithoutStore(jobId, 'the owner has an older configuration')
     }
     const queue = config.queue(submission.queue)
     if (queue === undefined) return { kind: 'noQueue' }
-    if (jobStore.isOut) return { ...this._refuse(jobId, 'the store is away', RETRY_AFTER_MS), isStoreAway: true }
+    if (jobStore.isOut) return this._refuseWithoutStore(jobId, 'the store is away')
     const job = new Job(decodeJob(submission.record), termsOf(queue), clock.nowMs() - submission.ageMs)
     const misfit = this._misfit(job)
     if (misfit !== undefined) return this._refuse(jobId, misfit, NEVER_FITS_RETRY_MS)
@@ -222,7 +222,7 @@
 
   private _notAccepted (jobId: string, outcome: Exclude<AcceptOutcome, { kind: 'stored' }>): OwnerAnswer {
     const { reason } = outcome
-    if (outcome.kind === 'refused' && outcome.cause === 'storeAway') return { ...this._refuse(jobId, reason, RETRY_AFTER_MS), isStoreAway: true }
+    if (outcome.kind === 'refused' && outcome.cause === 'storeAway') return this._refuseWithoutStore(jobId, reason)
     const kind = outcome.kind === 'refused' ? 'notOwner' : 'inDoubt'
     this._context.log.info('job.leftToNextOwner', { requestId: jobId, kind, reason, revision: this._fence })
     return { kind, reason }
@@ -233,6 +233,11 @@
     return { kind: 'refused', reason, retryAfterMs }
   }
 
+  /** An owner that reaches the store may take the job: the gateway looks for one. */
+  private _refuseWithoutStore (jobId: string, reason: string): SubmitOutcome {
+    return { ...this._refuse(jobId, reason, RETRY_AFTER_MS), isStoreAway: true }
+  }
+
   /** Why no host could ever run the job, if so. */
   private _misfit (job: Job): string | undefined {
     if (job.spec.occurrences > 0) return 'jobs on a schedule are not taken'
--- a/src/cell/JobStore.test.ts
+++ b/src/cell/JobStore.test.ts
@@ -61,8 +61,7 @@
 })
 
 test('writes of one job never overtake each other', async (t) => {
-  // Two transactions of different lanes may be carried out in either order: old progress over newer would make the next owner start tasks that
-  // are done.
+  // Old progress over newer made the next owner start tasks that were done.
   const { store, run, job, transactions } = setUp(300)
   const written = job()
   store.accept(written).catch(() => {})
@@ -80,8 +79,7 @@
 })
 
 test('a burst of urgent jobs is accepted within one answer of a store that has become slow', async (t) => {
-  // The store takes 300 ms for each answer, and a hundred urgent jobs a second come, each with several writes. What waits for room in a transaction
-  // waits for one more answer each time: an urgent job that has two seconds in all would be late although its hosts are free.
+  // Each write that found no room in a transaction waited for one more answer, and urgent jobs were late beside free hosts.
   const answerMs = 300
   const { clock, store, run, job } = setUp(answerMs)
   const waitsMs: number[] = []
--- a/src/cell/OwnerIsolation.test.ts
+++ b/src/cell/OwnerIsolation.test.ts
@@ -79,8 +79,8 @@
   t.deepEqual(told, [])
 })
 
+// Known to fail, KNOWN-RED.txt: its side can't tell peers behind a cut from peers without power, and it keeps the cell while the cut lasts.
 test.failing('an owner that is cut off together with those that it still reaches steps aside in the end', async (t) => {
-  // Its side can't tell peers behind a cut from peers without power, and keeps the cell from the larger side for as long as the cut lasts.
   const { clock, told, fallSilent } = setUp(t, ['a'])
   fallSilent('b', 'c', 'd')
   await advance(clock, GONE_MS)
--- a/src/cell/OwnerRoute.test.ts
+++ b/src/cell/OwnerRoute.test.ts
@@ -92,9 +92,7 @@
 })
 
 test('a caller is not held for its whole time by an owner that is linked and silent', async (t) => {
-  // The owner reads the jobs behind a slow store, or its machine stands still, while its link lives. Asked again and again, it
-  // uses up the time of a caller who would learn sooner from another gateway, or from this one a second later; and a gateway
-  // that is about to stop would still hold such callers when it closes.
+  // Asked again and again, the owner used up the time in which another gateway could have told the caller.
   const { route, clock, calls } = setUp([silent])
   const result = await settled(clock, route.submit(SUBMISSION, CALLER_WAITS_MS))
   t.is(result?.outcome.kind, 'inDoubt')
@@ -103,8 +101,7 @@
 })
 
 test('nor by one that was found late', async (t) => {
-  // The cell is without an owner for a second; the next one is linked to and then says nothing. Each wait is allowed for itself,
-  // and together they took longer than a process that stops has.
+  // The waits for an owner and for its answer, each allowed for itself, took longer than a process that stops has.
   const { route, clock } = setUp([silent], [OWNER], 900)
   route.follow(OWNER)
   const result = await settled(clock, route.submit(SUBMISSION, CALLER_WAITS_MS))
--- a/src/cell/Ownership.test.ts
+++ b/src/cell/Ownership.test.ts
@@ -131,8 +131,7 @@
 })
 
 test('callers of the owner\'s own process are not held back by a challenge to itself', async (t) => {
-  // The store is back, and the owner has refused a job a moment before that. There is no link from a process to itself to ask over: taken for
-  // an owner that is out of reach, its callers would wait 1.2 s for a takeover that can't come, and then be refused.
+  // With no link to itself to ask over, it was taken for out of reach, and callers waited for a takeover that can't come.
   const { clock, ownership, challenge } = setUp()
   ownership.start()
   await advance(clock, 400, 10)
@@ -184,8 +183,7 @@
 })
 
 test('a process that starts again takes the cell from its earlier life at once', async (t) => {
-  // All processes are killed, and are back before the lease of the one that owned the cell has ended. Nobody can be found gone, since
-  // each port is listened on again: one would see every caller refused until the lease ends, up to a second later.
+  // Nobody was found gone, since each port was listened on again, and callers were refused until the lease ended.
   const { clock, store, ownership } = setUp()
   store.item = { key: OWNER_KEY, value: JSON.stringify({ ...OTHER, processId: SELF.processId, incarnation: SELF.incarnation - 1 }), revision: 10 }
   ownership.start()
@@ -202,8 +200,7 @@
 })
 
 test('processes that have just started don\'t wait for each other', async (t) => {
-  // All were killed, and the record is gone by the time that they are back. A process that has just started takes longer for its first read than
-  // the store does, so each seems far from it: all would let the others go first, while callers are refused.
+  // The first read of a new process is slow for its own sake: all seemed far from the store and let the others go first.
   const { clock, store, ownership } = setUp()
   store.rangeMs = 150
   ownership.start()
--- a/src/cell/StoreLane.test.ts
+++ b/src/cell/StoreLane.test.ts
@@ -315,8 +315,7 @@
 })
 
 test('a store that has been silent is written to again as soon as it answers anything', async (t) => {
-  // The store was silent for seconds. The owner asks it several times a second whether it still is one, and hears it first that way; the next
-  // try of a write may be 400 ms away, in which callers would be refused beside a store that is well.
+  // The next try of a write was 400 ms away, in which callers were refused beside a store that was well.
   const { store, write, run, stored, writer } = lane()
   store.script = Array.from({ length: 9 }, () => 'silent-undone')
   write('a', '1')
--- a/src/common/cell/GangRoom.test.ts
+++ b/src/common/cell/GangRoom.test.ts
@@ -9,8 +9,7 @@
 const ADVICE = { baseMs: CALL_MS, perHostMs: 0, validMs: 1500 }
 
 test('a gang starts when its room comes free, not an advice call later', async (t) => {
-  // All hosts are busy for three seconds, and tickets are good for one and a half. Asked for again only when the room is there, they would leave
-  // it idle for the time of a call, with each gang that has to wait: the next one waits for longer.
+  // Asked for only when the room was there, tickets left it idle for the time of a call with each gang that waited.
   const cell = new SimulatedCell({ hosts: 4, host: { workMs: () => 3000 }, adviceMs: () => CALL_MS })
   cell.submit([{ count: 28, estimateMs: 3000 }])
   await cell.run(200)
