--- a/src/cell/CellOwner.test.ts
+++ b/src/cell/CellOwner.test.ts
@@ -5,7 +5,8 @@
 import test from 'ava'
 import { ManualClock } from '../common/Clock.js'
 import { Emitter } from '../common/Emitter.js'
-import { DEFAULT_STEP, encodeJob } from '../common/cell/JobRecord.js'
+import { Job } from '../common/cell/Job.js'
+import { DEFAULT_STEP, decodeAccepted, decodeJob, decodeOutcome, encodeAccepted, encodeJob, encodeProgress } from '../common/cell/JobRecord.js'
 import { Counters } from '../common/observability/Counters.js'
 import { LatencyTable } from '../common/observability/LatencyTable.js'
 import { SilentLogger } from '../common/observability/SilentLogger.js'
@@ -15,18 +16,29 @@
 import { OWNER_KEY, jobKey, progressKey } from './Keys.js'
 
 import type { ExecutionContext } from 'ava'
-import type { CommitOutcome, IHostEntry, IMetadataStore, IQueue, IRunRow, IStartOrder, ITransaction } from '../common/cell/Types.js'
+import type { CommitOutcome, IHostEntry, IMetadataStore, IQueue, IRunRow, IStartOrder, ITransaction, IWorkspace } from '../common/cell/Types.js'
 import type { ICellOwnerContext } from './CellOwner.js'
 
 const FENCE = 7
 const JOB_ID = '5c0e7a21d94b36f8'
-const QUEUE = { name: 'lookups', service: 'core', priority: 0, maxAttempts: 3, stretch: 2, targetMs: 500, advice: undefined }
+const QUEUE: IQueue = {
+  name: 'lookups',
+  hostName: '',
+  pathPrefix: '',
+  service: 'core',
+  priority: 0,
+  maxAttempts: 3,
+  stretch: 2,
+  targetMs: 500,
+  advice: undefined,
+  isPublic: true
+}
+const ACCESS = { queue: QUEUE.name, keyDigest: '', configVersion: 1 }
 const SUBMISSION = {
   jobId: JOB_ID,
-  queue: QUEUE.name,
+  ...ACCESS,
   record: encodeJob({ jobId: JOB_ID, description: '', occurrences: 0, steps: [{ ...DEFAULT_STEP, count: 1, cpuMillicores: 1, estimateMs: 100 }] }),
-  ageMs: 0,
-  configVersion: 1
+  ageMs: 0
 }
 
 const HOSTS_PREFIX = 'hosts/'
@@ -113,7 +125,16 @@
   store.hasHost = hasHost
   const confirmed = new Emitter<number>()
   const ownership = { isConfirmed: true, confirmedAtMs: 0, resign: () => {}, stepAside: async () => {}, onConfirmed: confirmed.event }
-  const config = { catchUp: async () => true, queue: (): IQueue | undefined => QUEUE as unknown as IQueue, onChange: () => ({ dispose: () => {} }) }
+  const config = {
+    version: 1,
+    isCurrent: true,
+    config: undefined as { readonly workspaces: readonly IWorkspace[] } | undefined,
+    catchUp: async () => true,
+    refresh: async () => true,
+    queue: (): IQueue | undefined => QUEUE,
+    workspaceOf: (digest: string): IWorkspace | undefined => config.config?.workspaces.find(({ keyDigests }) => keyDigests.includes(digest)),
+    onChange: () => ({ dispose: () => {} })
+  }
   const started: string[] = []
   const orders = new Orders(started, clock)
   const context = {
@@ -138,8 +159,8 @@
   // Another process takes the cell while this owner reads the jobs. A caller that asks for its accepted job at that moment must not be told
   // that the job does not exist.
   const { owner } = setUp(t, true)
-  const state = owner.state(JOB_ID)
-  const cancelled = owner.cancel(JOB_ID)
+  const state = owner.state(JOB_ID, ACCESS)
+  const cancelled = owner.cancel(JOB_ID, ACCESS)
   const submitted = owner.submit(SUBMISSION)
   owner.dispose()
   t.is((await state).kind, 'unavailable')
@@ -152,10 +173,10 @@
   // job", the job would go on running.
   const { owner, ownership } = setUp(t)
   await owner.ready
-  t.is((await owner.state(JOB_ID)).kind, 'unknownJob')
+  t.is((await owner.state(JOB_ID, ACCESS)).kind, 'unknownJob')
   ownership.isConfirmed = false
-  t.is((await owner.state(JOB_ID)).kind, 'unavailable')
-  t.is(await owner.cancel(JOB_ID), 'unavailable')
+  t.is((await owner.state(JOB_ID, ACCESS)).kind, 'unavailable')
+  t.is(await owner.cancel(JOB_ID, ACCESS), 'unavailable')
 })
 
 test('a job that was never sent to the store is left to the next owner, and is not in doubt', async (t) => {
@@ -207,7 +228,7 @@
   await advance(clock, 20, 5)
   store.held[0]?.({ kind: 'committed', revision: FENCE + 1 })
   t.is((await submitted).kind, 'accepted')
-  const cancelled = owner.cancel(JOB_ID)
+  const cancelled = owner.cancel(JOB_ID, ACCESS)
   await advance(clock, 50, 5)
   owner.dispose()
   t.is(await cancelled, 'unavailable')
@@ -285,7 +306,7 @@
   const { owner, clock, config, started } = setUpWithHost(t)
   config.catchUp = async () => false
   const refusals = []
-  for (const [jobId, queue] of [['a', QUEUE as unknown as IQueue], ['b', undefined]] as const) {
+  for (const [jobId, queue] of [['a', QUEUE], ['b', undefined]] as const) {
     config.queue = () => queue
     const outcome = owner.submit({ ...SUBMISSION, jobId, configVersion: 2 })
     await advance(clock, 200)
@@ -306,3 +327,62 @@
   const outcome = owner.submit({ ...SUBMISSION, configVersion: 2 })
   t.like(await Promise.race([outcome, settle()]), { kind: 'refused', isStoreAway: true })
 })
+
+const BLUE: IWorkspace = { name: 'blue', keyDigests: ['blue-key'], weight: 1, maximum: { cpuMillicores: 5000, memoryMb: 0, accelerators: 0 } }
+const RED: IWorkspace = { ...BLUE, name: 'red', keyDigests: ['red-key'] }
+
+async function setUpWithWorkspaces (t: ExecutionContext) {
+  const cell = setUpWithHost(t)
+  cell.config.queue = () => ({ ...QUEUE, isPublic: false })
+  cell.config.config = { workspaces: [BLUE, RED] }
+  await cell.owner.ready
+  await advance(cell.clock, 20, 5)
+  return cell
+}
+
+test('a job of one workspace can be neither read, cancelled nor submitted again by another one', async (t) => {
+  const { owner, clock, store } = await setUpWithWorkspaces(t)
+  const submitted = owner.submit({ ...SUBMISSION, keyDigest: 'blue-key' })
+  t.is((await owner.submit({ ...SUBMISSION, keyDigest: 'red-key' })).kind, 'invalid', 'while it is being stored')
+  await advance(clock, 20, 5)
+  store.carryOut()
+  t.is((await submitted).kind, 'accepted')
+  const red = { ...ACCESS, keyDigest: 'red-key' }
+  t.is((await owner.submit({ ...SUBMISSION, ...red })).kind, 'invalid')
+  t.is((await owner.state(JOB_ID, red)).kind, 'unknownJob')
+  t.is(await owner.cancel(JOB_ID, red), 'unknownJob')
+  t.is((await owner.state(JOB_ID, { ...ACCESS, keyDigest: 'blue-key' })).kind, 'known')
+  t.is((await owner.submit({ ...SUBMISSION, keyDigest: 'blue-key' })).kind, 'accepted')
+})
+
+test('a job stays with its workspace when another owner takes the cell over', async (t) => {
+  const job = new Job(decodeJob(SUBMISSION.record), QUEUE, 0, 'blue')
+  t.is(decodeAccepted(encodeAccepted(job, 0), 0, 0).workspace, 'blue')
+  job.phase = 'completed'
+  t.is(decodeOutcome(JOB_ID, encodeProgress(job), 0).workspace, 'blue')
+})
+
+test('a job whose key is unknown is refused as unauthorized, and nothing of it is stored', async (t) => {
+  const { owner, clock, store } = await setUpWithWorkspaces(t)
+  t.is((await owner.submit({ ...SUBMISSION, keyDigest: 'other-key' })).kind, 'unauthorized')
+  t.is((await owner.submit(SUBMISSION)).kind, 'unauthorized')
+  await advance(clock, 50, 5)
+  t.deepEqual(store.commits, [])
+})
+
+test('a job with a gang wider than its workspace may run is refused at once', async (t) => {
+  const { owner } = await setUpWithWorkspaces(t)
+  const spec = { jobId: JOB_ID, description: '', occurrences: 0, steps: [{ ...DEFAULT_STEP, count: 6, cpuMillicores: 1000, gang: true }] }
+  t.like(await owner.submit({ ...SUBMISSION, keyDigest: 'blue-key', record: encodeJob(spec) }), { kind: 'refused', retryAfterMs: 60_000 })
+})
+
+test('a repeated submission of a stored job is not called refused while the owner can\'t read the newest configuration', async (t) => {
+  const { owner, clock, store, config } = await setUpWithWorkspaces(t)
+  const submission = { ...SUBMISSION, keyDigest: 'blue-key' }
+  const submitted = owner.submit(submission)
+  await advance(clock, 20, 5)
+  store.carryOut()
+  t.is((await submitted).kind, 'accepted')
+  config.catchUp = async () => false
+  t.is((await owner.submit({ ...submission, configVersion: 2 })).kind, 'inDoubt')
+})
--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -8,15 +8,16 @@
 import { decodeJob, queueTermsOf } from '../common/cell/JobRecord.js'
 import type { IAdviceSender } from '../common/cell/AdviceDispatcher.js'
 import type {
-  CancelOutcome, ICellOwnerPort, IHostOrders, IMetadataStore, OwnerAnswer, StateOutcome, SubmitOutcome
+  CancelOutcome, ICallerAccess, ICellOwnerPort, IHostOrders, IMetadataStore, IQueue, ISubmission, OwnerAnswer, StateOutcome, SubmitOutcome,
+  WaitingOutcome
 } from '../common/cell/Types.js'
-import type { ICellSubmission } from '../common/protocol/Types.js'
 import type { Counters } from '../common/observability/Counters.js'
 import type { LatencyTable } from '../common/observability/LatencyTable.js'
 import type { ILogger } from '../common/observability/Types.js'
 import type { ChartTable } from '../common/state/ChartTable.js'
 import { DisposableStore } from '../common/Emitter.js'
 import type { IClock, IDisposable, ITimers, MonotonicMs } from '../common/Types.js'
+import { CallerAuthorizer } from './CallerAuthorizer.js'
 import type { ConfigFeed } from './ConfigFeed.js'
 import { HostSessions } from './HostSessions.js'
 import { JobStore } from './JobStore.js'
@@ -69,13 +70,22 @@
 /** When callers should retry if the store is unavailable or the cell has no owner, in ms. */
 const RETRY_AFTER_MS = 1000
 const INFEASIBLE_RETRY_AFTER_MS = 60_000
+const CONFIG_RETRY_DELAY_MS = 100
+const ID_IN_USE = { kind: 'invalid', reason: 'another job has this id' } as const
+
+/** A job that is being accepted. */
+interface IAccepting {
+  readonly workspace: string
+  readonly answer: Promise<OwnerAnswer>
+}
 
 export class CellOwner implements ICellOwnerPort, IDisposable {
   private readonly _scheduler: CellScheduler
   private readonly _jobStore: Promise<JobStore>
   private readonly _hosts: HostSessions
   private readonly _disposables = new DisposableStore()
-  private readonly _accepting = new Map<string, Promise<OwnerAnswer>>()
+  private readonly _accepting = new Map<string, IAccepting>()
+  private readonly _authorizer: CallerAuthorizer
   private _isDisposed = false
   private _isPassDue = false
   private _lastPassMs = 0
@@ -115,35 +125,51 @@
       onFenced: (hostId) => { this._onFenced(hostId) },
       requestPass: () => { this._requestPass() }
     }, _fence, _options.maxHoldMs)
+    this._authorizer = new CallerAuthorizer(_context.config, () => this._store?.isStoreUnavailable === true)
     this._jobStore = this._load()
     this._disposed = new Promise((resolve) => { this._resolveDisposed = resolve })
     this.ready = Promise.race([this._jobStore.then(() => {}), this._disposed])
   }
 
-  public async submit (submission: ICellSubmission): Promise<OwnerAnswer> {
+  public async submit (submission: ISubmission): Promise<OwnerAnswer> {
     await this.ready
+    const access = await this._authorizer.authorize(submission)
     if (this._isDisposed) return { kind: 'notOwner', reason: 'no longer the owner' }
     const { jobId } = submission
-    if (this._scheduler.jobs.has(jobId)) return { kind: 'accepted' }
+    const known = this._scheduler.jobs.get(jobId)
     const pending = this._accepting.get(jobId)
-    if (pending !== undefined) return await pending
-    const accepting = this._accept(submission)
-    this._accepting.set(jobId, accepting)
-    return await accepting.finally(() => { this._accepting.delete(jobId) })
+    if (access.kind === 'unavailable') {
+      // A job that is known here can't be called refused.
+      return known === undefined && pending === undefined ? this._refuseWithoutStore(jobId, access.reason) : { kind: 'inDoubt', reason: access.reason }
+    }
+    if (access.kind !== 'allowed') return access
+    const { queue, workspace } = access
+    if (known !== undefined) return known.isOpenTo(workspace) ? { kind: 'accepted' } : ID_IN_USE
+    if (pending !== undefined) return pending.workspace === workspace ? await pending.answer : ID_IN_USE
+    const answer = this._accept(submission, queue, workspace)
+    this._accepting.set(jobId, { workspace, answer })
+    return await answer.finally(() => { this._accepting.delete(jobId) })
   }
 
-  public async state (jobId: string): Promise<StateOutcome> {
+  public async state (jobId: string, callerAccess: ICallerAccess): Promise<StateOutcome> {
     await this.ready
+    const access = await this._authorizer.authorize(callerAccess)
+    if (access.kind !== 'allowed') return access
     const job = this._scheduler.jobs.get(jobId)
+    // To callers of another workspace, the job doesn't exist.
+    if (job?.isOpenTo(access.workspace) === false) return { kind: 'unknownJob' }
     if (job !== undefined) return { kind: 'known', phase: job.reportedPhase }
     return this._hasAllJobs ? { kind: 'unknownJob' } : { kind: 'unavailable', reason: 'another process may own the cell' }
   }
 
-  public async cancel (jobId: string): Promise<CancelOutcome> {
+  public async cancel (jobId: string, callerAccess: ICallerAccess): Promise<CancelOutcome> {
     await this.ready
+    const access = await this._authorizer.authorize(callerAccess)
+    if (access.kind !== 'allowed') return access.kind
     const accepting = this._accepting.get(jobId)
-    if (accepting !== undefined) await accepting
+    if (accepting !== undefined) await accepting.answer
     const job = this._scheduler.jobs.get(jobId)
+    if (job?.isOpenTo(access.workspace) === false) return 'unknownJob'
     if (job === undefined) return this._hasAllJobs ? 'unknownJob' : 'unavailable'
     if (!job.isFinished) {
       job.phase = 'cancelled'
@@ -156,9 +182,15 @@
     return 'cancelled'
   }
 
-  public async waiting (queue: string): Promise<number | undefined> {
+  public async waiting (callerAccess: ICallerAccess): Promise<WaitingOutcome> {
     await this.ready
-    return this._isDisposed ? undefined : this._scheduler.countWaiting(queue)
+    const access = await this._authorizer.authorize(callerAccess)
+    if (access.kind === 'unavailable' || this._isDisposed) return { kind: 'unavailable' }
+    return access.kind === 'allowed' ? { kind: 'counted', count: this._scheduler.countWaiting(access.queue.name) } : access
+  }
+
+  public async readConfigAfter (version: number): Promise<string | undefined> {
+    return await this._context.config.readRecordAfter(version)
   }
 
   /**
@@ -176,7 +208,7 @@
       host: host.hostId, freeCpu: host.freeCpu, runs: host.attempts.size, listed: host.isListed, fenced: host.isFenced, stored: host.storedSequence
     }))
     const open = [...this._scheduler.jobs.values()].filter((job) => !job.isFinished)
-    return { fence: this._fence, jobs: this._scheduler.jobs.size, open: open.length, hosts }
+    return { fence: this._fence, jobs: this._scheduler.jobs.size, open: open.length, hosts, workspaces: this._scheduler.workspaces() }
   }
 
   /** Returns the current values for the metrics. */
@@ -193,20 +225,12 @@
     this._store?.dispose()
   }
 
-  private async _accept (submission: ICellSubmission): Promise<OwnerAnswer> {
-    const { clock, config, log } = this._context
+  private async _accept (submission: ISubmission, queue: IQueue, workspace: string): Promise<OwnerAnswer> {
+    const { clock, log } = this._context
     const jobStore = await this._jobStore
     const { jobId } = submission
-    if (this._scheduler.jobs.has(jobId)) return { kind: 'accepted' }
-    // Checked before the configuration is read: if the store is unavailable, the read takes longer than the gateway waits.
-    if (jobStore.isStoreUnavailable) return this._refuseWithoutStore(jobId, 'the store is away')
-    if (!await config.catchUp(submission.configVersion)) {
-      return this._refuseWithoutStore(jobId, 'the owner has an older configuration')
-    }
-    const queue = config.queue(submission.queue)
-    if (queue === undefined) return { kind: 'noQueue' }
     if (jobStore.isStoreUnavailable) return this._refuseWithoutStore(jobId, 'the store is away')
-    const job = new Job(decodeJob(submission.record), queueTermsOf(queue), clock.nowMs() - submission.ageMs)
+    const job = new Job(decodeJob(submission.record), queueTermsOf(queue), clock.nowMs() - submission.ageMs, workspace)
     const infeasibleReason = this._infeasibleReason(job)
     if (infeasibleReason !== undefined) return this._refuse(jobId, infeasibleReason, INFEASIBLE_RETRY_AFTER_MS)
     const accepted = jobStore.accept(job)
@@ -218,7 +242,7 @@
     }
     this._scheduler.admit(job)
     this._updateQueueTerms(job)
-    log.info('job.accepted', { requestId: jobId, queue: queue.name, steps: job.steps.length, tasks: job.steps.reduce((sum, step) => sum + step.tasks.length, 0) })
+    log.info('job.accepted', { requestId: jobId, queue: queue.name, workspace, steps: job.steps.length, tasks: job.steps.reduce((sum, step) => sum + step.tasks.length, 0) })
     return { kind: 'accepted' }
   }
 
@@ -244,6 +268,7 @@
   private _infeasibleReason (job: Job): string | undefined {
     if (job.spec.occurrences > 0) return 'recurring jobs are not supported'
     if (job.spec.steps.some((step) => step.fills)) return 'steps that fill up hosts are not supported'
+    if (!this._scheduler.isWithinLimit(job)) return 'the limit of the workspace is too low for one of its steps'
     const hosts = [...this._scheduler.hosts.values()].filter((host) => host.entry.service === job.queue.service)
     if (hosts.length === 0) return undefined
     const tooLarge = job.spec.steps.find((step) => !hosts.some((host) => host.couldHold(step)))
@@ -254,7 +279,7 @@
     const { clock, log, config, store, ownership, records } = this._context
     const startedAtMs = clock.nowMs()
     this._disposables.add(clock.after(LOAD_TIMEOUT_MS, () => { if (this._store === undefined) this._abandonLoading() }))
-    const stored = await readStoredCell(this._context, records.hostsPrefix, () => !this._isDisposed)
+    const [stored] = await Promise.all([readStoredCell(this._context, records.hostsPrefix, () => !this._isDisposed), this._awaitCurrentConfig()])
     const { laneRevisions, storeLatencyMs } = stored
     const options = { ownerRevision: this._fence, writerId: this._options.writerId, laneRevisions, storeLatencyMs }
     const jobStore = new JobStore(store, options, clock, log, (reason) => { if (!this._isDisposed) ownership.resign(reason) })
@@ -265,14 +290,30 @@
     }
     this._hosts.applyList(stored.hosts)
     restoreJobs(stored, this._scheduler, this._hosts, this._context)
+    this._applyWorkspaces()
     this._startTimers()
-    this._disposables.add(config.onChange(() => { this._updateAllQueueTerms() }))
+    this._disposables.add(config.onChange(() => {
+      this._applyWorkspaces()
+      this._updateAllQueueTerms()
+    }))
     this._disposables.add(ownership.onConfirmed(() => { jobStore.onStoreAnswered() }))
     const durationMs = Math.round(clock.nowMs() - startedAtMs)
     log.info('owner.ready', { revision: this._fence, jobs: stored.accepted.length, hosts: this._hosts.size, durationMs })
     return jobStore
   }
 
+  /** Waits until the configuration is current: by an old one, runs could be started beyond a workspace's limit. */
+  private async _awaitCurrentConfig (): Promise<void> {
+    const { clock, config } = this._context
+    while (!config.isCurrent && !this._isDisposed && !await config.refresh()) {
+      await new Promise<void>((resolve) => { clock.after(CONFIG_RETRY_DELAY_MS, resolve) })
+    }
+  }
+
+  private _applyWorkspaces (): void {
+    this._scheduler.applyWorkspaces(this._context.config.config?.workspaces ?? [])
+  }
+
   /** Steps aside, because over a slow link the reading of all records may take so long that another process should own the cell. */
   private _abandonLoading (): void {
     const { ownership, log } = this._context
--- a/src/cell/ConfigFeed.test.ts
+++ b/src/cell/ConfigFeed.test.ts
@@ -61,7 +61,7 @@
   const clock = new ManualClock()
   const store = new ScriptedStore(clock)
   const records = {
-    operatorPrefix: 'operator/', configKey: CONFIG_KEY, decodeConfig: (text: string) => ({ version: Number(text), queues: [] })
+    operatorPrefix: 'operator/', configKey: CONFIG_KEY, decodeConfig: (text: string) => ({ version: Number(text), queues: [], workspaces: [], malformedCount: 0 })
   }
   const feed = new ConfigFeed(store as unknown as IMetadataStore, records as unknown as ICellRecords, clock, new SilentLogger())
   return { clock, store, feed }
@@ -117,3 +117,30 @@
     feed.dispose()
   }
 })
+
+test('requests that wait for a newer configuration share one read', async (t) => {
+  // A large configuration takes a second over a slow link, and hundreds of requests may wait for it.
+  const { clock, store, feed } = setUp()
+  store.version = 3
+  let reads = 0
+  const get = store.get.bind(store)
+  store.get = async () => {
+    reads += 1
+    await new Promise<void>((resolve) => { clock.after(500, resolve) })
+    return await get()
+  }
+  const waiting = Promise.all(Array.from({ length: 20 }, async () => await feed.catchUp(3)))
+  await advance(clock, 600)
+  t.true((await waiting).every((isCurrent) => isCurrent))
+  t.is(reads, 1)
+})
+
+test('a configuration from a peer never replaces a newer one', async (t) => {
+  const { feed } = setUp()
+  feed.applyRecord('5', 'peer')
+  t.is(feed.version, 5)
+  feed.applyRecord('4', 'peer')
+  t.is(feed.version, 5)
+  t.is(await feed.readRecordAfter(5), undefined)
+  t.is(await feed.readRecordAfter(4), '1')
+})
--- a/src/cell/ConfigFeed.ts
+++ b/src/cell/ConfigFeed.ts
@@ -3,7 +3,7 @@
  */
 
 import { Emitter } from '../common/Emitter.js'
-import type { ICellConfig, IMetadataItem, IMetadataStore, IQueue } from '../common/cell/Types.js'
+import type { ICellConfig, IMetadataItem, IMetadataStore, IQueue, IWorkspace } from '../common/cell/Types.js'
 import type { ILogger } from '../common/observability/Types.js'
 import type { IClock, IDisposable, ITimers } from '../common/Types.js'
 import type { ICellRecords } from './Types.js'
@@ -19,6 +19,9 @@
   private _config: ICellConfig | undefined
   /** Queues by host name, those with the longest path prefix first. */
   private _queuesByHost = new Map<string, readonly IQueue[]>()
+  private _queuesByName = new Map<string, IQueue>()
+  private _workspacesByDigest = new Map<string, IWorkspace>()
+  private _reading: Promise<boolean> | undefined
   private readonly _watch: PrefixWatcher
   private readonly _changeEmitter = new Emitter<ICellConfig>()
   public readonly onChange = this._changeEmitter.event
@@ -63,33 +66,69 @@
   }
 
   public queue (name: string): IQueue | undefined {
-    return this._config?.queues.find((queue) => queue.name === name)
+    return this._queuesByName.get(name)
+  }
+
+  /** Returns the workspace that has the key with this digest. */
+  public workspaceOf (keyDigest: string): IWorkspace | undefined {
+    return this._workspacesByDigest.get(keyDigest)
   }
 
   /** Reads the configuration again if this process has an older version than the given one. Resolves to whether it has that version afterwards. */
   public async catchUp (version: number): Promise<boolean> {
-    if (this.version >= version) return true
-    const read = await this._store.get(this._records.configKey)
-    if (read.kind === 'failed') this._log.warn('config.notRead', { version: this.version, wanted: version, reason: read.reason })
-    else if (read.value !== undefined) this._applyItem(read.value)
+    if (this.version < version) await this.refresh()
     return this.version >= version
   }
 
+  /** Reads the configuration again; calls at the same time share one read. Resolves to whether the store has answered. */
+  public async refresh (): Promise<boolean> {
+    this._reading ??= this._read().finally(() => { this._reading = undefined })
+    return await this._reading
+  }
+
+  /** The stored configuration, for a process that can't read it itself; undefined if it is not newer than the given version. */
+  public async readRecordAfter (version: number): Promise<string | undefined> {
+    if (this.version <= version) return undefined
+    const read = await this._store.get(this._records.configKey)
+    return read.kind === 'read' ? read.value?.value : undefined
+  }
+
+  /** Applies a configuration that a peer has read from the store. */
+  public applyRecord (record: string, peer: string): void {
+    this._apply(record, { peer })
+  }
+
   public dispose (): void {
     this._watch.dispose()
   }
 
   private _applyItem (item: IMetadataItem): void {
     if (item.key !== this._records.configKey) return
-    const config = this._records.decodeConfig(item.value)
+    this._apply(item.value, { revision: item.revision })
+  }
+
+  private async _read (): Promise<boolean> {
+    const read = await this._store.get(this._records.configKey)
+    if (read.kind === 'failed') this._log.warn('config.notRead', { version: this.version, reason: read.reason })
+    else if (read.value !== undefined) this._applyItem(read.value)
+    return read.kind === 'read'
+  }
+
+  /** @param source where the record comes from, for the log */
+  private _apply (record: string, source: Readonly<Record<string, string | number>>): void {
+    const config = this._records.decodeConfig(record)
     if (config === undefined) {
-      this._log.error('config.unreadable', { revision: item.revision })
+      this._log.error('config.unreadable', source)
       return
     }
     if (config.version <= this.version) return
     this._config = config
     this._queuesByHost = indexQueues(config)
-    this._log.info('config.applied', { version: config.version, revision: item.revision, queues: config.queues.length })
+    this._queuesByName = new Map(config.queues.map((queue) => [queue.name, queue]))
+    this._workspacesByDigest = new Map(config.workspaces.flatMap((workspace) => workspace.keyDigests.map((digest) => [digest, workspace])))
+    const { version, queues, workspaces, malformedCount } = config
+    this._log.info('config.applied', { version, ...source, queues: queues.length, workspaces: workspaces.length })
+    if (malformedCount > 0) this._log.warn('config.malformedEntries', { version, entries: malformedCount })
     this._changeEmitter.fire(config)
   }
 }
--- a/src/cell/JobServer.test.ts
+++ b/src/cell/JobServer.test.ts
@@ -6,6 +6,7 @@
 import { ok } from 'neverthrow'
 import { request } from 'undici'
 import { SystemClock } from '../common/Clock.js'
+import { digestKey } from '../runtime/KeyDigest.js'
 import { Counters } from '../common/observability/Counters.js'
 import { LatencyTable } from '../common/observability/LatencyTable.js'
 import { SilentLogger } from '../common/observability/SilentLogger.js'
@@ -17,12 +18,12 @@
 
 const SILENT_ROUTE = { submit: async () => await NEVER, state: async () => await NEVER, cancel: async () => await NEVER }
 
-const CONFIG = { config: { maxBodyBytes: 1000 }, version: 1, ageMs: 0, isCurrent: true, findQueue: () => ({ name: 'queue', pathPrefix: '/queue/' }) }
+const CONFIG = { config: { maxBodyBytes: 1000 }, version: 1, ageMs: 0, isCurrent: true, findQueue: () => ({ name: 'queue', pathPrefix: '/queue/', isPublic: true }) }
 
 function setUp (route: Promise<object> = Promise.resolve(SILENT_ROUTE), config: object = CONFIG): JobServer {
   const job = { jobId: 'j', description: '', occurrences: 0, steps: [] }
   return new JobServer({
-    wire: { isJobId: () => true, decodeJob: () => ok(job), remainingMs: () => 3000 },
+    wire: { isJobId: () => true, decodeJob: () => ok(job), remainingMs: () => 3000, key: () => 'key', encodePhase: (phase: string) => phase },
     config,
     route,
     clock: new SystemClock(),
@@ -83,3 +84,45 @@
   t.is((await request(`${url}/queue/j`, { method: 'GET' })).statusCode, 404)
   await entry.close(20)
 })
+
+const CLOSED_CONFIG = { ...CONFIG, findQueue: () => ({ name: 'queue', pathPrefix: '/queue/', isPublic: false }), workspaceOf: () => undefined }
+
+test('a caller with an unknown key gets 401, whatever it asks for', async (t) => {
+  const entry = setUp(undefined, CLOSED_CONFIG)
+  const url = await entry.listen('127.0.0.1', 0)
+  for (const [method, path] of [['POST', 'j'], ['GET', 'j'], ['DELETE', 'j'], ['GET', '']] as const) {
+    const { statusCode } = await request(`${url}/queue/${path}`, { method, ...(method === 'POST' ? { body: '{}' } : {}) })
+    t.is(statusCode, 401, `${method} ${path}`)
+  }
+  await entry.close(20)
+})
+
+test('a process with an old configuration lets the owner decide about a key that it does not know', async (t) => {
+  // The key may have been added seconds ago, so this process alone must not refuse it.
+  const asked: unknown[] = []
+  const state = async (_jobId: string, access: unknown) => {
+    asked.push(access)
+    return { kind: 'known', phase: 'running' }
+  }
+  const entry = setUp(Promise.resolve({ ...SILENT_ROUTE, state }), { ...CLOSED_CONFIG, isCurrent: false })
+  const url = await entry.listen('127.0.0.1', 0)
+  t.is((await request(`${url}/queue/j`, { method: 'GET' })).statusCode, 200)
+  t.deepEqual(asked, [{ queue: 'queue', keyDigest: digestKey('key'), configVersion: 1 }])
+  await entry.close(20)
+})
+
+test('a caller whose key the owner does not know gets 401 from every request', async (t) => {
+  const route = {
+    submit: async () => ({ kind: 'unauthorized' }),
+    state: async () => ({ kind: 'unauthorized' }),
+    cancel: async () => 'unauthorized',
+    waiting: async () => ({ kind: 'unauthorized' })
+  }
+  const entry = setUp(Promise.resolve(route), { ...CLOSED_CONFIG, workspaceOf: () => ({ name: 'blue' }) })
+  const url = await entry.listen('127.0.0.1', 0)
+  for (const [method, path] of [['POST', 'j'], ['GET', 'j'], ['DELETE', 'j'], ['GET', '']] as const) {
+    const { statusCode } = await request(`${url}/queue/${path}`, { method, ...(method === 'POST' ? { body: '{}' } : {}) })
+    t.is(statusCode, 401, `${method} ${path}`)
+  }
+  await entry.close(20)
+})
--- a/src/cell/JobServer.ts
+++ b/src/cell/JobServer.ts
@@ -4,7 +4,8 @@
 
 import { createServer } from 'node:http'
 import { encodeJob } from '../common/cell/JobRecord.js'
-import type { IQueue, SubmitOutcome } from '../common/cell/Types.js'
+import { digestKey } from '../runtime/KeyDigest.js'
+import type { AccessRefusal, ICallerAccess, IQueue, SubmitOutcome } from '../common/cell/Types.js'
 import type { Counters } from '../common/observability/Counters.js'
 import type { LatencyTable } from '../common/observability/LatencyTable.js'
 import type { ILogger } from '../common/observability/Types.js'
@@ -43,10 +44,12 @@
 const FLUSH_MS = 150
 const MS_PER_S = 1000
 
-interface ISubmitRequest {
+/** A request to an existing queue. */
+interface ICallerRequest {
   readonly request: IncomingMessage
   readonly response: ServerResponse
   readonly route: OwnerRoute
+  readonly access: ICallerAccess
   /** When this process received the request. */
   readonly receivedAtMs: MonotonicMs
 }
@@ -121,17 +124,43 @@
     const path = request.url ?? '/'
     const queue = config.findQueue(hostNameOf(request), path)
     if (queue === undefined) return this._answerNoQueue(request, response, path)
+    const access = this._accessOf(request, queue)
+    if (this._isKeyUnknown(queue, access)) return this._answerUnauthorized(response, queue.name)
     const jobId = path.slice(queue.pathPrefix.length)
-    if (jobId === '' && request.method === 'GET') return await this._answerWaiting(route, response, queue)
+    const call: ICallerRequest = { request, response, route, access, receivedAtMs }
+    if (jobId === '' && request.method === 'GET') return await this._answerWaiting(call)
     if (!this._context.wire.isJobId(jobId)) return this._send(response, 404, { error: 'no such job' })
     switch (request.method) {
-      case 'POST': return await this._submit({ request, response, route, receivedAtMs }, queue, jobId)
-      case 'GET': return await this._answerState(route, response, jobId)
-      case 'DELETE': return await this._cancel(route, response, jobId)
+      case 'POST': return await this._submit(call, jobId)
+      case 'GET': return await this._answerState(call, jobId)
+      case 'DELETE': return await this._cancel(call, jobId)
       default: this._send(response, 405, { error: 'the method must be POST, GET or DELETE' })
     }
   }
 
+  private _accessOf (request: IncomingMessage, queue: IQueue): ICallerAccess {
+    const { config, wire } = this._context
+    return { queue: queue.name, keyDigest: queue.isPublic ? '' : digestKey(wire.key(request.headers)), configVersion: config.version }
+  }
+
+  /** Whether no workspace has the caller's key. If the configuration may be old, the owner decides. */
+  private _isKeyUnknown (queue: IQueue, { keyDigest }: ICallerAccess): boolean {
+    const { config } = this._context
+    return !queue.isPublic && config.isCurrent && config.workspaceOf(keyDigest) === undefined
+  }
+
+  private _answerUnauthorized (response: ServerResponse, queue: string): void {
+    const { config, log, counters } = this._context
+    counters.add('callers_refused', 'unauthorized')
+    log.info('caller.unauthorized', { queue, configVersion: config.version, configAgeMs: Math.round(config.ageMs) })
+    this._send(response, 401, { error: 'no workspace has this key' })
+  }
+
+  private _answerAccessRefusal (response: ServerResponse, { kind }: AccessRefusal, queue: string): void {
+    if (kind === 'unauthorized') return this._answerUnauthorized(response, queue)
+    this._send(response, 404, { error: 'no such queue' })
+  }
+
   /** Answers that the queue does not exist only if the configuration is current. Otherwise another process may know a queue that was just added. */
   private _answerNoQueue (request: IncomingMessage, response: ServerResponse, path: string): void {
     const { config, log } = this._context
@@ -152,60 +181,62 @@
     return this._route
   }
 
-  private async _submit ({ request, response, route, receivedAtMs }: ISubmitRequest, queue: IQueue, jobId: string): Promise<void> {
+  private async _submit ({ request, response, route, access, receivedAtMs }: ICallerRequest, jobId: string): Promise<void> {
     const { config, wire, clock, log, times, counters } = this._context
-    const configVersion = config.version
     const body = await readBody(request, config.config?.maxBodyBytes ?? 0)
     if (body.isErr()) return this._send(response, body.error.status, { error: body.error.message })
     const job = wire.decodeJob(jobId, body.value)
     if (job.isErr()) return this._send(response, 400, { error: job.error })
     const remainingMs = (wire.remainingMs(request.headers) ?? DEFAULT_WAIT_MS) - ANSWER_MARGIN_MS
     const ageMs = clock.nowMs() - receivedAtMs
-    const submission = { jobId, queue: queue.name, record: encodeJob(job.value), ageMs, configVersion }
+    const submission = { jobId, record: encodeJob(job.value), ageMs, ...access }
     const outcome = await route.submit(submission, remainingMs - ageMs)
     const durationMs = Math.round(clock.nowMs() - receivedAtMs)
     times.record(`submit ${outcome.kind}`, durationMs)
     counters.add('submissions', outcome.kind)
-    const reason = outcome.kind === 'accepted' || outcome.kind === 'noQueue' ? undefined : outcome.reason
-    log.info('caller.answered', { requestId: jobId, queue: queue.name, outcome: outcome.kind, reason, durationMs, configVersion })
-    this._sendSubmitOutcome(response, outcome)
+    const reason = 'reason' in outcome ? outcome.reason : undefined
+    log.info('caller.answered', { requestId: jobId, queue: access.queue, outcome: outcome.kind, reason, durationMs, configVersion: access.configVersion })
+    this._sendSubmitOutcome(response, outcome, access.queue)
   }
 
-  private _sendSubmitOutcome (response: ServerResponse, outcome: SubmitOutcome): void {
+  private _sendSubmitOutcome (response: ServerResponse, outcome: SubmitOutcome, queue: string): void {
     switch (outcome.kind) {
       case 'accepted': return this._send(response, 200, { state: 'queued' })
       case 'refused': return this._refuse(response, outcome.reason, outcome.retryAfterMs)
-      case 'noQueue': return this._send(response, 404, { error: 'no such queue' })
+      case 'noQueue': case 'unauthorized': return this._answerAccessRefusal(response, outcome, queue)
       case 'invalid': return this._send(response, 400, { error: outcome.reason })
       // The job may be stored, so neither "accepted" nor "not accepted" would be correct.
       case 'inDoubt': return this._send(response, 504, { error: `it is not known whether the job is stored: ${outcome.reason}` })
     }
   }
 
-  private async _answerState (route: OwnerRoute, response: ServerResponse, jobId: string): Promise<void> {
-    const outcome = await route.state(jobId)
+  private async _answerState ({ route, response, access }: ICallerRequest, jobId: string): Promise<void> {
+    const outcome = await route.state(jobId, access)
     this._context.counters.add('states', outcome.kind)
     if (outcome.kind === 'known') return this._sendText(response, 200, this._context.wire.encodePhase(outcome.phase))
     if (outcome.kind === 'unknownJob') return this._send(response, 410, { error: 'no such job' })
+    if (outcome.kind !== 'unavailable') return this._answerAccessRefusal(response, outcome, access.queue)
     this._context.log.warn('caller.stateUnknown', { requestId: jobId, reason: outcome.reason })
     this._refuse(response, outcome.reason, RETRY_AFTER_MS)
   }
 
-  private async _cancel (route: OwnerRoute, response: ServerResponse, jobId: string): Promise<void> {
-    const outcome = await route.cancel(jobId)
+  private async _cancel ({ route, response, access }: ICallerRequest, jobId: string): Promise<void> {
+    const outcome = await route.cancel(jobId, access)
     this._context.counters.add('cancels', outcome)
     this._context.log.info('caller.cancelAnswered', { requestId: jobId, outcome })
     switch (outcome) {
       case 'cancelled': return this._send(response, 200, { state: 'cancelled' })
       case 'unknownJob': return this._send(response, 410, { error: 'no such job' })
       case 'unavailable': return this._send(response, 504, { error: 'it is not known whether the job is cancelled' })
+      case 'noQueue': case 'unauthorized': return this._answerAccessRefusal(response, { kind: outcome }, access.queue)
     }
   }
 
-  private async _answerWaiting (route: OwnerRoute, response: ServerResponse, queue: IQueue): Promise<void> {
-    const count = await route.waiting(queue.name)
-    if (count === undefined) return this._refuse(response, 'the owner can\'t be reached', RETRY_AFTER_MS)
-    this._sendText(response, 200, this._context.wire.encodeWaiting(count))
+  private async _answerWaiting ({ route, response, access }: ICallerRequest): Promise<void> {
+    const outcome = await route.waiting(access)
+    if (outcome.kind === 'unavailable') return this._refuse(response, 'the owner can\'t be reached', RETRY_AFTER_MS)
+    if (outcome.kind !== 'counted') return this._answerAccessRefusal(response, outcome, access.queue)
+    this._sendText(response, 200, this._context.wire.encodeWaiting(outcome.count))
   }
 
   private _refuse (response: ServerResponse, reason: string, retryAfterMs: number): void {
--- a/src/cell/OwnerHandlers.ts
+++ b/src/cell/OwnerHandlers.ts
@@ -13,14 +13,17 @@
   hub.handle('cellSubmit', async (ask) => {
     return toSubmitReply(await (await awaitReadyOwner(owner, 'cellSubmit')).submit(ask))
   })
-  hub.handle('cellState', async ({ jobId }) => {
-    const outcome = await (await awaitReadyOwner(owner, 'cellState')).state(jobId)
+  hub.handle('cellState', async ({ jobId, ...access }) => {
+    const outcome = await (await awaitReadyOwner(owner, 'cellState')).state(jobId, access)
     return outcome.kind === 'known' ? { kind: outcome.kind, phase: outcome.phase } : { kind: outcome.kind }
   })
-  hub.handle('cellCancel', async ({ jobId }) => ({ result: await (await awaitReadyOwner(owner, 'cellCancel')).cancel(jobId) }))
-  hub.handle('cellWaiting', async ({ queue }) => {
-    const count = await (await awaitReadyOwner(owner, 'cellWaiting')).waiting(queue)
-    return count === undefined ? {} : { count }
+  hub.handle('cellCancel', async ({ jobId, ...access }) => {
+    return { result: await (await awaitReadyOwner(owner, 'cellCancel')).cancel(jobId, access) }
+  })
+  hub.handle('cellWaiting', async (access) => await (await awaitReadyOwner(owner, 'cellWaiting')).waiting(access))
+  hub.handle('cellConfig', async ({ version }) => {
+    const record = await (await awaitReadyOwner(owner, 'cellConfig')).readConfigAfter(version)
+    return record === undefined ? {} : { record }
   })
   hub.handle('cellAdvise', async ({ timeoutMs, ...ask }) => {
     const outcome = await adviser.ask(ask, timeoutMs)
--- a/src/cell/OwnerRoute.test.ts
+++ b/src/cell/OwnerRoute.test.ts
@@ -17,7 +17,7 @@
 
 type Reply = ResultAsync<ICellSubmitReply, PeerError>
 
-const SUBMISSION = { jobId: '5c0e7a21d94b36f8', queue: 'lookups', record: '', ageMs: 0, configVersion: 1 }
+const SUBMISSION = { jobId: '5c0e7a21d94b36f8', queue: 'lookups', keyDigest: '', record: '', ageMs: 0, configVersion: 1 }
 const OWNER: IOwnerRecord = { processId: 'owner', incarnation: 1, peerUrl: 'ws://owner', revision: 7 }
 const CALLER_WAITS_MS = 3000
 
--- a/src/cell/OwnerRoute.ts
+++ b/src/cell/OwnerRoute.ts
@@ -6,9 +6,11 @@
 import { err } from 'neverthrow'
 
 import type { Result, ResultAsync } from 'neverthrow'
-import type { CancelOutcome, ICellOwnerPort, OwnerAnswer, StateOutcome, SubmitOutcome } from '../common/cell/Types.js'
+import type {
+  CancelOutcome, ICallerAccess, ICellOwnerPort, ISubmission, StateOutcome, SubmitOutcome, WaitingOutcome
+} from '../common/cell/Types.js'
 import { AmbiguousError, RefusedError } from '../common/Errors.js'
-import type { ICellStateReply, ICellSubmission, ICellSubmitReply, IPeerCalls } from '../common/protocol/Types.js'
+import type { ICellStateReply, ICellSubmitReply, ICellWaitingReply, IPeerCalls } from '../common/protocol/Types.js'
 import type { IClock, IDisposable, ITimers, MonotonicMs } from '../common/Types.js'
 import type { IPeerHub, PeerError } from '../peer/Types.js'
 import type { ChallengeOutcome } from './OwnerChallenge.js'
@@ -23,9 +25,10 @@
   challenge (from: IOwnerRecord, checkOwnerReachesStore: () => Promise<boolean>): Promise<ChallengeOutcome>
 }
 
-export interface ILocalOwner extends Omit<ICellOwnerPort, 'submit'> {
+export interface ILocalOwner extends ICellOwnerPort {
   readonly ready: Promise<void>
-  submit (submission: ICellSubmission): Promise<OwnerAnswer>
+  /** The stored configuration, if this owner has a newer version than the given one. */
+  readConfigAfter (version: number): Promise<string | undefined>
 }
 
 /**
@@ -128,7 +131,7 @@
   }
 
   /** @param remainingMs how long the caller goes on waiting */
-  public async submit (submission: ICellSubmission, remainingMs: number): Promise<SubmitOutcome> {
+  public async submit (submission: ISubmission, remainingMs: number): Promise<SubmitOutcome> {
     const startedAtMs = this._clock.nowMs()
     const untilMs = startedAtMs + Math.min(remainingMs, MAX_HELD_MS)
     let doubt: IDoubt | undefined
@@ -153,20 +156,23 @@
     }
   }
 
-  public async state (jobId: string): Promise<StateOutcome> {
-    const outcome = await this._askOwner('cellState', { jobId }, async (owner) => toStateOutcome(await owner.state(jobId)), toStateOutcome)
+  public async state (jobId: string, access: ICallerAccess): Promise<StateOutcome> {
+    const outcome = await this._askOwner(
+      'cellState', { jobId, ...access }, async (owner) => toStateOutcome(await owner.state(jobId, access)), toStateOutcome
+    )
     return outcome ?? { kind: 'unavailable', reason: 'no owner of the cell knows the state' }
   }
 
-  public async cancel (jobId: string): Promise<CancelOutcome> {
+  public async cancel (jobId: string, access: ICallerAccess): Promise<CancelOutcome> {
     const toKnown = (result: CancelOutcome): CancelOutcome | undefined => result === 'unavailable' ? undefined : result
     return await this._askOwner(
-      'cellCancel', { jobId }, async (owner) => toKnown(await owner.cancel(jobId)), ({ result }) => toKnown(result)
+      'cellCancel', { jobId, ...access }, async (owner) => toKnown(await owner.cancel(jobId, access)), ({ result }) => toKnown(result)
     ) ?? 'unavailable'
   }
 
-  public async waiting (queue: string): Promise<number | undefined> {
-    return await this._askOwner('cellWaiting', { queue }, async (owner) => await owner.waiting(queue), ({ count }) => count)
+  public async waiting (access: ICallerAccess): Promise<WaitingOutcome> {
+    const outcome = await this._askOwner('cellWaiting', access, async (owner) => toWaitingOutcome(await owner.waiting(access)), toWaitingOutcome)
+    return outcome ?? { kind: 'unavailable' }
   }
 
   /** Asks the owner, and the next owner if the first one no longer owns the cell and so can't answer. Only for requests that may be repeated. */
@@ -185,7 +191,7 @@
     return undefined
   }
 
-  private async _submitOnce (submission: ICellSubmission, timeoutMs: number): Promise<CallResult<SubmitOutcome>> {
+  private async _submitOnce (submission: ISubmission, timeoutMs: number): Promise<CallResult<SubmitOutcome>> {
     const local = this._directory.local()
     if (local !== undefined) return await this._submitLocally(local, submission, timeoutMs)
     const link = this._link()
@@ -212,7 +218,7 @@
     })
   }
 
-  private async _submitLocally (local: ILocalOwner, submission: ICellSubmission, timeoutMs: number): Promise<CallResult<SubmitOutcome>> {
+  private async _submitLocally (local: ILocalOwner, submission: ISubmission, timeoutMs: number): Promise<CallResult<SubmitOutcome>> {
     const timeout = new Promise<CallResult<SubmitOutcome>>((resolve) => {
       this._clock.after(timeoutMs, () => { resolve({ kind: 'inDoubt', reason: 'not stored in time' }) })
     })
@@ -274,7 +280,13 @@
 /** Undefined if the owner can't answer. */
 function toStateOutcome ({ kind, phase }: ICellStateReply): StateOutcome | undefined {
   if (kind === 'known') return phase === undefined ? undefined : { kind, phase }
-  return kind === 'unknownJob' ? { kind } : undefined
+  return kind === 'unavailable' ? undefined : { kind }
+}
+
+/** Undefined if the owner can't answer. */
+function toWaitingOutcome ({ kind, count }: ICellWaitingReply): WaitingOutcome | undefined {
+  if (kind === 'counted') return count === undefined ? undefined : { kind, count }
+  return kind === 'unavailable' ? undefined : { kind }
 }
 
 function toCallResult (reply: ICellSubmitReply): CallResult<SubmitOutcome> {
--- a/src/cell/Types.ts
+++ b/src/cell/Types.ts
@@ -15,6 +15,8 @@
   encodeWaiting (count: number): string
   /** How long the caller goes on waiting, in ms; undefined if its request doesn't say so. */
   remainingMs (headers: IncomingHttpHeaders): number | undefined
+  /** The caller's key; empty if it has sent none. */
+  key (headers: IncomingHttpHeaders): string
 }
 
 /** Records in the store that other programs write. */
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -15,13 +15,15 @@
 import { HostState } from './HostState.js'
 import type { Job, Step } from './Job.js'
 import type { IRecordedRun } from './JobRecord.js'
+import { LimitReservations } from './LimitReservations.js'
 import { planGang, planTasks, urgentHeadroom } from './Placement.js'
 import type { IPlacement, IPlacementView } from './Placement.js'
 import { addResources } from './Resources.js'
 import { RunController } from './RunController.js'
 import type { IRunEffects } from './RunController.js'
 import { StalledRuns } from './StalledRuns.js'
-import type { IHoldAnswer, IHostEntry, IRunRef, StopOutcome } from './Types.js'
+import type { IHoldAnswer, IHostEntry, IRunRef, IWorkspace, StopOutcome } from './Types.js'
+import { WorkspaceUsage } from './WorkspaceUsage.js'
 
 export interface ICellEffects extends Omit<IRunEffects, 'onChange' | 'requestTickets' | 'onStarted'>, IAdviceEffects {
   stopUnknown (host: IHostEntry, ref: IRunRef): Promise<StopOutcome>
@@ -51,6 +53,8 @@
   public readonly hosts = new Map<string, HostState>()
   private readonly _openJobs = new Set<Job>()
   private readonly _speeds = new HostSpeeds()
+  private readonly _workspaces = new WorkspaceUsage()
+  private readonly _limits = new LimitReservations(this._workspaces)
   private readonly _runController: RunController
   private readonly _holdHandler: HoldAnswerHandler
   private readonly _advice: AdviceRequester
@@ -138,11 +142,31 @@
       known.entry = entry
       return known
     }
-    const host = new HostState(entry, this._options.inheritedUntilMs)
+    const host = new HostState(entry, this._options.inheritedUntilMs, this._workspaces)
     this.hosts.set(entry.hostId, host)
     return host
   }
 
+  /**
+   * Applies the workspaces' limits. Runs that were not ordered yet are dropped in a workspace that now has more than it may have; the
+   * others run to their end.
+   */
+  public applyWorkspaces (workspaces: readonly IWorkspace[]): void {
+    this._workspaces.setLimits(workspaces)
+    for (const job of this._openJobs) {
+      for (const step of job.steps) {
+        const preparing = step.tasks.flatMap(({ attempt }) => attempt?.phase === 'preparing' ? [attempt] : [])
+        if (preparing.length > 0 && this._workspaces.isOverLimit(job.workspace)) this._runController.drop(preparing)
+      }
+    }
+    this._effects.requestPass()
+  }
+
+  /** Whether the workspace could ever run all steps of the job within its limit. */
+  public isWithinLimit (job: Job): boolean {
+    return job.spec.steps.every((step) => this._workspaces.couldRun(job.workspace, step))
+  }
+
   public applyHoldAnswer (host: HostState, answer: IHoldAnswer, sentAtMs: MonotonicMs): void {
     this._holdHandler.applyAnswer(host, answer, sentAtMs)
     this._effects.requestPass()
@@ -190,10 +214,13 @@
       // Uses the reservations of the previous pass: urgent work is placed first, before this pass knows which gangs have to wait.
       hasReservation: (host) => this._lastReservations?.hasReservation(host) === true
     }
+    this._limits.beginPass()
     for (const step of this._readySteps(nowMs)) {
+      const allowed = this._limits.countAllowed(step, nowMs)
+      if (allowed === 0) continue
       const advice = this._advice.ensureAdvice(step)
       if (step.job.queue.advice !== undefined && !advice.hasAnswer) continue
-      if (!step.spec.gang) this._placeTasks(step, view)
+      if (!step.spec.gang) this._placeTasks(step, allowed, view)
       else if (!this._placeGang(step, view)) this._reserveForGang(step, reservations, view)
     }
     this._lastReservations = reservations
@@ -209,10 +236,16 @@
       usedCpu += host.usedCpu
       cpu += host.entry.cpuMillicores
     }
-    const jobs = { jobs: this.jobs.size, jobs_open: this._openJobs.size, advice_waiting: this._advice.waitingCount }
+    const limited = this._workspaces.rows().filter(({ maxMillicores = Infinity, usedMillicores }) => usedMillicores >= maxMillicores).length
+    const jobs = { workspaces_at_limit: limited, jobs: this.jobs.size, jobs_open: this._openJobs.size, advice_waiting: this._advice.waitingCount }
     return { ...jobs, hosts: this.hosts.size, runs, used_millicores: usedCpu, host_millicores: cpu }
   }
 
+  /** What each workspace uses and may use, for the state dump. */
+  public workspaces (): ReturnType<WorkspaceUsage['rows']> {
+    return this._workspaces.rows()
+  }
+
   public dispose (): void {
     this._advice.dispose()
   }
@@ -232,10 +265,10 @@
       a.job.dueMs - b.job.dueMs)
   }
 
-  private _placeTasks (step: Step, view: IPlacementView): void {
+  private _placeTasks (step: Step, allowed: number, view: IPlacementView): void {
     const idle = step.tasks.filter((task) => task.isIdle && task.notBeforeMs <= view.nowMs)
     if (idle.length === 0) return
-    this._prepareRuns(step, planTasks(step, idle, view))
+    this._prepareRuns(step, planTasks(step, idle.slice(0, allowed), view))
   }
 
   private _placeGang (step: Step, view: IPlacementView): boolean {
--- a/src/common/cell/HostState.ts
+++ b/src/common/cell/HostState.ts
@@ -8,6 +8,7 @@
 import { NO_RESOURCES, countPlaces, addResources, resourcesOf } from './Resources.js'
 import type { IResources } from './Resources.js'
 import type { IHostEntry, IStepSpec } from './Types.js'
+import type { WorkspaceUsage } from './WorkspaceUsage.js'
 
 /** The slowest rate of a host's monotonic clock: operators guarantee that it is at most 2% slow. */
 const MIN_CLOCK_RATE = 0.98
@@ -49,7 +50,7 @@
   public speed = 1
 
   /** @param inheritedUntilMs when all leases of earlier owners have certainly ended */
-  public constructor (public entry: IHostEntry, inheritedUntilMs: MonotonicMs) {
+  public constructor (public entry: IHostEntry, inheritedUntilMs: MonotonicMs, private readonly _workspaces: WorkspaceUsage) {
     this.bornMs = entry.bornMs
     this._inheritedUntilMs = inheritedUntilMs
   }
@@ -91,10 +92,15 @@
     if (this.attempts.has(attempt)) return
     this.attempts.add(attempt)
     this._addUsage(attempt, 1)
+    const { job, spec } = attempt.task.step
+    this._workspaces.addRun(job.workspace, spec)
   }
 
   public removeAttempt (attempt: Attempt): void {
-    if (this.attempts.delete(attempt)) this._addUsage(attempt, -1)
+    if (!this.attempts.delete(attempt)) return
+    this._addUsage(attempt, -1)
+    const { job, spec } = attempt.task.step
+    this._workspaces.removeRun(job.workspace, spec)
   }
 
   public updateClock (clockMs: number, receivedAtMs: MonotonicMs): void {
--- a/src/common/cell/Job.ts
+++ b/src/common/cell/Job.ts
@@ -85,8 +85,13 @@
   public readonly dueMs: MonotonicMs
   public readonly chainMs: number
 
-  /** @param receivedAtMs when the caller first sent the job, on this process's clock */
-  public constructor (public readonly spec: IJobSpec, public queue: QueueTerms, public readonly receivedAtMs: MonotonicMs) {
+  /**
+   * @param receivedAtMs when the caller first sent the job, on this process's clock
+   * @param workspace the name of the workspace that submitted it; empty if its queue needs no key
+   */
+  public constructor (
+    public readonly spec: IJobSpec, public queue: QueueTerms, public readonly receivedAtMs: MonotonicMs, public readonly workspace = ''
+  ) {
     this.steps = spec.steps.map((step, number) => new Step(this, number, step))
     this.chainMs = longestChainMs(spec.steps, queue)
     this.dueMs = receivedAtMs + queue.stretch * this.chainMs + queue.targetMs
@@ -96,6 +101,11 @@
     return this.phase === 'completed' || this.phase === 'failed' || this.phase === 'cancelled'
   }
 
+  /** Whether callers of the workspace may read and cancel the job. */
+  public isOpenTo (workspace: string): boolean {
+    return this.workspace === '' || this.workspace === workspace
+  }
+
   /** The phase to report to callers. */
   public get reportedPhase (): JobPhase {
     if (this.storedPhase !== 'queued') return this.storedPhase
--- a/src/common/cell/JobRecord.ts
+++ b/src/common/cell/JobRecord.ts
@@ -34,6 +34,7 @@
   readonly queue: QueueTerms
   readonly receivedAtWallMs: EpochMs
   readonly job: IJobSpec
+  readonly workspace?: string
 }
 
 /** [step, index, last run, failures, done, checkpoint, host, born]. The last two are present only for a run that may exist. */
@@ -46,6 +47,8 @@
   readonly started: boolean
   readonly steps: readonly StepRow[]
   readonly tasks: readonly TaskRow[]
+  /** Kept here as well, since the accepted job of a finished one is removed. */
+  readonly workspace?: string
 }
 
 /** A run that an earlier owner recorded. */
@@ -73,21 +76,21 @@
 }
 
 export function encodeAccepted (job: Job, receivedAtWallMs: EpochMs): string {
-  const { spec, queue } = job
-  return JSON.stringify({ queue, receivedAtWallMs, job: { ...spec, steps: spec.steps.map(withoutDefaults) } })
+  const { spec, queue, workspace } = job
+  return JSON.stringify({ queue, workspace, receivedAtWallMs, job: { ...spec, steps: spec.steps.map(withoutDefaults) } })
 }
 
 /** Decodes an accepted job. Throws if the record has another format. */
 export function decodeAccepted (record: string, nowMs: MonotonicMs, wallMs: EpochMs): Job {
-  const { queue, receivedAtWallMs, job } = JSON.parse(record) as IAcceptedRecord
+  const { queue, receivedAtWallMs, job, workspace } = JSON.parse(record) as IAcceptedRecord
   const spec = { ...job, steps: job.steps.map((step) => ({ ...DEFAULT_STEP, ...step })) }
-  return new Job(spec, queue, nowMs - Math.max(0, wallMs - receivedAtWallMs))
+  return new Job(spec, queue, nowMs - Math.max(0, wallMs - receivedAtWallMs), workspace)
 }
 
 /** Decodes a finished job of which only the outcome was kept. */
 export function decodeOutcome (jobId: string, record: string, nowMs: MonotonicMs): Job {
-  const { phase } = JSON.parse(record) as IProgressRecord
-  const job = new Job({ jobId, description: '', steps: [], occurrences: 0 }, NO_QUEUE, nowMs)
+  const { phase, workspace } = JSON.parse(record) as IProgressRecord
+  const job = new Job({ jobId, description: '', steps: [], occurrences: 0 }, NO_QUEUE, nowMs, workspace)
   job.phase = phase
   job.storedPhase = phase
   return job
@@ -97,7 +100,7 @@
   const tasks = job.isFinished && job.steps.every((step) => step.hasNoRuns) ? [] : job.steps.flatMap((step) => step.tasks.flatMap(toTaskRow))
   const steps = job.steps.flatMap(({ number, gangFailures, lastFailedRun }): readonly StepRow[] =>
     gangFailures === 0 ? [] : [[number, gangFailures, lastFailedRun]])
-  return JSON.stringify({ phase: job.phase, started: job.hasStarted, steps, tasks } satisfies IProgressRecord)
+  return JSON.stringify({ phase: job.phase, started: job.hasStarted, steps, tasks, workspace: job.workspace } satisfies IProgressRecord)
 }
 
 /** Applies recorded progress to a job that was just decoded, and returns the runs that may exist. */
--- a/src/common/cell/Types.ts
+++ b/src/common/cell/Types.ts
@@ -4,6 +4,7 @@
  */
 
 import type { EpochMs } from '../Types.js'
+import type { IResources } from './Resources.js'
 
 /** One step of a job: `count` identical tasks. */
 export interface IStepSpec {
@@ -63,11 +64,27 @@
   readonly stretch: number
   readonly targetMs: number
   readonly advice: IAdviceTerms | undefined
+  /** Whether callers need no key. */
+  readonly isPublic: boolean
+}
+
+/** A group of callers that share keys, a share of the cell and a limit. */
+export interface IWorkspace {
+  readonly name: string
+  /** The digests of its keys, as `KeyDigest` computes them. The keys themselves are not kept. */
+  readonly keyDigests: readonly string[]
+  /** Its share of the cell while there is not enough for all, in jobs per second. */
+  readonly weight: number
+  /** The resources that its runs may use together; 0 means no limit. */
+  readonly maximum: IResources
 }
 
 export interface ICellConfig {
   readonly version: number
   readonly queues: readonly IQueue[]
+  readonly workspaces: readonly IWorkspace[]
+  /** The number of entries that were left out because they are malformed. */
+  readonly malformedCount: number
   readonly maxBodyBytes: number
   readonly maxHeaderBytes: number
 }
@@ -255,6 +272,9 @@
 /** The phase of a job that callers see. */
 export type JobPhase = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled'
 
+/** What a caller may not do: `noQueue`: its queue doesn't exist; `unauthorized`: no workspace has its key. */
+export type AccessRefusal = { readonly kind: 'noQueue' } | { readonly kind: 'unauthorized' }
+
 /**
  * The result of a submission. `accepted` is returned only once the submission is stored, `refused` only if it isn't and never
  * will be. `inDoubt`: it is not known yet whether the submission is stored.
@@ -268,7 +288,7 @@
     /** The owner can't reach the store; another process may be able to. */
     readonly isStoreAway?: boolean
   }
-  | { readonly kind: 'noQueue' }
+  | AccessRefusal
   | { readonly kind: 'invalid', readonly reason: string }
   | { readonly kind: 'inDoubt', readonly reason: string }
 
@@ -282,12 +302,24 @@
   | { readonly kind: 'known', readonly phase: JobPhase }
   | { readonly kind: 'unknownJob' }
   | { readonly kind: 'unavailable', readonly reason: string }
+  | AccessRefusal
 
-export type CancelOutcome = 'cancelled' | 'unknownJob' | 'unavailable'
+export type CancelOutcome = 'cancelled' | 'unknownJob' | 'unavailable' | AccessRefusal['kind']
 
-export interface ISubmission {
-  readonly jobId: string
+/** `count`: the number of accepted jobs that have not started. */
+export type WaitingOutcome = { readonly kind: 'counted', readonly count: number } | { readonly kind: 'unavailable' } | AccessRefusal
+
+/** Who calls, through which queue. The owner decides by its own configuration whether the call is allowed. */
+export interface ICallerAccess {
   readonly queue: string
+  /** The digest of the caller's key; empty if it has sent none. */
+  readonly keyDigest: string
+  /** The version of the configuration that the gateway used. The owner must have this version or a newer one before it decides. */
+  readonly configVersion: number
+}
+
+export interface ISubmission extends ICallerAccess {
+  readonly jobId: string
   /** The job as encoded by `encodeJob`. */
   readonly record: string
   /** How long the caller has already waited, in milliseconds. */
@@ -297,7 +329,7 @@
 /** The one process that owns the cell's hosts and jobs, as a gateway sees it. */
 export interface ICellOwnerPort {
   submit (submission: ISubmission): Promise<OwnerAnswer>
-  state (jobId: string): Promise<StateOutcome>
-  cancel (jobId: string): Promise<CancelOutcome>
-  waiting (queue: string): Promise<number | undefined>
+  state (jobId: string, access: ICallerAccess): Promise<StateOutcome>
+  cancel (jobId: string, access: ICallerAccess): Promise<CancelOutcome>
+  waiting (access: ICallerAccess): Promise<WaitingOutcome>
 }
--- a/src/common/protocol/Shapes.ts
+++ b/src/common/protocol/Shapes.ts
@@ -60,7 +60,7 @@
 
 const ownerRecord = z.object({ processId: id, incarnation: count, peerUrl: id, revision: count })
 const offerReply = z.object({ isWilling: z.boolean(), yieldMs: amount, peerUrl: text })
-const jobRef = z.object({ jobId: id })
+const callerAccess = { queue: id, keyDigest: id, configVersion: count }
 const claimRequest = z.object({ idShard: id, claimKey: id, attemptId: id, holder: id, ageMs: durationMs })
 const notOwner = z.object({ decision: z.literal('notOwner') })
 const unavailable = z.object({ decision: z.literal('unavailable'), retryAfterMs: durationMs })
@@ -184,23 +184,30 @@
   dump: { request: z.object({ section: id.exactOptional() }), reply: z.object({ json: z.string() }) },
   drain: { request: z.object({ hostId: id.exactOptional() }), reply: z.object({ draining: z.boolean() }) },
   cellSubmit: {
-    request: z.object({ jobId: id, queue: id, record: z.string().max(MAX_RECORD_LENGTH), ageMs: amount, configVersion: count }),
+    request: z.object({ jobId: id, record: z.string().max(MAX_RECORD_LENGTH), ageMs: amount, ...callerAccess }),
     reply: z.object({
-      kind: z.enum(['accepted', 'refused', 'noQueue', 'invalid', 'inDoubt', 'notOwner']),
+      kind: z.enum(['accepted', 'refused', 'noQueue', 'unauthorized', 'invalid', 'inDoubt', 'notOwner']),
       reason: text.exactOptional(),
       retryAfterMs: amount.exactOptional(),
       isStoreAway: z.boolean().exactOptional()
     })
   },
   cellState: {
-    request: jobRef,
+    request: z.object({ jobId: id, ...callerAccess }),
     reply: z.object({
-      kind: z.enum(['known', 'unknownJob', 'unavailable']),
+      kind: z.enum(['known', 'unknownJob', 'unavailable', 'noQueue', 'unauthorized']),
       phase: z.enum(['queued', 'running', 'completed', 'failed', 'cancelled']).exactOptional()
     })
   },
-  cellCancel: { request: jobRef, reply: z.object({ result: z.enum(['cancelled', 'unknownJob', 'unavailable']) }) },
-  cellWaiting: { request: z.object({ queue: id }), reply: z.object({ count: count.exactOptional() }) },
+  cellCancel: {
+    request: z.object({ jobId: id, ...callerAccess }),
+    reply: z.object({ result: z.enum(['cancelled', 'unknownJob', 'unavailable', 'noQueue', 'unauthorized']) })
+  },
+  cellWaiting: {
+    request: z.object(callerAccess),
+    reply: z.object({ kind: z.enum(['counted', 'unavailable', 'noQueue', 'unauthorized']), count: count.exactOptional() })
+  },
+  cellConfig: { request: z.object({ version: z.number().int() }), reply: z.object({ record: z.string().max(MAX_RECORD_LENGTH).exactOptional() }) },
   cellAdvise: {
     request: z.object({ jobId: id, step: count, hostIds: z.array(id), timeoutMs: amount }),
     reply: z.object({
--- a/src/common/protocol/Types.ts
+++ b/src/common/protocol/Types.ts
@@ -4,7 +4,7 @@
  */
 
 import type {
-  AdviceOutcome, CancelOutcome, IAdviceRequest, ISubmission, ITicket, JobPhase, OwnerAnswer, StateOutcome
+  AdviceOutcome, CancelOutcome, IAdviceRequest, ICallerAccess, ISubmission, ITicket, JobPhase, OwnerAnswer, StateOutcome, WaitingOutcome
 } from '../cell/Types.js'
 import type { IConfigEntry } from '../config/Types.js'
 import type { IFinalAnswer, ILocation, IProcessIdentity, IResources, OutcomeReason } from '../Types.js'
@@ -243,10 +243,9 @@
   readonly onlyIfQueued?: boolean
 }
 
-/** A job that a gateway has received and sends to the owner of the cell. */
-export interface ICellSubmission extends ISubmission {
-  /** The version of the configuration that the gateway used. The owner must have this version or a newer one before it handles the job. */
-  readonly configVersion: number
+/** A caller's request about a job. */
+export interface ICellJobRequest extends ICallerAccess {
+  readonly jobId: string
 }
 
 export interface ICellSubmitReply {
@@ -261,6 +260,11 @@
   readonly phase?: JobPhase
 }
 
+export interface ICellWaitingReply {
+  readonly kind: WaitingOutcome['kind']
+  readonly count?: number
+}
+
 /** Requests that a machine call the advice service, which handles the calls of each machine one after the other. */
 export interface ICellAdviceRequest extends IAdviceRequest {
   readonly timeoutMs: number
@@ -317,10 +321,12 @@
   readonly configSince: { readonly request: { readonly digest: string }, readonly reply: { readonly entries: readonly IConfigEntry[] } }
   readonly dump: { readonly request: { readonly section?: string }, readonly reply: { readonly json: string } }
   readonly drain: { readonly request: { readonly hostId?: string }, readonly reply: { readonly draining: boolean } }
-  readonly cellSubmit: { readonly request: ICellSubmission, readonly reply: ICellSubmitReply }
-  readonly cellState: { readonly request: { readonly jobId: string }, readonly reply: ICellStateReply }
-  readonly cellCancel: { readonly request: { readonly jobId: string }, readonly reply: { readonly result: CancelOutcome } }
-  readonly cellWaiting: { readonly request: { readonly queue: string }, readonly reply: { readonly count?: number } }
+  readonly cellSubmit: { readonly request: ISubmission, readonly reply: ICellSubmitReply }
+  readonly cellState: { readonly request: ICellJobRequest, readonly reply: ICellStateReply }
+  readonly cellCancel: { readonly request: ICellJobRequest, readonly reply: { readonly result: CancelOutcome } }
+  readonly cellWaiting: { readonly request: ICallerAccess, readonly reply: ICellWaitingReply }
+  /** Asks the owner for the operator's configuration, if the owner has a newer version than the given one. */
+  readonly cellConfig: { readonly request: { readonly version: number }, readonly reply: { readonly record?: string } }
   readonly cellAdvise: { readonly request: ICellAdviceRequest, readonly reply: ICellAdviceReply }
   readonly cellOffer: { readonly request: ICellOwnerCast, readonly reply: ICellOfferReply }
   /** Like `cellOffer`, but the called process tries to reach the store first and is willing only if the store answers. */
--- a/src/daemon/ControllerDaemon.ts
+++ b/src/daemon/ControllerDaemon.ts
@@ -15,6 +15,7 @@
 import { OwnerChallenge } from '../cell/OwnerChallenge.js'
 import { OwnerIsolationDetector } from '../cell/OwnerIsolationDetector.js'
 import { StoreLossHandover } from '../cell/StoreLossHandover.js'
+import { ConfigRelay } from '../cell/ConfigRelay.js'
 import { OwnerRoute } from '../cell/OwnerRoute.js'
 import { Ownership } from '../cell/Ownership.js'
 import { OwnerExitDetector } from '../cell/OwnerExitDetector.js'
@@ -141,6 +142,7 @@
     this._disposables.add(ownership.onRecordChange((record) => { route.follow(record) }))
     this._disposables.add(ownership.onOwned((revision) => { this._startOwner(revision) }))
     this._disposables.add(ownership.onLost(() => { this._stopOwner() }))
+    this._disposables.add(new ConfigRelay(hub, this._config, () => ownership.record?.processId, this._clock, this._log))
     this._disposables.add(new StandbyWatch(hub, ownership, this._clock, this._log))
     this._disposables.add(new OwnerExitDetector(hub, ownership, this._clock, this._random, this._log))
     this._disposables.add(new OwnerIsolationDetector(hub, ownership, (silentPeers) => { this._giveUpOwnership(silentPeers) }, this._clock, this._log))
--- /dev/null
+++ b/src/runtime/KeyDigest.ts
@@ -0,0 +1,11 @@
+/**
+ * Digests of callers' keys. Only digests are kept and passed on between processes, so no log line, dump or record contains a key, and the
+ * time of a look-up by digest tells nothing about the keys.
+ */
+
+import { createHash } from 'node:crypto'
+
+/** The digest of a key; empty for an empty key, which belongs to no workspace. */
+export function digestKey (key: string): string {
+  return key === '' ? '' : createHash('sha256').update(key).digest('base64url')
+}
--- a/test/support/SimulatedCell.ts
+++ b/test/support/SimulatedCell.ts
@@ -14,7 +14,7 @@
 
 import type { HostState } from '../../src/common/cell/HostState.js'
 import type { QueueTerms } from '../../src/common/cell/Job.js'
-import type { AdviceOutcome, IAdviceRequest, IStepSpec } from '../../src/common/cell/Types.js'
+import type { AdviceOutcome, IAdviceRequest, IStepSpec, IWorkspace } from '../../src/common/cell/Types.js'
 import type { IFlatChart } from '../../src/common/state/Types.js'
 import type { ISimulatedHostOptions } from './SimulatedHost.js'
 
@@ -54,6 +54,9 @@
   public maxRunsOfOneTask = 0
   /** The largest use of a host above its capacity that was seen, in millicores. */
   public maxOverCapacity = 0
+  /** The most millicores that the hosts ran for each workspace at the same time. */
+  public readonly maxWorkspaceMillicores = new Map<string, number>()
+  private _workspaces: readonly IWorkspace[] = []
   /** The number of starts that were refused because their ticket had expired. */
   public staleTicketCount = 0
   public scheduler: CellScheduler
@@ -89,11 +92,11 @@
   }
 
   /** Submits a job, which is accepted at once. */
-  public submit (steps: readonly Partial<IStepSpec>[], queue: Partial<QueueTerms> = {}): Job {
+  public submit (steps: readonly Partial<IStepSpec>[], queue: Partial<QueueTerms> = {}, workspace = ''): Job {
     this._nextJob += 1
     const jobId = this._nextJob.toString(16).padStart(16, '0')
     const spec = { jobId, description: '', occurrences: 0, steps: steps.map((step) => ({ ...STEP, ...step })) }
-    const job = new Job(spec, { ...QUEUE, ...queue }, this.clock.nowMs())
+    const job = new Job(spec, { ...QUEUE, ...queue }, this.clock.nowMs(), workspace)
     this.accepted.set(jobId, encodeAccepted(job, this.clock.wallMs()))
     this.scheduler.admit(job)
     return job
@@ -118,6 +121,12 @@
     }
   }
 
+  /** Applies a configuration with these workspaces; the next owners have it as well. */
+  public configure (workspaces: readonly IWorkspace[]): void {
+    this._workspaces = workspaces
+    this.scheduler.applyWorkspaces(workspaces)
+  }
+
   public job (jobId: string): Job {
     const job = this.scheduler.jobs.get(jobId)
     if (job === undefined) throw new Error('no such job')
@@ -142,6 +151,7 @@
       send: async (_machine, request) => await this._send(request)
     }, { farFactor: 3, inheritedUntilMs }, CHART, this.clock, new SilentLogger())
     for (const host of this.hosts) scheduler.addHost(host.entry)
+    scheduler.applyWorkspaces(this._workspaces)
     return scheduler
   }
 
@@ -211,15 +221,22 @@
 
   private _recordWorstUse (): void {
     const runs = new Map<string, number>()
+    const usedByWorkspace = new Map<string, number>()
     for (const host of this.hosts) {
       let used = 0
       for (const run of host.running.values()) {
         runs.set(taskKey(run.ref), (runs.get(taskKey(run.ref)) ?? 0) + 1)
-        used += this.scheduler.jobs.get(run.ref.jobId)?.steps[run.ref.step]?.spec.cpuMillicores ?? 0
+        const job = this.scheduler.jobs.get(run.ref.jobId)
+        const millicores = job?.steps[run.ref.step]?.spec.cpuMillicores ?? 0
+        used += millicores
+        if (job !== undefined) usedByWorkspace.set(job.workspace, (usedByWorkspace.get(job.workspace) ?? 0) + millicores)
       }
       this.maxOverCapacity = Math.max(this.maxOverCapacity, used - host.options.cpuMillicores)
     }
     this.maxRunsOfOneTask = Math.max(this.maxRunsOfOneTask, ...runs.values())
+    for (const [workspace, millicores] of usedByWorkspace) {
+      this.maxWorkspaceMillicores.set(workspace, Math.max(this.maxWorkspaceMillicores.get(workspace) ?? 0, millicores))
+    }
   }
 
   private _hostOf (hostId: string): SimulatedHost {
