--- a/bench/controller.ts
+++ b/bench/controller.ts
@@ -31,7 +31,7 @@
   await platform.start(judge)
   const cell = new ControllerCell(platform, MAX_HOLD_MS, args.profile ? ['--cpu-prof'] : [])
   await cell.start(1)
-  const callers = new SimulatedCallers(cell.controllers, judge, new SeededRandom(3))
+  const callers = new SimulatedCallers(cell.controllers, platform, judge, new SeededRandom(3))
   const submitTimer = setInterval(() => { callers.submit() }, MS_PER_S / args.perSecond)
   await pause(WARM_UP_MS)
   const before = await takeReading(cell, judge)
--- a/spec/specs.ts
+++ b/spec/specs.ts
@@ -6,7 +6,9 @@
 import { claimsSpec } from './ClaimsSpec.js'
 import { gangSpec } from './GangSpec.js'
 import { jobSpec } from './JobSpec.js'
+import { keySpec } from './KeySpec.js'
 import { leaseSpec } from './LeaseSpec.js'
+import { limitSpec } from './LimitSpec.js'
 import { membershipSpec } from './MembershipSpec.js'
 import { ownershipSpec } from './OwnershipSpec.js'
 import { profileSpec } from './ProfileSpec.js'
@@ -14,5 +16,5 @@
 import type { ISpec } from './Model.js'
 
 export const specs = [
-  ownershipSpec, claimsSpec, leaseSpec, gangSpec, profileSpec, jobSpec, membershipSpec, cellSpec
+  ownershipSpec, claimsSpec, leaseSpec, gangSpec, profileSpec, jobSpec, membershipSpec, cellSpec, keySpec, limitSpec
 ] as unknown as readonly ISpec<unknown>[]
--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -279,7 +279,7 @@
     const { clock, log, config, store, ownership, records } = this._context
     const startedAtMs = clock.nowMs()
     this._disposables.add(clock.after(LOAD_TIMEOUT_MS, () => { if (this._store === undefined) this._abandonLoading() }))
-    const [stored] = await Promise.all([readStoredCell(this._context, records.hostsPrefix, () => !this._isDisposed), this._awaitCurrentConfig()])
+    const [stored] = await Promise.all([readStoredCell(this._context, records.hostsPrefix, () => !this._isDisposed), this._readConfig()])
     const { laneRevisions, storeLatencyMs } = stored
     const options = { ownerRevision: this._fence, writerId: this._options.writerId, laneRevisions, storeLatencyMs }
     const jobStore = new JobStore(store, options, clock, log, (reason) => { if (!this._isDisposed) ownership.resign(reason) })
@@ -302,10 +302,10 @@
     return jobStore
   }
 
-  /** Waits until the configuration is current: by an old one, runs could be started beyond a workspace's limit. */
-  private async _awaitCurrentConfig (): Promise<void> {
+  /** Reads the configuration: the previous owner may have had a newer one, and callers and hosts must not see an older one again. */
+  private async _readConfig (): Promise<void> {
     const { clock, config } = this._context
-    while (!config.isCurrent && !this._isDisposed && !await config.refresh()) {
+    while (!this._isDisposed && !await config.refresh()) {
       await new Promise<void>((resolve) => { clock.after(CONFIG_RETRY_DELAY_MS, resolve) })
     }
   }
--- a/test/ControllerPath.test.ts
+++ b/test/ControllerPath.test.ts
@@ -5,20 +5,22 @@
 
 import test from 'ava'
 import { request } from 'undici'
-import { READINESS_PATH } from '../platform/Names.js'
+import { KEY_HEADER, READINESS_PATH } from '../platform/Names.js'
 import { CALLER_HOST, PlatformStandIn } from '../platform/standins/PlatformStandIn.js'
 import { ControllerCell, PACKED_BINARY } from './support/ControllerCell.js'
 import { eventually } from './support/Eventually.js'
 import { InvariantChecker } from './soak/InvariantChecker.js'
 
 import type { ExecutionContext } from 'ava'
+import type { IStandInWorkspace } from '../platform/standins/PlatformStandIn.js'
 import type { IController } from './support/ControllerCell.js'
 
 const HOST_CPU = 4000
 const MAX_HOLD_MS = 4000
 
-async function withCell (t: ExecutionContext, count: number, binary?: string) {
-  const platform = new PlatformStandIn({ seed: 1, hosts: 3, hostCpu: HOST_CPU, maxHoldMs: MAX_HOLD_MS, failShare: 0 })
+async function withCell (t: ExecutionContext, count: number, binary?: string, workspaces?: readonly IStandInWorkspace[]) {
+  const options = { seed: 1, hosts: 3, hostCpu: HOST_CPU, maxHoldMs: MAX_HOLD_MS, failShare: 0 }
+  const platform = new PlatformStandIn({ ...options, ...(workspaces === undefined ? {} : { workspaces }) })
   const checker = new InvariantChecker(HOST_CPU)
   await platform.start(checker)
   const cell = new ControllerCell(platform, MAX_HOLD_MS, [], binary)
@@ -30,9 +32,9 @@
   return { platform, checker, cell }
 }
 
-async function call (controller: IController | undefined, method: 'GET' | 'POST' | 'DELETE', path: string, body?: string, host = CALLER_HOST) {
+async function call (controller: IController | undefined, method: 'GET' | 'POST' | 'DELETE', path: string, body?: string, host = CALLER_HOST, key = '') {
   const answer = await request(`${controller?.urls?.callers}${path}`, {
-    method, headers: { host, 'x-jackdawreel-deadline': '3000' }, ...(body === undefined ? {} : { body })
+    method, headers: { host, 'x-jackdawreel-deadline': '3000', [KEY_HEADER]: key }, ...(body === undefined ? {} : { body })
   })
   return { status: answer.statusCode, headers: answer.headers, text: await answer.body.text() }
 }
@@ -233,3 +235,53 @@
   await waitForPage(first, 'dump', [/"fence"/])
   t.pass()
 })
+
+const BLUE: IStandInWorkspace = { name: 'blue', keys: ['blue-key-1', 'blue-key-2'], maxCpu: 2000 }
+const RED: IStandInWorkspace = { name: 'red', keys: ['red-key-1'], maxCpu: 0 }
+
+async function statusWith (controller: IController | undefined, key: string, method: 'GET' | 'POST' | 'DELETE', path: string, body?: string) {
+  return (await call(controller, method, path, body, CALLER_HOST, key)).status
+}
+
+test('callers need a key of the workspace of their job, and no output contains a key', async (t) => {
+  const { cell, checker } = await withCell(t, 2, undefined, [BLUE, RED])
+  checker.recordLimit('blue', BLUE.maxCpu)
+  const [first, second] = cell.controllers
+  const path = '/batch/00000000000000a9'
+  const job = { jobId: '00000000000000a9', gang: false, cpu: 500, counts: [12], workspace: 'blue', accepted: true, isPossiblyAccepted: true, refusedSubmissions: 0 }
+  checker.jobs.set(job.jobId, job)
+  await eventually('the job is accepted', async () => await statusWith(first, 'blue-key-1', 'POST', path, jobBody([12])) === 200)
+  for (const key of ['', 'other-key']) {
+    for (const [method, to] of [['POST', path], ['GET', path], ['DELETE', path], ['GET', '/batch/']] as const) {
+      t.is(await statusWith(second, key, method, to, method === 'POST' ? jobBody([12]) : undefined), 401, `${method} ${to}`)
+    }
+  }
+  t.is(await statusWith(second, 'red-key-1', 'GET', path), 410)
+  t.is(await statusWith(second, 'red-key-1', 'DELETE', path), 410)
+  t.is(await statusWith(second, 'red-key-1', 'POST', path, jobBody([12])), 400)
+  await eventually('the job is completed', async () =>
+    (await call(second, 'GET', path, undefined, CALLER_HOST, 'blue-key-2')).text === '{"state":"completed"}')
+  t.deepEqual(checker.violations, [])
+  const pages = await Promise.all(cell.controllers.flatMap(({ urls }) => ['metrics', 'dump'].map(async (page) =>
+    await (await request(`${urls?.metrics}/${page}`)).body.text())))
+  const output = [...pages, ...cell.controllers.flatMap(({ process }) => [...process.stdout, ...process.stderr])].join('\n')
+  t.false(/(blue|red|other)-key/.test(output))
+  t.true(output.includes('"workspace":"blue"'))
+})
+
+test('a removed key is refused and a new one accepted by a process that the store does not answer', async (t) => {
+  const { cell, platform } = await withCell(t, 3, undefined, [BLUE, RED])
+  await eventually('the key is accepted', async () => {
+    const statuses = await Promise.all(cell.controllers.map(async (controller) => await statusWith(controller, 'blue-key-1', 'GET', '/batch/')))
+    return statuses.every((status) => status === 200)
+  })
+  const owner = await eventually('a controller owns the cell', async () => await ownerOf(cell))
+  const cutOff = cell.controllers.find((controller) => controller !== owner)
+  cutOff?.store.cut('toTarget', 'toClient')
+  platform.putWorkspaces([{ ...BLUE, keys: ['blue-key-2', 'blue-key-3'] }, RED])
+  await eventually('the removed key is refused', async () => await statusWith(cutOff, 'blue-key-1', 'GET', '/batch/') === 401)
+  await eventually('the new key is accepted', async () => await statusWith(cutOff, 'blue-key-3', 'GET', '/batch/') === 200)
+  await eventually('the process has the new configuration', async () =>
+    cutOff?.process.stdout.some((line) => line.includes('"event":"config.applied"') && line.includes('"peer"')) === true)
+  t.pass()
+})
--- a/test/soak/FaultInjector.ts
+++ b/test/soak/FaultInjector.ts
@@ -67,7 +67,9 @@
       ['config', async () => {
         this._platform.putConfig()
         return NOTHING_TO_UNDO
-      }]
+      }],
+      ['keys', async () => this._replaceKey()],
+      ['limit', async () => this._changeLimit()]
     ])
   }
 
@@ -125,6 +127,24 @@
     return () => { this._platform.store.control(off) }
   }
 
+  /** Removes the first key of a workspace. Callers go on with its second key, which all processes know already, and a third one is added. */
+  private _replaceKey (): () => void {
+    const { name } = this._pickRandom(this._platform.workspaces)
+    this._platform.putWorkspaces(this._platform.workspaces.map((workspace) => {
+      const [, next = ''] = workspace.keys
+      return workspace.name === name ? { ...workspace, keys: [next, `${next}+`] } : workspace
+    }))
+    return NOTHING_TO_UNDO
+  }
+
+  private _changeLimit (): () => void {
+    const { name } = this._pickRandom(this._platform.workspaces)
+    const maxCpu = this._pickRandom([4500, 6000, 9000])
+    this._checker.recordLimit(name, maxCpu)
+    this._platform.putWorkspaces(this._platform.workspaces.map((workspace) => workspace.name === name ? { ...workspace, maxCpu } : workspace))
+    return NOTHING_TO_UNDO
+  }
+
   private _cutHost (): () => void {
     const { hostId, forwarder } = this._pickRandom(this._platform.hosts)
     this._checker.recordDisturbance(hostId)
--- a/test/soak/InvariantChecker.ts
+++ b/test/soak/InvariantChecker.ts
@@ -11,6 +11,7 @@
   readonly cpu: number
   /** The number of tasks of each step; a step starts after the step before it is done. */
   readonly counts: readonly number[]
+  readonly workspace?: string
   accepted: boolean
   /** Whether a submission was accepted, or may have been because its answer was lost or left the result open. */
   isPossiblyAccepted: boolean
@@ -37,6 +38,8 @@
   private readonly _doneTasks = new Map<string, IDoneTask>()
   private readonly _failures = new Map<string, number>()
   private readonly _disturbedAtMs = new Map<string, number>()
+  /** The highest limit that each workspace has had, in millicores. */
+  private readonly _limits = new Map<string, number>()
 
   public constructor (private readonly _hostCpu: number) {}
 
@@ -45,6 +48,16 @@
     this._disturbedAtMs.set(hostId, performance.now())
   }
 
+  /** Records a limit of a workspace. Processes may learn of a lower one only after a fault, so the highest limit counts. */
+  public recordLimit (workspace: string, maxCpu: number): void {
+    this._limits.set(workspace, Math.max(maxCpu, this._limits.get(workspace) ?? 0))
+  }
+
+  /** Records that a caller of one workspace could read a job of another one. */
+  public reportForeignRead (jobId: string): void {
+    this._report(`${jobId} was shown to another workspace`)
+  }
+
   public onStart (hostId: string, task: string, run: number): void {
     this.starts += 1
     const job = this._jobOf(task)
@@ -61,6 +74,7 @@
     tasksOnHost.add(task)
     this._runningByHost.set(hostId, tasksOnHost)
     this._checkCapacity(hostId, tasksOnHost)
+    this._checkLimit(job.workspace)
   }
 
   public onEnd (hostId: string, task: string, _run: number, outcome: string): void {
@@ -136,6 +150,14 @@
     if (used > this._hostCpu) this._report(`${hostId} runs ${used} of ${this._hostCpu} millicores`)
   }
 
+  private _checkLimit (workspace: string | undefined): void {
+    if (workspace === undefined) return
+    const limit = this._limits.get(workspace) ?? Infinity
+    const jobs = [...this._runningByHost.values()].flatMap((tasks) => [...tasks].map((task) => this._jobOf(task)))
+    const used = jobs.reduce((sum, job) => sum + (job?.workspace === workspace ? job.cpu : 0), 0)
+    if (used > limit) this._report(`${workspace} runs ${used} of ${limit} millicores`)
+  }
+
   private _jobOf (task: string): ICheckedJob | undefined {
     return this.jobs.get(task.slice(0, 16))
   }
--- a/test/soak/SimulatedCallers.ts
+++ b/test/soak/SimulatedCallers.ts
@@ -1,11 +1,12 @@
 /**
- * The callers of a soak. They submit jobs, repeat a submission that was not accepted under the same id, cancel some jobs, and query
- * the state of all accepted ones.
+ * The callers of a soak, in several workspaces. They submit jobs, repeat a submission that was not accepted under the same id, cancel some
+ * jobs, and query the state of all accepted ones.
  */
 
 import { Agent, request } from 'undici'
 import { CALLER_HOST, QUEUE_PREFIXES } from '../../platform/standins/PlatformStandIn.js'
 
+import type { PlatformStandIn } from '../../platform/standins/PlatformStandIn.js'
 import type { SeededRandom } from '../../src/common/Random.js'
 import type { IController } from '../support/ControllerCell.js'
 import type { ICheckedJob, InvariantChecker } from './InvariantChecker.js'
@@ -16,6 +17,10 @@
 const CALL_TIMEOUT_MS = 3000
 const CANCEL_SHARE = 0.08
 const RETRY_PAUSE_MS = 250
+/** The share of jobs of the first workspace, which sends far more than the others. */
+const HOT_SHARE = 0.6
+/** The share of accepted jobs that callers of another workspace try to read. */
+const FOREIGN_READ_SHARE = 0.1
 
 interface IAnswer { readonly status: number, readonly body: string }
 
@@ -28,7 +33,10 @@
   public accepted = 0
 
   public constructor (
-    private readonly _controllers: readonly IController[], private readonly _checker: InvariantChecker, private readonly _random: SeededRandom
+    private readonly _controllers: readonly IController[],
+    private readonly _platform: PlatformStandIn,
+    private readonly _checker: InvariantChecker,
+    private readonly _random: SeededRandom
   ) {}
 
   /** Submits one job without waiting for the answer. */
@@ -44,7 +52,7 @@
 
   /** Queries the state of a job at a random controller; undefined if the controller doesn't return it. */
   public async queryState (jobId: string, queue: QueueName): Promise<string | undefined> {
-    const answer = await this._call('GET', QUEUE_PREFIXES[queue] + jobId)
+    const answer = await this._call('GET', QUEUE_PREFIXES[queue] + jobId, this._checker.jobs.get(jobId)?.workspace)
     if (answer?.status === 410) {
       this._checker.recordUnknownJob(jobId)
       return undefined
@@ -73,6 +81,7 @@
     }
     if (!job.accepted) return
     this.accepted += 1
+    if (this._random.next() < FOREIGN_READ_SHARE) await this._readAsOther(job, queue)
     if (cancels) await this._cancel(job, queue)
     else await this.queryState(job.jobId, queue)
   }
@@ -80,7 +89,7 @@
   private async _trySubmit (job: ICheckedJob, queue: QueueName, body: string): Promise<void> {
     const wasPossiblyAccepted = job.isPossiblyAccepted
     job.isPossiblyAccepted = true
-    const answer = await this._call('POST', QUEUE_PREFIXES[queue] + job.jobId, body)
+    const answer = await this._call('POST', QUEUE_PREFIXES[queue] + job.jobId, job.workspace, body)
     if (answer?.status === 200) job.accepted = true
     if (answer?.status === 503 || answer?.status === 429) {
       job.refusedSubmissions += 1
@@ -93,7 +102,7 @@
     for (let attempt = 0; attempt < MAX_TRIES; attempt += 1) {
       // The job may be cancelled from here on, whatever the answer. Later starts are violations only after an acknowledged cancel.
       job.cancelledAtMs ??= Infinity
-      const answer = await this._call('DELETE', QUEUE_PREFIXES[queue] + job.jobId)
+      const answer = await this._call('DELETE', QUEUE_PREFIXES[queue] + job.jobId, job.workspace)
       if (answer?.status === 200) {
         job.cancelledAtMs = performance.now()
         return
@@ -102,6 +111,18 @@
     }
   }
 
+  private async _readAsOther ({ jobId, workspace }: ICheckedJob, queue: QueueName): Promise<void> {
+    const other = this._platform.workspaces.find(({ name }) => name !== workspace)
+    const answer = await this._call('GET', QUEUE_PREFIXES[queue] + jobId, other?.name)
+    if (answer?.status === 200) this._checker.reportForeignRead(jobId)
+  }
+
+  private _drawWorkspace (): string {
+    const names = this._platform.workspaces.map(({ name }) => name)
+    const number = this._random.next() < HOT_SHARE ? 0 : Math.floor(this._random.next() * names.length)
+    return names[number] ?? ''
+  }
+
   private _createJob (): { readonly job: ICheckedJob, readonly queue: QueueName, readonly body: string } {
     this._lastNumber += 1
     const draw = this._random.next()
@@ -112,19 +133,26 @@
     const jobId = (BigInt(this._lastNumber) * 0x9e3779b97f4a7c15n & 0xffffffffffffffffn).toString(16).padStart(16, '0')
     const steps = counts.map((count, step) =>
       ({ count, cpu, memMb: 100, estimateMs: 300, ...(step > 0 ? { after: [step - 1] } : {}), ...(gang ? { gang } : {}) }))
-    const job: ICheckedJob = { jobId, gang, cpu, counts, accepted: false, isPossiblyAccepted: false, refusedSubmissions: 0 }
+    const workspace = this._drawWorkspace()
+    const job: ICheckedJob = { jobId, gang, cpu, counts, workspace, accepted: false, isPossiblyAccepted: false, refusedSubmissions: 0 }
     return { job, queue, body: JSON.stringify({ spec: `job ${this._lastNumber}`, steps }) }
   }
 
   /** Calls a random controller; undefined if no complete answer arrives. */
-  private async _call (method: 'GET' | 'POST' | 'DELETE', path: string, body?: string): Promise<IAnswer | undefined> {
+  private async _call (method: 'GET' | 'POST' | 'DELETE', path: string, workspace: string | undefined, body?: string): Promise<IAnswer | undefined> {
     const controller = this._controllers[Math.floor(this._random.next() * this._controllers.length)]
     if (controller?.urls === undefined) return undefined
+    const key = this._platform.workspaces.find(({ name }) => name === workspace)?.keys[0] ?? ''
     try {
       const answer = await request(controller.urls.callers + path, {
         method,
         dispatcher: this._agent,
-        headers: { host: CALLER_HOST, 'content-type': 'application/json', 'x-jackdawreel-deadline': String(CALL_TIMEOUT_MS) },
+        headers: {
+          host: CALLER_HOST,
+          'content-type': 'application/json',
+          'x-jackdawreel-deadline': String(CALL_TIMEOUT_MS),
+          'x-jackdawreel-credential': key
+        },
         headersTimeout: CALL_TIMEOUT_MS,
         bodyTimeout: CALL_TIMEOUT_MS,
         ...(body === undefined ? {} : { body })
--- a/test/soak/Soak.ts
+++ b/test/soak/Soak.ts
@@ -10,6 +10,7 @@
 import { ConfigProber } from './ConfigProber.js'
 import { FaultInjector } from './FaultInjector.js'
 import { InvariantChecker } from './InvariantChecker.js'
+import { KeyProber } from './KeyProber.js'
 
 export interface ISoakOptions {
   readonly seed: number
@@ -33,6 +34,8 @@
 const HOST_CPU = 4000
 const MAX_HOLD_MS = 3000
 const FAIL_SHARE = 0.03
+/** Wide jobs take up to 4500 millicores, so no job is too wide for its workspace. */
+const WORKSPACES = ['hot', 'calm', 'quiet'].map((name) => ({ name, keys: [`${name}-key-1`, `${name}-key-2`], maxCpu: 6000 }))
 const SUBMIT_INTERVAL_MS = 60
 const FAULT_INTERVAL_MS = 900
 /** The time that jobs have to end after the last fault, in ms; it covers the longest lease, its margin, and the runs. */
@@ -40,22 +43,29 @@
 const POLL_MS = 200
 
 export async function runSoak (options: ISoakOptions): Promise<ISoakReport> {
-  const platform = new PlatformStandIn({ seed: options.seed, hosts: options.hosts, hostCpu: HOST_CPU, maxHoldMs: MAX_HOLD_MS, failShare: FAIL_SHARE })
+  const platform = new PlatformStandIn({
+    seed: options.seed, hosts: options.hosts, hostCpu: HOST_CPU, maxHoldMs: MAX_HOLD_MS, failShare: FAIL_SHARE, workspaces: WORKSPACES
+  })
   const checker = new InvariantChecker(HOST_CPU)
+  for (const { name, maxCpu } of WORKSPACES) checker.recordLimit(name, maxCpu)
   await platform.start(checker)
   const cell = new ControllerCell(platform, MAX_HOLD_MS)
   const random = new SeededRandom(options.seed + 1)
-  const callers = new SimulatedCallers(cell.controllers, checker, new SeededRandom(options.seed + 2))
+  const callers = new SimulatedCallers(cell.controllers, platform, checker, new SeededRandom(options.seed + 2))
   const probes = new ConfigProber(cell.controllers, platform, checker)
+  const keyProbes = new KeyProber(cell.controllers, platform, checker)
   const faults = new FaultInjector(cell, platform, checker, random)
   try {
     await cell.start(options.controllers)
     probes.start()
+    keyProbes.start()
     await runWithFaults(options.faultsMs, callers, faults, random)
     await waitForJobs(callers, checker)
     await waitForConfig(probes, checker, platform.configVersion)
+    await keyProbes.checkRemovedKeys()
   } finally {
     await probes.close()
+    await keyProbes.close()
     await callers.close()
     await cell.close()
     await platform.close()
