Owner: accepts no more tasks per second than its orders can carry

Change: while the median of its answered orders is slow, or its timers are late, the owner limits the tasks that it accepts by the rate at which it started tasks lately, and refuses the rest with the time after which there will be room.

--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -3,13 +3,14 @@
  * records progress until it is disposed. All its orders to hosts carry the fencing token, and all its writes expect the ownership record.
  */
 
+import { ADMISSION_UPDATE_MS, AdmissionRate } from '../common/cell/AdmissionRate.js'
 import { Job } from '../common/cell/Job.js'
 import { CellScheduler } from '../common/cell/CellScheduler.js'
 import { decodeJob, queueTermsOf } from '../common/cell/JobRecord.js'
 import type { IAdviceSender } from '../common/cell/AdviceDispatcher.js'
 import type {
-  CancelOutcome, ICallerAccess, ICellOwnerPort, IHostOrders, IMetadataStore, IQueue, ISubmission, OwnerAnswer, StateOutcome, SubmitOutcome,
-  WaitingOutcome
+  CancelOutcome, ICallerAccess, ICellOwnerPort, IHostEntry, IHostOrders, IMetadataStore, IQueue, IStartOrder, ISubmission, OwnerAnswer, StartOutcome,
+  StateOutcome, SubmitOutcome, WaitingOutcome
 } from '../common/cell/Types.js'
 import type { Counters } from '../common/observability/Counters.js'
 import type { LatencyTable } from '../common/observability/LatencyTable.js'
@@ -56,6 +57,7 @@
 const SLOW_CLOCK_FACTOR = 1.02
 const INHERITED_MARGIN_MS = 1000
 const SWEEP_INTERVAL_MS = 400
+const URGENT_PRIORITY = 0
 /**
  * Delay of a scheduling pass after a change, so that one pass handles several changes: at least this long, in ms, and a multiple of the
  * duration of the last pass. So passes never take more than a fifth of the processor, however long the queue is.
@@ -86,6 +88,7 @@
   private readonly _disposables = new DisposableStore()
   private readonly _accepting = new Map<string, IAccepting>()
   private readonly _authorizer: CallerAuthorizer
+  private readonly _admission: AdmissionRate
   private _isDisposed = false
   private _isPassDue = false
   private _lastPassMs = 0
@@ -107,7 +110,7 @@
       start: async (host, order) => {
         // The run is recorded, but another process may own the cell by now. A run that isn't sent can be placed again.
         if (!_context.ownership.isConfirmed) return { kind: 'unsent' }
-        return await orders.start(host, { ...order, fence: _fence })
+        return await this._sendStart(host, order)
       },
       stop: async (host, ref) => await orders.stop(host, ref, _fence),
       stopUnknown: async (host, ref) => await orders.stop(host, ref, _fence),
@@ -125,6 +128,7 @@
       onFenced: (hostId) => { this._onFenced(hostId) },
       requestPass: () => { this._requestPass() }
     }, _fence, _options.maxHoldMs)
+    this._admission = new AdmissionRate(clock.nowMs())
     this._authorizer = new CallerAuthorizer(_context.config, () => this._store?.isStoreUnavailable === true)
     this._jobStore = this._load()
     this._disposed = new Promise((resolve) => { this._resolveDisposed = resolve })
@@ -233,6 +237,10 @@
     const job = new Job(decodeJob(submission.record), queueTermsOf(queue), clock.nowMs() - submission.ageMs, workspace)
     const infeasibleReason = this._infeasibleReason(job)
     if (infeasibleReason !== undefined) return this._refuse(jobId, infeasibleReason, INFEASIBLE_RETRY_AFTER_MS)
+    const tasks = job.steps.reduce((sum, step) => sum + step.tasks.length, 0)
+    if (!this._admission.tryAdmit(tasks, queue.priority === URGENT_PRIORITY)) {
+      return this._refuse(jobId, 'the owner can order no more starts', this._admission.retryAfterMs)
+    }
     const accepted = jobStore.accept(job)
     this._scheduler.addPending(job)
     const outcome = await accepted
@@ -242,7 +250,7 @@
     }
     this._scheduler.admit(job)
     this._updateQueueTerms(job)
-    log.info('job.accepted', { requestId: jobId, queue: queue.name, workspace, steps: job.steps.length, tasks: job.steps.reduce((sum, step) => sum + step.tasks.length, 0) })
+    log.info('job.accepted', { requestId: jobId, queue: queue.name, workspace, steps: job.steps.length, tasks })
     return { kind: 'accepted' }
   }
 
@@ -310,6 +318,21 @@
     }
   }
 
+  private async _sendStart (host: IHostEntry, order: Omit<IStartOrder, 'fence'>): Promise<StartOutcome> {
+    const { clock, orders } = this._context
+    const sentAtMs = clock.nowMs()
+    const outcome = await orders.start(host, { ...order, fence: this._fence })
+    if (outcome.kind !== 'unsent') this._admission.recordOrder(clock.nowMs() - sentAtMs, outcome.kind !== 'unanswered')
+    return outcome
+  }
+
+  private _updateAdmission (): void {
+    const before = this._admission.tasksPerS
+    this._admission.update(this._context.clock.nowMs())
+    const { tasksPerS } = this._admission
+    if ((before === undefined) !== (tasksPerS === undefined)) this._context.log.warn('owner.admission', { tasksPerS })
+  }
+
   private _applyWorkspaces (): void {
     this._scheduler.applyWorkspaces(this._context.config.config?.workspaces ?? [])
   }
@@ -325,6 +348,7 @@
     const { clock } = this._context
     this._hosts.start()
     this._disposables.add(clock.every(SWEEP_INTERVAL_MS, () => { this._scheduler.sweep() }))
+    this._disposables.add(clock.every(ADMISSION_UPDATE_MS, () => { this._updateAdmission() }))
     this._disposables.add(clock.every(CLEANUP_INTERVAL_MS, () => { this._removeExpiredJobs() }))
   }
 
--- /dev/null
+++ b/src/common/cell/AdmissionRate.test.ts
@@ -0,0 +1,85 @@
+/**
+ * An owner that can order a fixed number of starts per second, under a load of twice that and of half of it.
+ */
+
+import test from 'ava'
+import { ADMISSION_UPDATE_MS, AdmissionRate } from './AdmissionRate.js'
+
+const TICK_MS = 10
+const CAPACITY_PER_S = 100
+const ORDER_TIMEOUT_MS = 1000
+const TASKS_PER_JOB = 4
+
+interface IOutcome {
+  readonly startedPerS: number
+  readonly refused: number
+  /** The longest wait of an order in the second half of the load, in ms. */
+  readonly maxWaitMs: number
+}
+
+/** Offers jobs at a rate to an owner with one queue of orders, each of which waits for those before it. */
+class QueueingOwner {
+  private _nowMs = 0
+  private _queue: number[] = []
+  private _credit = 0
+  private _offered = 0
+  public readonly admission = new AdmissionRate(0)
+
+  public run (tasksPerS: number, forMs: number): IOutcome {
+    const untilMs = this._nowMs + forMs
+    const halfMs = this._nowMs + forMs / 2
+    let started = 0
+    let refused = 0
+    let maxWaitMs = 0
+    while (this._nowMs < untilMs) {
+      this._nowMs += TICK_MS
+      this._offered += tasksPerS * TICK_MS / 1000
+      for (; this._offered >= TASKS_PER_JOB; this._offered -= TASKS_PER_JOB) {
+        if (this.admission.tryAdmit(TASKS_PER_JOB, true)) this._queue.push(...Array.from({ length: TASKS_PER_JOB }, () => this._nowMs))
+        else refused += 1
+      }
+      this._credit = Math.min(this._credit + CAPACITY_PER_S * TICK_MS / 1000, this._queue.length)
+      for (; this._credit >= 1; this._credit -= 1) {
+        const waitMs = this._nowMs - (this._queue.shift() ?? this._nowMs)
+        this.admission.recordOrder(Math.min(waitMs, ORDER_TIMEOUT_MS), waitMs < ORDER_TIMEOUT_MS)
+        if (waitMs < ORDER_TIMEOUT_MS) started += 1
+        if (this._nowMs > halfMs) maxWaitMs = Math.max(maxWaitMs, waitMs)
+      }
+      if (this._nowMs % ADMISSION_UPDATE_MS === 0) this.admission.update(this._nowMs)
+    }
+    return { startedPerS: started / forMs * 1000, refused, maxWaitMs }
+  }
+}
+
+test('an owner that is offered twice what it can order goes on at its capacity, and refuses the rest at once', (t) => {
+  const owner = new QueueingOwner()
+  t.is(owner.run(50, 5000).refused, 0)
+  const overload = owner.run(2 * CAPACITY_PER_S, 10_000)
+  t.true(overload.startedPerS >= 0.9 * CAPACITY_PER_S, String(overload.startedPerS))
+  t.true(overload.refused > 0)
+  t.true(overload.maxWaitMs < ORDER_TIMEOUT_MS, String(overload.maxWaitMs))
+  t.true(owner.admission.retryAfterMs >= 1000)
+})
+
+test('five seconds after the overload, everything is accepted again', (t) => {
+  const owner = new QueueingOwner()
+  owner.run(2 * CAPACITY_PER_S, 10_000)
+  owner.run(CAPACITY_PER_S / 2, 5000)
+  const calm = owner.run(CAPACITY_PER_S / 2, 5000)
+  t.is(calm.refused, 0)
+  t.is(owner.admission.tasksPerS, undefined)
+})
+
+test('hosts that answer no orders do not count as overload of the owner', (t) => {
+  const admission = new AdmissionRate(0)
+  for (let nowMs = ADMISSION_UPDATE_MS; nowMs < 5000; nowMs += ADMISSION_UPDATE_MS) {
+    for (let order = 0; order < 10; order += 1) admission.recordOrder(order % 2 === 0 ? ORDER_TIMEOUT_MS : 50, order % 2 === 1)
+    t.false(admission.update(nowMs))
+  }
+})
+
+test('an owner without processor time is overloaded, even if it has no orders under way', (t) => {
+  const admission = new AdmissionRate(0)
+  t.true(admission.update(1000))
+  t.false(admission.tryAdmit(10, false))
+})
