--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -88,7 +88,7 @@
   private readonly _disposables = new DisposableStore()
   private readonly _accepting = new Map<string, IAccepting>()
   private readonly _authorizer: CallerAuthorizer
-  private readonly _admission: AdmissionRate
+  private readonly _admission = new AdmissionRate()
   private _isDisposed = false
   private _isPassDue = false
   private _lastPassMs = 0
@@ -128,7 +128,6 @@
       onFenced: (hostId) => { this._onFenced(hostId) },
       requestPass: () => { this._requestPass() }
     }, _fence, _options.maxHoldMs)
-    this._admission = new AdmissionRate(clock.nowMs())
     this._authorizer = new CallerAuthorizer(_context.config, () => this._store?.isStoreUnavailable === true)
     this._jobStore = this._load()
     this._disposed = new Promise((resolve) => { this._resolveDisposed = resolve })
--- a/src/common/cell/AdmissionRate.ts
+++ b/src/common/cell/AdmissionRate.ts
@@ -47,7 +47,7 @@
   /** The tasks that may be accepted per second; undefined if there is no limit. */
   private _tasksPerS: number | undefined
   private _tokens = 0
-  private _updatedAtMs: MonotonicMs
+  private _updatedAtMs: MonotonicMs | undefined
   private _overloadedAtMs: MonotonicMs = -Infinity
   private _answeredSinceUpdate = 0
   /** The tasks started per second, averaged over about a second, after each of the last updates. */
@@ -55,10 +55,6 @@
   private _lagMs = 0
   private _samples: IOrderSample[] = []
 
-  public constructor (nowMs: MonotonicMs) {
-    this._updatedAtMs = nowMs
-  }
-
   public get tasksPerS (): number | undefined {
     return this._tasksPerS
   }
@@ -72,7 +68,7 @@
 
   /** Adapts the limit; to be called every `ADMISSION_UPDATE_MS`. Returns whether the owner is overloaded. */
   public update (nowMs: MonotonicMs): boolean {
-    const elapsedMs = Math.max(1, nowMs - this._updatedAtMs)
+    const elapsedMs = Math.max(1, nowMs - (this._updatedAtMs ?? nowMs - ADMISSION_UPDATE_MS))
     this._updatedAtMs = nowMs
     this._lagMs = Math.max(this._lagMs / 2, elapsedMs - ADMISSION_UPDATE_MS)
     this._recordStarts(elapsedMs)
@@ -114,8 +110,9 @@
   }
 
   private _isOverloaded (): boolean {
-    if (this._lagMs > MAX_LAG_MS) return true
-    return this._samples.length >= MIN_SAMPLES && this._medianOrderMs() > SLOW_ORDER_MS
+    // Before an owner has ordered anything, nothing is known of its capacity: one that has just read the jobs is late, but not overloaded.
+    if (this._samples.length < MIN_SAMPLES) return false
+    return this._lagMs > MAX_LAG_MS || this._medianOrderMs() > SLOW_ORDER_MS
   }
 
   /** Infinity if hardly any order is answered. */
