--- a/bench/cellLoad.test.ts
+++ b/bench/cellLoad.test.ts
@@ -18,5 +18,5 @@
 }
 
 async function checkInTime (t: ExecutionContext, seed: number): Promise<void> {
-  for (const { queue, inTime } of await simulateLoad(HOSTS, seed, DURATION_MS)) t.true(inTime >= MIN_IN_TIME_SHARE, `${queue}: ${inTime} in time`)
+  for (const { queue, inTime } of (await simulateLoad({ hosts: HOSTS, seed, durationMs: DURATION_MS })).queues) t.true(inTime >= MIN_IN_TIME_SHARE, `${queue}: ${inTime} in time`)
 }
--- a/bench/cellLoad.ts
+++ b/bench/cellLoad.ts
@@ -3,12 +3,17 @@
  * jobs that is done in time, and how late jobs are. `npm run bench -- cellLoad [--hosts N] [--seed N] [--seconds N] [--factor N]`.
  */
 
+import { readFileSync } from 'node:fs'
 import yargs from 'yargs'
+import { ObjectiveOrder, ShareOrder } from '../src/common/cell/JobOrder.js'
+import { ShareMeter } from '../src/common/cell/ShareMeter.js'
 import { SeededRandom } from '../src/common/Random.js'
 import { SimulatedCell } from '../test/support/SimulatedCell.js'
+import { DominantShareOrder, ShareFirstOrder } from './cellOrders.js'
 import { tableLines } from '../src/operator/Table.js'
 
 import type { Row } from '../src/operator/Table.js'
+import type { IJobOrder } from '../src/common/cell/JobOrder.js'
 import type { Job, QueueTerms } from '../src/common/cell/Job.js'
 import type { IAdviceRequest, IRunRef, IStepSpec } from '../src/common/cell/Types.js'
 import type { IRandom } from '../src/common/Types.js'
@@ -29,8 +34,32 @@
   readonly allowedShare: number
 }
 
+/** A cell and the work that is offered to it. */
+export interface ILoadSet {
+  readonly host: { readonly cpuMillicores: number, readonly memoryMb: number }
+  readonly loads: readonly ILoad[]
+  readonly workspaces: readonly ILoadWorkspace[]
+}
+
+export interface ILoadWorkspace {
+  readonly name: string
+  /** Its part of all jobs. */
+  readonly share: number
+  /** How many times its usual it sends in the middle of the run; 1 if it sends evenly. */
+  readonly burstFactor: number
+}
+
+export interface ILoadOptions {
+  readonly hosts: number
+  readonly seed: number
+  readonly durationMs: number
+  /** Multiplies the rate of all loads. */
+  readonly factor?: number
+  readonly set?: ILoadSet
+  readonly order?: IJobOrder
+}
+
 const REFERENCE_HOSTS = 200
-const HOST = { cpuMillicores: 20_000, memoryMb: 40_000 }
 const HOSTS_PER_MACHINE = 6
 const MIN_MACHINES = 8
 const WARM_UP_MS = 12_000
@@ -40,10 +69,12 @@
 const WIDTH_DEVIATION = 0.8
 const CPU_DEVIATION = 0.4
 const MAX_WIDTH_FACTOR = 6
+/** The weight of a workspace, as a multiple of what it usually sends. */
+const WEIGHT_FACTOR = 1.5
 const MAX_HASH = 0x7fffffff
 
-/** Loads that fill four fifths of the cell: half of the work is wide all-at-once jobs, a third is batch jobs, the rest is short and urgent. */
-const LOADS: readonly ILoad[] = [
+/** Four fifths of the cell are in use: half of the work is wide all-at-once jobs, a third is batch jobs, the rest is short and urgent. */
+const BUSY_CELL_LOADS: readonly ILoad[] = [
   {
     queue: { name: 'settlements', priority: 1, maxAttempts: 3, stretch: 2, targetMs: 2000, advice: { baseMs: 500, perHostMs: 5, validMs: 2000 } },
     jobsPerS: 4,
@@ -82,6 +113,11 @@
   }
 ]
 
+const ONE_WORKSPACE: readonly ILoadWorkspace[] = [{ name: 'all', share: 1, burstFactor: 1 }]
+const BUSY_CELL: ILoadSet = { host: { cpuMillicores: 20_000, memoryMb: 40_000 }, loads: BUSY_CELL_LOADS, workspaces: ONE_WORKSPACE }
+/** The time around the middle of the run in which workspaces send more than usual, as a share of the run. */
+const BURST_SHARE = 0.3
+
 interface ISubmittedJob {
   readonly job: Job
   readonly load: ILoad
@@ -89,6 +125,13 @@
   readonly dueMs: number
 }
 
+const ORDERS: Readonly<Record<string, IJobOrder>> = {
+  objective: new ObjectiveOrder(),
+  share: new ShareOrder(),
+  shareFirst: new ShareFirstOrder(),
+  dominantShare: new DominantShareOrder()
+}
+
 /** `npm run bench -- cellLoad` */
 export async function run (commandArgs: readonly string[]): Promise<void> {
   const args = await yargs([...commandArgs])
@@ -96,9 +139,16 @@
     .option('seed', { type: 'number', default: 1 })
     .option('seconds', { type: 'number', default: 40 })
     .option('factor', { type: 'number', default: 1, describe: 'multiplies the rate of all loads' })
+    .option('loads', { type: 'string', describe: 'a JSON file with the hosts, the loads and the workspaces' })
+    .option('order', { choices: Object.keys(ORDERS), default: 'objective' })
     .parseAsync()
-  const rows = await simulateLoad(args.hosts, args.seed, args.seconds * MS_PER_S, args.factor)
-  for (const line of tableLines(rows as unknown as readonly Row[])) process.stdout.write(`${line}\n`)
+  const set = args.loads === undefined ? BUSY_CELL : JSON.parse(readFileSync(args.loads, 'utf8')) as ILoadSet
+  const order = ORDERS[args.order]
+  const { hosts, seed, factor } = args
+  const options = { hosts, seed, durationMs: args.seconds * MS_PER_S, factor, set }
+  const { queues, workspaces } = await simulateLoad({ ...options, ...(order === undefined ? {} : { order }) })
+  for (const line of tableLines(queues as unknown as readonly Row[])) process.stdout.write(`${line}\n`)
+  for (const line of tableLines(workspaces as unknown as readonly Row[])) process.stdout.write(`${line}\n`)
 }
 
 /** The results of one queue, for the jobs that were submitted after the warm-up. */
@@ -114,14 +164,37 @@
   readonly slackP98S: number
 }
 
-export async function simulateLoad (hosts: number, seed: number, durationMs: number, factor = 1): Promise<readonly ILoadRow[]> {
+/** The results of one workspace, for its jobs within its share and beyond it. */
+export interface IWorkspaceRow {
+  readonly workspace: string
+  readonly within: number
+  readonly withinInTime: number
+  /** The share of their work, in core-seconds, that was done in time. */
+  readonly withinWorkInTime: number
+  readonly beyond: number
+  readonly beyondInTime: number
+}
+
+export interface ILoadResult {
+  readonly queues: readonly ILoadRow[]
+  readonly workspaces: readonly IWorkspaceRow[]
+}
+
+export async function simulateLoad (options: ILoadOptions): Promise<ILoadResult> {
+  const { hosts, seed, durationMs, factor = 1, set = BUSY_CELL, order } = options
+  const { host, loads, workspaces } = set
+  const meter = new ShareMeter()
+  const jobsPerS = loads.reduce((sum, load) => sum + load.jobsPerS, 0) * factor * hosts / REFERENCE_HOSTS
+  const burstFromMs = WARM_UP_MS + durationMs * (1 - BURST_SHARE) / 2
+  const burstUntilMs = burstFromMs + durationMs * BURST_SHARE
   const random = new SeededRandom(seed)
   const workMs = new Map<string, number>()
   const loadByJob = new Map<string, ILoad>()
   const cell = new SimulatedCell({
     hosts,
     adviceMachines: Math.max(MIN_MACHINES, Math.round(hosts / HOSTS_PER_MACHINE)),
-    host: { ...HOST, workMs: ({ jobId, step }: IRunRef) => workMs.get(`${jobId}.${step}`) ?? MS_PER_S },
+    ...(order === undefined ? {} : { order }),
+    host: { ...host, workMs: ({ jobId, step }: IRunRef) => workMs.get(`${jobId}.${step}`) ?? MS_PER_S },
     allows: (hostId, { jobId, step }: IAdviceRequest) => hashToUnit(`${hostId} ${jobId} ${step}`) < (loadByJob.get(jobId)?.allowedShare ?? 1),
     adviceMs: ({ jobId, hostIds }) => {
       const advice = loadByJob.get(jobId)?.queue.advice
@@ -133,9 +206,13 @@
   const openJobs = new Set<Job>()
   const untilMs = WARM_UP_MS + durationMs
   while (cell.clock.nowMs() < untilMs + WARM_UP_MS * 2) {
-    for (const load of LOADS) {
-      const jobsPerTick = load.jobsPerS * factor * hosts / REFERENCE_HOSTS * TICK_MS / MS_PER_S
-      if (random.next() < jobsPerTick) submit(load)
+    const nowMs = cell.clock.nowMs()
+    const isBurst = nowMs >= burstFromMs && nowMs < burstUntilMs
+    for (const load of loads) {
+      for (const workspace of workspaces) {
+        const jobsPerTick = load.jobsPerS * factor * hosts / REFERENCE_HOSTS * TICK_MS / MS_PER_S * workspace.share
+        if (random.next() < jobsPerTick * (isBurst ? workspace.burstFactor : 1)) submit(load, workspace)
+      }
     }
     await cell.run(TICK_MS)
     for (const job of openJobs) {
@@ -144,13 +221,31 @@
       openJobs.delete(job)
     }
   }
-  return LOADS.map((load) => {
-    const jobs = submitted.filter((each) => each.load === load && each.job.receivedAtMs >= WARM_UP_MS && each.job.receivedAtMs < untilMs)
+  const measured = submitted.filter(({ job }) => job.receivedAtMs >= WARM_UP_MS && job.receivedAtMs < untilMs)
+  const isInTime = ({ job, dueMs }: ISubmittedJob): boolean => (finishedAtMs.get(job) ?? Infinity) <= dueMs
+  const coreSecondsOf = (each: readonly ISubmittedJob[]): number => each.reduce((sum, { job }) => sum + job.coreSeconds, 0)
+  return { queues: loads.map(toQueueRow), workspaces: workspaces.map(toWorkspaceRow) }
+
+  function toWorkspaceRow ({ name }: ILoadWorkspace): IWorkspaceRow {
+    const jobs = measured.filter(({ job }) => job.workspace === name)
+    const within = jobs.filter(({ job }) => !job.isBeyondShare)
+    const beyond = jobs.filter(({ job }) => job.isBeyondShare)
+    return {
+      workspace: name,
+      within: within.length,
+      withinInTime: within.filter(isInTime).length / within.length,
+      withinWorkInTime: coreSecondsOf(within.filter(isInTime)) / coreSecondsOf(within),
+      beyond: beyond.length,
+      beyondInTime: beyond.length === 0 ? 1 : beyond.filter(isInTime).length / beyond.length
+    }
+  }
+
+  function toQueueRow (load: ILoad): ILoadRow {
+    const jobs = measured.filter((each) => each.load === load)
     const lateMs = jobs.map(({ job, dueMs }) => (finishedAtMs.get(job) ?? Infinity) - dueMs).sort((a, b) => a - b)
     const slackS = (share: number): number => Math.round((lateMs[Math.floor(lateMs.length * share)] ?? Infinity) / MS_PER_S * 10) / 10
     const inTime = lateMs.filter((ms) => ms <= 0).length
-    const coreSecondsOf = (each: readonly ISubmittedJob[]): number => each.reduce((sum, { job }) => sum + job.coreSeconds, 0)
-    const workInTime = coreSecondsOf(jobs.filter(({ job, dueMs }) => (finishedAtMs.get(job) ?? Infinity) <= dueMs)) / coreSecondsOf(jobs)
+    const workInTime = coreSecondsOf(jobs.filter(isInTime)) / coreSecondsOf(jobs)
     return {
       queue: load.queue.name,
       jobs: jobs.length,
@@ -160,9 +255,9 @@
       slackP90S: slackS(0.9),
       slackP98S: slackS(0.98)
     }
-  })
+  }
 
-  function submit (load: ILoad): void {
+  function submit (load: ILoad, workspace: ILoadWorkspace): void {
     const steps: Partial<IStepSpec>[] = []
     const workMsByStep: number[] = []
     const stepCount = random.next() < load.steps - 1 ? 2 : 1
@@ -170,14 +265,15 @@
       workMsByStep.push(load.workMs * logNormalFactor(random, WORK_DEVIATION))
       steps.push({
         count: Math.max(1, Math.min(Math.round(load.tasks * logNormalFactor(random, WIDTH_DEVIATION)), load.tasks * MAX_WIDTH_FACTOR)),
-        cpuMillicores: Math.min(HOST.cpuMillicores / 2, Math.round(load.cpuMillicores * logNormalFactor(random, CPU_DEVIATION))),
-        memoryMb: Math.min(HOST.memoryMb / 2, Math.round(load.memoryMb * logNormalFactor(random, WORK_DEVIATION))),
+        cpuMillicores: Math.min(host.cpuMillicores / 2, Math.round(load.cpuMillicores * logNormalFactor(random, CPU_DEVIATION))),
+        memoryMb: Math.min(host.memoryMb / 2, Math.round(load.memoryMb * logNormalFactor(random, WORK_DEVIATION))),
         estimateMs: Math.round((workMsByStep[number] ?? 0) * logNormalFactor(random, load.estimateDeviation)),
         gang: random.next() < load.gangShare,
         after: number === 0 ? [] : [number - 1]
       })
     }
-    const job = cell.submit(steps, load.queue)
+    const job = cell.submit(steps, load.queue, workspace.name)
+    job.isBeyondShare = !meter.recordJob(workspace.name, jobsPerS * workspace.share * WEIGHT_FACTOR, job.receivedAtMs)
     const { jobId } = job.spec
     workMsByStep.forEach((ms, number) => { workMs.set(`${jobId}.${number}`, ms) })
     loadByJob.set(jobId, load)
--- /dev/null
+++ b/bench/cellOrders.ts
@@ -0,0 +1,33 @@
+/**
+ * Orders of waiting steps that the product doesn't use, to compare its own with.
+ */
+
+import { compareByObjective } from '../src/common/cell/JobOrder.js'
+
+import type { IJobOrder } from '../src/common/cell/JobOrder.js'
+import type { Step } from '../src/common/cell/Job.js'
+import type { MonotonicMs } from '../src/common/Types.js'
+import type { WorkspaceUsage } from '../src/common/cell/WorkspaceUsage.js'
+
+/** Jobs beyond the share of their workspace after all others, whatever their priority. */
+export class ShareFirstOrder implements IJobOrder {
+  public sort (steps: Step[], nowMs: MonotonicMs): readonly Step[] {
+    return steps.sort(({ job: a }, { job: b }) =>
+      Number(a.isBeyondShare) - Number(b.isBeyondShare) || compareByObjective(a, b, nowMs))
+  }
+}
+
+/** Within a priority, the workspace with the smallest dominant share first (Ghodsi and others, 2011). All weights are equal. */
+export class DominantShareOrder implements IJobOrder {
+  public sort (steps: Step[], nowMs: MonotonicMs, usage: WorkspaceUsage): readonly Step[] {
+    const share = (workspace: string): number => {
+      const { cpuMillicores, memoryMb } = usage.usedBy(workspace)
+      return Math.max(cpuMillicores, memoryMb / MEMORY_MB_PER_MILLICORE)
+    }
+    return steps.sort(({ job: a }, { job: b }) =>
+      a.queue.priority - b.queue.priority || share(a.workspace) - share(b.workspace) || compareByObjective(a, b, nowMs))
+  }
+}
+
+/** The memory of a host for each of its millicores, in MB. */
+const MEMORY_MB_PER_MILLICORE = 4
--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -6,7 +6,9 @@
 import { ADMISSION_UPDATE_MS, AdmissionRate } from '../common/cell/AdmissionRate.js'
 import { Job } from '../common/cell/Job.js'
 import { CellScheduler } from '../common/cell/CellScheduler.js'
+import { ShareOrder } from '../common/cell/JobOrder.js'
 import { decodeJob, queueTermsOf } from '../common/cell/JobRecord.js'
+import { ShareMeter } from '../common/cell/ShareMeter.js'
 import type { IAdviceSender } from '../common/cell/AdviceDispatcher.js'
 import type {
   CancelOutcome, ICallerAccess, ICellOwnerPort, IHostEntry, IHostOrders, IMetadataStore, IQueue, IStartOrder, ISubmission, OwnerAnswer, StartOutcome,
@@ -89,6 +91,7 @@
   private readonly _accepting = new Map<string, IAccepting>()
   private readonly _authorizer: CallerAuthorizer
   private readonly _admission = new AdmissionRate()
+  private readonly _shares = new ShareMeter()
   private _isDisposed = false
   private _isPassDue = false
   private _lastPassMs = 0
@@ -120,7 +123,7 @@
       requestPass: () => { this._requestPass() },
       recordDuration: (name, ms) => { _context.times.record(name, ms) },
       count: (name, kind) => { _context.counters.add(name, kind) }
-    }, { farFactor: _options.farFactor, inheritedUntilMs: clock.nowMs() + inheritedMs }, chart, clock, log)
+    }, { farFactor: _options.farFactor, inheritedUntilMs: clock.nowMs() + inheritedMs }, chart, clock, log, new ShareOrder())
     this._hosts = new HostSessions({
       ..._context,
       scheduler: this._scheduler,
@@ -229,15 +232,17 @@
   }
 
   private async _accept (submission: ISubmission, queue: IQueue, workspace: string): Promise<OwnerAnswer> {
-    const { clock, log } = this._context
+    const { clock, config, log } = this._context
     const jobStore = await this._jobStore
     const { jobId } = submission
     if (jobStore.isStoreUnavailable) return this._refuseWithoutStore(jobId, 'the store is away')
     const job = new Job(decodeJob(submission.record), queueTermsOf(queue), clock.nowMs() - submission.ageMs, workspace)
     const infeasibleReason = this._infeasibleReason(job)
     if (infeasibleReason !== undefined) return this._refuse(jobId, infeasibleReason, INFEASIBLE_RETRY_AFTER_MS)
+    const weight = config.config?.workspaces.find(({ name }) => name === workspace)?.weight ?? 0
+    job.isBeyondShare = !this._shares.recordJob(workspace, weight, clock.nowMs())
     const tasks = job.steps.reduce((sum, step) => sum + step.tasks.length, 0)
-    if (!this._admission.tryAdmit(tasks, queue.priority === URGENT_PRIORITY)) {
+    if (!this._admission.tryAdmit(tasks, queue.priority === URGENT_PRIORITY && !job.isBeyondShare)) {
       return this._refuse(jobId, 'the owner can order no more starts', this._admission.retryAfterMs)
     }
     const accepted = jobStore.accept(job)
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -14,6 +14,8 @@
 import { HostSpeeds } from './HostSpeeds.js'
 import { HostState } from './HostState.js'
 import type { Job, Step } from './Job.js'
+import { ObjectiveOrder, isLate } from './JobOrder.js'
+import type { IJobOrder } from './JobOrder.js'
 import type { IRecordedRun } from './JobRecord.js'
 import { LimitReservations } from './LimitReservations.js'
 import { planGang, planTasks, urgentHeadroom } from './Placement.js'
@@ -35,13 +37,6 @@
   readonly inheritedUntilMs: MonotonicMs
 }
 
-/**
- * A gang is assumed to run for at least this share of its estimate. If it would miss its objective even then, gangs that can
- * still meet theirs go first, because its placement would make these late as well.
- */
-const MIN_ESTIMATE_SHARE = 0.8
-/** A late job that has waited for this long, in ms, is no longer deferred: callers still want late work done. */
-const MAX_DEFERRAL_MS = 60_000
 /** Once a job has waited for this share of the time to its objective, it may use capacity that is reserved for late gangs. */
 const AT_RISK_WAIT_SHARE = 0.5
 
@@ -66,7 +61,8 @@
     private readonly _options: ICellSchedulerOptions,
     private readonly _chart: ChartTable,
     private readonly _clock: IClock,
-    private readonly _log: ILogger
+    private readonly _log: ILogger,
+    private readonly _order: IJobOrder = new ObjectiveOrder()
   ) {
     const onChange = (): void => { _effects.requestPass() }
     this._runController = new RunController({
@@ -261,8 +257,7 @@
         if (!step.isDone && step.isReady && step.tasks.some((task) => task.isIdle)) steps.push(step)
       }
     }
-    return steps.sort((a, b) => a.job.queue.priority - b.job.queue.priority || Number(isLate(a.job, nowMs)) - Number(isLate(b.job, nowMs)) ||
-      a.job.dueMs - b.job.dueMs)
+    return this._order.sort(steps, nowMs, this._workspaces)
   }
 
   private _placeTasks (step: Step, allowed: number, view: IPlacementView): void {
@@ -315,14 +310,6 @@
   }
 }
 
-/** Whether a job can no longer meet its objective by its estimates. False for a job that has waited for very long. */
-function isLate (job: Job, nowMs: MonotonicMs): boolean {
-  if (nowMs - job.receivedAtMs > MAX_DEFERRAL_MS) return false
-  let remainingMs = 0
-  for (const { spec, isDone } of job.steps) if (spec.gang && !isDone) remainingMs += spec.estimateMs * MIN_ESTIMATE_SHARE
-  return nowMs + remainingMs > job.dueMs
-}
-
 /**
  * Whether a job can still meet its objective but has used a good part of the time for it. Gangs are excluded: they are ordered
  * among themselves by their objectives.
--- a/src/common/cell/Job.ts
+++ b/src/common/cell/Job.ts
@@ -81,6 +81,8 @@
   /** Whether a host has started one of its tasks. */
   public hasStarted = false
   public finishedAtMs: MonotonicMs | undefined
+  /** Whether its workspace had used up its share when it was accepted. */
+  public isBeyondShare = false
   /** The job's objective: it earns its full value if it completes by then. */
   public readonly dueMs: MonotonicMs
   public readonly chainMs: number
--- a/src/operator/analysis/JobHistory.ts
+++ b/src/operator/analysis/JobHistory.ts
@@ -24,6 +24,8 @@
 export interface IJobHistory {
   readonly jobId: string
   readonly queue: string
+  /** Empty if its queue needs no key, or if the job was never accepted. */
+  readonly workspace: string
   /** When the caller first submitted the job. */
   readonly sentAtMs: number
   readonly fate: JobFate
@@ -40,6 +42,7 @@
 /** Collects the log lines of one job and computes its history. */
 class JobHistoryBuilder {
   public queue = ''
+  public workspace = ''
   public sentAtMs = Infinity
   public outcome = ''
   public reason = ''
@@ -57,6 +60,7 @@
       case 'caller.answered': return this._addAnswer(atMs, fields)
       case 'job.accepted':
         this.queue = textOf(fields.queue)
+        this.workspace = textOf(fields.workspace)
         this.acceptedAtMs ??= atMs
         return
       case 'advice.answered':
@@ -79,8 +83,8 @@
   }
 
   public build (): IJobHistory {
-    const { jobId, queue, sentAtMs, reason } = this
-    return { jobId, queue, sentAtMs, fate: this._determineFate(), reason, times: this._computeTimes() }
+    const { jobId, queue, workspace, sentAtMs, reason } = this
+    return { jobId, queue, workspace, sentAtMs, fate: this._determineFate(), reason, times: this._computeTimes() }
   }
 
   private _addAnswer (atMs: number, fields: ILogEvent['fields']): void {
--- a/src/operator/analysis/LogAnalysis.test.ts
+++ b/src/operator/analysis/LogAnalysis.test.ts
@@ -13,7 +13,7 @@
 }
 
 const COMPLETED = [
-  logLine(40, 'job.accepted', { requestId: 'a', queue: 'lookups' }, 'owner-1'),
+  logLine(40, 'job.accepted', { requestId: 'a', queue: 'lookups', workspace: 'blue' }, 'owner-1'),
   logLine(45, 'caller.answered', { requestId: 'a', queue: 'lookups', outcome: 'accepted', durationMs: 45 }),
   logLine(60, 'advice.answered', { requestId: 'a', step: '0', waitMs: 30 }, 'owner-1'),
   logLine(110, 'run.ordered', { requestId: 'a', task: '0.0', run: 1, outcome: 'started', recordMs: 20, durationMs: 10 }, 'owner-1'),
@@ -33,8 +33,9 @@
 
 test('the log lines of several processes are combined into the history of a job', (t) => {
   const [gateway, owner] = [COMPLETED.filter((text) => text.includes('gateway-1')), COMPLETED.filter((text) => text.includes('owner-1'))]
-  const { windows, parts } = analyseLogs(readLogEvents([gateway.join('\n'), owner.join('\n')]), 2000)
+  const { windows, workspaces, parts } = analyseLogs(readLogEvents([gateway.join('\n'), owner.join('\n')]), 2000)
   t.deepEqual(windows.map(({ fromS, queue, jobs, fates }) => [fromS, queue, jobs, fates.inTime]), [[0, 'lookups', 1, 1]])
+  t.like(workspaces[0], { workspace: 'blue', jobs: 1, fates: { inTime: 1 } })
   const p50Ms = Object.fromEntries(parts.map(({ part, p50Ms }) => [part, p50Ms]))
   t.deepEqual(p50Ms, { untilAcceptedMs: 40, adviceMs: 30, roomMs: 20, recordMs: 20, tellMs: 15 })
 })
--- a/src/operator/analysis/LogAnalysis.ts
+++ b/src/operator/analysis/LogAnalysis.ts
@@ -37,6 +37,13 @@
   readonly coreSeconds: number
 }
 
+/** How the accepted jobs of a workspace ended. */
+export interface IWorkspaceRow {
+  readonly workspace: string
+  readonly jobs: number
+  readonly fates: Readonly<Record<JobFate, number>>
+}
+
 /** A reason why submissions were not accepted, with the number of such answers. */
 export interface IRefusalRow {
   readonly reason: string
@@ -55,6 +62,7 @@
 
 export interface ILogAnalysis {
   readonly windows: readonly IWindowRow[]
+  readonly workspaces: readonly IWorkspaceRow[]
   readonly parts: readonly IPartRow[]
   readonly losses: readonly ILossRow[]
   readonly refusals: readonly IRefusalRow[]
@@ -69,6 +77,7 @@
   const windows = windowRows(jobs, originMs, windowMs)
   return {
     windows,
+    workspaces: workspaceRows(jobs),
     parts: partRows(jobs),
     losses: lossRows(events, new Map(jobs.map(({ jobId, queue }) => [jobId, queue]))),
     refusals: refusalRows(events),
@@ -83,11 +92,19 @@
     const [first] = group
     if (first === undefined) return []
     const fromS = Math.floor((first.sentAtMs - originMs) / windowMs) * windowMs / MS_PER_S
-    const fates = Object.fromEntries(FATES.map((fate) => [fate, group.filter((job) => job.fate === fate).length])) as Record<JobFate, number>
-    return [{ fromS, queue: first.queue, jobs: group.length, fates }]
+    return [{ fromS, queue: first.queue, jobs: group.length, fates: countFates(group) }]
   }).sort((a, b) => a.fromS - b.fromS || (a.queue < b.queue ? -1 : 1))
 }
 
+function workspaceRows (jobs: readonly IJobHistory[]): readonly IWorkspaceRow[] {
+  const groups = groupBy(jobs.filter(({ workspace }) => workspace !== ''), ({ workspace }) => workspace)
+  return [...groups].map(([workspace, group]) => ({ workspace, jobs: group.length, fates: countFates(group) })).sort((a, b) => b.jobs - a.jobs)
+}
+
+function countFates (jobs: readonly IJobHistory[]): Readonly<Record<JobFate, number>> {
+  return Object.fromEntries(FATES.map((fate) => [fate, jobs.filter((job) => job.fate === fate).length])) as Record<JobFate, number>
+}
+
 /** Cancelled jobs don't count, since their callers no longer expect a result. */
 function inTimeSharesOf (windows: readonly IWindowRow[]): readonly number[] {
   return [...groupBy(windows, ({ fromS }) => String(fromS)).values()].map((rows) => {
--- a/src/operator/commands/AnalyseCommand.ts
+++ b/src/operator/commands/AnalyseCommand.ts
@@ -36,11 +36,12 @@
 }
 
 function reportLines (analysis: ILogAnalysis, all: boolean): readonly string[] {
-  const { windows, parts, losses, refusals, ownerChanges, inTimeShares } = analysis
+  const { windows, workspaces, parts, losses, refusals, ownerChanges, inTimeShares } = analysis
   const shown = windows.filter(({ jobs, fates }) => all || fates.inTime + fates.cancelled < jobs)
   const rows = shown.map(({ fromS, queue, jobs, fates }) => ({ fromS, queue, jobs, ...fates }))
   return [
     ...sectionLines(all ? 'Jobs by time window' : 'Time windows with jobs that were not in time', rows),
+    ...sectionLines('Accepted jobs by workspace', workspaces.map(({ workspace, jobs, fates }) => ({ workspace, jobs, ...fates }))),
     ...sectionLines('Time by part of a job', parts),
     ...sectionLines('Runs without a result', losses),
     ...sectionLines('Submissions that were not accepted', refusals),
--- a/test/support/SimulatedCell.ts
+++ b/test/support/SimulatedCell.ts
@@ -13,6 +13,7 @@
 import { SimulatedHost, taskKey } from './SimulatedHost.js'
 
 import type { HostState } from '../../src/common/cell/HostState.js'
+import type { IJobOrder } from '../../src/common/cell/JobOrder.js'
 import type { QueueTerms } from '../../src/common/cell/Job.js'
 import type { AdviceOutcome, IAdviceRequest, IStepSpec, IWorkspace } from '../../src/common/cell/Types.js'
 import type { IFlatChart } from '../../src/common/state/Types.js'
@@ -43,6 +44,8 @@
   adviceMs? (request: IAdviceRequest): number
   /** The delay between the decision of the advice service and the arrival of its answer. */
   readonly adviceReplyDelayMs?: number
+  /** The order of waiting steps; that of the product by default. */
+  readonly order?: IJobOrder
   /** The time for which the hosts accept a ticket; unlimited by default. */
   readonly ticketValidMs?: number
 }
@@ -149,7 +152,7 @@
       count: () => {},
       machines: () => machines,
       send: async (_machine, request) => await this._send(request)
-    }, { farFactor: 3, inheritedUntilMs }, CHART, this.clock, new SilentLogger())
+    }, { farFactor: 3, inheritedUntilMs }, CHART, this.clock, new SilentLogger(), this._options.order)
     for (const host of this.hosts) scheduler.addHost(host.entry)
     scheduler.applyWorkspaces(this._workspaces)
     return scheduler
