--- a/src/cell/BatchCommit.ts
+++ b/src/cell/BatchCommit.ts
@@ -78,7 +78,10 @@
     if (this._pendingAttempts === 0) this._settleAbandoned()
   }
 
-  /** Sends the transaction again at once; to be called when the store has answered another call. */
+  /**
+   * Sends the transaction again at once; to be called when the store has answered another call. One attempt beyond the limit is allowed: the
+   * pending ones may all be on connections that died while the store was silent.
+   */
   public retryNow (): void {
     if (this._isSettled || this._isAbandoned || this._pendingAttempts > MAX_PENDING_ATTEMPTS ||
       this._clock.nowMs() - this._lastAttemptAtMs < RETRY_DELAY_MS) return
--- a/src/cell/StoreLane.test.ts
+++ b/src/cell/StoreLane.test.ts
@@ -340,3 +340,14 @@
   await run(100)
   t.is(store.transactions.length, 1)
 })
+
+test('answers of the store to other calls cause at most one attempt of a write beyond its limit', async (t) => {
+  const { run, store, writer, write } = setUp()
+  store.script = Array.from({ length: 20 }, () => 'silent-undone' as const)
+  write('a', '1')
+  for (let answer = 0; answer < 10; answer += 1) {
+    await run(70)
+    writer.onStoreAnswered()
+  }
+  t.true(store.transactions.length <= 6, String(store.transactions.length))
+})
--- a/src/daemon/ControllerDaemon.ts
+++ b/src/daemon/ControllerDaemon.ts
@@ -166,6 +166,8 @@
     const closeMs = Math.max(0, this._settings.stop.graceMs - BALANCER_NOTICE_MS - CLOSE_RESERVE_MS)
     await this._jobServer?.close(closeMs)
     await this._metricsServer.close()
+    this._readinessServer?.close()
+    this._readinessServer?.closeAllConnections()
     this._disposables.dispose()
     this._hub?.dispose()
     this._log.info('process.stopped', {})
--- a/src/runtime/settings/SettingsFields.ts
+++ b/src/runtime/settings/SettingsFields.ts
@@ -61,8 +61,8 @@
 }
 
 function parseSeed (text: string): ISeedSettings | undefined {
-  const [processId = '', address = ''] = text.split('@')
-  const isValid = NAME_PATTERN.test(processId) && parseListen(address) !== undefined
+  const [processId = '', address = '', ...rest] = text.split('@')
+  const isValid = rest.length === 0 && NAME_PATTERN.test(processId) && parseListen(address) !== undefined
   return isValid ? { processId, peerUrl: `ws://${address}` } : undefined
 }
 
--- a/src/runtime/settings/SettingsLoader.test.ts
+++ b/src/runtime/settings/SettingsLoader.test.ts
@@ -81,3 +81,9 @@
   }), { seed: SEED, numRuns: 500 })
   t.pass()
 })
+
+test('a seed with a second @ is malformed instead of being cut off there', t => {
+  const malformed = GATEWAY.replace(/^seeds = .*$/m, 'seeds = scheduler-1@10.0.0.7:7101@10.0.0.8:7101')
+  t.not(malformed, GATEWAY)
+  t.true(problemsOf(malformed).some(place => place.endsWith('.seeds')), problemsOf(malformed).join(' '))
+})
