--- a/test/DocNames.test.ts
+++ b/test/DocNames.test.ts
@@ -4,7 +4,7 @@
 
 const SOURCE_FOLDERS = ['src', 'test', 'spec', 'bench', 'platform', 'scripts', 'bin']
 const FOLDERS = [...SOURCE_FOLDERS, 'deploy', 'charts', 'docs', 'examples']
-const PAGE_FOLDERS = ['.', 'docs', 'docs/incidents']
+const PAGE_FOLDERS = ['.', 'docs', 'docs/design', 'docs/incidents']
 
 const CODE_BLOCK = /^```.*?^```/gms
 const QUOTED = /`([^`]+)`/g
