--- a/src/cell/ConfigRelay.test.ts
+++ b/src/cell/ConfigRelay.test.ts
@@ -40,11 +40,15 @@
   t.is(asked(), 0)
 })
 
-test('a process without a link to the owner asks again, and none is asked after the end', async (t) => {
-  const { clock, applied, relay } = setUp(false, false)
+test('without a link to the owner nothing changes', async (t) => {
+  const { clock, applied } = setUp(false, false)
   await advance(clock, 2000, 50)
   t.deepEqual(applied, [])
+})
+
+test('a process that is stopping asks nobody', async (t) => {
+  const { clock, relay, asked } = setUp(false)
   relay.dispose()
   await advance(clock, 2000, 50)
-  t.pass()
+  t.is(asked(), 0)
 })
