Owner: one constant for the urgent priority, and the weight found by key

Cause: read from the diff. The weight was searched among all workspaces for each job, and the urgent priority stood twice. Change: both are looked up where they are defined. Measured: CellOwner's tests pass.

--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -7,6 +7,7 @@
 import { Job } from '../common/cell/Job.js'
 import { CellScheduler } from '../common/cell/CellScheduler.js'
 import { decodeJob, queueTermsOf } from '../common/cell/JobRecord.js'
+import { URGENT_PRIORITY } from '../common/cell/Placement.js'
 import { ShareMeter } from '../common/cell/ShareMeter.js'
 import type { IAdviceSender } from '../common/cell/AdviceDispatcher.js'
 import type {
@@ -58,7 +59,6 @@
 const SLOW_CLOCK_FACTOR = 1.02
 const INHERITED_MARGIN_MS = 1000
 const SWEEP_INTERVAL_MS = 400
-const URGENT_PRIORITY = 0
 /**
  * Delay of a scheduling pass after a change, so that one pass handles several changes: at least this long, in ms, and a multiple of the
  * duration of the last pass. So passes never take more than a fifth of the processor, however long the queue is.
@@ -238,7 +238,7 @@
     const job = new Job(decodeJob(submission.record), queueTermsOf(queue), clock.nowMs() - submission.ageMs, workspace)
     const infeasibleReason = this._infeasibleReason(job)
     if (infeasibleReason !== undefined) return this._refuse(jobId, infeasibleReason, INFEASIBLE_RETRY_AFTER_MS)
-    const weight = config.config?.workspaces.find(({ name }) => name === workspace)?.weight ?? 0
+    const weight = config.workspaceOf(submission.keyDigest)?.weight ?? 0
     job.isBeyondShare = !this._shares.recordJob(workspace, weight, clock.nowMs())
     const tasks = job.steps.reduce((sum, step) => sum + step.tasks.length, 0)
     if (!this._admission.tryAdmit(tasks, queue.priority === URGENT_PRIORITY && !job.isBeyondShare)) {
--- a/src/common/cell/Placement.ts
+++ b/src/common/cell/Placement.ts
@@ -35,7 +35,8 @@
  * on each host they start immediately in a full cell, where they would otherwise wait for a batch task to end.
  */
 const URGENT_SHARE = 0.1
-const URGENT_PRIORITY = 0
+/** The priority of the most urgent queues. */
+export const URGENT_PRIORITY = 0
 
 /**
  * The resources that a step has to leave free for urgent work. Gangs are exempt, and the headroom shrinks for a task that needs
