A run whose stop is confirmed again and again counts as gone

Its run was stopped on the new incarnation every 0.8 s, each answer moved the time of the confirmation on, and a poll of one second that was sent after it never came. The run kept its resources, its workspace's room and its task for ever; the job was still running 40 s after the faults. Ruled out: the limit of the workspace (not reached), the new keys. Change: the first confirmation counts; a restart of the host makes it void, also one whose answer is still under way.

--- a/src/common/cell/Attempt.ts
+++ b/src/common/cell/Attempt.ts
@@ -33,8 +33,7 @@
   public deadlineMs = 0
   /** When the host last reported that it has the run. A list requested after that shows the run or its end. */
   public reportedAtMs: MonotonicMs = Infinity
-  /** When the host had confirmed the stop. From then on it won't start the run. */
-  public stopConfirmedAtMs: MonotonicMs = Infinity
+  private _stopConfirmedAtMs: MonotonicMs = Infinity
   public startedAtMs: MonotonicMs
   /** Whether an earlier owner started it, so that its start time is unknown. */
   public readonly isInherited: boolean
@@ -82,6 +81,25 @@
     return true
   }
 
+  /** When the host had first confirmed the stop. From then on it won't start the run. */
+  public get stopConfirmedAtMs (): MonotonicMs {
+    return this._stopConfirmedAtMs
+  }
+
+  /**
+   * Records that the host has confirmed the stop. The first time counts: a stop is repeated more often than a poll is answered, so by the
+   * last time no list would ever have been requested late enough to show that the run is gone.
+   */
+  public confirmStop (nowMs: MonotonicMs): void {
+    this._stopConfirmedAtMs = Math.min(this._stopConfirmedAtMs, nowMs)
+  }
+
+  /** The host has restarted, and its new incarnation doesn't know of the stop. */
+  public forgetStop (): void {
+    this._stopConfirmedAtMs = Infinity
+    this.stopSentAtMs = -Infinity
+  }
+
   public updatePercent (percent: number, nowMs: MonotonicMs): void {
     if (percent === this.percent) return
     this.percent = percent
--- a/src/common/cell/CellScheduler.test.ts
+++ b/src/common/cell/CellScheduler.test.ts
@@ -267,3 +267,16 @@
   }
   t.true(await namedAtOnce(20) < await namedAtOnce(700))
 })
+
+test('a run whose stop is confirmed again and again is gone with the next poll', async (t) => {
+  // The host restarts before it answers the order. A poll takes longer than the time after which the stop is sent again.
+  const cell = new SimulatedCell({ hosts: 1, holdMs: 1000 })
+  await cell.run(1500)
+  cell.host(0).losesStarts = true
+  const job = cell.submit([{ count: 1 }])
+  await cell.run(300)
+  cell.host(0).losesStarts = false
+  cell.host(0).restart()
+  await cell.run(8000)
+  t.is(job.phase, 'completed')
+})
--- a/src/common/cell/HoldAnswerHandler.ts
+++ b/src/common/cell/HoldAnswerHandler.ts
@@ -64,6 +64,7 @@
   private _stopOnNewIncarnation (attempt: Attempt): void {
     // Its deadline refers to the clock of the earlier incarnation.
     attempt.deadlineMs = Infinity
+    attempt.forgetStop()
     this._runs.stop(attempt)
   }
 
--- a/src/common/cell/RunController.ts
+++ b/src/common/cell/RunController.ts
@@ -89,8 +89,9 @@
     const nowMs = this._clock.nowMs()
     if (attempt.phase !== 'stopping' || nowMs - attempt.stopSentAtMs < STOP_RETRY_MS) return
     attempt.stopSentAtMs = nowMs
+    const { bornMs } = attempt.host
     this._effects.stop(attempt.host.entry, attempt.ref).then((outcome) => {
-      if (outcome === 'stopped') attempt.stopConfirmedAtMs = this._clock.nowMs()
+      if (outcome === 'stopped' && attempt.host.bornMs === bornMs) attempt.confirmStop(this._clock.nowMs())
       if (outcome === 'fenced') this._effects.onFenced(attempt.host.hostId)
       this._log.info('run.stopAnswered', { ...runLogFields(attempt), outcome })
     }, (error: unknown) => { this._log.error('run.stopFailed', { ...runLogFields(attempt), reason: String(error) }) })
--- a/test/support/SimulatedCell.ts
+++ b/test/support/SimulatedCell.ts
@@ -44,6 +44,8 @@
   adviceMs? (request: IAdviceRequest): number
   /** The delay between the decision of the advice service and the arrival of its answer. */
   readonly adviceReplyDelayMs?: number
+  /** How long a host waits before it answers a poll; zero by default. */
+  readonly holdMs?: number
   /** The order of waiting steps; that of the product by default. */
   readonly order?: IJobOrder
   /** The time for which the hosts accept a ticket; unlimited by default. */
@@ -72,6 +74,8 @@
   private _fence = 1
   private _isPassDue = false
   private _nextJob = 0
+  /** When the poll that a host has not answered yet was sent. */
+  private readonly _holdSentAtMs = new Map<SimulatedHost, number>()
   private _pendingSaves: { readonly job: Job, readonly atMs: number, readonly done: () => void }[] = []
 
   public constructor (private readonly _options: ISimulatedCellOptions) {
@@ -211,17 +215,26 @@
   }
 
   private _sendHolds (): void {
+    const { holdMs = 0 } = this._options
     for (const host of this.hosts) {
-      const state = this._stateOf(host.options.hostId)
-      state.entry = host.entry
       const nowMs = this.clock.nowMs()
-      const deadlineMs = state.nextDeadline(nowMs, MAX_HOLD_MS, Infinity)
-      const answer = host.hold({ fence: this._fence, acknowledgedSequence: state.storedSequence, deadlineMs, waitMs: 0 })
-      if (answer === undefined || answer === 'fenced') this.scheduler.loseRunsIfLapsed(state)
-      else this.scheduler.applyHoldAnswer(state, answer, nowMs)
+      const sentAtMs = this._holdSentAtMs.get(host) ?? nowMs
+      this._holdSentAtMs.set(host, sentAtMs)
+      if (nowMs - sentAtMs < holdMs) continue
+      this._holdSentAtMs.delete(host)
+      this._answerHold(host, sentAtMs)
     }
   }
 
+  private _answerHold (host: SimulatedHost, sentAtMs: number): void {
+    const state = this._stateOf(host.options.hostId)
+    state.entry = host.entry
+    const deadlineMs = state.nextDeadline(sentAtMs, MAX_HOLD_MS, Infinity)
+    const answer = host.hold({ fence: this._fence, acknowledgedSequence: state.storedSequence, deadlineMs, waitMs: 0 })
+    if (answer === undefined || answer === 'fenced') this.scheduler.loseRunsIfLapsed(state)
+    else this.scheduler.applyHoldAnswer(state, answer, sentAtMs)
+  }
+
   private _recordWorstUse (): void {
     const runs = new Map<string, number>()
     const usedByWorkspace = new Map<string, number>()
