--- a/src/runtime/KeyDigest.ts
+++ b/src/runtime/KeyDigest.ts
@@ -1,6 +1,6 @@
 /**
- * Digests of callers' keys. Only digests are kept and passed on between processes, so no log line, dump or record contains a key, and the
- * time of a look-up by digest tells nothing about the keys.
+ * Digests of callers' keys. Only digests are kept and sent with callers' requests, so no log line, dump or record of a job contains a key, and
+ * the time of a look-up by digest tells nothing about the keys.
  */
 
 import { createHash } from 'node:crypto'
