Runs on hosts that have left count as gone at once

The store removes the entry of a host that has left, but also one that wasn't renewed for three heartbeats, and such a host may run on; the owner could not tell these apart.

Change: an entry says what its host's clock showed when it was written, and polls say what it shows now. A draining host whose entry is missing less than three heartbeats after that can't have expired: it has left (DepartureDetector). All else waits for the leases, as before. Jobs are stored without the lost runs, since the next owner would wait for the leases of an unknown host. New setting [hosts] heartbeatMs. In the soak, hosts renew their entries, drain and leave, and lose their entries while they run on.

--- a/src/cell/CellOwner.test.ts
+++ b/src/cell/CellOwner.test.ts
@@ -49,6 +49,7 @@
   address: '',
   failureDomain: '',
   draining: false,
+  clockMs: undefined,
   cpuMillicores: 8000,
   memoryMb: 8000,
   accelerators: 0,
@@ -150,7 +151,7 @@
     times: new LatencyTable(20),
     counters: new Counters()
   } as unknown as ICellOwnerContext
-  const owner = new CellOwner(context, { writerId: 'me', maxHoldMs: 3000, farFactor: 2, statusMs: 120_000 }, FENCE)
+  const owner = new CellOwner(context, { writerId: 'me', maxHoldMs: 3000, heartbeatMs: 1500, farFactor: 2, statusMs: 120_000 }, FENCE)
   t.teardown(() => { owner.dispose() })
   return { owner, clock, store, ownership, confirmed, started, config }
 }
--- a/src/cell/HostSessions.ts
+++ b/src/cell/HostSessions.ts
@@ -2,11 +2,13 @@
  * The hosts of the cell as the store lists them, with one session for each.
  */
 
+import { DepartureDetector } from '../common/cell/DepartureDetector.js'
 import { HostSession } from './HostSession.js'
 
 import type { CellScheduler } from '../common/cell/CellScheduler.js'
+import type { IHostList } from '../common/cell/DepartureDetector.js'
 import type { HostState } from '../common/cell/HostState.js'
-import type { IHostEntry, IHostOrders, IMetadataItem, IMetadataRange, IMetadataStore } from '../common/cell/Types.js'
+import type { IHostEntry, IHostOrders, IMetadataRange, IMetadataStore } from '../common/cell/Types.js'
 import type { ILogger } from '../common/observability/Types.js'
 import type { EpochMs, IClock, IDisposable, ITimers, MonotonicMs } from '../common/Types.js'
 import type { ICellRecords } from './Types.js'
@@ -25,6 +27,15 @@
   requestPass (): void
 }
 
+export interface IHostSessionsOptions {
+  /** The fencing token of this owner. */
+  readonly fence: number
+  /** The longest lease that a host grants to an owner, in ms. */
+  readonly maxHoldMs: number
+  /** The interval at which hosts renew their entries, in ms. */
+  readonly heartbeatMs: number
+}
+
 const POLL_INTERVAL_MS = 600
 
 export class HostSessions implements IDisposable {
@@ -32,11 +43,12 @@
   private _polling: IDisposable | undefined
   /** Revision of the newest list that was applied. */
   private _listRevision = 0
+  private readonly _departures: DepartureDetector
   private _isDisposed = false
 
-  public constructor (
-    private readonly _context: IHostSessionsContext, private readonly _fence: number, private readonly _maxHoldMs: number
-  ) {}
+  public constructor (private readonly _context: IHostSessionsContext, private readonly _options: IHostSessionsOptions) {
+    this._departures = new DepartureDetector(_options.heartbeatMs, (entry) => this._renewedAfterMs(entry))
+  }
 
   public get size (): number {
     return this._sessions.size
@@ -55,11 +67,11 @@
   }
 
   /** Applies the list of hosts as it was read from the store. */
-  public applyList (items: readonly IMetadataItem[]): void {
+  public applyList ({ items, revision }: IMetadataRange): void {
     const { records, scheduler, log } = this._context
+    const list = items.map((item) => ({ key: item.key, revision: item.revision, entry: records.decodeHostEntry(item) }))
     const listed = new Set<string>()
-    for (const item of items) {
-      const entry = records.decodeHostEntry(item)
+    for (const { entry } of list) {
       if (entry === undefined) continue
       listed.add(entry.hostId)
       if (this._isWorthLogging(entry)) this._logHost(entry)
@@ -72,6 +84,7 @@
         log.warn('host.unlisted', { host: host.hostId, runs: host.attempts.size })
       }
     }
+    this._applyDepartures({ items: list, revision, receivedAtMs: this._context.clock.nowMs() })
     this._context.requestPass()
   }
 
@@ -81,7 +94,18 @@
     const known = scheduler.hosts.get(hostId)
     if (known !== undefined) return known
     const host = scheduler.addHost({
-      hostId, bornMs, service: '', address: '', failureDomain: '', draining: true, cpuMillicores: 0, memoryMb: 0, accelerators: 0, labels: [], rack: ''
+      hostId,
+      bornMs,
+      service: '',
+      address: '',
+      failureDomain: '',
+      draining: true,
+      clockMs: undefined,
+      cpuMillicores: 0,
+      memoryMb: 0,
+      accelerators: 0,
+      labels: [],
+      rack: ''
     })
     host.isListed = false
     return host
@@ -97,10 +121,26 @@
   }
 
   /** Ignores a list that a newer one has overtaken: polls overlap while the store is slow. */
-  private _applyIfNewer ({ items, revision }: IMetadataRange): void {
-    if (revision < this._listRevision) return
-    this._listRevision = revision
-    this.applyList(items)
+  private _applyIfNewer (range: IMetadataRange): void {
+    if (range.revision < this._listRevision) return
+    this._listRevision = range.revision
+    this.applyList(range)
+  }
+
+  private _renewedAfterMs ({ hostId, bornMs, clockMs }: IHostEntry): MonotonicMs {
+    const host = this._context.scheduler.hosts.get(hostId)
+    if (host === undefined || host.bornMs !== bornMs || clockMs === undefined) return -Infinity
+    return host.earliestTimeOf(clockMs, this._context.clock.nowMs())
+  }
+
+  private _applyDepartures (list: IHostList): void {
+    const { scheduler, log } = this._context
+    for (const { hostId, bornMs, unrenewedMs } of this._departures.recordList(list)) {
+      const host = scheduler.hosts.get(hostId)
+      if (host === undefined) continue
+      host.hasLeft = true
+      log.info('host.left', { host: hostId, bornMs, runs: host.attempts.size, unrenewedMs: Math.round(unrenewedMs), revision: list.revision })
+    }
   }
 
   /**
@@ -122,12 +162,12 @@
     const host = scheduler.hosts.get(hostId)
     if (host === undefined) return
     const session = new HostSession(host, {
-      hold: async (entry, order, signal) => await orders.hold(entry, { ...order, fence: this._fence }, signal),
+      hold: async (entry, order, signal) => await orders.hold(entry, { ...order, fence: this._options.fence }, signal),
       holdUntilMs: () => this._context.holdUntilMs(),
       onHeld: (held, answer, sentAtMs) => { if (!this._isDisposed) scheduler.applyHoldAnswer(held, answer, sentAtMs) },
       onFenced: (held) => { this._context.onFenced(held.hostId) },
       onFailure: (silent) => scheduler.loseRunsIfLapsed(silent)
-    }, this._maxHoldMs, clock, log)
+    }, this._options.maxHoldMs, clock, log)
     this._sessions.set(hostId, session)
     session.start()
   }
--- a/src/cell/StoredCell.ts
+++ b/src/cell/StoredCell.ts
@@ -4,7 +4,7 @@
 
 import { applyProgress, decodeAccepted, decodeOutcome } from '../common/cell/JobRecord.js'
 import type { CellScheduler } from '../common/cell/CellScheduler.js'
-import type { IMetadataItem, IMetadataStore } from '../common/cell/Types.js'
+import type { IMetadataItem, IMetadataRange, IMetadataStore } from '../common/cell/Types.js'
 import type { ILogger } from '../common/observability/Types.js'
 import type { IClock, ITimers } from '../common/Types.js'
 import type { HostSessions } from './HostSessions.js'
@@ -17,7 +17,7 @@
   readonly laneRevisions: ReadonlyMap<string, number>
   readonly accepted: readonly IMetadataItem[]
   readonly progress: readonly IMetadataItem[]
-  readonly hosts: readonly IMetadataItem[]
+  readonly hosts: IMetadataRange
   /** How long the store took to answer the read of the lanes, in ms. */
   readonly storeLatencyMs: number
 }
@@ -33,22 +33,23 @@
   const { clock } = context
   const startedAtMs = clock.nowMs()
   let storeLatencyMs = 0
-  const readAll = async (prefix: string): Promise<readonly IMetadataItem[]> => await readPrefix(context, prefix, isWanted)
+  const readRange = async (prefix: string): Promise<IMetadataRange> => await readPrefix(context, prefix, isWanted)
+  const readAll = async (prefix: string): Promise<readonly IMetadataItem[]> => (await readRange(prefix)).items
   const [lanes, accepted, progress, hosts] = await Promise.all([
     readAll(LANE_PREFIX).finally(() => { storeLatencyMs = clock.nowMs() - startedAtMs }),
-    readAll(JOB_PREFIX), readAll(PROGRESS_PREFIX), readAll(hostsPrefix)
+    readAll(JOB_PREFIX), readAll(PROGRESS_PREFIX), readRange(hostsPrefix)
   ])
   return { laneRevisions: new Map(lanes.map((item) => [item.key, item.revision])), accepted, progress, hosts, storeLatencyMs }
 }
 
-async function readPrefix ({ store, clock, log }: IStoredCellContext, prefix: string, isWanted: () => boolean): Promise<readonly IMetadataItem[]> {
+async function readPrefix ({ store, clock, log }: IStoredCellContext, prefix: string, isWanted: () => boolean): Promise<IMetadataRange> {
   while (isWanted()) {
     const read = await store.range(prefix)
-    if (read.kind === 'read') return read.value.items
+    if (read.kind === 'read') return read.value
     log.warn('owner.readFailed', { prefix, reason: read.reason })
     await new Promise<void>((resolve) => { clock.after(READ_RETRY_DELAY_MS, resolve) })
   }
-  return []
+  return { items: [], revision: 0 }
 }
 
 /** Restores all jobs. A job that can't be decoded is left out, so that it doesn't prevent the others from continuing. */
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -136,6 +136,7 @@
     const known = this.hosts.get(entry.hostId)
     if (known !== undefined) {
       known.entry = entry
+      known.hasLeft = false
       return known
     }
     const host = new HostState(entry, this._options.inheritedUntilMs, this._workspaces)
@@ -168,7 +169,7 @@
     this._effects.requestPass()
   }
 
-  /** Gives up the runs of a host that has been silent for longer than any lease. Returns whether the host has no runs left. */
+  /** Gives up the runs of a host that has left, or has been silent for longer than any lease. Returns whether the host has no runs left. */
   public loseRunsIfLapsed (host: HostState): boolean {
     if (!host.hasLapsed(this._clock.nowMs())) return false
     if (host.attempts.size > 0) this._holdHandler.loseAllRuns(host)
--- a/src/common/cell/HoldAnswerHandler.ts
+++ b/src/common/cell/HoldAnswerHandler.ts
@@ -34,7 +34,7 @@
   public applyAnswer (host: HostState, answer: IHoldAnswer, sentAtMs: MonotonicMs): void {
     const nowMs = this._clock.nowMs()
     if (answer.bornMs !== host.bornMs) this.handleRestart(host, answer.bornMs)
-    host.updateClock(answer.clockMs, nowMs)
+    host.updateClock(answer.clockMs, sentAtMs, nowMs)
     const changed = new Set<Job>()
     const listed = this._applyRunning(host, answer, nowMs)
     this._applyEnds(host, answer, changed, nowMs)
@@ -68,10 +68,16 @@
     this._runs.stop(attempt)
   }
 
-  /** Gives up all runs of a host that has been silent for longer than any lease. */
+  /**
+   * Gives up all runs of a host that has left, or has been silent for longer than any lease. The jobs are stored without these runs: the next
+   * owner knows nothing of the host, and would wait until its leases have ended.
+   */
   public loseAllRuns (host: HostState): void {
-    for (const attempt of [...host.attempts]) {
-      if (attempt.wasOrdered) this._loseRun(attempt, 'all leases of the silent host have ended')
+    const reason = host.hasLeft ? 'the host has left' : 'all leases of the silent host have ended'
+    const lost = [...host.attempts].filter((attempt) => attempt.wasOrdered)
+    for (const attempt of lost) this._loseRun(attempt, reason)
+    for (const job of new Set(lost.map(({ task }) => task.step.job))) {
+      this._effects.save(job).catch((error: unknown) => { this._log.error('run.recordFailed', { requestId: job.spec.jobId, reason: String(error) }) })
     }
   }
 
--- a/src/common/cell/HostState.ts
+++ b/src/common/cell/HostState.ts
@@ -29,6 +29,8 @@
   private _used = NO_RESOURCES
   /** Whether the store listed it as ready in the last poll. */
   public isListed = true
+  /** Whether it is certain that the host has left, so that nothing runs there any more. */
+  public hasLeft = false
   /** Whether its list of runs was read under this owner's fence. */
   public isFenced = false
   public bornMs: EpochMs
@@ -39,6 +41,8 @@
   public endsStored: Promise<void> = Promise.resolve()
   private _clockMs = 0
   private _clockAtMs: MonotonicMs = -Infinity
+  /** When the answer with that clock was requested. */
+  private _clockRequestedAtMs: MonotonicMs = -Infinity
   private _maxDeadlineMs = -Infinity
   /** Until then, runs of earlier owners may still exist here. */
   private readonly _inheritedUntilMs: MonotonicMs
@@ -103,10 +107,11 @@
     this._workspaces.removeRun(job.workspace, spec)
   }
 
-  public updateClock (clockMs: number, receivedAtMs: MonotonicMs): void {
+  public updateClock (clockMs: number, requestedAtMs: MonotonicMs, receivedAtMs: MonotonicMs): void {
     // Answers on different connections can overtake each other: the highest clock is the newest.
     if (clockMs < this._clockMs) return
     this._clockMs = clockMs
+    this._clockRequestedAtMs = requestedAtMs
     this._clockAtMs = receivedAtMs
   }
 
@@ -115,6 +120,13 @@
     return this._clockMs + Math.max(0, nowMs - this._clockAtMs) * MIN_CLOCK_RATE
   }
 
+  /** A time before which the host's clock can't have shown this value; -Infinity if that is not known. */
+  public earliestTimeOf (clockMs: number, nowMs: MonotonicMs): MonotonicMs {
+    // A value that the clock can't have reached yet is not of this clock.
+    if (!this.hasClock || clockMs > this._clockMs + (nowMs - this._clockRequestedAtMs) / MIN_CLOCK_RATE) return -Infinity
+    return this._clockRequestedAtMs - Math.max(0, this._clockMs - clockMs) / MIN_CLOCK_RATE
+  }
+
   public get hasClock (): boolean {
     return Number.isFinite(this._clockAtMs)
   }
@@ -144,8 +156,9 @@
     return deadlineMs
   }
 
-  /** Whether every lease ever granted on the host has certainly ended, even without an answer from the host. */
+  /** Whether every lease ever granted on the host has certainly ended, or the host has left, even without an answer from the host. */
   public hasLapsed (nowMs: MonotonicMs): boolean {
+    if (this.hasLeft) return true
     if (nowMs < this._inheritedUntilMs) return false
     return !this.hasClock || this.minClockMs(nowMs) > this._maxDeadlineMs + LAPSE_MARGIN_MS
   }
@@ -157,6 +170,7 @@
     this.storedSequence = 0
     this._clockMs = 0
     this._clockAtMs = -Infinity
+    this._clockRequestedAtMs = -Infinity
     this._maxDeadlineMs = -Infinity
   }
 
--- a/src/common/cell/RunController.ts
+++ b/src/common/cell/RunController.ts
@@ -162,7 +162,7 @@
     this._log.info('run.ordered', { ...runLogFields(attempt), outcome: outcome.kind, ageMs, recordMs, durationMs: Math.round(nowMs - attempt.startedAtMs) })
     switch (outcome.kind) {
       case 'started':
-        attempt.host.updateClock(outcome.clockMs, nowMs)
+        attempt.host.updateClock(outcome.clockMs, attempt.startedAtMs, nowMs)
         this._effects.onStarted(attempt.task.step.job, ageMs)
         if (attempt.transition('LISTED')) this.markRunning(attempt, nowMs)
         return
--- a/src/common/cell/Types.ts
+++ b/src/common/cell/Types.ts
@@ -99,6 +99,8 @@
   readonly address: string
   readonly failureDomain: string
   readonly draining: boolean
+  /** The host's clock when it wrote the entry; undefined if the entry doesn't say. */
+  readonly clockMs: number | undefined
   readonly cpuMillicores: number
   readonly memoryMb: number
   readonly accelerators: number
--- a/src/daemon/ControllerDaemon.ts
+++ b/src/daemon/ControllerDaemon.ts
@@ -255,7 +255,7 @@
       log: this._log,
       times: this._times,
       counters: this._counters
-    }, { writerId, maxHoldMs: hosts.maxHoldMs, farFactor: hosts.farFactor, statusMs: hosts.statusMs }, revision)
+    }, { writerId, maxHoldMs: hosts.maxHoldMs, heartbeatMs: hosts.heartbeatMs, farFactor: hosts.farFactor, statusMs: hosts.statusMs }, revision)
   }
 
   private _giveUpOwnership (silentPeers: number): void {
--- a/src/runtime/settings/ControllerSettings.ts
+++ b/src/runtime/settings/ControllerSettings.ts
@@ -37,6 +37,7 @@
   advice: z.strictObject({ address: listenAddress() }),
   hosts: z.strictObject({
     maxHoldMs: wholeNumber(100, HOUR_MS, 'milliseconds'),
+    heartbeatMs: wholeNumber(1, HOUR_MS, 'milliseconds'),
     farFactor: number(1, 1000, 'times'),
     statusMs: wholeNumber(0, 24 * HOUR_MS, 'milliseconds'),
     stopGraceMs: wholeNumber(0, HOUR_MS, 'milliseconds')
--- a/test/soak/FaultInjector.ts
+++ b/test/soak/FaultInjector.ts
@@ -64,6 +64,8 @@
       ['hostCut', async () => this._cutHost()],
       ['hostRestart', async () => this._restartHost()],
       ['hostLate', async () => this._delayHostOrders()],
+      ['hostLeave', async () => this._drainHost()],
+      ['hostUnlisted', async () => this._cutHostFromStore()],
       ['config', async () => {
         this._platform.putConfig()
         return NOTHING_TO_UNDO
@@ -159,10 +161,32 @@
     const host = this._pickRandom(this._platform.hosts)
     this._checker.recordDisturbance(host.hostId)
     host.host.restart()
-    this._platform.registerHost(host)
+    host.registration.renew()
     return NOTHING_TO_UNDO
   }
 
+  /** A host drains and leaves, and another one takes its place. Its runs end without a report. */
+  private _drainHost (): () => Promise<void> {
+    const leaving = this._pickRandom(this._platform.hosts)
+    leaving.host.isDraining = true
+    leaving.registration.renew()
+    return async () => {
+      if (!this._platform.hosts.includes(leaving)) return
+      this._checker.recordDisturbance(leaving.hostId)
+      this._platform.removeHost(leaving)
+      await this._platform.addHost()
+    }
+  }
+
+  /** A host can't renew its entry, which expires, and goes on running its tasks. */
+  private _cutHostFromStore (): () => void {
+    const { registration } = this._pickRandom(this._platform.hosts)
+    registration.isCut = true
+    return () => {
+      registration.isCut = false
+    }
+  }
+
   private _delayHostOrders (): () => void {
     const { host } = this._pickRandom(this._platform.hosts)
     host.lateShare = 0.3
--- a/test/support/ControllerCell.ts
+++ b/test/support/ControllerCell.ts
@@ -6,6 +6,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { HOST_HEARTBEAT_MS } from '../../platform/standins/HostRegistration.js'
 import { startProcess } from './Processes.js'
 
 import type { PlatformStandIn } from '../../platform/standins/PlatformStandIn.js'
@@ -114,6 +115,7 @@
 address = 127.0.0.1:${advicePort}
 [hosts]
 maxHoldMs = ${maxHoldMs}
+heartbeatMs = ${HOST_HEARTBEAT_MS}
 farFactor = 2
 statusMs = 120000
 stopGraceMs = 200
--- a/test/support/SimulatedHost.ts
+++ b/test/support/SimulatedHost.ts
@@ -61,6 +61,7 @@
       address: '127.0.0.1:1',
       failureDomain: 'zone-a',
       draining: this.isDraining,
+      clockMs: this.clockMs,
       cpuMillicores,
       memoryMb,
       accelerators: 0,
