Large records are read over slow links, and not read again while they are known

The owner's processor was not used up (0.013 of 0.12 cores): the configuration had become half a megabyte, which takes two seconds over the machines' links of 2 Mbit/s. A read was given up after 1.5 s and a poll 0.8 s after its wait, however much had arrived, and sent again, so the link was always full of transfers that nobody used: the change of 2.1 s was in force at 8.1 s. A process that takes the cell over reads the configuration first; with "config.notRead: no whole answer in 1500 ms" that never ended, and 21 of 22 owners never became ready, also after all processes had been restarted.

Peers that ask the owner for the configuration at the same time share one read. Smaller configurations are read as before.

--- a/src/cell/ConfigFeed.test.ts
+++ b/src/cell/ConfigFeed.test.ts
@@ -8,7 +8,7 @@
 import { advance } from '../../test/support/advance.js'
 import { ConfigFeed } from './ConfigFeed.js'
 
-import type { IMetadataItem, IMetadataRange, IMetadataStore, ReadOutcome, WatchOutcome } from '../common/cell/Types.js'
+import type { IMetadataItem, IMetadataRange, IMetadataStore, ReadOutcome, RecordChange, WatchOutcome } from '../common/cell/Types.js'
 import type { ICellRecords } from './Types.js'
 
 const CONFIG_KEY = 'operator/config'
@@ -22,6 +22,10 @@
 class ScriptedStore {
   public version = 1
   public isAway = false
+  /** The number of times that the configuration was transferred. */
+  public transferCount = 0
+  /** The length of the record, whose number is the version. */
+  public recordLength = 1
 
   public constructor (private readonly _clock: ManualClock) {}
 
@@ -29,6 +33,11 @@
     return await this._isUnanswered() ? READ_AWAY : { kind: 'read', value: this._item() }
   }
 
+  public async getIfChanged (_key: string, revision: number): Promise<ReadOutcome<RecordChange>> {
+    if (await this._isUnanswered()) return READ_AWAY
+    return { kind: 'read', value: revision === this.version ? { isChanged: false } : { isChanged: true, item: this._item() } }
+  }
+
   public async range (): Promise<ReadOutcome<IMetadataRange>> {
     if (await this._isUnanswered()) return READ_AWAY
     return { kind: 'read', value: { items: [this._item()], revision: this.version } }
@@ -43,7 +52,8 @@
   }
 
   private _item (): IMetadataItem {
-    return { key: CONFIG_KEY, value: String(this.version), revision: this.version }
+    this.transferCount += 1
+    return { key: CONFIG_KEY, value: String(this.version).padStart(this.recordLength, '0'), revision: this.version }
   }
 
   /** A call that was made while the store was unavailable is never answered. */
@@ -144,3 +154,24 @@
   t.is(await feed.readRecordAfter(5), undefined)
   t.is(await feed.readRecordAfter(4), '1')
 })
+
+test('a large configuration is not transferred again to a process that has it', async (t) => {
+  // A new owner must know that it has the newest one. Over a slow link, a transfer takes longer than its lease on the cell.
+  const { store, feed } = setUp()
+  store.recordLength = 400_000
+  t.true(await feed.refresh())
+  for (let read = 0; read < 5; read += 1) t.true(await feed.refresh())
+  t.is(store.transferCount, 1)
+  store.version = 2
+  t.true(await feed.refresh())
+  t.is(feed.version, 2)
+  t.is(store.transferCount, 2)
+})
+
+test('peers that ask the owner for the configuration at the same time share one read', async (t) => {
+  const { store, feed } = setUp()
+  t.true(await feed.refresh())
+  store.transferCount = 0
+  await Promise.all(Array.from({ length: 20 }, async () => { t.is(await feed.readRecordAfter(0), '1') }))
+  t.is(store.transferCount, 1)
+})
--- a/src/cell/ConfigFeed.ts
+++ b/src/cell/ConfigFeed.ts
@@ -3,7 +3,7 @@
  */
 
 import { Emitter } from '../common/Emitter.js'
-import type { ICellConfig, IMetadataItem, IMetadataStore, IQueue, IWorkspace } from '../common/cell/Types.js'
+import type { ICellConfig, IMetadataItem, IMetadataStore, IQueue, IWorkspace, ReadOutcome } from '../common/cell/Types.js'
 import type { ILogger } from '../common/observability/Types.js'
 import type { IClock, IDisposable, ITimers } from '../common/Types.js'
 import type { ICellRecords } from './Types.js'
@@ -14,14 +14,20 @@
  * force within 2.5 s.
  */
 const POLL_WAIT_MS = 1200
+/** A record of more characters takes so long over a slow link that it is read only if it has changed. */
+const LARGE_RECORD_LENGTH = 65_536
 
 export class ConfigFeed implements IDisposable {
   private _config: ICellConfig | undefined
+  /** The revision and the length of the record that the store has returned last. */
+  private _readRevision = 0
+  private _recordLength = 0
   /** Queues by host name, those with the longest path prefix first. */
   private _queuesByHost = new Map<string, readonly IQueue[]>()
   private _queuesByName = new Map<string, IQueue>()
   private _workspacesByDigest = new Map<string, IWorkspace>()
   private _reading: Promise<boolean> | undefined
+  private _recordReading: Promise<string | undefined> | undefined
   private readonly _watch: PrefixWatcher
   private readonly _changeEmitter = new Emitter<ICellConfig>()
   public readonly onChange = this._changeEmitter.event
@@ -86,11 +92,14 @@
     return await this._reading
   }
 
-  /** The stored configuration, for a process that can't read it itself; undefined if it is not newer than the given version. */
+  /**
+   * The stored configuration, for a process that can't read it itself; undefined if it is not newer than the given version. Calls at the same
+   * time share one read.
+   */
   public async readRecordAfter (version: number): Promise<string | undefined> {
     if (this.version <= version) return undefined
-    const read = await this._store.get(this._records.configKey)
-    return read.kind === 'read' ? read.value?.value : undefined
+    this._recordReading ??= this._readRecord().finally(() => { this._recordReading = undefined })
+    return await this._recordReading
   }
 
   /** Applies a configuration that a peer has read from the store. */
@@ -103,17 +112,33 @@
   }
 
   private _applyItem (item: IMetadataItem): void {
-    if (item.key !== this._records.configKey) return
+    if (item.key !== this._records.configKey || item.revision < this._readRevision) return
+    this._readRevision = item.revision
+    this._recordLength = item.value.length
     this._apply(item.value, { revision: item.revision })
   }
 
   private async _read (): Promise<boolean> {
-    const read = await this._store.get(this._records.configKey)
+    const read = await this._readItem()
     if (read.kind === 'failed') this._log.warn('config.notRead', { version: this.version, reason: read.reason })
     else if (read.value !== undefined) this._applyItem(read.value)
     return read.kind === 'read'
   }
 
+  /** Reads the stored item; undefined if there is none, or none newer than the known one. */
+  private async _readItem (): Promise<ReadOutcome<IMetadataItem | undefined>> {
+    const { configKey } = this._records
+    if (this._recordLength <= LARGE_RECORD_LENGTH) return await this._store.get(configKey)
+    const read = await this._store.getIfChanged(configKey, this._readRevision)
+    if (read.kind === 'failed') return read
+    return { kind: 'read', value: read.value.isChanged ? read.value.item : undefined }
+  }
+
+  private async _readRecord (): Promise<string | undefined> {
+    const read = await this._store.get(this._records.configKey)
+    return read.kind === 'read' ? read.value?.value : undefined
+  }
+
   /** @param source where the record comes from, for the log */
   private _apply (record: string, source: Readonly<Record<string, string | number>>): void {
     const config = this._records.decodeConfig(record)
--- a/src/common/cell/Types.ts
+++ b/src/common/cell/Types.ts
@@ -220,6 +220,9 @@
   readonly revision: number
 }
 
+/** A record that was read only if it has changed. */
+export type RecordChange = { readonly isChanged: false } | { readonly isChanged: true, readonly item: IMetadataItem | undefined }
+
 export interface IMetadataRange {
   readonly items: readonly IMetadataItem[]
   readonly revision: number
@@ -261,6 +264,8 @@
 export interface IMetadataStore {
   readonly callCount: number
   get (key: string): Promise<ReadOutcome<IMetadataItem | undefined>>
+  /** Reads a record unless it still has this revision. Costs a write call, but transfers no record that is known. */
+  getIfChanged (key: string, revision: number): Promise<ReadOutcome<RecordChange>>
   /** Reads all items under a prefix, page by page. */
   range (prefix: string): Promise<ReadOutcome<IMetadataRange>>
   watch (prefix: string, afterRevision: number, waitMs: number, signal: AbortSignal): Promise<WatchOutcome>
