--- a/src/cell/ConfigFeed.ts
+++ b/src/cell/ConfigFeed.ts
@@ -3,7 +3,7 @@
  */
 
 import { Emitter } from '../common/Emitter.js'
-import type { ICellConfig, IMetadataItem, IMetadataRange, IMetadataStore, IQueue, IWorkspace, ReadOutcome } from '../common/cell/Types.js'
+import type { ICellConfig, IMetadataItem, IMetadataStore, IQueue, IWorkspace, ReadOutcome } from '../common/cell/Types.js'
 import type { ILogger } from '../common/observability/Types.js'
 import type { IClock, IDisposable, ITimers } from '../common/Types.js'
 import type { ICellRecords } from './Types.js'
@@ -38,8 +38,7 @@
     clock: IClock & ITimers,
     private readonly _log: ILogger
   ) {
-    const latest = { isUsed: () => this._isLarge, read: async () => await this._readLatest() }
-    this._watch = new PrefixWatcher(_store, { prefix: _records.operatorPrefix, waitMs: POLL_WAIT_MS, latest }, {
+    this._watch = new PrefixWatcher(_store, { prefix: _records.operatorPrefix, waitMs: POLL_WAIT_MS }, {
       onAll: (items) => { for (const item of items) this._applyItem(item) },
       onChange: (_key, item) => { if (item !== undefined) this._applyItem(item) }
     }, clock, _log)
@@ -67,11 +66,6 @@
     return this._watch.isCurrent
   }
 
-  /** Whether this process doesn't get the configuration from the store at the moment. */
-  public get isCutOff (): boolean {
-    return this._watch.isLost
-  }
-
   /** Returns the queue of a request: the one of its host name with the longest prefix of its path. */
   public findQueue (hostName: string, path: string): IQueue | undefined {
     return this._queuesByHost.get(hostName)?.find((queue) => path.startsWith(queue.pathPrefix))
@@ -134,24 +128,12 @@
   /** Reads the stored item; undefined if there is none, or none newer than the known one. */
   private async _readItem (): Promise<ReadOutcome<IMetadataItem | undefined>> {
     const { configKey } = this._records
-    if (!this._isLarge) return await this._store.get(configKey)
+    if (this._recordLength <= LARGE_RECORD_LENGTH) return await this._store.get(configKey)
     const read = await this._store.getIfChanged(configKey, this._readRevision)
     if (read.kind === 'failed') return read
     return { kind: 'read', value: read.value.isChanged ? read.value.item : undefined }
   }
 
-  /** Like `_readItem`, with the revision from which changes are to be watched. */
-  private async _readLatest (): Promise<ReadOutcome<IMetadataRange>> {
-    const read = await this._readItem()
-    if (read.kind === 'failed') return read
-    const { value: item } = read
-    return { kind: 'read', value: { items: item === undefined ? [] : [item], revision: item?.revision ?? this._readRevision } }
-  }
-
-  private get _isLarge (): boolean {
-    return this._recordLength > LARGE_RECORD_LENGTH
-  }
-
   private async _readRecord (): Promise<string | undefined> {
     const read = await this._store.get(this._records.configKey)
     return read.kind === 'read' ? read.value?.value : undefined
--- a/src/cell/ConfigRelay.ts
+++ b/src/cell/ConfigRelay.ts
@@ -36,7 +36,7 @@
 
   private async _ask (): Promise<void> {
     const owner = this._ownerId()
-    if (this._isAsking || !this._config.isCutOff || owner === undefined) return
+    if (this._isAsking || this._config.isCurrent || owner === undefined) return
     this._isAsking = true
     const reply = await this._hub.link(owner)?.call('cellConfig', { version: Math.max(0, this._config.version) }, ASK_TIMEOUT_MS)
     this._isAsking = false
--- a/src/cell/PrefixWatcher.ts
+++ b/src/cell/PrefixWatcher.ts
@@ -3,7 +3,7 @@
  * the history in between, and repeats a poll on a new connection if its connection falls silent.
  */
 
-import type { IMetadataItem, IMetadataRange, IMetadataStore, ReadOutcome } from '../common/cell/Types.js'
+import type { IMetadataItem, IMetadataStore } from '../common/cell/Types.js'
 import type { ILogger } from '../common/observability/Types.js'
 import type { IClock, IDisposable, ITimers, MonotonicMs } from '../common/Types.js'
 
@@ -18,14 +18,6 @@
   readonly prefix: string
   /** How long a poll waits in the store, in ms; also bounds how long a silent connection goes unnoticed. */
   readonly waitMs: number
-  /**
-   * Replaces the read of everything while it returns true. Then each change, and each failed poll, is followed by such a read: a poll
-   * would return every version that was written in between, which takes long if the records are large.
-   */
-  readonly latest?: {
-    readonly isUsed: () => boolean
-    readonly read: () => Promise<ReadOutcome<IMetadataRange>>
-  }
 }
 
 const RETRY_DELAY_MS = 150
@@ -71,11 +63,6 @@
     return this._timers.nowMs() - this._answeredAtMs
   }
 
-  /** Whether the store has not answered this watch recently, and its last call has failed: a slow answer that still arrives doesn't count. */
-  public get isLost (): boolean {
-    return !this.isCurrent && this._outage !== undefined
-  }
-
   /** Whether the store has answered this watch recently. */
   public get isCurrent (): boolean {
     return this.ageMs < MAX_CURRENT_AGE_MS
@@ -99,8 +86,7 @@
 
   private async _readAll (): Promise<number | undefined> {
     const startedAtMs = this._timers.nowMs()
-    const { prefix, latest } = this._options
-    const read = latest?.isUsed() === true ? await latest.read() : await this._store.range(prefix)
+    const read = await this._store.range(this._options.prefix)
     this._readMs = this._timers.nowMs() - startedAtMs
     if (this._isDisposed) return undefined
     if (read.kind === 'failed') {
@@ -123,7 +109,6 @@
         this._failures += 1
         this._recordFailure('poll', outcome.reason)
         await this._pause()
-        if (this._options.latest?.isUsed() === true) return
         continue
       }
       this._failures = 0
@@ -132,7 +117,6 @@
       if (outcome.revision < revision) return
       revision = outcome.revision
       for (const { key, item, revision: at } of outcome.events) this._listener.onChange(key, item, at)
-      if (outcome.events.length > 0 && this._options.latest?.isUsed() === true) return
     }
   }
 
