Owners that lose their lease while they start are followed by one with a longer lease

An owner that has read the jobs polls all hosts, asks for advice and orders runs at once; that fills its link of 2 Mbit/s for longer than its lease of one second.

Change: if the record was free twice within ten seconds, the next lease lasts four seconds. An owner counts as confirmed for one second as before.

The test failed before: with leases of one second only, "a cell whose owners are too busy at first to renew their lease keeps an owner after the third". Other ways: always a longer lease (a vanished owner is missed later); fewer requests after a takeover (not tried).

--- a/src/cell/Ownership.test.ts
+++ b/src/cell/Ownership.test.ts
@@ -59,11 +59,42 @@
   }
 }
 
+/** A store whose lease on the record ends unless it is renewed, which fails for a while after each acquisition. */
+class BusyStartStore extends ScriptedStore {
+  public readonly grantedMs: number[] = []
+  private _endsAtMs = Infinity
+  private _busyUntilMs = -Infinity
+
+  public constructor (private readonly _busyClock: ManualClock, private readonly _busyMs: number) {
+    super(_busyClock)
+    _busyClock.every(10, () => { if (_busyClock.nowMs() > this._endsAtMs) this.item = undefined })
+    this.renew = async () => {
+      if (this._busyClock.nowMs() < this._busyUntilMs) return await NEVER
+      if (this.item === undefined) return 'gone'
+      this._extendLease()
+      return 'renewed'
+    }
+  }
+
+  public override async grantLease (ttlMs = 0) {
+    this.grantedMs.push(ttlMs)
+    return await super.grantLease()
+  }
+
+  public override async commit (transaction: ITransaction) {
+    this._extendLease()
+    this._busyUntilMs = this._busyClock.nowMs() + this._busyMs
+    return await super.commit(transaction)
+  }
+
+  private _extendLease (): void {
+    this._endsAtMs = this._busyClock.nowMs() + (this.grantedMs.at(-1) ?? 0)
+  }
+}
+
 const OTHER = { processId: 'b', incarnation: 1, peerUrl: 'ws://b' }
 
-function setUp (yieldMs = 0) {
-  const clock = new ManualClock()
-  const store = new ScriptedStore(clock)
+function setUp (yieldMs = 0, clock = new ManualClock(), store = new ScriptedStore(clock)) {
   const options = { self: SELF, peerUrl: 'ws://a', minLeaseMs: 1000, yieldMs: () => yieldMs }
   const ownership = new Ownership(store as unknown as IMetadataStore, options, clock, new SeededRandom(1), new SilentLogger())
   const challenge = new OwnerChallenge(ownership, clock, new SeededRandom(2), new SilentLogger())
@@ -229,3 +260,33 @@
   await advance(clock, 300, 10)
   t.true(ownership.isOwner)
 })
+
+test('a cell whose owners are too busy at first to renew their lease keeps an owner after the third', async (t) => {
+  // Each new owner would lose the cell right after it has read all jobs, and no job would ever make progress.
+  const clock = new ManualClock()
+  const store = new BusyStartStore(clock, 2000)
+  const { ownership } = setUp(0, clock, store)
+  ownership.start()
+  await advance(clock, 8000, 10)
+  const { record } = ownership
+  t.true(ownership.isOwner)
+  await advance(clock, 20_000, 10)
+  t.is(ownership.record?.revision, record?.revision)
+  t.true(ownership.isConfirmed)
+})
+
+test('a cell that loses an owner now and then keeps its short leases', async (t) => {
+  // With a long lease, it would have no owner for seconds after one that vanished.
+  const clock = new ManualClock()
+  const store = new BusyStartStore(clock, 0)
+  const { ownership } = setUp(0, clock, store)
+  ownership.start()
+  for (let loss = 0; loss < 4; loss += 1) {
+    await advance(clock, 15_000, 10)
+    store.item = undefined
+  }
+  await advance(clock, 1000, 10)
+  t.true(ownership.isOwner)
+  t.is(store.grantedMs.length, 5)
+  t.deepEqual([...new Set(store.grantedMs)], [1000])
+})
--- a/src/cell/Ownership.ts
+++ b/src/cell/Ownership.ts
@@ -25,6 +25,13 @@
  * owner vanished. Four renewals fit in, so that one slow answer does no harm.
  */
 const LEASE_MS = 1000
+/**
+ * The lease of the next owner, in ms, if the record was free this often within this time, in ms. An owner that has just read all jobs may
+ * fill its link, so that it can't renew a short lease; the next one would read them again, and no job would make progress.
+ */
+const LONG_LEASE_MS = 4000
+const LAPSES_FOR_LONG_LEASE = 2
+const LAPSE_MEMORY_MS = 10_000
 export const RENEW_INTERVAL_MS = 250
 /**
  * A renewal without an answer is repeated after this time, in ms: 20 times a usual answer, twice that of a store in another region. If many
@@ -59,6 +66,8 @@
   private _ownedRevision: number | undefined
   private _confirmedAtMs: MonotonicMs = -Infinity
   private _renewal: IDisposable | undefined
+  /** When the record was free lately. */
+  private _lapsedAtMs: readonly MonotonicMs[] = []
   private _isAcquiring = false
   private _hasSeenOwner = false
   /** The fastest answer of the store so far, in ms: a measure of the distance to the store. */
@@ -119,7 +128,7 @@
 
   /** Whether it is certain that no other process owns the cell. */
   public get isConfirmed (): boolean {
-    return this.isOwner && this._clock.nowMs() - this._confirmedAtMs < this._leaseMs
+    return this.isOwner && this._clock.nowMs() - this._confirmedAtMs < this._shortestLeaseMs
   }
 
   /**
@@ -211,15 +220,21 @@
     this._watch.dispose()
   }
 
-  private get _leaseMs (): number {
+  private get _shortestLeaseMs (): number {
     return Math.max(LEASE_MS, this._options.minLeaseMs)
   }
 
+  private get _leaseMs (): number {
+    const recentLapses = this._lapsedAtMs.filter((atMs) => this._clock.nowMs() - atMs < LAPSE_MEMORY_MS)
+    return Math.max(this._shortestLeaseMs, recentLapses.length >= LAPSES_FOR_LONG_LEASE ? LONG_LEASE_MS : 0)
+  }
+
   /** @param revision the revision of the store at which the record was read */
   private _applyRecord (item: IMetadataItem | undefined, revision: number): void {
     // Answers to reads, polls and this process's own writes can overtake each other, so older states are ignored.
     if (this._record !== undefined && revision < this._record.revision) return
     const record = item === undefined ? undefined : parseRecord(item)
+    if (this._record !== undefined && record === undefined) this._recordLapse()
     const isNew = record?.revision !== this._record?.revision
     this._record = record
     this._hasSeenOwner ||= record !== undefined
@@ -233,6 +248,10 @@
     else if (isNew && this._isOfEarlierIncarnation(record)) this._takeOverFromEarlierIncarnation(record)
   }
 
+  private _recordLapse (): void {
+    this._lapsedAtMs = [...this._lapsedAtMs, this._clock.nowMs()].slice(-LAPSES_FOR_LONG_LEASE)
+  }
+
   /** Applies a record that the owner itself has sent, since this process may be cut off from the store. */
   public receiveRecord (record: IOwnerRecord): void {
     if (this._record !== undefined && record.revision <= this._record.revision) return
@@ -292,7 +311,8 @@
   }
 
   private async _tryAcquire (expectedRevision: number): Promise<boolean> {
-    const granted = await this._store.grantLease(this._leaseMs)
+    const leaseMs = this._leaseMs
+    const granted = await this._store.grantLease(leaseMs)
     if (granted.kind === 'failed') return false
     this._leaseId = granted.value
     const { self, peerUrl } = this._options
@@ -303,7 +323,7 @@
       puts: [{ key: OWNER_KEY, value, leaseId: granted.value }],
       removes: []
     }, COMMIT_TIMEOUT_MS)
-    this._log.info('owner.take', { outcome: outcome.kind, revision: outcome.kind === 'committed' ? outcome.revision : undefined })
+    this._log.info('owner.take', { outcome: outcome.kind, leaseMs, revision: outcome.kind === 'committed' ? outcome.revision : undefined })
     if (outcome.kind === 'conflict') {
       this._leaseId = undefined
       await this._store.endLease(granted.value)
