The configuration is compared by its version alone

A store that has lost a part of its history counts from a lower revision, and a newer version would have been ignored there. Change: only versions are compared, as before; the revision is kept for the conditional read alone, where a wrong one costs a transfer and nothing else.

--- a/src/cell/ConfigFeed.ts
+++ b/src/cell/ConfigFeed.ts
@@ -19,7 +19,7 @@
 
 export class ConfigFeed implements IDisposable {
   private _config: ICellConfig | undefined
-  /** The revision and the length of the record that the store has returned last. */
+  /** The revision and the length of the record that the store has returned last. This process has that version, or a newer one. */
   private _readRevision = 0
   private _recordLength = 0
   /** Queues by host name, those with the longest path prefix first. */
@@ -112,7 +112,7 @@
   }
 
   private _applyItem (item: IMetadataItem): void {
-    if (item.key !== this._records.configKey || item.revision < this._readRevision) return
+    if (item.key !== this._records.configKey) return
     this._readRevision = item.revision
     this._recordLength = item.value.length
     this._apply(item.value, { revision: item.revision })
