A new owner waits for its first confirmation as long as the store took to accept it

Cause, by its logs: the cell's owner of 12.27 s handed it over at 13.17 s to a machine of 0.32 cores, which needed 1.4 s to read the jobs and could not keep up. "owner.unconfirmed" with ageMs 439: the store was slow for all (210 ms an answer), and the owner asked its peers before its first confirmation could have arrived. The age was counted from the acquisition's request, the first renewal is sent 250 ms after its answer, and the limit of 150 ms knew nothing of the slow store.

Change: the time counts from the answer to the acquisition, and its duration is the first sample of the limit.

The test failed before: requests to all peers 190 ms after the acquisition. Another way: a handover only to a process that is no weaker. Not done, because it would still cost a second reading of all jobs.

--- a/src/cell/StoreLossHandover.test.ts
+++ b/src/cell/StoreLossHandover.test.ts
@@ -8,6 +8,7 @@
 import { Emitter } from '../common/Emitter.js'
 import { SilentLogger } from '../common/observability/SilentLogger.js'
 import { advance } from '../../test/support/advance.js'
+import { RENEW_INTERVAL_MS } from './Ownership.js'
 import { StoreLossHandover } from './StoreLossHandover.js'
 
 import type { ExecutionContext } from 'ava'
@@ -26,7 +27,7 @@
   readonly peers: readonly number[]
 }
 
-function setUp (t: ExecutionContext, times: IStoreTimes) {
+function setUp (t: ExecutionContext, times: IStoreTimes, acquireMs = 0) {
   const clock = new ManualClock()
   const calls: string[] = []
   const after = async <T>(ms: number, value: T): Promise<T> => await new Promise((resolve) => {
@@ -46,7 +47,7 @@
   const hub = { links: () => links, link: (processId: string) => links.find(({ peer }) => peer.processId === processId) }
   const confirmed = new Emitter<number>()
   const checkStoreReachable = async (): Promise<boolean> => await after(times.owner, true)
-  const ownership = { record: RECORD, onConfirmed: confirmed.event, confirmedAtMs: clock.nowMs(), checkStoreReachable }
+  const ownership = { record: RECORD, onConfirmed: confirmed.event, confirmedAtMs: clock.nowMs() - acquireMs, checkStoreReachable }
   const relief = new StoreLossHandover(hub as unknown as IPeerHub, ownership, RECORD, clock, new SilentLogger())
   t.teardown(() => { relief.dispose() })
   /** The store confirms the owner now, `durationMs` after the request. */
@@ -106,3 +107,16 @@
   }
   t.deepEqual(calls, [])
 })
+
+test('a new owner of a cell whose store is slow for all sends no requests before the store can have confirmed it', async (t) => {
+  // One that is also busy with reading the jobs would lose the cell to a process that is no better, and that has to read them again.
+  const storeMs = 210
+  const { clock, calls, confirm } = setUp(t, { owner: storeMs, peers: [storeMs, storeMs] }, storeMs)
+  await advance(clock, RENEW_INTERVAL_MS + storeMs + 100, 10)
+  t.deepEqual(calls, [])
+  for (let round = 0; round < 8; round += 1) {
+    confirm(storeMs)
+    await advance(clock, RENEW_INTERVAL_MS, 10)
+  }
+  t.deepEqual(calls, [])
+})
--- a/src/cell/StoreLossHandover.ts
+++ b/src/cell/StoreLossHandover.ts
@@ -33,6 +33,7 @@
   private readonly _disposables = new DisposableStore()
   private readonly _limit = new AnswerTimeout(CONFIRMATION_LIMIT)
   private _askedAtMs: MonotonicMs = -Infinity
+  private readonly _ownedAtMs: MonotonicMs
 
   /** @param _record the ownership to hand over; the object is disposed when that ownership ends */
   public constructor (
@@ -42,6 +43,9 @@
     private readonly _clock: IClock & ITimers,
     private readonly _log: ILogger
   ) {
+    this._ownedAtMs = _clock.nowMs()
+    // A slow store takes as long to confirm the owner as it took to make it the owner.
+    this._limit.recordAnswer(this._ownedAtMs - _ownership.confirmedAtMs)
     this._disposables.add(_ownership.onConfirmed((askedAtMs) => { this._limit.recordAnswer(_clock.nowMs() - askedAtMs) }))
     this._disposables.add(_clock.every(CHECK_INTERVAL_MS, () => {
       if (this._isRequestDue) this._findSuccessor().catch((error: unknown) => { this._logFailure(error) })
@@ -55,7 +59,9 @@
   private get _isRequestDue (): boolean {
     const nowMs = this._clock.nowMs()
     const overdueMs = RENEW_INTERVAL_MS + this._limit.limitMs
-    return nowMs - this._ownership.confirmedAtMs > overdueMs && nowMs - this._askedAtMs > MIN_ASK_INTERVAL_MS
+    // The first confirmation is requested an interval after this process became the owner.
+    const sinceMs = Math.max(this._ownership.confirmedAtMs, this._ownedAtMs)
+    return nowMs - sinceMs > overdueMs && nowMs - this._askedAtMs > MIN_ASK_INTERVAL_MS
   }
 
   private async _findSuccessor (): Promise<void> {
