--- a/src/cell/Ownership.ts
+++ b/src/cell/Ownership.ts
@@ -26,8 +26,8 @@
  */
 const LEASE_MS = 1000
 /**
- * The lease of the next owner, in ms, if the record was free this often within this time, in ms. An owner that has just read all jobs may
- * fill its link, so that it can't renew a short lease; the next one would read them again, and no job would make progress.
+ * The lease of the next owner, in ms, if the record was free this often within this time, in ms. An owner that has just read all jobs
+ * may be too busy to renew a short lease; the next one would read them again, and no job would make progress.
  */
 const LONG_LEASE_MS = 4000
 const LAPSES_FOR_LONG_LEASE = 2
