Timeouts count only after what has arrived is read

Cause, one of two: the event loop runs timers before it reads sockets. An owner that is starved of processor time for longer than a timeout aborted orders, polls, calls to peers and requests for advice whose answers waited unread in its sockets, closed their connections, and sent them again, so that load caused by failure kept the failure up.

Change: timers of the clock and timeouts of HTTP requests fire after one pass over the sockets (`afterReading`).

--- a/src/common/Clock.ts
+++ b/src/common/Clock.ts
@@ -4,6 +4,23 @@
 
 import type { EpochMs, IClock, IDisposable, ITimers, MonotonicMs } from './Types.js'
 
+/**
+ * Calls back once, after `delayMs` and after reading what had arrived on the sockets by then.
+ *
+ * The event loop runs timers before it reads sockets. When a process was starved or paused for longer than a timeout, it would abort requests
+ * whose answers wait unread in its sockets, and send them again: the more it is loaded, the more work it repeats.
+ */
+export function afterReading (delayMs: number, callback: () => void): IDisposable {
+  let immediate: NodeJS.Immediate | undefined
+  const timer = setTimeout(() => { immediate = setImmediate(callback) }, delayMs)
+  return {
+    dispose: () => {
+      clearTimeout(timer)
+      clearImmediate(immediate)
+    }
+  }
+}
+
 /** The clock and timers of the system. */
 export class SystemClock implements IClock, ITimers {
   public nowMs (): MonotonicMs {
@@ -15,8 +32,7 @@
   }
 
   public after (delayMs: number, callback: () => void): IDisposable {
-    const timer = setTimeout(callback, delayMs)
-    return { dispose: () => clearTimeout(timer) }
+    return afterReading(delayMs, callback)
   }
 
   public every (periodMs: number, callback: () => void): IDisposable {
--- a/src/common/Types.ts
+++ b/src/common/Types.ts
@@ -23,7 +23,7 @@
 
 /** Timers, passed in like the clock. */
 export interface ITimers {
-  /** Calls back once, after `delayMs`. */
+  /** Calls back once, after `delayMs` and after what had arrived on the sockets by then was read. */
   after (delayMs: number, callback: () => void): IDisposable
   /** Calls back every `periodMs` until disposed. */
   every (periodMs: number, callback: () => void): IDisposable
--- a/src/runtime/HttpExchange.ts
+++ b/src/runtime/HttpExchange.ts
@@ -8,7 +8,9 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Result } from 'neverthrow'
 import type { Dispatcher } from 'undici'
+import { afterReading } from '../common/Clock.js'
 import { AmbiguousError, RefusedError, UnreachableError } from '../common/Errors.js'
+import type { IDisposable } from '../common/Types.js'
 
 export interface IHttpRequest {
   /** The operation and the host or service it calls, for errors. */
@@ -52,8 +54,8 @@
 class HttpExchange implements Dispatcher.DispatchHandler {
   private _state: 'queued' | 'written' | 'settled' = 'queued'
   private _controller: Dispatcher.DispatchController | undefined
-  private _timeoutTimer: NodeJS.Timeout | undefined
-  private _silenceTimer: NodeJS.Timeout | undefined
+  private _timeout: IDisposable | undefined
+  private _silence: IDisposable | undefined
   private _status = 0
   private _headers: IncomingHttpHeaders = {}
   private _chunks: Uint8Array[] | undefined
@@ -62,13 +64,13 @@
   public constructor (private readonly _request: IHttpRequest, private readonly _settle: Settle) {}
 
   public start (dispatcher: Dispatcher): void {
-    const { method, path, headers, body, timeoutMs, silenceMs, signal } = this._request
+    const { method, path, headers, body, timeoutMs, signal } = this._request
     if (signal?.aborted === true) {
       this._abort('aborted')
       return
     }
-    this._timeoutTimer = setTimeout(() => { this._abort(`no whole answer in ${timeoutMs} ms`) }, timeoutMs)
-    if (silenceMs !== undefined) this._silenceTimer = setTimeout(() => { this._abort(`silent for ${silenceMs} ms`) }, silenceMs)
+    this._timeout = afterReading(timeoutMs, () => { this._abort(`no whole answer in ${timeoutMs} ms`) })
+    this._restartSilence()
     signal?.addEventListener('abort', this._onAbort)
     dispatcher.dispatch({ method, path, headers: headers as string[], body: body ?? null }, this)
   }
@@ -93,13 +95,13 @@
   }
 
   public onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
-    this._silenceTimer?.refresh()
+    this._restartSilence()
     this._status = status
     this._headers = headers
   }
 
   public onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    this._silenceTimer?.refresh()
+    this._restartSilence()
     if (this._body === EMPTY_BODY) {
       this._body = chunk
       return
@@ -131,6 +133,13 @@
     this._fail(error.message, error)
   }
 
+  private _restartSilence (): void {
+    const { silenceMs } = this._request
+    if (silenceMs === undefined) return
+    this._silence?.dispose()
+    this._silence = afterReading(silenceMs, () => { this._abort(`silent for ${silenceMs} ms`) })
+  }
+
   private readonly _onAbort = (): void => { this._abort('aborted') }
 
   private _hasDelimiter (): boolean {
@@ -154,8 +163,8 @@
   private _finish (result: Result<IHttpResponse, HttpError>): void {
     if (this._state === 'settled') return
     this._state = 'settled'
-    clearTimeout(this._timeoutTimer)
-    clearTimeout(this._silenceTimer)
+    this._timeout?.dispose()
+    this._silence?.dispose()
     this._request.signal?.removeEventListener('abort', this._onAbort)
     this._settle(result)
   }
