A new owner has no more advice calls in flight than it can process

Cause: a new owner requested advice for all waiting steps at once, two calls for each machine, whatever its processor bears. On 0.12 cores the answers were processed after their timeouts and asked for again, the lease was not renewed in time, orders stayed unsent, and the next owner began with more waiting jobs than the last: a metastable state.

Change: `AdviceLimit`. The calls that occupy the owner (being sent, or due to be answered) are limited; the limit starts at 6, grows with each timely answer while others wait, and falls by a fifth with each answer that is more than 350 ms late, also because of this process. A slow call costs the owner nothing while the service works on it, so it doesn't count then: ten gangs that arrive together still start after one round (existing test). Hosts are chosen for a step only when its call will be sent soon.

An owner with time to spare is delayed by less than 350 ms.

--- a/src/common/cell/AdviceDispatcher.ts
+++ b/src/common/cell/AdviceDispatcher.ts
@@ -4,10 +4,13 @@
  * The service handles one call at a time for each calling machine, and a call takes from tens of milliseconds to more than a
  * second, depending on the queue. The design case is a burst of wide steps with slow calls beside many urgent steps with fast
  * ones: sent through the nearest machine, an urgent step would wait behind a slow call for longer than its whole objective. So
- * slow calls are limited to some of the machines, each machine has few calls in flight, and waiting calls are sent by urgency.
+ * slow calls are limited to some of the machines, each machine has few calls in flight, and waiting calls are sent by urgency. All machines
+ * together have no more calls in flight than the owner can process in time.
  */
 
-import type { IClock, MonotonicMs } from '../Types.js'
+import { AdviceLimit, SENDING_MS } from './AdviceLimit.js'
+
+import type { IClock, IDisposable, ITimers, MonotonicMs } from '../Types.js'
 import type { AdviceOutcome, IAdviceRequest } from './Types.js'
 
 export interface IAdviceCall extends IAdviceRequest {
@@ -49,14 +52,38 @@
 
 export class AdviceDispatcher {
   private readonly _loads = new Map<string, IMachineLoad>()
+  private readonly _limit = new AdviceLimit()
   private _waiting: IAdviceCall[] = []
+  private _retry: IDisposable | undefined
+  private _isShortOfMachines = false
 
-  public constructor (private readonly _sender: IAdviceSender, private readonly _clock: IClock) {}
+  public constructor (private readonly _sender: IAdviceSender, private readonly _clock: IClock & ITimers) {}
 
   public get waitingCount (): number {
     return this._waiting.length
   }
 
+  /** Whether calls wait for a machine that may make them, rather than for this owner. */
+  public get isShortOfMachines (): boolean {
+    return this._isShortOfMachines && this._waiting.length > 0
+  }
+
+  public get inFlightCount (): number {
+    return this._limit.inFlight
+  }
+
+  /** The number of calls that may occupy the owner at once. */
+  public get limit (): number {
+    return this._limit.calls
+  }
+
+  /** Whether so many calls wait already, at least as urgent ones, that a further one would not be sent soon. */
+  public isBusyFor (priority: number): boolean {
+    let ahead = 0
+    for (const call of this._waiting) if (call.priority <= priority) ahead += 1
+    return ahead >= this._limit.calls
+  }
+
   public dispatch (call: IAdviceCall): void {
     this._waiting.push(call)
     this.sendWaiting()
@@ -64,25 +91,40 @@
 
   /** Sends the calls that can be sent. To be called when machines come or go. */
   public sendWaiting (): void {
-    if (this._waiting.length === 0) return
+    if (this._waiting.length === 0 || !this._hasRoom()) return
     this._waiting.sort((a, b) => a.priority - b.priority || a.dueMs - b.dueMs)
     const left: IAdviceCall[] = []
     const unwanted: IAdviceCall[] = []
     const names = farFirst(this._sender.machines())
+    this._isShortOfMachines = false
     for (const call of this._waiting) {
-      const name = this._chooseMachine(names, call)
+      const hasRoom = this._hasRoom()
+      const name = hasRoom ? this._chooseMachine(names, call) : undefined
       if (!call.isWanted()) unwanted.push(call)
-      else if (name === undefined) left.push(call)
-      else this._send(name, call)
+      else if (name === undefined) {
+        left.push(call)
+        this._isShortOfMachines ||= hasRoom
+      } else this._send(name, call)
     }
     this._waiting = left
     for (const call of unwanted) call.settle({ kind: 'failed', reason: 'no longer wanted' })
   }
 
   public dispose (): void {
+    this._retry?.dispose()
     for (const call of this._waiting.splice(0)) call.settle({ kind: 'failed', reason: 'no longer the owner' })
   }
 
+  /** Whether the owner can process a further call now. If not, the waiting calls are sent when one in flight no longer occupies it. */
+  private _hasRoom (): boolean {
+    if (this._limit.hasRoom(this._clock.nowMs())) return true
+    this._retry ??= this._clock.after(SENDING_MS, () => {
+      this._retry = undefined
+      this.sendWaiting()
+    })
+    return false
+  }
+
   private _chooseMachine (names: readonly string[], call: IAdviceCall): string | undefined {
     const isSlow = isSlowCall(call.expectedMs)
     const slowCount = Math.max(1, Math.floor(names.length * SLOW_MACHINE_SHARE))
@@ -110,14 +152,17 @@
     const load = this._loadOf(name)
     const kind = isSlowCall(call.expectedMs) ? 'slow' : 'short'
     load[kind] += 1
-    const { jobId, step, hostIds } = call
+    const { jobId, step, hostIds, expectedMs } = call
     const sentAtMs = this._clock.nowMs()
+    const limited = { sentAtMs, expectedMs }
+    this._limit.recordSent(limited)
     const done = (outcome: AdviceOutcome): void => {
       load[kind] -= 1
+      this._limit.recordEnd(limited, this._clock.nowMs(), outcome.kind === 'advised', this._waiting.length > 0)
       call.settle(outcome, sentAtMs)
       this.sendWaiting()
     }
-    this._sender.send(name, { jobId, step, hostIds }, call.expectedMs + CALL_SLACK_MS)
+    this._sender.send(name, { jobId, step, hostIds }, expectedMs + CALL_SLACK_MS)
       .then(done, (error: unknown) => { done({ kind: 'failed', reason: String(error) }) })
   }
 
--- /dev/null
+++ b/src/common/cell/AdviceLimit.test.ts
@@ -0,0 +1,84 @@
+/**
+ * Owners of different speed that have just taken over with many waiting steps, and get advice for them.
+ */
+
+import test from 'ava'
+import { setImmediate } from 'node:timers/promises'
+import { ManualClock } from '../Clock.js'
+import { AdviceDispatcher } from './AdviceDispatcher.js'
+
+import type { AdviceOutcome } from './Types.js'
+
+const STEPS = 120
+const MACHINES = Array.from({ length: 20 }, (_, number) => ({ name: `machine-${number}`, isNear: true }))
+const EXPECTED_MS = 100
+const RETRY_MS = 300
+const TICK_MS = 5
+
+interface IResult {
+  readonly calls: number
+  readonly failed: number
+  readonly advisedAfterMs: number
+  /** The longest time for which the processor had something to do. */
+  readonly maxBusyMs: number
+}
+
+/** Asks for all steps at once, again after a failure. The owner handles requests and answers one after the other. */
+async function askForAll (costMs: number, untilMs: number): Promise<IResult> {
+  const clock = new ManualClock()
+  const result = { calls: 0, failed: 0, advisedAfterMs: Infinity, maxBusyMs: 0 }
+  let busyUntilMs = 0
+  let advised = 0
+  const work = (): number => {
+    busyUntilMs = Math.max(busyUntilMs, clock.nowMs()) + costMs
+    result.maxBusyMs = Math.max(result.maxBusyMs, busyUntilMs - clock.nowMs())
+    return busyUntilMs - clock.nowMs()
+  }
+  const send = async (timeoutMs: number): Promise<AdviceOutcome> => await new Promise((resolve) => {
+    result.calls += 1
+    clock.after(work() + EXPECTED_MS, () => { clock.after(work(), () => { resolve({ kind: 'advised', allowed: [] }) }) })
+    clock.after(timeoutMs, () => { resolve({ kind: 'failed', reason: 'timeout' }) })
+  })
+  const dispatcher = new AdviceDispatcher({ machines: () => MACHINES, send: async (_machine, _ask, timeoutMs) => await send(timeoutMs) }, clock)
+  const ask = (step: number): void => {
+    dispatcher.dispatch({
+      jobId: 'job',
+      step,
+      hostIds: [],
+      priority: 0,
+      dueMs: 0,
+      expectedMs: EXPECTED_MS,
+      isWanted: () => true,
+      settle: ({ kind }) => {
+        if (kind === 'advised') advised += 1
+        else {
+          result.failed += 1
+          clock.after(RETRY_MS, () => { ask(step) })
+        }
+        if (advised === STEPS) result.advisedAfterMs = Math.min(result.advisedAfterMs, clock.nowMs())
+      }
+    })
+  }
+  for (let step = 0; step < STEPS; step += 1) ask(step)
+  for (let nowMs = 0; nowMs < untilMs && result.advisedAfterMs === Infinity; nowMs += TICK_MS) {
+    clock.advance(TICK_MS)
+    await setImmediate()
+  }
+  return result
+}
+
+test('a slow owner with many waiting steps processes the answers before their timeouts', async (t) => {
+  // If all steps ask at once, the answers are processed after their timeouts and asked for again, and the lease isn't renewed in time.
+  const costMs = 40
+  const { calls, failed, advisedAfterMs, maxBusyMs } = await askForAll(costMs, 20_000)
+  t.true(advisedAfterMs < STEPS * 2 * costMs * 1.2, `advised after ${advisedAfterMs} ms`)
+  t.true(failed < STEPS * 0.05, `${failed} of ${calls} calls failed`)
+  t.true(maxBusyMs < 750, `busy for ${maxBusyMs} ms on end`)
+})
+
+test('an owner with processor time to spare soon uses all machines', async (t) => {
+  const { failed, advisedAfterMs } = await askForAll(0.2, 20_000)
+  t.is(failed, 0)
+  const unlimitedMs = STEPS / (MACHINES.length * 2) * EXPECTED_MS
+  t.true(advisedAfterMs < unlimitedMs + 350, `advised after ${advisedAfterMs} ms`)
+})
--- /dev/null
+++ b/src/common/cell/AdviceLimit.ts
@@ -0,0 +1,67 @@
+/**
+ * Limits how many calls to the advice service occupy an owner at once, by how late their answers are processed.
+ *
+ * Designed for an owner that has just taken over with hundreds of waiting steps on a small machine. Each call costs the owner processor time
+ * for the request, the answer and the decisions that follow. If all steps asked at once, the owner would process the answers after their
+ * timeouts and ask again, and would have no time left to renew its lease: the next owner would begin with more waiting steps. An owner with
+ * processor time to spare reaches the number of calls that its machines allow after a few answers.
+ */
+
+import type { MonotonicMs } from '../Types.js'
+
+/** A call as the limit sees it. */
+export interface ILimitedCall {
+  readonly sentAtMs: MonotonicMs
+  /** How long the service needs for the call, in ms. */
+  readonly expectedMs: number
+}
+
+/** A call occupies the owner for this long after it was sent, in ms, and again from the time at which its answer is expected. */
+export const SENDING_MS = 50
+/** The number of calls that may occupy an owner of which no answer is known. */
+const INITIAL_CALLS = 6
+/** With fewer calls, an owner beside one silent machine would hardly get any advice. */
+const MIN_CALLS = 2
+/** An answer is late if it takes this much longer than expected, in ms: more than two round trips between regions and a short call ahead of it. */
+const LATE_MS = 350
+/** The share of the limit that is taken off for each late answer. A few late answers among many timely ones, from one slow machine, change little. */
+const LATE_SHARE = 0.2
+
+export class AdviceLimit {
+  private _calls = INITIAL_CALLS
+  private readonly _inFlight = new Set<ILimitedCall>()
+
+  /** The number of calls that may occupy the owner. */
+  public get calls (): number {
+    return Math.floor(this._calls)
+  }
+
+  public get inFlight (): number {
+    return this._inFlight.size
+  }
+
+  public hasRoom (nowMs: MonotonicMs): boolean {
+    if (this._inFlight.size < this.calls) return true
+    let occupying = 0
+    for (const call of this._inFlight) if (isOccupying(call, nowMs)) occupying += 1
+    return occupying < this.calls
+  }
+
+  public recordSent (call: ILimitedCall): void {
+    this._inFlight.add(call)
+  }
+
+  /**
+   * @param isAnswered whether the service answered; a call that failed in time says nothing about this process
+   * @param hasWaiting whether other calls wait for their turn: only then may the limit be too low
+   */
+  public recordEnd (call: ILimitedCall, nowMs: MonotonicMs, isAnswered: boolean, hasWaiting: boolean): void {
+    this._inFlight.delete(call)
+    if (nowMs - call.sentAtMs - call.expectedMs > LATE_MS) this._calls = Math.max(MIN_CALLS, this._calls * (1 - LATE_SHARE))
+    else if (isAnswered && hasWaiting) this._calls += 1
+  }
+}
+
+function isOccupying ({ sentAtMs, expectedMs }: ILimitedCall, nowMs: MonotonicMs): boolean {
+  return nowMs < sentAtMs + SENDING_MS || nowMs >= sentAtMs + expectedMs
+}
--- a/src/common/cell/AdviceRequester.ts
+++ b/src/common/cell/AdviceRequester.ts
@@ -9,7 +9,7 @@
 import { StepAdvice } from './StepAdvice.js'
 
 import type { ILogger } from '../observability/Types.js'
-import type { IClock, MonotonicMs } from '../Types.js'
+import type { IClock, ITimers, MonotonicMs } from '../Types.js'
 import type { IAdviceSender } from './AdviceDispatcher.js'
 import type { HostState } from './HostState.js'
 import type { Step } from './Job.js'
@@ -36,17 +36,26 @@
   public constructor (
     private readonly _hosts: ReadonlyMap<string, HostState>,
     private readonly _effects: IAdviceEffects,
-    private readonly _clock: IClock,
+    private readonly _clock: IClock & ITimers,
     private readonly _log: ILogger
   ) {
     this._dispatcher = new AdviceDispatcher(_effects, _clock)
   }
 
-  /** The number of calls that wait for a machine that may make them. */
+  /** The number of calls that wait: for a machine that may make them, or until this owner can process them. */
   public get waitingCount (): number {
     return this._dispatcher.waitingCount
   }
 
+  public get inFlightCount (): number {
+    return this._dispatcher.inFlightCount
+  }
+
+  /** The number of calls that may occupy the owner at once. */
+  public get limit (): number {
+    return this._dispatcher.limit
+  }
+
   /** Sends the calls that can be sent. To be called when machines come or go. */
   public sendWaiting (): void {
     this._dispatcher.sendWaiting()
@@ -63,6 +72,8 @@
     if (step.job.queue.advice === undefined || advice.hasCallsInFlight) return advice
     const nowMs = this._clock.nowMs()
     if (nowMs < advice.retryAtMs || nowMs < advice.nextCheckAtMs) return advice
+    // Choosing hosts for every waiting step would take most of the time of an owner whose calls wait anyway.
+    if (this._dispatcher.isBusyFor(step.job.queue.priority)) return advice
     advice.nextCheckAtMs = nowMs + HOST_CHECK_MS
     if (!this._needsMoreHosts(step, advice, nowMs)) return advice
     const hostIds = chooseHostsToName(step, this._hosts.values(), this._shares.shareOf(step.job.queue.name), this._isLean(step))
@@ -76,7 +87,7 @@
    * good part of an objective.
    */
   private _isLean (step: Step): boolean {
-    return this._dispatcher.waitingCount > 0 || !isSlowCall(expectedAdviceMs(step, 1))
+    return this._dispatcher.isShortOfMachines || !isSlowCall(expectedAdviceMs(step, 1))
   }
 
   /** Counts only hosts that were named for the first time, since renewed tickets are for hosts known to be allowed. */
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -5,7 +5,7 @@
 
 import type { ILogger } from '../observability/Types.js'
 import type { ChartTable } from '../state/ChartTable.js'
-import type { IClock, MonotonicMs } from '../Types.js'
+import type { IClock, ITimers, MonotonicMs } from '../Types.js'
 import { AdviceRequester, expectedAdviceMs } from './AdviceRequester.js'
 import type { IAdviceEffects } from './AdviceRequester.js'
 import { Attempt } from './Attempt.js'
@@ -60,7 +60,7 @@
     private readonly _effects: ICellEffects,
     private readonly _options: ICellSchedulerOptions,
     private readonly _chart: ChartTable,
-    private readonly _clock: IClock,
+    private readonly _clock: IClock & ITimers,
     private readonly _log: ILogger,
     private readonly _order: IJobOrder = new ObjectiveOrder()
   ) {
@@ -234,8 +234,10 @@
       cpu += host.entry.cpuMillicores
     }
     const limited = this._workspaces.rows().filter(({ maxMillicores = Infinity, usedMillicores }) => usedMillicores >= maxMillicores).length
-    const jobs = { workspaces_at_limit: limited, jobs: this.jobs.size, jobs_open: this._openJobs.size, advice_waiting: this._advice.waitingCount }
-    return { ...jobs, hosts: this.hosts.size, runs, used_millicores: usedCpu, host_millicores: cpu }
+    const jobs = { workspaces_at_limit: limited, jobs: this.jobs.size, jobs_open: this._openJobs.size }
+    const { waitingCount, inFlightCount, limit } = this._advice
+    const advice = { advice_waiting: waitingCount, advice_in_flight: inFlightCount, advice_limit: limit }
+    return { ...jobs, ...advice, hosts: this.hosts.size, runs, used_millicores: usedCpu, host_millicores: cpu }
   }
 
   /** What each workspace uses and may use, for the state dump. */
