An owner's limit on accepted tasks isn't caused or lowered by itself

Cause, in `AdmissionRate`: one late timer counted as overload, and the limit then followed what the owner had started before, however little that was. And while it refused, it took what it had started since for its capacity, so that slow orders halved the limit again every five seconds, and old samples of few orders kept it up.

Change: late timers count only if half of the last eight were late. While there is a limit, the starts show the capacity only if they stay behind what was admitted. Samples expire after three seconds. The limit is logged with its inputs (lag, orders, capacity, calls for advice), also while it lasts, and refusals are counted by reason. Another way, tried by the users: no limit at all. It is what keeps small owners from collapsing, so it stays.

Tests, which failed before: after one late timer, an owner that had started 20 tasks a second accepted 24.75 of 100 offered a second, now 100; with orders that take 600 ms whatever is admitted, the limit stays at half of the capacity or more for 35 s.

--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -69,6 +69,8 @@
 const PASS_DELAY_FACTOR = 4
 /** An owner that has not read the store within this time steps aside for another process, in ms: ten times the usual duration. */
 const LOAD_TIMEOUT_MS = 4000
+/** How often the inputs of the limit on accepted tasks are logged while there is one, in ms. */
+const ADMISSION_LOG_INTERVAL_MS = 2000
 const CLEANUP_INTERVAL_MS = 10_000
 /** Finished jobs are kept this much longer than callers may ask for them, in ms. */
 const STATUS_SLACK_MS = 60_000
@@ -93,6 +95,7 @@
   private readonly _authorizer: CallerAuthorizer
   private readonly _admission = new AdmissionRate()
   private readonly _shares = new ShareMeter()
+  private _admissionLoggedAtMs: MonotonicMs = -Infinity
   private _isDisposed = false
   private _isPassDue = false
   private _lastPassMs = 0
@@ -269,6 +272,7 @@
 
   private _refuse (jobId: string, reason: string, retryAfterMs: number): Extract<SubmitOutcome, { kind: 'refused' }> {
     this._context.log.info('job.refused', { requestId: jobId, reason })
+    this._context.counters.add('jobs_refused', reason)
     return { kind: 'refused', reason, retryAfterMs }
   }
 
@@ -332,10 +336,15 @@
   }
 
   private _updateAdmission (): void {
-    const before = this._admission.tasksPerS
-    this._admission.update(this._context.clock.nowMs())
-    const { tasksPerS } = this._admission
-    if ((before === undefined) !== (tasksPerS === undefined)) this._context.log.warn('owner.admission', { tasksPerS })
+    const { clock, log } = this._context
+    const nowMs = clock.nowMs()
+    const wasLimited = this._admission.tasksPerS !== undefined
+    this._admission.update(nowMs)
+    const isLimited = this._admission.tasksPerS !== undefined
+    if (isLimited === wasLimited && (!isLimited || nowMs - this._admissionLoggedAtMs < ADMISSION_LOG_INTERVAL_MS)) return
+    this._admissionLoggedAtMs = nowMs
+    const { advice_in_flight: adviceInFlight, advice_waiting: adviceWaiting } = this._scheduler.gauges()
+    log.warn('owner.admission', { ...this._admission.inputs, adviceInFlight, adviceWaiting })
   }
 
   private _applyWorkspaces (): void {
--- a/src/common/cell/AdmissionRate.test.ts
+++ b/src/common/cell/AdmissionRate.test.ts
@@ -88,3 +88,33 @@
   t.true(admission.update(3000))
   t.false(admission.tryAdmit(10, false))
 })
+
+/** Offers tasks at a rate; all that are admitted start, each after `orderMs`. Returns how many were admitted per second. */
+function offer (admission: AdmissionRate, fromMs: number, forMs: number, tasksPerS: number, orderMs: number): number {
+  let admitted = 0
+  for (let nowMs = fromMs; nowMs < fromMs + forMs; nowMs += ADMISSION_UPDATE_MS) {
+    for (let job = 0; job < tasksPerS / 1000 * ADMISSION_UPDATE_MS; job += 1) {
+      if (!admission.tryAdmit(1, true)) continue
+      admitted += 1
+      admission.recordOrder(orderMs, true)
+    }
+    admission.update(nowMs + ADMISSION_UPDATE_MS)
+  }
+  return admitted / forMs * 1000
+}
+
+test('one late timer of an owner that was hardly used does not limit the burst that follows', (t) => {
+  // The limit would follow the few tasks that it started before, and callers would be refused while hosts are free.
+  const admission = new AdmissionRate()
+  offer(admission, 0, 5000, 20, 60)
+  admission.update(5800)
+  t.is(offer(admission, 5800, 4000, 100, 60), 100)
+})
+
+test('orders that stay slow whatever is admitted do not lower the limit further and further', (t) => {
+  // Refusing lowers what is started. If that counted as the capacity, the limit would halve every few seconds until hardly anything is accepted.
+  const admission = new AdmissionRate()
+  offer(admission, 0, 5000, 100, 60)
+  offer(admission, 5000, 30_000, 100, 600)
+  t.true(offer(admission, 35_000, 5000, 100, 600) >= 45)
+})
--- a/src/common/cell/AdmissionRate.ts
+++ b/src/common/cell/AdmissionRate.ts
@@ -14,15 +14,23 @@
 const SLOW_ORDER_MS = 400
 /** While the owner is overloaded, its orders should take this long, in ms: it always has some to send, and none of them times out. */
 const TARGET_ORDER_MS = 300
-/** The owner is overloaded if its timers are later than this, in ms. */
+/**
+ * The owner is overloaded if its timers are later than `MAX_LAG_MS`, in ms, in this share of so many updates. A single late timer, after a
+ * pause or many answers at once, is over when it is noticed.
+ */
 const MAX_LAG_MS = 200
+const MIN_LATE_SHARE = 0.5
+const LAG_UPDATES = 8
 /** It is also overloaded if fewer of its orders than this share are answered at all. */
 const MIN_ANSWERED_SHARE = 0.3
-/** Orders that are considered together, and the lowest number that says anything. */
+/** Orders that are considered together, for how long, in ms, and the lowest number that says anything. */
 const MAX_SAMPLES = 60
+const SAMPLE_AGE_MS = 3000
 const MIN_SAMPLES = 15
 /** The capacity is the highest rate of starts of the last updates, so many of them. */
 const CAPACITY_UPDATES = 20
+/** While there is a limit, starts show the capacity only if they stay below this share of what is admitted. Otherwise they follow the limit. */
+const SATURATED_SHARE = 0.9
 /** Bounds of the limit, as a share of the capacity. */
 const MIN_CAPACITY_SHARE = 0.5
 const MAX_CAPACITY_SHARE = 1.2
@@ -39,10 +47,24 @@
 const MS_PER_S = 1000
 
 interface IOrderSample {
+  /** The update before the end of the order. */
+  readonly atMs: MonotonicMs
   readonly durationMs: number
   readonly isAnswered: boolean
 }
 
+export interface IAdmissionInputs {
+  readonly tasksPerS: number | undefined
+  readonly capacityPerS: number
+  readonly startedPerS: number
+  /** How late the latest of the last updates was. */
+  readonly lagMs: number
+  /** The number of recent orders. */
+  readonly orders: number
+  /** Undefined if hardly any of them was answered. */
+  readonly medianOrderMs: number | undefined
+}
+
 export class AdmissionRate {
   /** The tasks that may be accepted per second; undefined if there is no limit. */
   private _tasksPerS: number | undefined
@@ -50,18 +72,36 @@
   private _updatedAtMs: MonotonicMs | undefined
   private _overloadedAtMs: MonotonicMs = -Infinity
   private _answeredSinceUpdate = 0
-  /** The tasks started per second, averaged over about a second, after each of the last updates. */
-  private readonly _startedPerS: number[] = []
-  private _lagMs = 0
+  private _admittedSinceUpdate = 0
+  /** The tasks started, and those admitted, per second, averaged over about a second. */
+  private _startedPerS = 0
+  private _admittedPerS = 0
+  /** What the last updates showed of the capacity, in starts per second. */
+  private readonly _capacitiesPerS: number[] = []
+  /** How late each of the last updates was. */
+  private readonly _lagsMs: number[] = []
   private _samples: IOrderSample[] = []
 
   public get tasksPerS (): number | undefined {
     return this._tasksPerS
   }
 
+  /** The inputs of the limit, for the log. */
+  public get inputs (): IAdmissionInputs {
+    const medianMs = this._medianOrderMs()
+    return {
+      tasksPerS: this._tasksPerS,
+      capacityPerS: this._capacityPerS,
+      startedPerS: this._startedPerS,
+      lagMs: Math.max(0, ...this._lagsMs),
+      orders: this._samples.length,
+      medianOrderMs: Number.isFinite(medianMs) ? medianMs : undefined
+    }
+  }
+
   /** Records the end of a start order: with its answer, or at its timeout. */
   public recordOrder (durationMs: number, isAnswered: boolean): void {
-    this._samples.push({ durationMs, isAnswered })
+    this._samples.push({ atMs: this._updatedAtMs ?? 0, durationMs, isAnswered })
     if (this._samples.length > MAX_SAMPLES) this._samples.shift()
     if (isAnswered) this._answeredSinceUpdate += 1
   }
@@ -70,8 +110,10 @@
   public update (nowMs: MonotonicMs): boolean {
     const elapsedMs = Math.max(1, nowMs - (this._updatedAtMs ?? nowMs - ADMISSION_UPDATE_MS))
     this._updatedAtMs = nowMs
-    this._lagMs = Math.max(this._lagMs / 2, elapsedMs - ADMISSION_UPDATE_MS)
-    this._recordStarts(elapsedMs)
+    this._lagsMs.push(elapsedMs - ADMISSION_UPDATE_MS)
+    if (this._lagsMs.length > LAG_UPDATES) this._lagsMs.shift()
+    this._samples = this._samples.filter(({ atMs }) => nowMs - atMs <= SAMPLE_AGE_MS)
+    this._updateCapacity(elapsedMs)
     this._tokens = Math.min(this._burst, this._tokens + (this._tasksPerS ?? 0) * elapsedMs / MS_PER_S)
     const isOverloaded = this._isOverloaded()
     if (isOverloaded) {
@@ -84,9 +126,11 @@
 
   /** Whether a job with this number of tasks is accepted. A wide job uses up what comes after it. */
   public tryAdmit (tasks: number, isUrgent: boolean): boolean {
-    if (this._tasksPerS === undefined) return true
-    if (this._tokens <= (isUrgent ? 0 : this._burst * URGENT_BURST_SHARE)) return false
-    this._tokens -= tasks
+    if (this._tasksPerS !== undefined) {
+      if (this._tokens <= (isUrgent ? 0 : this._burst * URGENT_BURST_SHARE)) return false
+      this._tokens -= tasks
+    }
+    this._admittedSinceUpdate += tasks
     return true
   }
 
@@ -101,18 +145,26 @@
     return (this._tasksPerS ?? 0) * BURST_MS / MS_PER_S
   }
 
-  private _recordStarts (elapsedMs: number): void {
-    const beforePerS = this._startedPerS.at(-1) ?? 0
-    const presentPerS = this._answeredSinceUpdate / elapsedMs * MS_PER_S
-    this._startedPerS.push(beforePerS + (presentPerS - beforePerS) * Math.min(1, elapsedMs / MS_PER_S))
-    if (this._startedPerS.length > CAPACITY_UPDATES) this._startedPerS.shift()
+  /** The highest rate of starts that the last updates showed. */
+  private get _capacityPerS (): number {
+    return Math.max(0, ...this._capacitiesPerS)
+  }
+
+  private _updateCapacity (elapsedMs: number): void {
+    this._startedPerS = smooth(this._startedPerS, this._answeredSinceUpdate, elapsedMs)
+    this._admittedPerS = smooth(this._admittedPerS, this._admittedSinceUpdate, elapsedMs)
     this._answeredSinceUpdate = 0
+    this._admittedSinceUpdate = 0
+    const isMeasure = this._tasksPerS === undefined || this._startedPerS < this._admittedPerS * SATURATED_SHARE
+    this._capacitiesPerS.push(isMeasure ? this._startedPerS : Math.max(this._startedPerS, this._capacityPerS))
+    if (this._capacitiesPerS.length > CAPACITY_UPDATES) this._capacitiesPerS.shift()
   }
 
   private _isOverloaded (): boolean {
     // Before an owner has ordered anything, nothing is known of its capacity: one that has just read the jobs is late, but not overloaded.
     if (this._samples.length < MIN_SAMPLES) return false
-    return this._lagMs > MAX_LAG_MS || this._medianOrderMs() > SLOW_ORDER_MS
+    const late = this._lagsMs.filter((lagMs) => lagMs > MAX_LAG_MS)
+    return late.length >= this._lagsMs.length * MIN_LATE_SHARE || this._medianOrderMs() > SLOW_ORDER_MS
   }
 
   /** Infinity if hardly any order is answered. */
@@ -123,8 +175,12 @@
   }
 
   private _computeLimit (): number {
-    const capacityPerS = Math.max(...this._startedPerS)
     const share = TARGET_ORDER_MS / Math.max(1, this._medianOrderMs())
-    return Math.max(MIN_TASKS_PER_S, capacityPerS * Math.min(MAX_CAPACITY_SHARE, Math.max(MIN_CAPACITY_SHARE, share)))
+    return Math.max(MIN_TASKS_PER_S, this._capacityPerS * Math.min(MAX_CAPACITY_SHARE, Math.max(MIN_CAPACITY_SHARE, share)))
   }
 }
+
+/** Averages a rate per second over about a second. */
+function smooth (beforePerS: number, count: number, elapsedMs: number): number {
+  return beforePerS + (count / elapsedMs * MS_PER_S - beforePerS) * Math.min(1, elapsedMs / MS_PER_S)
+}
