An overloaded owner refuses jobs that it could only start too late

Cause: the limit on accepted tasks looks at the rate alone.

Change: while there is a limit, a job is refused at once if the owner needs more than 5 s for the tasks that wait already; for urgent jobs only urgent tasks count. The time to retry includes that wait.

Test: an overloaded owner with 1,000 waiting tasks refuses further ones, except urgent ones that would start in time.

--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -339,7 +339,7 @@
     const { clock, log } = this._context
     const nowMs = clock.nowMs()
     const wasLimited = this._admission.tasksPerS !== undefined
-    this._admission.update(nowMs)
+    this._admission.update(nowMs, this._scheduler.countBacklog())
     const isLimited = this._admission.tasksPerS !== undefined
     if (isLimited === wasLimited && (!isLimited || nowMs - this._admissionLoggedAtMs < ADMISSION_LOG_INTERVAL_MS)) return
     this._admissionLoggedAtMs = nowMs
--- a/src/common/cell/AdmissionRate.test.ts
+++ b/src/common/cell/AdmissionRate.test.ts
@@ -118,3 +118,16 @@
   offer(admission, 5000, 30_000, 100, 600)
   t.true(offer(admission, 35_000, 5000, 100, 600) >= 45)
 })
+
+test('an overloaded owner with many waiting tasks refuses further ones, except urgent ones that would start in time', (t) => {
+  // A new owner that accepts jobs beside more waiting tasks than it can order passes on even more of them to the next one.
+  const admission = new AdmissionRate()
+  offer(admission, 0, 5000, 100, 600)
+  t.not(admission.tasksPerS, undefined)
+  admission.update(5250, { tasks: 1000, urgentTasks: 0 })
+  t.false(admission.tryAdmit(4, false))
+  t.true(admission.retryAfterMs > 5000)
+  t.true(admission.tryAdmit(4, true))
+  admission.update(5500, { tasks: 1000, urgentTasks: 1000 })
+  t.false(admission.tryAdmit(4, true))
+})
--- a/src/common/cell/AdmissionRate.ts
+++ b/src/common/cell/AdmissionRate.ts
@@ -34,6 +34,11 @@
 /** Bounds of the limit, as a share of the capacity. */
 const MIN_CAPACITY_SHARE = 0.5
 const MAX_CAPACITY_SHARE = 1.2
+/**
+ * While there is a limit, a job is refused if the owner needs longer than this for the tasks that wait already, in ms: its callers would
+ * get their results too late, and the owner would pass on more waiting tasks than the next one can order.
+ */
+const MAX_BACKLOG_MS = 5000
 /** Without overload for this long, in ms, there is no limit. */
 const RECOVERED_AFTER_MS = 4000
 /** How much of the limit may be accepted at once, in ms. */
@@ -53,8 +58,16 @@
   readonly isAnswered: boolean
 }
 
+/** The accepted tasks that wait to be started. */
+export interface IBacklog {
+  readonly tasks: number
+  /** Those of the most urgent jobs, which don't wait for the others. */
+  readonly urgentTasks: number
+}
+
 export interface IAdmissionInputs {
   readonly tasksPerS: number | undefined
+  readonly backlogTasks: number
   readonly capacityPerS: number
   readonly startedPerS: number
   /** How late the latest of the last updates was. */
@@ -73,6 +86,7 @@
   private _overloadedAtMs: MonotonicMs = -Infinity
   private _answeredSinceUpdate = 0
   private _admittedSinceUpdate = 0
+  private _backlog: IBacklog = { tasks: 0, urgentTasks: 0 }
   /** The tasks started, and those admitted, per second, averaged over about a second. */
   private _startedPerS = 0
   private _admittedPerS = 0
@@ -91,6 +105,7 @@
     const medianMs = this._medianOrderMs()
     return {
       tasksPerS: this._tasksPerS,
+      backlogTasks: this._backlog.tasks,
       capacityPerS: this._capacityPerS,
       startedPerS: this._startedPerS,
       lagMs: Math.max(0, ...this._lagsMs),
@@ -107,7 +122,8 @@
   }
 
   /** Adapts the limit; to be called every `ADMISSION_UPDATE_MS`. Returns whether the owner is overloaded. */
-  public update (nowMs: MonotonicMs): boolean {
+  public update (nowMs: MonotonicMs, backlog: IBacklog = { tasks: 0, urgentTasks: 0 }): boolean {
+    this._backlog = backlog
     const elapsedMs = Math.max(1, nowMs - (this._updatedAtMs ?? nowMs - ADMISSION_UPDATE_MS))
     this._updatedAtMs = nowMs
     this._lagsMs.push(elapsedMs - ADMISSION_UPDATE_MS)
@@ -127,20 +143,28 @@
   /** Whether a job with this number of tasks is accepted. A wide job uses up what comes after it. */
   public tryAdmit (tasks: number, isUrgent: boolean): boolean {
     if (this._tasksPerS !== undefined) {
+      if (this._drainMs(isUrgent) > MAX_BACKLOG_MS) return false
       if (this._tokens <= (isUrgent ? 0 : this._burst * URGENT_BURST_SHARE)) return false
       this._tokens -= tasks
     }
     this._admittedSinceUpdate += tasks
+    this._backlog = { tasks: this._backlog.tasks + tasks, urgentTasks: this._backlog.urgentTasks + (isUrgent ? tasks : 0) }
     return true
   }
 
   /** When a refused job will find room. */
   public get retryAfterMs (): number {
     const missing = this._burst - this._tokens
-    const waitMs = missing / Math.max(MIN_TASKS_PER_S, this._tasksPerS ?? Infinity) * MS_PER_S
+    const waitMs = this._drainMs(false) + missing / Math.max(MIN_TASKS_PER_S, this._tasksPerS ?? Infinity) * MS_PER_S
     return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs))
   }
 
+  /** How long the owner needs to start the tasks that wait. */
+  private _drainMs (isUrgent: boolean): number {
+    const { tasks, urgentTasks } = this._backlog
+    return (isUrgent ? urgentTasks : tasks) / Math.max(MIN_TASKS_PER_S, this._capacityPerS) * MS_PER_S
+  }
+
   private get _burst (): number {
     return (this._tasksPerS ?? 0) * BURST_MS / MS_PER_S
   }
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -7,18 +7,19 @@
 import type { ChartTable } from '../state/ChartTable.js'
 import type { IClock, ITimers, MonotonicMs } from '../Types.js'
 import { AdviceRequester, expectedAdviceMs } from './AdviceRequester.js'
+import type { IBacklog } from './AdmissionRate.js'
 import type { IAdviceEffects } from './AdviceRequester.js'
 import { Attempt } from './Attempt.js'
 import { CapacityReservations } from './CapacityReservations.js'
 import { HoldAnswerHandler } from './HoldAnswerHandler.js'
 import { HostSpeeds } from './HostSpeeds.js'
 import { HostState } from './HostState.js'
-import type { Job, Step } from './Job.js'
+import type { Job, Step, Task } from './Job.js'
 import { ObjectiveOrder, isLate } from './JobOrder.js'
 import type { IJobOrder } from './JobOrder.js'
 import type { IRecordedRun } from './JobRecord.js'
 import { LimitReservations } from './LimitReservations.js'
-import { planGang, planTasks, urgentHeadroom } from './Placement.js'
+import { URGENT_PRIORITY, planGang, planTasks, urgentHeadroom } from './Placement.js'
 import type { IPlacement, IPlacementView } from './Placement.js'
 import { addResources } from './Resources.js'
 import { RunController } from './RunController.js'
@@ -183,6 +184,19 @@
     return count
   }
 
+  /** The accepted tasks that could start now, but were not ordered yet. */
+  public countBacklog (): IBacklog {
+    let tasks = 0
+    let urgentTasks = 0
+    for (const job of this._openJobs) {
+      if (job.isFinished) continue
+      const waiting = job.steps.reduce((sum, step) => sum + (step.isReady ? step.tasks.filter(isWaiting).length : 0), 0)
+      tasks += waiting
+      if (job.queue.priority === URGENT_PRIORITY) urgentTasks += waiting
+    }
+    return { tasks, urgentTasks }
+  }
+
   /** Stops stalled runs, repeats stops that had no answer, and requests missing tickets again. It has to be called about twice a second. */
   public sweep (): void {
     const preparing = new Set<Step>()
@@ -313,6 +327,11 @@
   }
 }
 
+/** Whether the task waits for its first order or for another one. */
+function isWaiting ({ isDone, attempt }: Task): boolean {
+  return !isDone && (attempt === undefined || attempt.phase === 'preparing')
+}
+
 /**
  * Whether a job can still meet its objective but has used a good part of the time for it. Gangs are excluded: they are ordered
  * among themselves by their objectives.
