Polls of idle hosts wait longer if there are many for this owner's processor

Cause: an owner polls each host once a second. At 999 hosts, mostly idle, this is most of its work: the busiest machine used 29 to 41% of a core of 67.5%, and every takeover and burst comes on top of it.

Change: `PollWait`. A host with runs is polled as before. A host without runs has nothing to report, so its polls wait as long as the processor of this process asks for (300 polls a second for one core), 4 s or half of the longest lease at most. A host counts as out of contact by the wait of its present poll. On deployments with fewer than about 200 idle hosts for 0.675 cores nothing changes. Cost: a silent idle host is noticed up to 2 s later at 999 hosts, unless its connection breaks; the first progress of a run may be known as late.

--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -35,6 +35,8 @@
   readonly maxHoldMs: number
   /** The interval at which hosts renew their entries in the store, in ms. */
   readonly heartbeatMs: number
+  /** The processor capacity of this process, in cores. */
+  readonly processorCores: number
   /** Factor by which a task takes longer when it runs away from its data. */
   readonly farFactor: number
   /** How long callers can ask for a finished job, in ms. */
@@ -134,7 +136,7 @@
       holdUntilMs: () => this._holdUntilMs(_context.ownership.confirmedAtMs),
       onFenced: (hostId) => { this._onFenced(hostId) },
       requestPass: () => { this._requestPass() }
-    }, { fence: _fence, maxHoldMs: _options.maxHoldMs, heartbeatMs: _options.heartbeatMs })
+    }, { fence: _fence, maxHoldMs: _options.maxHoldMs, heartbeatMs: _options.heartbeatMs, processorCores: _options.processorCores })
     this._authorizer = new CallerAuthorizer(_context.config, () => this._store?.isStoreUnavailable === true)
     this._jobStore = this._load()
     this._disposed = new Promise((resolve) => { this._resolveDisposed = resolve })
--- a/src/cell/HostSession.ts
+++ b/src/cell/HostSession.ts
@@ -15,10 +15,10 @@
   onFenced (host: HostState): void
   /** The host does not answer. Returns whether nothing can run on it any more. */
   onFailure (host: HostState): boolean
+  /** How long the host's next poll may wait for a run to end, in ms. */
+  pollWaitMs (host: HostState): number
 }
 
-/** How long a host may wait for a run to end before it answers, in ms. Bounds the age of the known progress. */
-const POLL_WAIT_MS = 1000
 const RETRY_DELAY_MS = 200
 /** A series of failed polls is logged once, when it reaches this length. */
 const FAILURES_TO_LOG = 3
@@ -68,7 +68,9 @@
     if (!host.hasClock) return { acknowledgedSequence, deadlineMs: undefined, waitMs: 0 }
     const deadlineMs = host.nextDeadline(nowMs, this._maxHoldMs, this._effects.holdUntilMs())
     // A host that was silent answers at once, so that its lease is renewed without delay.
-    return { acknowledgedSequence, deadlineMs, waitMs: host.isInContact(nowMs) ? POLL_WAIT_MS : 0 }
+    if (!host.isInContact(nowMs)) return { acknowledgedSequence, deadlineMs, waitMs: 0 }
+    host.pollWaitMs = this._effects.pollWaitMs(host)
+    return { acknowledgedSequence, deadlineMs, waitMs: host.pollWaitMs }
   }
 
   private _recordAnswer (): void {
--- a/src/cell/HostSessions.ts
+++ b/src/cell/HostSessions.ts
@@ -3,6 +3,7 @@
  */
 
 import { DepartureDetector } from '../common/cell/DepartureDetector.js'
+import { PollWait } from '../common/cell/PollWait.js'
 import { HostSession } from './HostSession.js'
 
 import type { CellScheduler } from '../common/cell/CellScheduler.js'
@@ -34,6 +35,8 @@
   readonly maxHoldMs: number
   /** The interval at which hosts renew their entries, in ms. */
   readonly heartbeatMs: number
+  /** The processor capacity of this process, in cores. */
+  readonly processorCores: number
 }
 
 const POLL_INTERVAL_MS = 600
@@ -44,9 +47,11 @@
   /** Revision of the newest list that was applied. */
   private _listRevision = 0
   private readonly _departures: DepartureDetector
+  private readonly _pollWait: PollWait
   private _isDisposed = false
 
   public constructor (private readonly _context: IHostSessionsContext, private readonly _options: IHostSessionsOptions) {
+    this._pollWait = new PollWait(_options.processorCores, _options.maxHoldMs)
     this._departures = new DepartureDetector(_options.heartbeatMs, (entry) => this._renewedAfterMs(entry))
   }
 
@@ -166,7 +171,8 @@
       holdUntilMs: () => this._context.holdUntilMs(),
       onHeld: (held, answer, sentAtMs) => { if (!this._isDisposed) scheduler.applyHoldAnswer(held, answer, sentAtMs) },
       onFenced: (held) => { this._context.onFenced(held.hostId) },
-      onFailure: (silent) => scheduler.loseRunsIfLapsed(silent)
+      onFailure: (silent) => scheduler.loseRunsIfLapsed(silent),
+      pollWaitMs: ({ attempts }) => this._pollWait.waitMs(attempts.size === 0, this._sessions.size)
     }, this._options.maxHoldMs, clock, log)
     this._sessions.set(hostId, session)
     session.start()
--- a/src/common/cell/HostState.ts
+++ b/src/common/cell/HostState.ts
@@ -5,6 +5,7 @@
 
 import type { EpochMs, MonotonicMs } from '../Types.js'
 import type { Attempt } from './Attempt.js'
+import { MIN_POLL_WAIT_MS } from './PollWait.js'
 import { NO_RESOURCES, countPlaces, addResources, resourcesOf } from './Resources.js'
 import type { IResources } from './Resources.js'
 import type { IHostEntry, IStepSpec } from './Types.js'
@@ -14,10 +15,10 @@
 const MIN_CLOCK_RATE = 0.98
 /** Added to the time at which leases have ended, in ms: killing a run whose lease has ended takes a moment. */
 const LAPSE_MARGIN_MS = 300
-/** A host that has not answered for this long, in ms, gets no new work. A poll is answered within 1.5 s. */
-const CONTACT_FRESH_MS = 2500
-/** The leases of a host that has not answered for this long, in ms, are no longer extended: a poll takes a second and a round trip. */
-const HOLD_CONTACT_MS = 1800
+/** A host that has not answered for this long after the wait of its poll, in ms, gets no new work. */
+const CONTACT_FRESH_MS = 1500
+/** The leases of a host that has not answered for this long after the wait of its poll, in ms, are no longer extended: it needs a round trip. */
+const HOLD_CONTACT_MS = 800
 /** The number of consecutive failures of different jobs after which a host is suspected to fail every task. */
 const SUSPECT_FAILURES = 3
 /** How long a suspected host gets no work before it is tried again, in ms; doubles with each further failure. */
@@ -39,6 +40,8 @@
   public storedSequence = 0
   /** Resolves once the ends that have been applied are stored. */
   public endsStored: Promise<void> = Promise.resolve()
+  /** How long the present poll may wait before the host answers, in ms. */
+  public pollWaitMs = MIN_POLL_WAIT_MS
   private _clockMs = 0
   private _clockAtMs: MonotonicMs = -Infinity
   /** When the answer with that clock was requested. */
@@ -137,7 +140,7 @@
   }
 
   public isInContact (nowMs: MonotonicMs): boolean {
-    return nowMs - this._clockAtMs <= HOLD_CONTACT_MS
+    return nowMs - this._clockAtMs <= this.pollWaitMs + HOLD_CONTACT_MS
   }
 
   /**
@@ -181,7 +184,7 @@
 
   public isPlaceable (nowMs: MonotonicMs): boolean {
     if (!this.isListed || !this.isFenced || this.entry.draining || nowMs < this._pausedUntilMs) return false
-    return this.bornMs === this.entry.bornMs && nowMs - this._clockAtMs < CONTACT_FRESH_MS
+    return this.bornMs === this.entry.bornMs && nowMs - this._clockAtMs < this.pollWaitMs + CONTACT_FRESH_MS
   }
 
   public recordSuccess (): void {
--- a/src/daemon/ControllerDaemon.ts
+++ b/src/daemon/ControllerDaemon.ts
@@ -255,7 +255,7 @@
       log: this._log,
       times: this._times,
       counters: this._counters
-    }, { writerId, maxHoldMs: hosts.maxHoldMs, heartbeatMs: hosts.heartbeatMs, farFactor: hosts.farFactor, statusMs: hosts.statusMs }, revision)
+    }, { ...hosts, writerId, processorCores: this._processorCores }, revision)
   }
 
   private _giveUpOwnership (silentPeers: number): void {
@@ -264,10 +264,15 @@
       .catch((error: unknown) => { this._log.error('owner.stepAsideFailed', { reason: String(error) }) })
   }
 
+  /** The processor capacity of this process, in cores. */
+  private get _processorCores (): number {
+    const { processorShare, processorSpeed } = this._settings.process
+    return processorShare * processorSpeed
+  }
+
   /** How long this process lets others try to become the owner first: if its machine is slow, or if it didn't reach the last owner. */
   private _computeYieldMs (): number {
-    const { processorShare, processorSpeed } = this._settings.process
-    const slowMachineMs = processorShare * processorSpeed < OWNER_CORES ? SLOW_MACHINE_YIELD_MS : 0
+    const slowMachineMs = this._processorCores < OWNER_CORES ? SLOW_MACHINE_YIELD_MS : 0
     return slowMachineMs + (this._route?.isIsolated === true ? ISOLATED_YIELD_MS : 0)
   }
 
