Processes on slow machines take a longer lease

Cause: on 0.12 cores, collecting garbage and processing the answers of 66 hosts take more than four renewals. A longer lease was only taken after the record had been free twice within ten seconds.

Change: a process with less processor capacity than an owner should have (0.6 cores) takes a lease that is longer by that factor, 4 s at most. Cells with a larger machine are owned by that one, and keep their lease of one second. An owner still counts as confirmed for one second only. Cost: if such an owner vanishes and neither the standby nor a refused connection shows it, the cell has no owner for up to 4 s.

Test: an owner that is busy for 1.5 s after it has taken the record keeps it on a slow machine; without the change it does not.

--- a/src/cell/Ownership.test.ts
+++ b/src/cell/Ownership.test.ts
@@ -94,8 +94,8 @@
 
 const OTHER = { processId: 'b', incarnation: 1, peerUrl: 'ws://b' }
 
-function setUp (yieldMs = 0, clock = new ManualClock(), store = new ScriptedStore(clock)) {
-  const options = { self: SELF, peerUrl: 'ws://a', minLeaseMs: 1000, yieldMs: () => yieldMs }
+function setUp (yieldMs = 0, clock = new ManualClock(), store = new ScriptedStore(clock), slowdown = 1) {
+  const options = { self: SELF, peerUrl: 'ws://a', minLeaseMs: 1000, slowdown, yieldMs: () => yieldMs }
   const ownership = new Ownership(store as unknown as IMetadataStore, options, clock, new SeededRandom(1), new SilentLogger())
   const challenge = new OwnerChallenge(ownership, clock, new SeededRandom(2), new SilentLogger())
   return { clock, store, ownership, challenge }
@@ -290,3 +290,14 @@
   t.is(store.grantedMs.length, 5)
   t.deepEqual([...new Set(store.grantedMs)], [1000])
 })
+
+test('an owner on a slow machine keeps the cell while it is busy for longer than a short lease', async (t) => {
+  // Otherwise the next owner, on a machine that is no faster, would begin with more waiting jobs than this one.
+  const clock = new ManualClock()
+  const store = new BusyStartStore(clock, 1500)
+  const { ownership } = setUp(0, clock, store, 5)
+  ownership.start()
+  await advance(clock, 10_000, 10)
+  t.deepEqual(store.grantedMs, [4000])
+  t.true(ownership.isOwner)
+})
--- a/src/cell/Ownership.ts
+++ b/src/cell/Ownership.ts
@@ -16,6 +16,8 @@
   readonly peerUrl: string
   /** The shortest lease that the store grants, in ms. */
   readonly minLeaseMs: number
+  /** How many times as slow this process is as one that is fit to own the cell; at least 1. */
+  readonly slowdown: number
   /** How long this process currently waits for other processes to acquire the cell first. */
   yieldMs (): number
 }
@@ -26,8 +28,9 @@
  */
 const LEASE_MS = 1000
 /**
- * The lease of the next owner, in ms, if the record was free this often within this time, in ms. An owner that has just read all jobs
- * may be too busy to renew a short lease; the next one would read them again, and no job would make progress.
+ * The longest lease, in ms: of a process on a slow machine, and of the next owner if the record was free this often within this time, in ms.
+ * An owner that has just read all jobs, or is starved of processor time, may be too busy to renew a short lease; the next one would read
+ * them again, and no job would make progress.
  */
 const LONG_LEASE_MS = 4000
 const LAPSES_FOR_LONG_LEASE = 2
@@ -226,7 +229,8 @@
 
   private get _leaseMs (): number {
     const recentLapses = this._lapsedAtMs.filter((atMs) => this._clock.nowMs() - atMs < LAPSE_MEMORY_MS)
-    return Math.max(this._shortestLeaseMs, recentLapses.length >= LAPSES_FOR_LONG_LEASE ? LONG_LEASE_MS : 0)
+    const wantedMs = recentLapses.length >= LAPSES_FOR_LONG_LEASE ? LONG_LEASE_MS : Math.min(LONG_LEASE_MS, LEASE_MS * this._options.slowdown)
+    return Math.max(this._shortestLeaseMs, Math.round(wantedMs))
   }
 
   /** @param revision the revision of the store at which the record was read */
--- a/src/daemon/ControllerDaemon.ts
+++ b/src/daemon/ControllerDaemon.ts
@@ -125,7 +125,11 @@
     const peerUrl = await hub.start()
     if (peerUrl.isErr()) throw peerUrl.error
     const ownership = new Ownership(this._store, {
-      self: this._self, peerUrl: peerUrl.value, minLeaseMs: store.minLeaseMs, yieldMs: () => this._computeYieldMs()
+      self: this._self,
+      peerUrl: peerUrl.value,
+      minLeaseMs: store.minLeaseMs,
+      slowdown: Math.max(1, OWNER_CORES / this._processorCores),
+      yieldMs: () => this._computeYieldMs()
     }, this._clock, this._random, this._log)
     this._ownership = this._disposables.add(ownership)
     const challenge = new OwnerChallenge(ownership, this._clock, this._random, this._log)
