A new owner opens its sessions with hosts a few at a time

Change: 32 sessions a turn, hosts with recorded runs first, since their leases have to be renewed. A cell with up to 32 hosts is opened one millisecond later.

Test: 200 hosts, at most 40 sessions in a millisecond, the host with runs first; with all in one turn it fails.

--- a/src/cell/HostSessions.test.ts
+++ b/src/cell/HostSessions.test.ts
@@ -8,6 +8,7 @@
 import { advance } from '../../test/support/advance.js'
 import { HostSessions } from './HostSessions.js'
 
+import type { ExecutionContext } from 'ava'
 import type { IHostEntry, IMetadataItem, IMetadataRange, ReadOutcome } from '../common/cell/Types.js'
 import type { IHostSessionsContext } from './HostSessions.js'
 
@@ -18,13 +19,15 @@
   return { kind: 'read', value: { items: [{ key: HOST_ID, value: state, revision }], revision } }
 }
 
-test('a list that was overtaken by a newer one is ignored', async (t) => {
-  // Otherwise a draining host would be considered ready again, and would be given new runs.
-  const clock = new ManualClock()
-  const answers: ((outcome: ReadOutcome<IMetadataRange>) => void)[] = []
-  const hosts = new Map<string, { entry: IHostEntry, isListed: boolean, attempts: ReadonlySet<never> }>()
+interface IListedHost {
+  readonly entry: IHostEntry
+  readonly isListed: boolean
+  readonly attempts: ReadonlySet<object>
+}
+
+function setUp (t: ExecutionContext, clock: ManualClock, context: object) {
+  const hosts = new Map<string, IListedHost>()
   const sessions = new HostSessions({
-    store: { range: async () => await new Promise<ReadOutcome<IMetadataRange>>((resolve) => { answers.push(resolve) }) },
     orders: { hold: async () => await new Promise<never>(() => {}), forget: () => {} },
     records: { hostsPrefix: '', decodeHostEntry: ({ key, value }: IMetadataItem) => ({ hostId: key, draining: value === 'draining' }) },
     scheduler: {
@@ -39,9 +42,20 @@
     log: new SilentLogger(),
     holdUntilMs: () => 0,
     onFenced: () => {},
-    requestPass: () => {}
+    requestPass: () => {},
+    ...context
   } as unknown as IHostSessionsContext, { fence: 1, maxHoldMs: 6000, heartbeatMs: 1500, processorCores: 1 })
   t.teardown(() => { sessions.dispose() })
+  return { sessions, hosts }
+}
+
+test('a list that was overtaken by a newer one is ignored', async (t) => {
+  // Otherwise a draining host would be considered ready again, and would be given new runs.
+  const clock = new ManualClock()
+  const answers: ((outcome: ReadOutcome<IMetadataRange>) => void)[] = []
+  const { sessions, hosts } = setUp(t, clock, {
+    store: { range: async () => await new Promise<ReadOutcome<IMetadataRange>>((resolve) => { answers.push(resolve) }) }
+  })
   sessions.start()
   await advance(clock, TWO_POLLS_MS)
   const [first, second] = answers
@@ -51,3 +65,27 @@
   await advance(clock, 1)
   t.true(hosts.get(HOST_ID)?.entry.draining)
 })
+
+test('a new owner opens the sessions with hundreds of hosts a few at a time, and those with runs first', async (t) => {
+  // Opened on end, they would keep it from renewing its lease and from answering its peers.
+  const clock = new ManualClock()
+  const polled: string[] = []
+  const hold = async ({ hostId }: IHostEntry): Promise<never> => {
+    polled.push(hostId)
+    return await new Promise<never>(() => {})
+  }
+  const { sessions, hosts } = setUp(t, clock, { orders: { hold } })
+  const items = Array.from({ length: 200 }, (_, number) => ({ key: `h-${number}`, value: 'ready', revision: 1 }))
+  sessions.applyList({ items, revision: 1 })
+  const busy = hosts.get('h-199')
+  if (busy !== undefined) hosts.set('h-199', { ...busy, attempts: new Set([{}]) })
+  let mostAtOnce = 0
+  while (polled.length < items.length) {
+    const before = polled.length
+    await advance(clock, 1)
+    mostAtOnce = Math.max(mostAtOnce, polled.length - before)
+  }
+  t.is(polled[0], 'h-199')
+  t.true(mostAtOnce <= 40)
+  t.is(sessions.size, items.length)
+})
--- a/src/cell/HostSessions.ts
+++ b/src/cell/HostSessions.ts
@@ -40,9 +40,19 @@
 }
 
 const POLL_INTERVAL_MS = 600
+/** Between two turns that open sessions, in ms: the shortest delay of a timer. */
+const SESSIONS_DELAY_MS = 1
+/**
+ * The number of sessions that are opened in one turn of the event loop. Opening a session connects to its host. If a new owner opened hundreds
+ * of them on end, its lease would not be renewed, and its peers would get no answers meanwhile.
+ */
+const SESSIONS_PER_TURN = 32
 
 export class HostSessions implements IDisposable {
   private readonly _sessions = new Map<string, HostSession>()
+  /** Ids of hosts whose sessions are not open yet. */
+  private readonly _unopened = new Set<string>()
+  private _opening: IDisposable | undefined
   private _polling: IDisposable | undefined
   /** Revision of the newest list that was applied. */
   private _listRevision = 0
@@ -56,7 +66,7 @@
   }
 
   public get size (): number {
-    return this._sessions.size
+    return this._sessions.size + this._unopened.size
   }
 
   /** Starts to poll the list. */
@@ -67,6 +77,7 @@
   public dispose (): void {
     this._isDisposed = true
     this._polling?.dispose()
+    this._opening?.dispose()
     for (const session of this._sessions.values()) session.dispose()
     this._sessions.clear()
   }
@@ -81,7 +92,7 @@
       listed.add(entry.hostId)
       if (this._isWorthLogging(entry)) this._logHost(entry)
       scheduler.addHost(entry).isListed = true
-      if (!this._sessions.has(entry.hostId)) this._openSession(entry.hostId)
+      if (!this._sessions.has(entry.hostId)) this._unopened.add(entry.hostId)
     }
     for (const host of scheduler.hosts.values()) {
       if (host.isListed && !listed.has(host.hostId)) {
@@ -89,6 +100,7 @@
         log.warn('host.unlisted', { host: host.hostId, runs: host.attempts.size })
       }
     }
+    this._scheduleOpening()
     this._applyDepartures({ items: list, revision, receivedAtMs: this._context.clock.nowMs() })
     this._context.requestPass()
   }
@@ -162,6 +174,26 @@
     this._context.log.info('host.seen', { host: hostId, draining, bornMs, service })
   }
 
+  private _scheduleOpening (): void {
+    if (this._unopened.size === 0) return
+    this._opening ??= this._context.clock.after(SESSIONS_DELAY_MS, () => {
+      this._opening = undefined
+      this._openSessions()
+      this._scheduleOpening()
+    })
+  }
+
+  /** Opens the next sessions: first on the hosts with runs, whose leases have to be renewed. */
+  private _openSessions (): void {
+    const { hosts } = this._context.scheduler
+    const runsOn = (hostId: string): number => hosts.get(hostId)?.attempts.size ?? 0
+    const next = [...this._unopened].sort((a, b) => Number(runsOn(b) > 0) - Number(runsOn(a) > 0)).slice(0, SESSIONS_PER_TURN)
+    for (const hostId of next) {
+      this._unopened.delete(hostId)
+      this._openSession(hostId)
+    }
+  }
+
   private _openSession (hostId: string): void {
     const { clock, log, orders, scheduler } = this._context
     const host = scheduler.hosts.get(hostId)
@@ -185,6 +217,7 @@
       if (host.isListed || !scheduler.loseRunsIfLapsed(host)) continue
       this._sessions.get(host.hostId)?.dispose()
       this._sessions.delete(host.hostId)
+      this._unopened.delete(host.hostId)
       scheduler.hosts.delete(host.hostId)
       orders.forget(host.hostId)
       log.info('host.forgotten', { host: host.hostId })
