Late calls on a minority of the machines don't lower the limit on advice

Cause: the limit of fell by a fifth with each late call, and calls through machines that are gone or slow end at their timeouts too. With a quarter of the calls late it settled at 15 calls, beside 80 timely answers a second, although the owner had processor time to spare.

Change: the limit is adapted once a round, by the share of late answers: it halves above 0.4 and grows by the timely ones below 0.25.

Tests: with a quarter of the calls late the limit stays at 40 or more; 15 before.

--- a/src/common/cell/AdviceLimit.test.ts
+++ b/src/common/cell/AdviceLimit.test.ts
@@ -6,6 +6,7 @@
 import { setImmediate } from 'node:timers/promises'
 import { ManualClock } from '../Clock.js'
 import { AdviceDispatcher } from './AdviceDispatcher.js'
+import { AdviceLimit } from './AdviceLimit.js'
 
 import type { AdviceOutcome } from './Types.js'
 
@@ -82,3 +83,15 @@
   const unlimitedMs = STEPS / (MACHINES.length * 2) * EXPECTED_MS
   t.true(advisedAfterMs < unlimitedMs + 350, `advised after ${advisedAfterMs} ms`)
 })
+
+test('calls that end late on some machines do not lower the limit of an owner with processor time to spare', (t) => {
+  // Otherwise an owner would hardly ask any more after machines have gone, just when the steps of their lost runs need advice.
+  const limit = new AdviceLimit()
+  for (let number = 0; number < 300; number += 1) {
+    const call = { sentAtMs: 0, expectedMs: EXPECTED_MS }
+    limit.recordSent(call)
+    const isLate = number % 4 === 0 && number > 100
+    limit.recordEnd(call, EXPECTED_MS + (isLate ? 700 : 40), !isLate, true)
+  }
+  t.true(limit.calls >= 40, `${limit.calls} calls`)
+})
--- a/src/common/cell/AdviceLimit.ts
+++ b/src/common/cell/AdviceLimit.ts
@@ -24,12 +24,23 @@
 const MIN_CALLS = 2
 /** An answer is late if it takes this much longer than expected, in ms: more than two round trips between regions and a short call ahead of it. */
 const LATE_MS = 350
-/** The share of the limit that is taken off for each late answer. A few late answers among many timely ones, from one slow machine, change little. */
-const LATE_SHARE = 0.2
+/**
+ * The limit falls if more than `MAX_LATE_SHARE` of the answers of a round were late, and grows if less than `MIN_LATE_SHARE` were. Calls through
+ * machines that are gone or slow end late as well: as long as they are the minority, the owner is not the cause.
+ */
+const MAX_LATE_SHARE = 0.4
+const MIN_LATE_SHARE = 0.25
+/** What is left of the limit after a round of late answers. */
+const DECREASE = 0.5
 
 export class AdviceLimit {
   private _calls = INITIAL_CALLS
   private readonly _inFlight = new Set<ILimitedCall>()
+  /** The calls that ended in the present round, which has as many calls as the limit. */
+  private _timelyCount = 0
+  private _lateCount = 0
+  /** Whether other calls waited for their turn in the present round: only then may the limit be too low. */
+  private _hasWaiting = false
 
   /** The number of calls that may occupy the owner. */
   public get calls (): number {
@@ -53,12 +64,23 @@
 
   /**
    * @param isAnswered whether the service answered; a call that failed in time says nothing about this process
-   * @param hasWaiting whether other calls wait for their turn: only then may the limit be too low
+   * @param hasWaiting whether other calls wait for their turn
    */
   public recordEnd (call: ILimitedCall, nowMs: MonotonicMs, isAnswered: boolean, hasWaiting: boolean): void {
     this._inFlight.delete(call)
-    if (nowMs - call.sentAtMs - call.expectedMs > LATE_MS) this._calls = Math.max(MIN_CALLS, this._calls * (1 - LATE_SHARE))
-    else if (isAnswered && hasWaiting) this._calls += 1
+    this._hasWaiting ||= hasWaiting
+    if (nowMs - call.sentAtMs - call.expectedMs > LATE_MS) this._lateCount += 1
+    else if (isAnswered) this._timelyCount += 1
+    if (this._timelyCount + this._lateCount >= this.calls) this._endRound()
+  }
+
+  private _endRound (): void {
+    const lateShare = this._lateCount / (this._timelyCount + this._lateCount)
+    if (lateShare > MAX_LATE_SHARE) this._calls = Math.max(MIN_CALLS, this._calls * DECREASE)
+    else if (lateShare < MIN_LATE_SHARE && this._hasWaiting) this._calls += this._timelyCount
+    this._timelyCount = 0
+    this._lateCount = 0
+    this._hasWaiting = false
   }
 }
 
