--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -3,12 +3,9 @@
  * records progress until it is disposed. All its orders to hosts carry the fencing token, and all its writes expect the ownership record.
  */
 
-import { ADMISSION_UPDATE_MS, AdmissionRate } from '../common/cell/AdmissionRate.js'
 import { Job } from '../common/cell/Job.js'
 import { CellScheduler } from '../common/cell/CellScheduler.js'
 import { decodeJob, queueTermsOf } from '../common/cell/JobRecord.js'
-import { URGENT_PRIORITY } from '../common/cell/Placement.js'
-import { ShareMeter } from '../common/cell/ShareMeter.js'
 import type { IAdviceSender } from '../common/cell/AdviceDispatcher.js'
 import type {
   CancelOutcome, ICallerAccess, ICellOwnerPort, IHostEntry, IHostOrders, IMetadataStore, IQueue, IStartOrder, ISubmission, OwnerAnswer, StartOutcome,
@@ -23,6 +20,7 @@
 import { CallerAuthorizer } from './CallerAuthorizer.js'
 import type { ConfigFeed } from './ConfigFeed.js'
 import { HostSessions } from './HostSessions.js'
+import { JobLimiter } from './JobLimiter.js'
 import { JobStore } from './JobStore.js'
 import type { AcceptOutcome } from './JobStore.js'
 import type { Ownership } from './Ownership.js'
@@ -71,8 +69,6 @@
 const PASS_DELAY_FACTOR = 4
 /** An owner that has not read the store within this time steps aside for another process, in ms: ten times the usual duration. */
 const LOAD_TIMEOUT_MS = 4000
-/** How often the inputs of the limit on accepted tasks are logged while there is one, in ms. */
-const ADMISSION_LOG_INTERVAL_MS = 2000
 const CLEANUP_INTERVAL_MS = 10_000
 /** Finished jobs are kept this much longer than callers may ask for them, in ms. */
 const STATUS_SLACK_MS = 60_000
@@ -95,9 +91,7 @@
   private readonly _disposables = new DisposableStore()
   private readonly _accepting = new Map<string, IAccepting>()
   private readonly _authorizer: CallerAuthorizer
-  private readonly _admission = new AdmissionRate()
-  private readonly _shares = new ShareMeter()
-  private _admissionLoggedAtMs: MonotonicMs = -Infinity
+  private readonly _limiter: JobLimiter
   private _isDisposed = false
   private _isPassDue = false
   private _lastPassMs = 0
@@ -130,6 +124,10 @@
       recordDuration: (name, ms) => { _context.times.record(name, ms) },
       count: (name, kind) => { _context.counters.add(name, kind) }
     }, { farFactor: _options.farFactor, inheritedUntilMs: clock.nowMs() + inheritedMs }, chart, clock, log)
+    this._limiter = new JobLimiter({
+      countBacklog: () => this._scheduler.countBacklog(),
+      logFields: () => this._scheduler.adviceLoad
+    }, clock, log)
     this._hosts = new HostSessions({
       ..._context,
       scheduler: this._scheduler,
@@ -246,11 +244,7 @@
     const infeasibleReason = this._infeasibleReason(job)
     if (infeasibleReason !== undefined) return this._refuse(jobId, infeasibleReason, INFEASIBLE_RETRY_AFTER_MS)
     const weight = config.workspaceOf(submission.keyDigest)?.weight ?? 0
-    job.isBeyondShare = !this._shares.recordJob(workspace, weight, clock.nowMs())
-    const tasks = job.steps.reduce((sum, step) => sum + step.tasks.length, 0)
-    if (!this._admission.tryAdmit(tasks, queue.priority === URGENT_PRIORITY && !job.isBeyondShare)) {
-      return this._refuse(jobId, 'the owner can order no more starts', this._admission.retryAfterMs)
-    }
+    if (!this._limiter.tryAdmit(job, weight)) return this._refuse(jobId, 'the owner can order no more starts', this._limiter.retryAfterMs)
     const accepted = jobStore.accept(job)
     this._scheduler.addPending(job)
     const outcome = await accepted
@@ -260,7 +254,7 @@
     }
     this._scheduler.admit(job)
     this._updateQueueTerms(job)
-    log.info('job.accepted', { requestId: jobId, queue: queue.name, workspace, isBeyondShare: job.isBeyondShare, steps: job.steps.length, tasks })
+    log.info('job.accepted', { requestId: jobId, queue: queue.name, workspace, isBeyondShare: job.isBeyondShare, steps: job.steps.length, tasks: job.taskCount })
     return { kind: 'accepted' }
   }
 
@@ -333,22 +327,10 @@
     const { clock, orders } = this._context
     const sentAtMs = clock.nowMs()
     const outcome = await orders.start(host, { ...order, fence: this._fence })
-    if (outcome.kind !== 'unsent') this._admission.recordOrder(clock.nowMs() - sentAtMs, outcome.kind !== 'unanswered')
+    if (outcome.kind !== 'unsent') this._limiter.recordOrder(clock.nowMs() - sentAtMs, outcome.kind !== 'unanswered')
     return outcome
   }
 
-  private _updateAdmission (): void {
-    const { clock, log } = this._context
-    const nowMs = clock.nowMs()
-    const wasLimited = this._admission.tasksPerS !== undefined
-    this._admission.update(nowMs, this._scheduler.countBacklog())
-    const isLimited = this._admission.tasksPerS !== undefined
-    if (isLimited === wasLimited && (!isLimited || nowMs - this._admissionLoggedAtMs < ADMISSION_LOG_INTERVAL_MS)) return
-    this._admissionLoggedAtMs = nowMs
-    const { advice_in_flight: adviceInFlight, advice_waiting: adviceWaiting } = this._scheduler.gauges()
-    log.warn('owner.admission', { ...this._admission.inputs, adviceInFlight, adviceWaiting })
-  }
-
   private _applyWorkspaces (): void {
     this._scheduler.applyWorkspaces(this._context.config.config?.workspaces ?? [])
   }
@@ -364,7 +346,7 @@
     const { clock } = this._context
     this._hosts.start()
     this._disposables.add(clock.every(SWEEP_INTERVAL_MS, () => { this._scheduler.sweep() }))
-    this._disposables.add(clock.every(ADMISSION_UPDATE_MS, () => { this._updateAdmission() }))
+    this._disposables.add(this._limiter.start())
     this._disposables.add(clock.every(CLEANUP_INTERVAL_MS, () => { this._removeExpiredJobs() }))
   }
 
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -237,6 +237,12 @@
     this._lastReservations = reservations
   }
 
+  /** The calls for advice that wait and that are in flight, and how many may occupy the owner at once. */
+  public get adviceLoad (): { readonly adviceWaiting: number, readonly adviceInFlight: number, readonly adviceLimit: number } {
+    const { waitingCount, inFlightCount, limit } = this._advice
+    return { adviceWaiting: waitingCount, adviceInFlight: inFlightCount, adviceLimit: limit }
+  }
+
   /** Current values for the metrics. */
   public gauges (): Readonly<Record<string, number>> {
     let runs = 0
@@ -249,8 +255,8 @@
     }
     const limited = this._workspaces.rows().filter(({ maxMillicores = Infinity, usedMillicores }) => usedMillicores >= maxMillicores).length
     const jobs = { workspaces_at_limit: limited, jobs: this.jobs.size, jobs_open: this._openJobs.size }
-    const { waitingCount, inFlightCount, limit } = this._advice
-    const advice = { advice_waiting: waitingCount, advice_in_flight: inFlightCount, advice_limit: limit }
+    const { adviceWaiting, adviceInFlight, adviceLimit } = this.adviceLoad
+    const advice = { advice_waiting: adviceWaiting, advice_in_flight: adviceInFlight, advice_limit: adviceLimit }
     return { ...jobs, ...advice, hosts: this.hosts.size, runs, used_millicores: usedCpu, host_millicores: cpu }
   }
 
--- a/src/common/cell/Job.ts
+++ b/src/common/cell/Job.ts
@@ -108,6 +108,11 @@
     return this.workspace === '' || this.workspace === workspace
   }
 
+  /** The number of tasks in all steps. */
+  public get taskCount (): number {
+    return this.steps.reduce((sum, step) => sum + step.tasks.length, 0)
+  }
+
   /** The phase to report to callers. */
   public get reportedPhase (): JobPhase {
     if (this.storedPhase !== 'queued') return this.storedPhase
