The limit on advice falls once a pause, and rises in small steps after that

Each burst ended several rounds, so the limit fell from 24 to 2 at once and doubled again, and tickets expired before their orders: 80 answers in a second and 23 orders, then 1.5 s without any.

Change: answers to calls that were sent before the last decrease are ignored, and once the limit has been too high, it grows by two calls a round.

Test: 100 late answers at once lower the limit from 48 to 24, and a round of timely ones raises it to 26; before, they lowered it to 2.

--- a/src/common/cell/AdviceLimit.test.ts
+++ b/src/common/cell/AdviceLimit.test.ts
@@ -95,3 +95,19 @@
   }
   t.true(limit.calls >= 40, `${limit.calls} calls`)
 })
+
+test('many late answers at once lower the limit once, and it is approached in small steps then', (t) => {
+  // If each of them lowered it, one pause of the owner would leave hardly any call; if it doubled again, the next pause would follow soon.
+  const limit = new AdviceLimit()
+  const answer = (sentAtMs: number, nowMs: number): void => {
+    const call = { sentAtMs, expectedMs: EXPECTED_MS }
+    limit.recordSent(call)
+    limit.recordEnd(call, nowMs, true, true)
+  }
+  for (let number = 0; number < 6 + 12 + 24; number += 1) answer(0, EXPECTED_MS)
+  t.is(limit.calls, 48)
+  for (let number = 0; number < 100; number += 1) answer(0, 1000)
+  t.is(limit.calls, 24)
+  for (let number = 0; number < 24; number += 1) answer(1000, 1000 + EXPECTED_MS)
+  t.is(limit.calls, 26)
+})
--- a/src/common/cell/AdviceLimit.ts
+++ b/src/common/cell/AdviceLimit.ts
@@ -32,6 +32,8 @@
 const MIN_LATE_SHARE = 0.25
 /** What is left of the limit after a round of late answers. */
 const DECREASE = 0.5
+/** By how many calls the limit grows in a round once it has been too high. Before that, it doubles. */
+const CAREFUL_INCREASE = 2
 
 export class AdviceLimit {
   private _calls = INITIAL_CALLS
@@ -39,6 +41,10 @@
   /** The calls that ended in the present round, which has as many calls as the limit. */
   private _timelyCount = 0
   private _lateCount = 0
+  /** Above this limit, answers have been late: it is approached in small steps. */
+  private _carefulFrom = Infinity
+  /** Answers to calls sent before the last decrease say nothing about the limit since then. */
+  private _decreasedAtMs: MonotonicMs = -Infinity
   /** Whether other calls waited for their turn in the present round: only then may the limit be too low. */
   private _hasWaiting = false
 
@@ -68,20 +74,27 @@
    */
   public recordEnd (call: ILimitedCall, nowMs: MonotonicMs, isAnswered: boolean, hasWaiting: boolean): void {
     this._inFlight.delete(call)
+    if (call.sentAtMs < this._decreasedAtMs) return
     this._hasWaiting ||= hasWaiting
     if (nowMs - call.sentAtMs - call.expectedMs > LATE_MS) this._lateCount += 1
     else if (isAnswered) this._timelyCount += 1
-    if (this._timelyCount + this._lateCount >= this.calls) this._endRound()
+    if (this._timelyCount + this._lateCount >= this.calls) this._endRound(nowMs)
   }
 
-  private _endRound (): void {
+  private _endRound (nowMs: MonotonicMs): void {
     const lateShare = this._lateCount / (this._timelyCount + this._lateCount)
-    if (lateShare > MAX_LATE_SHARE) this._calls = Math.max(MIN_CALLS, this._calls * DECREASE)
-    else if (lateShare < MIN_LATE_SHARE && this._hasWaiting) this._calls += this._timelyCount
+    if (lateShare > MAX_LATE_SHARE) this._decrease(nowMs)
+    else if (lateShare < MIN_LATE_SHARE && this._hasWaiting) this._calls += this._calls < this._carefulFrom ? this._timelyCount : CAREFUL_INCREASE
     this._timelyCount = 0
     this._lateCount = 0
     this._hasWaiting = false
   }
+
+  private _decrease (nowMs: MonotonicMs): void {
+    this._calls = Math.max(MIN_CALLS, this._calls * DECREASE)
+    this._carefulFrom = this._calls
+    this._decreasedAtMs = nowMs
+  }
 }
 
 function isOccupying ({ sentAtMs, expectedMs }: ILimitedCall, nowMs: MonotonicMs): boolean {
