A new owner that stays late and orders nothing accepts no more jobs

Change: an owner is overloaded as well if at least half of its last eight updates were late and tasks wait, although there are too few orders to say anything. One that has only just read the jobs is not (existing test).

Test: with 300 waiting tasks and late timers, jobs are accepted for the first updates and refused after eight; before, they were accepted for ever.

--- a/src/common/cell/AdmissionRate.test.ts
+++ b/src/common/cell/AdmissionRate.test.ts
@@ -131,3 +131,14 @@
   admission.update(5500, { tasks: 1000, urgentTasks: 1000 })
   t.false(admission.tryAdmit(4, true))
 })
+
+test('a new owner that stays late and orders nothing although tasks wait accepts no more', (t) => {
+  // It would accept hundreds of jobs that it can't start, since its limit followed its orders alone.
+  const admission = new AdmissionRate()
+  const backlog = { tasks: 300, urgentTasks: 100 }
+  let nowMs = 0
+  for (let update = 0; update < 4; update += 1) admission.update(nowMs += 700, backlog)
+  t.true(admission.tryAdmit(4, true))
+  for (let update = 0; update < 4; update += 1) admission.update(nowMs += 700, backlog)
+  t.false(admission.tryAdmit(4, true))
+})
--- a/src/common/cell/AdmissionRate.ts
+++ b/src/common/cell/AdmissionRate.ts
@@ -185,10 +185,12 @@
   }
 
   private _isOverloaded (): boolean {
-    // Before an owner has ordered anything, nothing is known of its capacity: one that has just read the jobs is late, but not overloaded.
-    if (this._samples.length < MIN_SAMPLES) return false
     const late = this._lagsMs.filter((lagMs) => lagMs > MAX_LAG_MS)
-    return late.length >= this._lagsMs.length * MIN_LATE_SHARE || this._medianOrderMs() > SLOW_ORDER_MS
+    const isLate = late.length >= this._lagsMs.length * MIN_LATE_SHARE
+    // Before an owner has ordered anything, nothing is known of its capacity: one that has just read the jobs is late, but not overloaded.
+    // One that stays late and orders nothing although tasks wait is.
+    if (this._samples.length < MIN_SAMPLES) return isLate && this._lagsMs.length === LAG_UPDATES && this._backlog.tasks > 0
+    return isLate || this._medianOrderMs() > SLOW_ORDER_MS
   }
 
   /** Infinity if hardly any order is answered. */
