Urgent callers that are refused are told their own time to retry

Cause: the time to retry of the limit by waiting tasks counted all of them for urgent jobs too, which wait for the urgent ones only. Their callers would have come back after up to 10 s, long after their deadline.

Change: the time to retry depends on whether the job is urgent, as the decision does. Test: the overloaded owner with 1,000 waiting tasks that aren't urgent names less than 2.5 s to urgent callers and more than 5 s to others; before, more than 5 s to both.

--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -244,7 +244,7 @@
     const infeasibleReason = this._infeasibleReason(job)
     if (infeasibleReason !== undefined) return this._refuse(jobId, infeasibleReason, INFEASIBLE_RETRY_AFTER_MS)
     const weight = config.workspaceOf(submission.keyDigest)?.weight ?? 0
-    if (!this._limiter.tryAdmit(job, weight)) return this._refuse(jobId, 'the owner can order no more starts', this._limiter.retryAfterMs)
+    if (!this._limiter.tryAdmit(job, weight)) return this._refuse(jobId, 'the owner can order no more starts', this._limiter.retryAfterMs(job))
     const accepted = jobStore.accept(job)
     this._scheduler.addPending(job)
     const outcome = await accepted
--- a/src/cell/JobLimiter.ts
+++ b/src/cell/JobLimiter.ts
@@ -34,8 +34,8 @@
   }
 
   /** When a refused job will find room, in ms. */
-  public get retryAfterMs (): number {
-    return this._rate.retryAfterMs
+  public retryAfterMs (job: Job): number {
+    return this._rate.retryAfterMs(isUrgent(job))
   }
 
   /**
@@ -45,7 +45,7 @@
    */
   public tryAdmit (job: Job, weight: number): boolean {
     job.isBeyondShare = !this._shares.recordJob(job.workspace, weight, this._clock.nowMs())
-    return this._rate.tryAdmit(job.taskCount, job.queue.priority === URGENT_PRIORITY && !job.isBeyondShare)
+    return this._rate.tryAdmit(job.taskCount, isUrgent(job))
   }
 
   /** Records the end of a start order: with its answer, or at its timeout. */
@@ -64,3 +64,7 @@
     this._log.warn('owner.admission', { ...this._rate.inputs, ...this._inputs.logFields() })
   }
 }
+
+function isUrgent ({ queue, isBeyondShare }: Job): boolean {
+  return queue.priority === URGENT_PRIORITY && !isBeyondShare
+}
--- a/src/common/cell/AdmissionRate.test.ts
+++ b/src/common/cell/AdmissionRate.test.ts
@@ -58,7 +58,7 @@
   t.true(overload.startedPerS >= 0.9 * CAPACITY_PER_S, String(overload.startedPerS))
   t.true(overload.refused > 0)
   t.true(overload.maxWaitMs < ORDER_TIMEOUT_MS, String(overload.maxWaitMs))
-  t.true(owner.admission.retryAfterMs >= 1000)
+  t.true(owner.admission.retryAfterMs(true) >= 1000)
 })
 
 test('five seconds after the overload, everything is accepted again', (t) => {
@@ -126,7 +126,8 @@
   t.not(admission.tasksPerS, undefined)
   admission.update(5250, { tasks: 1000, urgentTasks: 0 })
   t.false(admission.tryAdmit(4, false))
-  t.true(admission.retryAfterMs > 5000)
+  t.true(admission.retryAfterMs(false) > 5000)
+  t.true(admission.retryAfterMs(true) < 2500)
   t.true(admission.tryAdmit(4, true))
   admission.update(5500, { tasks: 1000, urgentTasks: 1000 })
   t.false(admission.tryAdmit(4, true))
--- a/src/common/cell/AdmissionRate.ts
+++ b/src/common/cell/AdmissionRate.ts
@@ -70,7 +70,7 @@
   readonly backlogTasks: number
   readonly capacityPerS: number
   readonly startedPerS: number
-  /** How late the latest of the last updates was. */
+  /** The longest delay of the last updates. */
   readonly lagMs: number
   /** The number of recent orders. */
   readonly orders: number
@@ -153,9 +153,9 @@
   }
 
   /** When a refused job will find room. */
-  public get retryAfterMs (): number {
+  public retryAfterMs (isUrgent: boolean): number {
     const missing = this._burst - this._tokens
-    const waitMs = this._drainMs(false) + missing / Math.max(MIN_TASKS_PER_S, this._tasksPerS ?? Infinity) * MS_PER_S
+    const waitMs = this._drainMs(isUrgent) + missing / Math.max(MIN_TASKS_PER_S, this._tasksPerS ?? Infinity) * MS_PER_S
     return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs))
   }
 
