A host that crashes during a long poll gets no work for as long as before

Cause: the wait of the present poll extends the time for which a host without an answer counts as in contact.

Change: a failed poll ends that extension. Test: a host that crashes during a poll of 4 s is not placeable 2.5 s later; without the change it is.

--- /dev/null
+++ b/src/cell/HostSession.test.ts
@@ -0,0 +1,52 @@
+/**
+ * The polls of one host whose answers the test gives.
+ */
+
+import test from 'ava'
+import { SimulatedHost } from '../../test/support/SimulatedHost.js'
+import { advance } from '../../test/support/advance.js'
+import { HostState } from '../common/cell/HostState.js'
+import { WorkspaceUsage } from '../common/cell/WorkspaceUsage.js'
+import { ManualClock } from '../common/Clock.js'
+import { SilentLogger } from '../common/observability/SilentLogger.js'
+import { HostSession } from './HostSession.js'
+
+import type { HoldOutcome } from '../common/cell/Types.js'
+
+const MAX_HOLD_MS = 10_000
+const LONG_WAIT_MS = 4000
+
+test('an idle host that crashes during a long poll gets no work 2.5 s after its last answer', async (t) => {
+  // Its poll breaks at once, but by the wait of that poll it would count as in contact for seconds, and its free room would attract tasks.
+  const clock = new ManualClock()
+  const { entry } = new SimulatedHost({
+    hostId: 'host-0', cpuMillicores: 1, memoryMb: 1, rack: 'rack', maxHoldMs: MAX_HOLD_MS, workMs: () => 1, endOf: () => 'done'
+  }, clock)
+  const host = new HostState(entry, 0, new WorkspaceUsage())
+  let isCrashed = false
+  const hold = async (): Promise<HoldOutcome> => {
+    if (isCrashed) return { kind: 'failed', reason: 'refused' }
+    if (host.hasClock && clock.nowMs() > 0) await new Promise<void>((resolve) => { clock.after(LONG_WAIT_MS / 4, resolve) })
+    if (isCrashed) return { kind: 'failed', reason: 'reset' }
+    return { kind: 'held', answer: { clockMs: clock.nowMs(), bornMs: entry.bornMs, running: [], ended: [], moreEnds: false } }
+  }
+  const session = new HostSession(host, {
+    hold,
+    holdUntilMs: () => Infinity,
+    onHeld: (held, { clockMs }, sentAtMs) => {
+      held.isFenced = true
+      held.updateClock(clockMs, sentAtMs, clock.nowMs())
+    },
+    onFenced: () => {},
+    onFailure: () => false,
+    pollWaitMs: () => LONG_WAIT_MS
+  }, MAX_HOLD_MS, clock, new SilentLogger())
+  t.teardown(() => { session.dispose() })
+  clock.advance(1)
+  session.start()
+  await advance(clock, 1500)
+  t.true(host.isPlaceable(clock.nowMs()))
+  isCrashed = true
+  await advance(clock, 2500)
+  t.false(host.isPlaceable(clock.nowMs()))
+})
--- a/src/cell/HostSession.ts
+++ b/src/cell/HostSession.ts
@@ -2,6 +2,8 @@
  * Polls one host continuously: renews the owner's lease on it, and learns of ended runs immediately through long polls.
  */
 
+import { MIN_POLL_WAIT_MS } from '../common/cell/PollWait.js'
+
 import type { HostState } from '../common/cell/HostState.js'
 import type { HoldOutcome, IHoldOrder, IHostEntry } from '../common/cell/Types.js'
 import type { ILogger } from '../common/observability/Types.js'
@@ -79,6 +81,8 @@
   }
 
   private _recordFailure (outcome: HoldOutcome): void {
+    // The answer that the poll could have waited for won't come: without this, a host that has crashed would get work for seconds.
+    this.host.pollWaitMs = MIN_POLL_WAIT_MS
     this._failures += 1
     if (this._failures !== FAILURES_TO_LOG) return
     const reason = outcome.kind === 'failed' ? outcome.reason : outcome.kind
