Answers that the network delays don't lower the limit on advice

Cause: the limit took every late answer for its owner's own lateness. With lossy or cut links or slow machines, an owner with processor time to spare would have asked for less and less, two calls at once in the end, and little would have started.

Change: a timer for each call is due when its answer becomes late. If it fires punctually before the answer is there, this process is not the cause, and the call doesn't count.

The slow owner, whose timers now wait for its processor as well, still gets all its advice in time.

--- a/src/common/cell/AdviceDispatcher.test.ts
+++ b/src/common/cell/AdviceDispatcher.test.ts
@@ -55,3 +55,23 @@
   t.is(sent.at(-1)?.jobId, 'sooner')
   t.is(sent.length, 4)
 })
+
+test('answers that the network delays do not lower the limit of an owner that notices the delay in time', async (t) => {
+  const clock = new ManualClock()
+  const dispatcher = new AdviceDispatcher({
+    machines: () => MACHINES,
+    send: async (_machine, _ask, timeoutMs) => await new Promise((resolve) => {
+      clock.after(timeoutMs - 100, () => { resolve({ kind: 'advised', allowed: [] }) })
+    })
+  }, clock)
+  const before = dispatcher.limit
+  for (let number = 0; number < 60; number += 1) {
+    dispatcher.dispatch({ jobId: `job-${number}`, step: 0, hostIds: [], priority: 0, dueMs: 0, expectedMs: SHORT_MS, isWanted: () => true, settle: () => {} })
+  }
+  for (let passedMs = 0; passedMs < 10_000 && dispatcher.inFlightCount > 0; passedMs += 10) {
+    clock.advance(10)
+    await setImmediate()
+  }
+  t.is(dispatcher.waitingCount, 0)
+  t.is(dispatcher.limit, before)
+})
--- a/src/common/cell/AdviceDispatcher.ts
+++ b/src/common/cell/AdviceDispatcher.ts
@@ -8,7 +8,7 @@
  * together have no more calls in flight than the owner can process in time.
  */
 
-import { AdviceLimit, SENDING_MS } from './AdviceLimit.js'
+import { AdviceLimit, LATE_MS, SENDING_MS } from './AdviceLimit.js'
 
 import type { IClock, IDisposable, ITimers, MonotonicMs } from '../Types.js'
 import type { AdviceOutcome, IAdviceRequest } from './Types.js'
@@ -44,6 +44,8 @@
 const SHORT_CALLS_AT_ONCE = 2
 /** How much longer than expected a call may take, in ms: two round trips between regions and one short call ahead of it. */
 const CALL_SLACK_MS = 700
+/** A timer that is late by less than this, in ms, shows that this process has time to spare. */
+const PUNCTUAL_MS = 100
 
 interface IMachineLoad {
   slow: number
@@ -154,9 +156,12 @@
     load[kind] += 1
     const { jobId, step, hostIds, expectedMs } = call
     const sentAtMs = this._clock.nowMs()
-    const limited = { sentAtMs, expectedMs }
+    const limited = { sentAtMs, expectedMs, isNoticedInTime: false }
     this._limit.recordSent(limited)
+    const lateAtMs = sentAtMs + expectedMs + LATE_MS
+    const notice = this._clock.after(lateAtMs - sentAtMs, () => { limited.isNoticedInTime = this._clock.nowMs() - lateAtMs < PUNCTUAL_MS })
     const done = (outcome: AdviceOutcome): void => {
+      notice.dispose()
       load[kind] -= 1
       this._limit.recordEnd(limited, this._clock.nowMs(), outcome.kind === 'advised', this._waiting.length > 0)
       call.settle(outcome, sentAtMs)
--- a/src/common/cell/AdviceLimit.test.ts
+++ b/src/common/cell/AdviceLimit.test.ts
@@ -40,7 +40,14 @@
     clock.after(work() + EXPECTED_MS, () => { clock.after(work(), () => { resolve({ kind: 'advised', allowed: [] }) }) })
     clock.after(timeoutMs, () => { resolve({ kind: 'failed', reason: 'timeout' }) })
   })
-  const dispatcher = new AdviceDispatcher({ machines: () => MACHINES, send: async (_machine, _ask, timeoutMs) => await send(timeoutMs) }, clock)
+  // Timers wait for the processor as well.
+  const ownerClock = {
+    nowMs: () => clock.nowMs(),
+    wallMs: () => clock.wallMs(),
+    every: (periodMs: number, callback: () => void) => clock.every(periodMs, callback),
+    after: (delayMs: number, callback: () => void) => clock.after(delayMs, () => { clock.after(Math.max(0, busyUntilMs - clock.nowMs()), callback) })
+  }
+  const dispatcher = new AdviceDispatcher({ machines: () => MACHINES, send: async (_machine, _ask, timeoutMs) => await send(timeoutMs) }, ownerClock)
   const ask = (step: number): void => {
     dispatcher.dispatch({
       jobId: 'job',
@@ -84,30 +91,39 @@
   t.true(advisedAfterMs < unlimitedMs + 350, `advised after ${advisedAfterMs} ms`)
 })
 
+/** Ends a call; `isNoticedInTime`: whether the owner noticed punctually that its answer was late. */
+function endCall (limit: AdviceLimit, sentAtMs: number, endedAtMs: number, isAnswered = true, isNoticedInTime = false): void {
+  const call = { sentAtMs, expectedMs: EXPECTED_MS, isNoticedInTime }
+  limit.recordSent(call)
+  limit.recordEnd(call, endedAtMs, isAnswered, true)
+}
+
 test('calls that end late on some machines do not lower the limit of an owner with processor time to spare', (t) => {
   // Otherwise an owner would hardly ask any more after machines have gone, just when the steps of their lost runs need advice.
   const limit = new AdviceLimit()
   for (let number = 0; number < 300; number += 1) {
-    const call = { sentAtMs: 0, expectedMs: EXPECTED_MS }
-    limit.recordSent(call)
     const isLate = number % 4 === 0 && number > 100
-    limit.recordEnd(call, EXPECTED_MS + (isLate ? 700 : 40), !isLate, true)
+    endCall(limit, 0, EXPECTED_MS + (isLate ? 700 : 40), !isLate)
   }
   t.true(limit.calls >= 40, `${limit.calls} calls`)
 })
 
+test('a network that delays every answer does not lower the limit of an owner with processor time to spare', (t) => {
+  // With lossy links, it would ask for less and less although it could process every answer, and nothing would start.
+  const limit = new AdviceLimit()
+  for (let number = 0; number < 100; number += 1) endCall(limit, 0, EXPECTED_MS + 40)
+  const before = limit.calls
+  for (let number = 0; number < 300; number += 1) endCall(limit, 1000, 1000 + EXPECTED_MS + 500, true, true)
+  t.is(limit.calls, before)
+})
+
 test('many late answers at once lower the limit once, and it is approached in small steps then', (t) => {
   // If each of them lowered it, one pause of the owner would leave hardly any call; if it doubled again, the next pause would follow soon.
   const limit = new AdviceLimit()
-  const answer = (sentAtMs: number, nowMs: number): void => {
-    const call = { sentAtMs, expectedMs: EXPECTED_MS }
-    limit.recordSent(call)
-    limit.recordEnd(call, nowMs, true, true)
-  }
-  for (let number = 0; number < 6 + 12 + 24; number += 1) answer(0, EXPECTED_MS)
+  for (let number = 0; number < 6 + 12 + 24; number += 1) endCall(limit, 0, EXPECTED_MS)
   t.is(limit.calls, 48)
-  for (let number = 0; number < 100; number += 1) answer(0, 1000)
+  for (let number = 0; number < 100; number += 1) endCall(limit, 0, 1000)
   t.is(limit.calls, 24)
-  for (let number = 0; number < 24; number += 1) answer(1000, 1000 + EXPECTED_MS)
+  for (let number = 0; number < 24; number += 1) endCall(limit, 1000, 1000 + EXPECTED_MS)
   t.is(limit.calls, 26)
 })
--- a/src/common/cell/AdviceLimit.ts
+++ b/src/common/cell/AdviceLimit.ts
@@ -1,5 +1,5 @@
 /**
- * Limits how many calls to the advice service occupy an owner at once, by how late their answers are processed.
+ * Limits how many calls to the advice service occupy an owner at once, by how late it processes their answers.
  *
  * Designed for an owner that has just taken over with hundreds of waiting steps on a small machine. Each call costs the owner processor time
  * for the request, the answer and the decisions that follow. If all steps asked at once, the owner would process the answers after their
@@ -14,6 +14,8 @@
   readonly sentAtMs: MonotonicMs
   /** How long the service needs for the call, in ms. */
   readonly expectedMs: number
+  /** Whether this process noticed in time that the answer was late. Then the machine, the network or the service is the cause. */
+  isNoticedInTime: boolean
 }
 
 /** A call occupies the owner for this long after it was sent, in ms, and again from the time at which its answer is expected. */
@@ -23,11 +25,8 @@
 /** With fewer calls, an owner beside one silent machine would hardly get any advice. */
 const MIN_CALLS = 2
 /** An answer is late if it takes this much longer than expected, in ms: more than two round trips between regions and a short call ahead of it. */
-const LATE_MS = 350
-/**
- * The limit falls if more than `MAX_LATE_SHARE` of the answers of a round were late, and grows if less than `MIN_LATE_SHARE` were. Calls through
- * machines that are gone or slow end late as well: as long as they are the minority, the owner is not the cause.
- */
+export const LATE_MS = 350
+/** The limit falls if more than `MAX_LATE_SHARE` of the answers of a round were processed late, and grows if less than `MIN_LATE_SHARE` were. */
 const MAX_LATE_SHARE = 0.4
 const MIN_LATE_SHARE = 0.25
 /** What is left of the limit after a round of late answers. */
@@ -76,8 +75,10 @@
     this._inFlight.delete(call)
     if (call.sentAtMs < this._decreasedAtMs) return
     this._hasWaiting ||= hasWaiting
-    if (nowMs - call.sentAtMs - call.expectedMs > LATE_MS) this._lateCount += 1
-    else if (isAnswered) this._timelyCount += 1
+    if (nowMs - call.sentAtMs - call.expectedMs > LATE_MS) {
+      if (call.isNoticedInTime) return
+      this._lateCount += 1
+    } else if (isAnswered) this._timelyCount += 1
     if (this._timelyCount + this._lateCount >= this.calls) this._endRound(nowMs)
   }
 
