Logs tell why runs of a host count as gone, and name ends that come too late

The logs could not distinguish the hypotheses: an end of a run that the owner doesn't hold was skipped without a line, rows that can't be read were left out silently, run.lost had a reason without its inputs, and host.reborn only one of the two starts.

Change: run.lateEnd (isNews: the task wasn't known to have ended), host.rowsUnreadable, host.endsMissed (gap in the sequence numbers), host.listedAgain; run.lost with phase, incarnation, age of the last answer, the host's clock and the end of its last lease; the counter late_ends. No decision changes.

--- a/src/cell/CellOwner.test.ts
+++ b/src/cell/CellOwner.test.ts
@@ -65,7 +65,7 @@
 
   public async hold () {
     await new Promise<void>((resolve) => { this._clock.after(5, resolve) })
-    return { kind: 'held', answer: { clockMs: 1000, bornMs: HOST.bornMs, running: this._running, ended: [], moreEnds: false } } as const
+    return { kind: 'held', answer: { clockMs: 1000, bornMs: HOST.bornMs, running: this._running, ended: [], moreEnds: false, unreadableRows: 0 } } as const
   }
 
   public async start (_host: IHostEntry, { ref }: IStartOrder) {
--- a/src/cell/HostSession.test.ts
+++ b/src/cell/HostSession.test.ts
@@ -28,7 +28,7 @@
     if (isCrashed) return { kind: 'failed', reason: 'refused' }
     if (host.hasClock && clock.nowMs() > 0) await new Promise<void>((resolve) => { clock.after(LONG_WAIT_MS / 4, resolve) })
     if (isCrashed) return { kind: 'failed', reason: 'reset' }
-    return { kind: 'held', answer: { clockMs: clock.nowMs(), bornMs: entry.bornMs, running: [], ended: [], moreEnds: false } }
+    return { kind: 'held', answer: { clockMs: clock.nowMs(), bornMs: entry.bornMs, running: [], ended: [], moreEnds: false, unreadableRows: 0 } }
   }
   const session = new HostSession(host, {
     hold,
--- a/src/cell/HostSessions.ts
+++ b/src/cell/HostSessions.ts
@@ -91,13 +91,14 @@
       if (entry === undefined) continue
       listed.add(entry.hostId)
       if (this._isWorthLogging(entry)) this._logHost(entry)
+      if (scheduler.hosts.get(entry.hostId)?.isListed === false) log.info('host.listedAgain', { host: entry.hostId, bornMs: entry.bornMs })
       scheduler.addHost(entry).isListed = true
       if (!this._sessions.has(entry.hostId)) this._unopened.add(entry.hostId)
     }
     for (const host of scheduler.hosts.values()) {
       if (host.isListed && !listed.has(host.hostId)) {
         host.isListed = false
-        log.warn('host.unlisted', { host: host.hostId, runs: host.attempts.size })
+        log.warn('host.unlisted', { host: host.hostId, bornMs: host.bornMs, runs: host.attempts.size, revision })
       }
     }
     this._scheduleOpening()
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -81,6 +81,7 @@
     this._holdHandler = new HoldAnswerHandler(this._runController, this._speeds, {
       save: async (job) => { await _effects.save(job) },
       count: (name, kind) => { _effects.count(name, kind) },
+      findTask: ({ jobId, step, index }) => this.jobs.get(jobId)?.steps[step]?.tasks[index],
       stopUnknown: async (host, ref) => await _effects.stopUnknown(host.entry, ref)
     }, _clock, _log)
     this._advice = new AdviceRequester(this.hosts, _effects, _clock, _log)
--- a/src/common/cell/HoldAnswerHandler.ts
+++ b/src/common/cell/HoldAnswerHandler.ts
@@ -9,7 +9,7 @@
 import { applyEnd, storeCheckpoint } from './EndRules.js'
 import type { HostSpeeds } from './HostSpeeds.js'
 import type { HostState } from './HostState.js'
-import type { Job } from './Job.js'
+import type { Job, Task } from './Job.js'
 import { runLogFields } from './RunController.js'
 import type { RunController } from './RunController.js'
 import type { IEndRow, IHoldAnswer, IRunRef, StopOutcome } from './Types.js'
@@ -17,6 +17,8 @@
 export interface IHoldAnswerEffects {
   save (job: Job): Promise<void>
   count (name: string, kind: string): void
+  /** Returns the task of a run; undefined if its job is not known. */
+  findTask (ref: IRunRef): Task | undefined
   /** Stops a run that this owner doesn't know. */
   stopUnknown (host: HostState, ref: IRunRef): Promise<StopOutcome>
 }
@@ -33,6 +35,7 @@
   /** @param sentAtMs when the list was requested: it shows every run that was known to exist by then */
   public applyAnswer (host: HostState, answer: IHoldAnswer, sentAtMs: MonotonicMs): void {
     const nowMs = this._clock.nowMs()
+    if (answer.unreadableRows > 0) this._log.error('host.rowsUnreadable', { host: host.hostId, rows: answer.unreadableRows })
     if (answer.bornMs !== host.bornMs) this.handleRestart(host, answer.bornMs)
     host.updateClock(answer.clockMs, sentAtMs, nowMs)
     const changed = new Set<Job>()
@@ -52,7 +55,7 @@
    * before its task is free.
    */
   public handleRestart (host: HostState, bornMs: number): void {
-    this._log.warn('host.reborn', { host: host.hostId, runs: host.attempts.size, bornMs })
+    this._log.warn('host.reborn', { host: host.hostId, runs: host.attempts.size, bornMs, earlierBornMs: host.bornMs })
     host.resetAfterRestart(bornMs)
     for (const attempt of [...host.attempts]) {
       if (!attempt.wasOrdered) continue
@@ -102,12 +105,31 @@
   private _applyEnds (host: HostState, answer: IHoldAnswer, changed: Set<Job>, nowMs: MonotonicMs): void {
     for (const row of [...answer.ended].sort((a, b) => a.sequence - b.sequence)) {
       if (row.sequence <= host.appliedSequence) continue
+      this._checkSequence(host, row)
       host.appliedSequence = row.sequence
       const attempt = findAttempt(host, row.ref)
-      if (attempt !== undefined) this._applyEnd(host, attempt, row, changed, nowMs)
+      if (attempt === undefined) this._recordLateEnd(host, row)
+      else this._applyEnd(host, attempt, row, changed, nowMs)
     }
   }
 
+  /** Logs if the host has forgotten ends that this owner never saw. The ends before an owner's first list were acknowledged by earlier owners. */
+  private _checkSequence (host: HostState, { sequence }: IEndRow): void {
+    const { appliedSequence } = host
+    if (!host.isFenced || sequence === appliedSequence + 1) return
+    this._log.error('host.endsMissed', { host: host.hostId, bornMs: host.bornMs, appliedSequence, sequence })
+  }
+
+  /** Records the end of a run that this owner doesn't hold: it gave the run up, or an earlier owner has stored the end and not acknowledged it. */
+  private _recordLateEnd (host: HostState, { ref, end, sequence }: IEndRow): void {
+    const task = this._effects.findTask(ref)
+    const isNews = task !== undefined && !task.isDone && !task.step.job.isFinished
+    this._effects.count('late_ends', isNews ? end : 'known')
+    const { jobId, step, index, run } = ref
+    const state = { isNews, lastRun: task?.lastRun, phase: task?.attempt?.phase, runsOn: task?.attempt?.host.hostId }
+    this._log[isNews ? 'warn' : 'info']('run.lateEnd', { requestId: jobId, task: `${step}.${index}`, run, host: host.hostId, end, sequence, ...state })
+  }
+
   private _applyEnd (host: HostState, attempt: Attempt, row: IEndRow, changed: Set<Job>, nowMs: MonotonicMs): void {
     const { task } = attempt
     const { job } = task.step
@@ -151,9 +173,10 @@
   }
 
   private _loseRun (attempt: Attempt, reason: string): void {
+    const { phase } = attempt
     if (!attempt.transition('LOST') && !attempt.transition('NOT_RUN')) return
     this._effects.count('ends', 'lost')
-    this._log.warn('run.lost', { ...runLogFields(attempt), reason })
+    this._log.warn('run.lost', { ...runLogFields(attempt), reason, phase, ...attempt.host.logFields(this._clock.nowMs()) })
     this._runs.release(attempt)
     const { step } = attempt.task
     if (step.spec.gang && !step.isDone) this._runs.stopStep(step)
--- a/src/common/cell/HostState.ts
+++ b/src/common/cell/HostState.ts
@@ -177,6 +177,17 @@
     this._maxDeadlineMs = -Infinity
   }
 
+  /** What the host's leases are judged by, for the log: the age of its last answer, and the present and the leased times on its clock. */
+  public logFields (nowMs: MonotonicMs): Record<string, number> {
+    if (!this.hasClock) return { bornMs: this.bornMs }
+    return {
+      bornMs: this.bornMs,
+      answerAgeMs: Math.round(nowMs - this._clockAtMs),
+      hostClockMs: Math.round(this.minClockMs(nowMs)),
+      ...(Number.isFinite(this._maxDeadlineMs) ? { hostDeadlineMs: this._maxDeadlineMs } : {})
+    }
+  }
+
   /** When the host last answered. */
   public get contactAtMs (): MonotonicMs {
     return this._clockAtMs
--- a/src/common/cell/Types.ts
+++ b/src/common/cell/Types.ts
@@ -176,6 +176,8 @@
   readonly ended: readonly IEndRow[]
   /** Whether there may be further ends that didn't fit into this answer. */
   readonly moreEnds: boolean
+  /** The number of rows of both lists that were left out because they can't be read. */
+  readonly unreadableRows: number
 }
 
 export type HoldOutcome =
--- a/test/support/SimulatedHost.ts
+++ b/test/support/SimulatedHost.ts
@@ -109,7 +109,8 @@
       bornMs: this.bornMs,
       running: [...this.running.values()].map((run) => ({ ref: run.ref, checkpoint: '', percent: this._percent(run) })),
       ended: this._ended,
-      moreEnds: false
+      moreEnds: false,
+      unreadableRows: 0
     }
   }
 
