A run that is missing from one list of its host isn't taken for gone

Two tasks of one job that had ended as done on one host started again on two other hosts in the same moment, and the ends were acknowledged.

Cause: the owner took a run for gone as soon as one list had neither the run nor its end. On a host that is a real process, the exit of a run and the record of its end are two steps, and a poll is answered just when runs end, so a list can be made in between. All runs of a job that end together on a host are missing from the same list, so their tasks start again in the same pass. The next list has the ends; the owner doesn't hold these runs any more, skips them without a line, and acknowledges them. That it is what happened on the users' machines is inferred from the record; it isn't proved.

Change: a missing run is gone only if a list that is requested half a second later lacks it, too; the host is polled for that at once instead of after a long poll. A restart, a departure and the end of all leases count at once, as before.

--- a/src/cell/HostSessions.ts
+++ b/src/cell/HostSessions.ts
@@ -205,12 +205,17 @@
       onHeld: (held, answer, sentAtMs) => { if (!this._isDisposed) scheduler.applyHoldAnswer(held, answer, sentAtMs) },
       onFenced: (held) => { this._context.onFenced(held.hostId) },
       onFailure: (silent) => scheduler.loseRunsIfLapsed(silent),
-      pollWaitMs: ({ attempts }) => this._pollWait.waitMs(attempts.size === 0, this._sessions.size)
+      pollWaitMs: (polled) => this._pollWaitMs(polled)
     }, this._options.maxHoldMs, clock, log)
     this._sessions.set(hostId, session)
     session.start()
   }
 
+  private _pollWaitMs ({ attempts, absenceConfirmableAtMs }: HostState): number {
+    const waitMs = this._pollWait.waitMs(attempts.size === 0, this._sessions.size)
+    return Math.min(waitMs, Math.max(0, Math.ceil(absenceConfirmableAtMs - this._context.clock.nowMs())))
+  }
+
   /** Removes hosts that are neither listed nor answer, once nothing can run on them any more. */
   private _removeLapsedHosts (): void {
     const { scheduler, orders, log } = this._context
--- a/src/common/cell/Attempt.ts
+++ b/src/common/cell/Attempt.ts
@@ -33,6 +33,8 @@
   public deadlineMs = 0
   /** When the host last reported that it has the run. A list requested after that shows the run or its end. */
   public reportedAtMs: MonotonicMs = Infinity
+  /** When a list that should have shown the run or its end first had neither; Infinity if none did. */
+  public missingSinceMs: MonotonicMs = Infinity
   private _stopConfirmedAtMs: MonotonicMs = Infinity
   public startedAtMs: MonotonicMs
   /** Whether an earlier owner started it, so that its start time is unknown. */
--- /dev/null
+++ b/src/common/cell/HoldAnswerHandler.test.ts
@@ -0,0 +1,54 @@
+/**
+ * Which runs an owner takes for gone, on simulated hosts whose lists of runs are late or incomplete.
+ */
+
+import test from 'ava'
+import { SimulatedCell } from '../../../test/support/SimulatedCell.js'
+
+const WORK_MS = 1000
+/** Longer than two intervals between polls. */
+const RECORDING_MS = 450
+
+test('a task whose run is missing from one list, because it ends at that moment, does not start again', async (t) => {
+  // On a real host, a run leaves the list of running ones some time before its end is listed.
+  const cell = new SimulatedCell({ hosts: 2, host: { workMs: () => WORK_MS } })
+  for (const host of cell.hosts) host.recordsEndsAfterMs = RECORDING_MS
+  const job = cell.submit([{ count: 3 }])
+  await cell.run(4 * WORK_MS)
+  t.is(cell.hosts.flatMap((host) => host.started).length, 3)
+  t.is(job.reportedPhase, 'completed')
+})
+
+test('a gang whose runs are missing from one list, because they end at that moment, does not start again', async (t) => {
+  // All members end together, so one list may lack them all.
+  const cell = new SimulatedCell({ hosts: 1, host: { workMs: () => WORK_MS } })
+  for (const host of cell.hosts) host.recordsEndsAfterMs = RECORDING_MS
+  const job = cell.submit([{ count: 3, gang: true }])
+  await cell.run(4 * WORK_MS)
+  t.is(cell.hosts.flatMap((host) => host.started).length, 3)
+  t.is(job.reportedPhase, 'completed')
+})
+
+test('a new owner does not start a task again whose run is missing from the first list because it ends at that moment', async (t) => {
+  // The new owner knows the run from its record only, and asks the host just between its exit and its listing.
+  const cell = new SimulatedCell({ hosts: 2, host: { workMs: () => WORK_MS } })
+  for (const host of cell.hosts) host.recordsEndsAfterMs = RECORDING_MS
+  const { spec: { jobId } } = cell.submit([{ count: 3 }])
+  while (cell.hosts.every((host) => host.running.size === 0)) await cell.run(10)
+  await cell.run(WORK_MS + 10)
+  t.is(cell.hosts.reduce((sum, { running }) => sum + running.size, 0), 0)
+  cell.takeOver()
+  await cell.run(4 * WORK_MS)
+  t.is(cell.hosts.flatMap((host) => host.started).length, 3)
+  t.is(cell.job(jobId).reportedPhase, 'completed')
+})
+
+test('a task whose run is missing for good runs again', async (t) => {
+  const cell = new SimulatedCell({ hosts: 2, host: { workMs: () => 5 * WORK_MS } })
+  const job = cell.submit([{}])
+  await cell.run(WORK_MS)
+  for (const host of cell.hosts) host.running.clear()
+  await cell.run(8 * WORK_MS)
+  t.is(cell.hosts.flatMap((host) => host.started).length, 2)
+  t.is(job.reportedPhase, 'completed')
+})
--- a/src/common/cell/HoldAnswerHandler.ts
+++ b/src/common/cell/HoldAnswerHandler.ts
@@ -8,6 +8,7 @@
 import type { Attempt } from './Attempt.js'
 import { applyEnd, storeCheckpoint } from './EndRules.js'
 import type { HostSpeeds } from './HostSpeeds.js'
+import { confirmableAtMs } from './HostState.js'
 import type { HostState } from './HostState.js'
 import type { Job, Task } from './Job.js'
 import { runLogFields } from './RunController.js'
@@ -150,17 +151,30 @@
     else if (task.step.spec.gang && row.end !== 'done') this._runs.stopStep(task.step)
   }
 
-  /** Gives up runs that are missing from the list, if they were known to run, or their stop was confirmed, before the list was requested. */
+  /**
+   * Gives up runs that are missing from the list, if they were known to run, or their stop was confirmed, before the list was requested, and
+   * an earlier list lacked them, too.
+   */
   private _dropAbsent (
     host: HostState, answer: IHoldAnswer, listed: ReadonlySet<Attempt>, sentAtMs: MonotonicMs, changed: Set<Job>
   ): void {
     for (const attempt of [...host.attempts]) {
-      if (listed.has(attempt) || !this._isAbsent(attempt, answer, sentAtMs)) continue
+      if (listed.has(attempt) || !this._isAbsent(attempt, answer, sentAtMs)) {
+        attempt.missingSinceMs = Infinity
+        continue
+      }
+      if (attempt.missingSinceMs === Infinity) this._markMissing(attempt)
+      if (sentAtMs < confirmableAtMs(attempt)) continue
       changed.add(attempt.task.step.job)
       this._loseRun(attempt, 'not listed')
     }
   }
 
+  private _markMissing (attempt: Attempt): void {
+    attempt.missingSinceMs = this._clock.nowMs()
+    this._log.info('run.missing', { ...runLogFields(attempt), phase: attempt.phase })
+  }
+
   private _isAbsent (attempt: Attempt, answer: IHoldAnswer, sentAtMs: MonotonicMs): boolean {
     switch (attempt.phase) {
       // The host refuses orders of earlier owners once it has this owner's fence, which was sent with the request for this list.
--- a/src/common/cell/HostState.ts
+++ b/src/common/cell/HostState.ts
@@ -21,6 +21,11 @@
 const HOLD_CONTACT_MS = 800
 /** The number of consecutive failures of different jobs after which a host is suspected to fail every task. */
 const SUSPECT_FAILURES = 3
+/**
+ * A run that is missing from a list is gone only if a list that is requested this much later, in ms, lacks it, too. A run leaves the host's
+ * list of running ones before its end is listed, and a list that is made in between has neither.
+ */
+const ABSENCE_CONFIRM_MS = 500
 /** How long a suspected host gets no work before it is tried again, in ms; doubles with each further failure. */
 const FIRST_PROBATION_MS = 4000
 const MAX_PROBATION_MS = 32_000
@@ -130,6 +135,11 @@
     return this._clockRequestedAtMs - Math.max(0, this._clockMs - clockMs) / MIN_CLOCK_RATE
   }
 
+  /** When a list can be requested that confirms that a missing run is gone; Infinity if no run is missing. */
+  public get absenceConfirmableAtMs (): MonotonicMs {
+    return Math.min(...[...this.attempts].map((attempt) => confirmableAtMs(attempt)))
+  }
+
   public get hasClock (): boolean {
     return Number.isFinite(this._clockAtMs)
   }
@@ -228,3 +238,8 @@
     this._used = addResources(this._used, resourcesOf(attempt.task.step.spec), sign)
   }
 }
+
+/** When a list can be requested that confirms that the run is gone. */
+export function confirmableAtMs ({ missingSinceMs }: Attempt): MonotonicMs {
+  return missingSinceMs + ABSENCE_CONFIRM_MS
+}
--- a/test/support/SimulatedHost.ts
+++ b/test/support/SimulatedHost.ts
@@ -32,7 +32,7 @@
   public stopCount = 0
   /** The highest run number of each task that must not start any more, by task. */
   private readonly _lastBarredRuns = new Map<string, number>()
-  private _ended: IEndRow[] = []
+  private _ended: (IEndRow & { readonly listedAtMs: MonotonicMs })[] = []
   private _sequence = 0
   private _fence = 0
   private _deadlineMs = 0
@@ -43,6 +43,8 @@
   public isSilent = false
   /** The tasks make no progress. */
   public isStuck = false
+  /** The time from the exit of a run until its end is listed, during which the run is in neither list. */
+  public recordsEndsAfterMs = 0
   /** Start orders get no answer, but are kept so that they can be carried out later. */
   public losesStarts = false
   private _lateStarts: IStartOrder[] = []
@@ -108,7 +110,7 @@
       clockMs: this.clockMs,
       bornMs: this.bornMs,
       running: [...this.running.values()].map((run) => ({ ref: run.ref, checkpoint: '', percent: this._percent(run) })),
-      ended: this._ended,
+      ended: this._ended.filter(({ listedAtMs }) => listedAtMs <= this._clock.nowMs()),
       moreEnds: false,
       unreadableRows: 0
     }
@@ -162,7 +164,7 @@
     this.running.delete(taskKey(ref))
     this._barUpTo(ref)
     this._sequence += 1
-    this._ended.push({ sequence: this._sequence, ref, end, checkpoint: '' })
+    this._ended.push({ sequence: this._sequence, ref, end, checkpoint: '', listedAtMs: this._clock.nowMs() + this.recordsEndsAfterMs })
   }
 
   private _barUpTo (ref: IRunRef): void {
