An end that arrives after its run was given up still counts

What callers saw: work that was done is done again.

Cause: when an owner gives up a run and the host then reports its end, the owner skipped that end and acknowledged it, so a task that was done started again, even if the second run had only been prepared by then, and ran on if it had started. Whatever made the owner give up the run (a host that was silent for longer than its leases, a list without the run), this is the last moment at which a second run can be avoided.

Change: such an end is applied to its task. If it is done, runs that were prepared are dropped and those that run are stopped. A failure counts towards the queue's attempts only if this owner gave the run up, since ends that an earlier owner has stored arrive here as well.

--- a/src/common/cell/HoldAnswerHandler.test.ts
+++ b/src/common/cell/HoldAnswerHandler.test.ts
@@ -52,3 +52,33 @@
   t.is(cell.hosts.flatMap((host) => host.started).length, 2)
   t.is(job.reportedPhase, 'completed')
 })
+
+test('a task that is done by a run that had been given up does not start again', async (t) => {
+  // The host is silent until its leases have ended, and is back with the end before the task has started elsewhere.
+  const cell = new SimulatedCell({ hosts: 1, host: { workMs: () => WORK_MS } })
+  const job = cell.submit([{ count: 2 }])
+  await cell.run(WORK_MS / 2)
+  const host = cell.host(0)
+  host.isSilent = true
+  await cell.run(9 * WORK_MS)
+  host.isSilent = false
+  await cell.run(3 * WORK_MS)
+  t.is(host.started.length, 2)
+  t.is(job.reportedPhase, 'completed')
+})
+
+test('a second run is stopped when the first one turns out to be done', async (t) => {
+  // Otherwise the task would be done twice, and its job would end later.
+  const cell = new SimulatedCell({ hosts: 2, host: { workMs: ({ run }) => run === 1 ? WORK_MS : 20 * WORK_MS } })
+  const job = cell.submit([{}])
+  await cell.run(WORK_MS / 2)
+  const host = cell.hosts.find(({ running }) => running.size > 0)
+  if (host === undefined) throw new Error('nothing runs')
+  host.isSilent = true
+  await cell.run(9 * WORK_MS)
+  t.is(cell.hosts.flatMap(({ started }) => started).length, 2)
+  host.isSilent = false
+  await cell.run(2 * WORK_MS)
+  t.is(job.reportedPhase, 'completed')
+  t.true(cell.hosts.every(({ running }) => running.size === 0))
+})
--- a/src/common/cell/HoldAnswerHandler.ts
+++ b/src/common/cell/HoldAnswerHandler.ts
@@ -109,7 +109,7 @@
       this._checkSequence(host, row)
       host.appliedSequence = row.sequence
       const attempt = findAttempt(host, row.ref)
-      if (attempt === undefined) this._recordLateEnd(host, row)
+      if (attempt === undefined) this._applyLateEnd(host, row, changed, nowMs)
       else this._applyEnd(host, attempt, row, changed, nowMs)
     }
   }
@@ -121,14 +121,31 @@
     this._log.error('host.endsMissed', { host: host.hostId, bornMs: host.bornMs, appliedSequence, sequence })
   }
 
-  /** Records the end of a run that this owner doesn't hold: it gave the run up, or an earlier owner has stored the end and not acknowledged it. */
-  private _recordLateEnd (host: HostState, { ref, end, sequence }: IEndRow): void {
+  /**
+   * Applies the end of a run that this owner doesn't hold: it gave the run up, or an earlier owner has stored the end and not acknowledged it.
+   * If the task is done after all, it must not start again. A failure counts only if the owner gave the run up, or it could count twice.
+   */
+  private _applyLateEnd (host: HostState, row: IEndRow, changed: Set<Job>, nowMs: MonotonicMs): void {
+    const { ref, end, sequence } = row
     const task = this._effects.findTask(ref)
-    const isNews = task !== undefined && !task.isDone && !task.step.job.isFinished
+    const isNews = task !== undefined && !task.isDone && !task.step.job.isFinished && !task.step.spec.longRunning
     this._effects.count('late_ends', isNews ? end : 'known')
     const { jobId, step, index, run } = ref
     const state = { isNews, lastRun: task?.lastRun, phase: task?.attempt?.phase, runsOn: task?.attempt?.host.hostId }
     this._log[isNews ? 'warn' : 'info']('run.lateEnd', { requestId: jobId, task: `${step}.${index}`, run, host: host.hostId, end, sequence, ...state })
+    if (!isNews || !(end === 'done' || (end === 'failed' && task.lostRuns.has(run)))) return
+    task.lostRuns.delete(run)
+    applyEnd(task, run, end, row.checkpoint, host.hostId, nowMs)
+    changed.add(task.step.job)
+    this._stopNeedlessRuns(task)
+  }
+
+  /** Stops the runs that are no longer needed after a late end. */
+  private _stopNeedlessRuns (task: Task): void {
+    const { step } = task
+    if (step.job.isFinished) this._runs.stopAll(step.job)
+    if (step.spec.gang && step.isDone) this._runs.stopStep(step)
+    else if (task.isDone && task.attempt !== undefined) this._runs.stop(task.attempt)
   }
 
   private _applyEnd (host: HostState, attempt: Attempt, row: IEndRow, changed: Set<Job>, nowMs: MonotonicMs): void {
@@ -190,6 +207,7 @@
     const { phase } = attempt
     if (!attempt.transition('LOST') && !attempt.transition('NOT_RUN')) return
     this._effects.count('ends', 'lost')
+    attempt.task.lostRuns.add(attempt.run)
     this._log.warn('run.lost', { ...runLogFields(attempt), reason, phase, ...attempt.host.logFields(this._clock.nowMs()) })
     this._runs.release(attempt)
     const { step } = attempt.task
--- a/src/common/cell/Job.ts
+++ b/src/common/cell/Job.ts
@@ -20,6 +20,8 @@
   public attempt: Attempt | undefined
   /** The task is not placed before this time. */
   public notBeforeMs: MonotonicMs = 0
+  /** Runs that were given up before their end was known. */
+  public readonly lostRuns = new Set<number>()
   /** Hosts on which a run of the task has failed or stalled. */
   public readonly avoidedHosts = new Set<string>()
 
