A draining host whose entry is missing has left only if it doesn't answer either

Cause: the entry of a draining host that is missing early counted as its departure, and all its runs as ended at once. The entry can't have expired then, so the host removed it; but a host that is a real process removes its entry some time before it ends, and may serve on. Its tasks started elsewhere beside their runs; if its last heartbeat brought the entry back, it was polled again and its ends were acknowledged.

Change: when such an entry is missing, the poll that waits is interrupted and the host is asked at once. While it answers, its runs count.

Evidence: the new test failed before (three runs where two are asked for); it and the three older tests on departures pass, 207 tests of the folders concerned in all.

--- a/src/cell/HostDeparture.test.ts
+++ b/src/cell/HostDeparture.test.ts
@@ -35,6 +35,7 @@
   public readonly hosts: readonly SimulatedHost[]
   public readonly scheduler: CellScheduler
   private readonly _entries = new Map<string, IMetadataItem>()
+  private readonly _removed = new Set<string>()
   private readonly _sessions: HostSessions
   private _revision = 1
 
@@ -98,12 +99,13 @@
 
   public removeEntry ({ options }: SimulatedHost): void {
     this._revision += 1
+    this._removed.add(options.hostId)
     this._entries.delete(options.hostId)
   }
 
   private _renewAll (): void {
     for (const { entry, isSilent } of this.hosts) {
-      if (isSilent) continue
+      if (isSilent || this._removed.has(entry.hostId)) continue
       this._revision += 1
       this._entries.set(entry.hostId, { key: entry.hostId, value: JSON.stringify(entry), revision: this._revision })
     }
@@ -167,6 +169,22 @@
   t.is(cell.runningCount, 2)
 })
 
+test('a task of a draining host that still serves does not start elsewhere when its entry is missing', async (t) => {
+  // Its process removes the entry some time before it ends, and the entry may come back with a heartbeat that was under way.
+  const { cell, leaving } = await setUp(t)
+  cell.removeEntry(leaving)
+  let maxRunning = 0
+  for (let elapsedMs = 0; elapsedMs < MAX_WAIT_MS; elapsedMs += LATENCY_MS) {
+    await advance(cell.clock, LATENCY_MS, LATENCY_MS)
+    maxRunning = Math.max(maxRunning, cell.runningCount)
+  }
+  t.is(maxRunning, 2)
+  cell.leave(leaving)
+  await advance(cell.clock, MAX_WAIT_MS, LATENCY_MS)
+  t.is(cell.runningCount, 2)
+  t.is(leaving.running.size, 0)
+})
+
 test('a task of a draining host that is cut off starts elsewhere only after its last lease has ended', async (t) => {
   // Its entry expires, which looks like a departure, but the host goes on with the task, and it would run twice.
   const { cell, leaving } = await setUp(t)
--- a/src/cell/HostSession.ts
+++ b/src/cell/HostSession.ts
@@ -26,7 +26,12 @@
 const FAILURES_TO_LOG = 3
 
 export class HostSession implements IDisposable {
-  private readonly _abort = new AbortController()
+  /** Aborts the present poll. */
+  private _poll = new AbortController()
+  private _isDisposed = false
+  private _isInterrupted = false
+  /** Whether the host answers the next poll without waiting for a run to end. */
+  private _isUrgent = false
   private _failures = 0
 
   public constructor (
@@ -42,14 +47,25 @@
   }
 
   public dispose (): void {
-    this._abort.abort()
+    this._isDisposed = true
+    this._poll.abort()
+  }
+
+  /** Interrupts the present poll, and asks for an answer at once: whether the host still serves matters now. */
+  public pollNow (): void {
+    this._isUrgent = true
+    this._isInterrupted = true
+    this._poll.abort()
   }
 
   private async _run (): Promise<void> {
-    while (!this._abort.signal.aborted) {
+    while (!this._isDisposed) {
       const sentAtMs = this._clock.nowMs()
-      const outcome = await this._effects.hold(this.host.entry, this._createHoldOrder(sentAtMs), this._abort.signal)
-      if (this._abort.signal.aborted) return
+      this._poll = new AbortController()
+      this._isInterrupted = false
+      const outcome = await this._effects.hold(this.host.entry, this._createHoldOrder(sentAtMs), this._poll.signal)
+      if (this._isDisposed) return
+      if (this._isInterrupted && outcome.kind === 'failed') continue
       if (outcome.kind === 'held') {
         this._recordAnswer()
         this._effects.onHeld(this.host, outcome.answer, sentAtMs)
@@ -57,7 +73,7 @@
         continue
       }
       if (outcome.kind === 'fenced') this._effects.onFenced(this.host)
-      this._recordFailure(outcome)
+      this._recordFailure(outcome, sentAtMs)
       if (this._effects.onFailure(this.host) && !this.host.isListed) return
       await this._pause()
     }
@@ -70,7 +86,7 @@
     if (!host.hasClock) return { acknowledgedSequence, deadlineMs: undefined, waitMs: 0 }
     const deadlineMs = host.nextDeadline(nowMs, this._maxHoldMs, this._effects.holdUntilMs())
     // A host that was silent answers at once, so that its lease is renewed without delay.
-    if (!host.isInContact(nowMs)) return { acknowledgedSequence, deadlineMs, waitMs: 0 }
+    if (this._isUrgent || !host.isInContact(nowMs)) return { acknowledgedSequence, deadlineMs, waitMs: 0 }
     host.pollWaitMs = this._effects.pollWaitMs(host)
     return { acknowledgedSequence, deadlineMs, waitMs: host.pollWaitMs }
   }
@@ -78,17 +94,29 @@
   private _recordAnswer (): void {
     if (this._failures >= FAILURES_TO_LOG) this._log.info('host.regained', { host: this.host.hostId })
     this._failures = 0
+    this._isUrgent = false
+    this.host.recordPollAnswer()
   }
 
-  private _recordFailure (outcome: HoldOutcome): void {
+  private _recordFailure (outcome: HoldOutcome, sentAtMs: MonotonicMs): void {
     // The answer that the poll could have waited for won't come: without this, a host that has crashed would get work for seconds.
     this.host.pollWaitMs = MIN_POLL_WAIT_MS
     this._failures += 1
-    if (this._failures !== FAILURES_TO_LOG) return
     const reason = outcome.kind === 'failed' ? outcome.reason : outcome.kind
+    this._recordPossibleDeparture(reason, sentAtMs)
+    if (this._failures !== FAILURES_TO_LOG) return
     this._log.warn('host.silent', { host: this.host.hostId, reason })
   }
 
+  private _recordPossibleDeparture (reason: string, sentAtMs: MonotonicMs): void {
+    const { host } = this
+    if (!host.isUnregistered) return
+    this._isUrgent = true
+    const hadLeft = host.hasLeft
+    host.recordPollFailure(sentAtMs)
+    if (host.hasLeft && !hadLeft) this._log.info('host.left', { host: host.hostId, bornMs: host.bornMs, runs: host.attempts.size, reason })
+  }
+
   /**
    * Waits until the ends that the host listed are stored and can be acknowledged, but not longer than the retry delay.
    *
--- a/src/cell/HostSessions.ts
+++ b/src/cell/HostSessions.ts
@@ -155,9 +155,10 @@
     const { scheduler, log } = this._context
     for (const { hostId, bornMs, unrenewedMs } of this._departures.recordList(list)) {
       const host = scheduler.hosts.get(hostId)
-      if (host === undefined) continue
-      host.hasLeft = true
-      log.info('host.left', { host: hostId, bornMs, runs: host.attempts.size, unrenewedMs: Math.round(unrenewedMs), revision: list.revision })
+      if (host?.bornMs !== bornMs) continue
+      log.info('host.unregistered', { host: hostId, bornMs, runs: host.attempts.size, unrenewedMs: Math.round(unrenewedMs), revision: list.revision })
+      host.markUnregistered(list.receivedAtMs)
+      this._sessions.get(hostId)?.pollNow()
     }
   }
 
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -138,7 +138,7 @@
     const known = this.hosts.get(entry.hostId)
     if (known !== undefined) {
       known.entry = entry
-      known.hasLeft = false
+      known.markRegistered()
       return known
     }
     const host = new HostState(entry, this._options.inheritedUntilMs, this._workspaces)
--- a/src/common/cell/HostState.ts
+++ b/src/common/cell/HostState.ts
@@ -26,6 +26,11 @@
  * list of running ones before its end is listed, and a list that is made in between has neither.
  */
 const ABSENCE_CONFIRM_MS = 500
+/**
+ * A host that has removed its entry has left once this many consecutive polls had no answer. It may serve on for some time after that, so a
+ * missing entry alone doesn't show that its runs have ended.
+ */
+const DEPARTURE_POLLS = 2
 /** How long a suspected host gets no work before it is tried again, in ms; doubles with each further failure. */
 const FIRST_PROBATION_MS = 4000
 const MAX_PROBATION_MS = 32_000
@@ -35,8 +40,10 @@
   private _used = NO_RESOURCES
   /** Whether the store listed it as ready in the last poll. */
   public isListed = true
-  /** Whether it is certain that the host has left, so that nothing runs there any more. */
-  public hasLeft = false
+  /** When a list was received that shows that the host has removed its entry, as it does when it leaves; Infinity if it has not. */
+  private _unregisteredAtMs: MonotonicMs = Infinity
+  /** Consecutive polls without an answer that were sent after that. */
+  private _failedDeparturePolls = 0
   /** Whether its list of runs was read under this owner's fence. */
   public isFenced = false
   public bornMs: EpochMs
@@ -169,6 +176,34 @@
     return deadlineMs
   }
 
+  public markUnregistered (nowMs: MonotonicMs): void {
+    this._unregisteredAtMs = nowMs
+    this._failedDeparturePolls = 0
+  }
+
+  public markRegistered (): void {
+    this._unregisteredAtMs = Infinity
+    this._failedDeparturePolls = 0
+  }
+
+  /** Whether it has removed its entry. */
+  public get isUnregistered (): boolean {
+    return this._unregisteredAtMs < Infinity
+  }
+
+  public recordPollAnswer (): void {
+    this._failedDeparturePolls = 0
+  }
+
+  public recordPollFailure (sentAtMs: MonotonicMs): void {
+    if (sentAtMs >= this._unregisteredAtMs) this._failedDeparturePolls += 1
+  }
+
+  /** Whether it is certain that the host has left, so that nothing runs there any more. */
+  public get hasLeft (): boolean {
+    return this._failedDeparturePolls >= DEPARTURE_POLLS
+  }
+
   /** Whether every lease ever granted on the host has certainly ended, or the host has left, even without an answer from the host. */
   public hasLapsed (nowMs: MonotonicMs): boolean {
     if (this.hasLeft) return true
