The answer to a start order doesn't set the clock of a later incarnation of its host

Cause: the answer to a start order sets what the owner knows of the host's clock. Answers on different connections can overtake each other, so the answer of an earlier incarnation can arrive after the first list of the next one, whose clock has started again. By the clock of the earlier one, every lease has ended, and later lists seem to be outdated.

Change: the answer sets the clock only if the host is still in the incarnation to which the order was sent.

--- a/src/common/cell/HoldAnswerHandler.test.ts
+++ b/src/common/cell/HoldAnswerHandler.test.ts
@@ -53,6 +53,22 @@
   t.is(job.reportedPhase, 'completed')
 })
 
+test('a host that has restarted goes on getting work if an answer to an order of its earlier incarnation arrives late', async (t) => {
+  // By the clock in that answer, the host's leases would have ended and its present lists would be outdated.
+  const cell = new SimulatedCell({ hosts: 1, host: { workMs: () => WORK_MS } })
+  await cell.run(20 * WORK_MS)
+  const host = cell.host(0)
+  host.startAnswerDelayMs = 600
+  cell.submit([{}])
+  while (host.running.size === 0) await cell.run(10)
+  host.restart()
+  await cell.run(5 * WORK_MS)
+  const job = cell.submit([{}])
+  await cell.run(5 * WORK_MS)
+  t.is(host.started.length, 3)
+  t.is(job.reportedPhase, 'completed')
+})
+
 test('a task that is done by a run that had been given up does not start again', async (t) => {
   // The host is silent until its leases have ended, and is back with the end before the task has started elsewhere.
   const cell = new SimulatedCell({ hosts: 1, host: { workMs: () => WORK_MS } })
--- a/src/common/cell/RunController.ts
+++ b/src/common/cell/RunController.ts
@@ -5,7 +5,7 @@
 
 import type { ILogger } from '../observability/Types.js'
 import type { ChartTable } from '../state/ChartTable.js'
-import type { IClock } from '../Types.js'
+import type { EpochMs, IClock } from '../Types.js'
 import { Attempt } from './Attempt.js'
 import type { StopReason } from './Attempt.js'
 import type { HostState } from './HostState.js'
@@ -149,20 +149,23 @@
     attempt.deadlineMs = Math.ceil(host.minClockMs(nowMs)) + START_WINDOW_MS
     host.recordDeadline(attempt.deadlineMs)
     const { ref, ticket, deadlineMs } = attempt
+    const { bornMs } = host
     const description = task.step.job.spec.description
     this._effects.start(host.entry, { ref, description, deadlineMs, checkpoint: task.checkpoint, ticket })
-      .then((outcome) => { this._onStartAnswered(attempt, outcome) },
+      .then((outcome) => { this._onStartAnswered(attempt, outcome, bornMs) },
         (error: unknown) => { this._log.error('run.startFailed', { ...runLogFields(attempt), reason: String(error) }) })
   }
 
-  private _onStartAnswered (attempt: Attempt, outcome: StartOutcome): void {
+  /** @param bornMs the incarnation of the host to which the order was sent */
+  private _onStartAnswered (attempt: Attempt, outcome: StartOutcome, bornMs: EpochMs): void {
     const nowMs = this._clock.nowMs()
     const ageMs = Math.round(nowMs - attempt.task.step.job.receivedAtMs)
     const recordMs = Math.round(attempt.startedAtMs - attempt.preparedAtMs)
     this._log.info('run.ordered', { ...runLogFields(attempt), outcome: outcome.kind, ageMs, recordMs, durationMs: Math.round(nowMs - attempt.startedAtMs) })
     switch (outcome.kind) {
       case 'started':
-        attempt.host.updateClock(outcome.clockMs, attempt.startedAtMs, nowMs)
+        // The clock of a later incarnation has started again.
+        if (attempt.host.bornMs === bornMs) attempt.host.updateClock(outcome.clockMs, attempt.startedAtMs, nowMs)
         this._effects.onStarted(attempt.task.step.job, ageMs)
         if (attempt.transition('LISTED')) this.markRunning(attempt, nowMs)
         return
--- a/test/support/SimulatedCell.ts
+++ b/test/support/SimulatedCell.ts
@@ -15,7 +15,7 @@
 import type { HostState } from '../../src/common/cell/HostState.js'
 import type { IJobOrder } from '../../src/common/cell/JobOrder.js'
 import type { QueueTerms } from '../../src/common/cell/Job.js'
-import type { AdviceOutcome, IAdviceRequest, IStepSpec, IWorkspace } from '../../src/common/cell/Types.js'
+import type { AdviceOutcome, IAdviceRequest, IStartOrder, IStepSpec, IWorkspace, StartOutcome } from '../../src/common/cell/Types.js'
 import type { IFlatChart } from '../../src/common/state/Types.js'
 import type { ISimulatedHostOptions } from './SimulatedHost.js'
 
@@ -145,9 +145,7 @@
     const machines = Array.from({ length: this._options.adviceMachines ?? ADVICE_MACHINES }, (_, number) => ({ name: `machine-${number}`, isNear: true }))
     const scheduler = new CellScheduler({
       save: async (job) => { await this._save(job) },
-      start: async (entry, order) => this._isTicketStale(order.ticket)
-        ? { kind: 'refused', reason: 'ticket' }
-        : this._hostOf(entry.hostId).start({ ...order, fence }),
+      start: async (entry, order) => await this._start(entry.hostId, { ...order, fence }),
       stop: async (entry, ref) => this._hostOf(entry.hostId).stop(ref, fence),
       stopUnknown: async (entry, ref) => this._hostOf(entry.hostId).stop(ref, fence),
       onFenced: () => {},
@@ -162,6 +160,15 @@
     return scheduler
   }
 
+  private async _start (hostId: string, order: IStartOrder): Promise<StartOutcome> {
+    if (this._isTicketStale(order.ticket)) return { kind: 'refused', reason: 'ticket' }
+    const host = this._hostOf(hostId)
+    const outcome = host.start(order)
+    const { startAnswerDelayMs } = host
+    if (startAnswerDelayMs > 0) await new Promise<void>((resolve) => { this.clock.after(startAnswerDelayMs, resolve) })
+    return outcome
+  }
+
   private async _save (job: Job): Promise<void> {
     await new Promise<void>((resolve) => {
       this._pendingSaves.push({ job, atMs: this.clock.nowMs() + (this._options.saveMs ?? 10), done: resolve })
--- a/test/support/SimulatedHost.ts
+++ b/test/support/SimulatedHost.ts
@@ -45,6 +45,8 @@
   public isStuck = false
   /** The time from the exit of a run until its end is listed, during which the run is in neither list. */
   public recordsEndsAfterMs = 0
+  /** The delay of the answers to start orders. */
+  public startAnswerDelayMs = 0
   /** Start orders get no answer, but are kept so that they can be carried out later. */
   public losesStarts = false
   private _lateStarts: IStartOrder[] = []
