A run is ordered only on the incarnation of its host for which it is recorded

Cause: a run that had been prepared for one incarnation of a host could be ordered on the next one, while its record still named the earlier one. A new owner that knew the host only from that record (its entry was missing) took the host's first list for a restart, and the run for gone.

Change: a run belongs to one incarnation; if its host restarts before the order, it is dropped and placed again. Runs that were recorded for the incarnation that answers aren't given up by a restart, and those of an earlier one need no second list.

--- a/src/common/cell/Attempt.ts
+++ b/src/common/cell/Attempt.ts
@@ -13,7 +13,7 @@
  */
 
 import type { ChartTable } from '../state/ChartTable.js'
-import type { MonotonicMs } from '../Types.js'
+import type { EpochMs, MonotonicMs } from '../Types.js'
 import type { HostState } from './HostState.js'
 import type { Task } from './Job.js'
 import type { IRunRef, JobPhase } from './Types.js'
@@ -46,17 +46,21 @@
   /** Why it was stopped; undefined if it wasn't. */
   public stopReason: StopReason | undefined
   public readonly preparedAtMs: MonotonicMs
+  /** The incarnation of the host for which the run is recorded. It is ordered on no other one. */
+  public readonly bornMs: EpochMs
 
+  /** @param recordedBornMs the incarnation of the host for which an earlier owner recorded the run; undefined for a new run */
   public constructor (
     public readonly task: Task,
     public readonly run: number,
     public readonly host: HostState,
     private readonly _chart: ChartTable,
     nowMs: MonotonicMs,
-    phase: 'preparing' | 'recovering' = 'preparing'
+    recordedBornMs?: EpochMs
   ) {
-    this._phase = phase
-    this.isInherited = phase === 'recovering'
+    this.isInherited = recordedBornMs !== undefined
+    this._phase = this.isInherited ? 'recovering' : 'preparing'
+    this.bornMs = recordedBornMs ?? host.bornMs
     this.preparedAtMs = nowMs
     this.startedAtMs = nowMs
     this.percentAtMs = nowMs
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -97,7 +97,7 @@
       const task = job.steps[recorded.step]?.tasks[recorded.index]
       if (task === undefined) continue
       const host = hostOf(recorded.hostId, recorded.bornMs)
-      const attempt = new Attempt(task, recorded.run, host, this._chart, this._clock.nowMs(), 'recovering')
+      const attempt = new Attempt(task, recorded.run, host, this._chart, this._clock.nowMs(), recorded.bornMs)
       task.attempt = attempt
       host.addAttempt(attempt)
     }
--- a/src/common/cell/HoldAnswerHandler.test.ts
+++ b/src/common/cell/HoldAnswerHandler.test.ts
@@ -69,6 +69,18 @@
   t.is(job.reportedPhase, 'completed')
 })
 
+test('a run that was recorded for one incarnation of its host is not ordered on the next one', async (t) => {
+  // Its record would name the earlier incarnation, and the next owner would take the run for gone while it runs.
+  const cell = new SimulatedCell({ hosts: 1, host: { workMs: () => WORK_MS }, saveMs: 500 })
+  await cell.run(WORK_MS)
+  cell.submit([{}])
+  await cell.run(200)
+  const host = cell.host(0)
+  host.restart()
+  await cell.run(2 * WORK_MS)
+  t.deepEqual(host.started.map(({ run }) => run), [2])
+})
+
 test('a task that is done by a run that had been given up does not start again', async (t) => {
   // The host is silent until its leases have ended, and is back with the end before the task has started elsewhere.
   const cell = new SimulatedCell({ hosts: 1, host: { workMs: () => WORK_MS } })
--- a/src/common/cell/HoldAnswerHandler.ts
+++ b/src/common/cell/HoldAnswerHandler.ts
@@ -59,7 +59,8 @@
     this._log.warn('host.reborn', { host: host.hostId, runs: host.attempts.size, bornMs, earlierBornMs: host.bornMs })
     host.resetAfterRestart(bornMs)
     for (const attempt of [...host.attempts]) {
-      if (!attempt.wasOrdered) continue
+      // An earlier owner may have recorded runs of different incarnations.
+      if (!attempt.wasOrdered || attempt.bornMs === bornMs) continue
       if (attempt.phase === 'recovering' || attempt.reportedAtMs < Infinity) this._loseRun(attempt, 'host restarted')
       else this._stopOnNewIncarnation(attempt)
     }
@@ -181,7 +182,7 @@
         continue
       }
       if (attempt.missingSinceMs === Infinity) this._markMissing(attempt)
-      if (sentAtMs < confirmableAtMs(attempt)) continue
+      if (attempt.bornMs === host.bornMs && sentAtMs < confirmableAtMs(attempt)) continue
       changed.add(attempt.task.step.job)
       this._loseRun(attempt, 'not listed')
     }
--- a/src/common/cell/JobRecord.ts
+++ b/src/common/cell/JobRecord.ts
@@ -121,7 +121,7 @@
   if (lastRun === 0) return []
   const done = isDone ? 1 : 0
   if (attempt === undefined) return [[step.number, index, lastRun, failures, done, checkpoint]]
-  return [[step.number, index, lastRun, failures, done, checkpoint, attempt.host.hostId, attempt.host.bornMs]]
+  return [[step.number, index, lastRun, failures, done, checkpoint, attempt.host.hostId, attempt.bornMs]]
 }
 
 function applyTaskRow (job: Job, row: TaskRow): readonly IRecordedRun[] {
--- a/src/common/cell/RunController.ts
+++ b/src/common/cell/RunController.ts
@@ -129,7 +129,7 @@
 
   private _isUsable (attempt: Attempt): boolean {
     const { host } = attempt
-    return host.isListed && !host.entry.draining && host.bornMs === host.entry.bornMs
+    return host.isListed && !host.entry.draining && host.bornMs === host.entry.bornMs && host.bornMs === attempt.bornMs
   }
 
   private _hasTicket (attempt: Attempt): boolean {
