A host that is back just when its leases have ended is polled again

Cause: the polls of an unlisted host ended when its leases had ended. If the next list showed the host again before it was forgotten, its session still existed, so no new one was opened, and nothing polled it any more.

Change: the polls of a host go on until it is forgotten.

Evidence: the test failed before (back after 12,280 ms); it passes for 25 times of return, and so do the other tests of the folder.

--- a/src/cell/HostDeparture.test.ts
+++ b/src/cell/HostDeparture.test.ts
@@ -103,12 +103,20 @@
     this._entries.delete(options.hostId)
   }
 
+  /** The host is reached again, and writes its entry. */
+  public return (host: SimulatedHost): void {
+    host.isSilent = false
+    this._removed.delete(host.options.hostId)
+    this._renew(host)
+  }
+
   private _renewAll (): void {
-    for (const { entry, isSilent } of this.hosts) {
-      if (isSilent || this._removed.has(entry.hostId)) continue
-      this._revision += 1
-      this._entries.set(entry.hostId, { key: entry.hostId, value: JSON.stringify(entry), revision: this._revision })
-    }
+    for (const host of this.hosts) if (!host.isSilent && !this._removed.has(host.options.hostId)) this._renew(host)
+  }
+
+  private _renew ({ entry }: SimulatedHost): void {
+    this._revision += 1
+    this._entries.set(entry.hostId, { key: entry.hostId, value: JSON.stringify(entry), revision: this._revision })
   }
 
   private async _readList () {
@@ -199,3 +207,19 @@
   t.is(leaving.running.size, 0)
   t.is(cell.runningCount, 2)
 })
+
+test('a host that was cut off until its leases had ended gets work again whenever it is back', async (t) => {
+  // Polls that end with its leases would not begin again if the list shows the host before it is forgotten.
+  for (let returnMs = MAX_HOLD_MS; returnMs < MAX_HOLD_MS + MAX_WAIT_MS; returnMs += 3 * LATENCY_MS) {
+    const cell = new DrainingCell(t)
+    await advance(cell.clock, SETTLED_MS, LATENCY_MS)
+    const [host] = cell.hosts
+    if (host === undefined) throw new Error('no host')
+    host.isSilent = true
+    cell.clock.after(EXPIRY_MS, () => { cell.removeEntry(host) })
+    await advance(cell.clock, returnMs, LATENCY_MS)
+    cell.return(host)
+    await advance(cell.clock, MAX_WAIT_MS, LATENCY_MS)
+    t.true(cell.scheduler.hosts.get(host.options.hostId)?.isPlaceable(cell.clock.nowMs()), `back after ${returnMs} ms`)
+  }
+})
--- a/src/cell/HostSession.test.ts
+++ b/src/cell/HostSession.test.ts
@@ -38,7 +38,7 @@
       held.updateClock(clockMs, sentAtMs, clock.nowMs())
     },
     onFenced: () => {},
-    onFailure: () => false,
+    onFailure: () => {},
     pollWaitMs: () => LONG_WAIT_MS
   }, MAX_HOLD_MS, clock, new SilentLogger())
   t.teardown(() => { session.dispose() })
--- a/src/cell/HostSession.ts
+++ b/src/cell/HostSession.ts
@@ -15,8 +15,8 @@
   holdUntilMs (): MonotonicMs
   onHeld (host: HostState, answer: Extract<HoldOutcome, { kind: 'held' }>['answer'], sentAtMs: MonotonicMs): void
   onFenced (host: HostState): void
-  /** The host does not answer. Returns whether nothing can run on it any more. */
-  onFailure (host: HostState): boolean
+  /** The host does not answer. */
+  onFailure (host: HostState): void
   /** How long the host's next poll may wait for a run to end, in ms. */
   pollWaitMs (host: HostState): number
 }
@@ -74,7 +74,7 @@
       }
       if (outcome.kind === 'fenced') this._effects.onFenced(this.host)
       this._recordFailure(outcome, sentAtMs)
-      if (this._effects.onFailure(this.host) && !this.host.isListed) return
+      this._effects.onFailure(this.host)
       await this._pause()
     }
   }
--- a/src/cell/HostSessions.ts
+++ b/src/cell/HostSessions.ts
@@ -205,7 +205,7 @@
       holdUntilMs: () => this._context.holdUntilMs(),
       onHeld: (held, answer, sentAtMs) => { if (!this._isDisposed) scheduler.applyHoldAnswer(held, answer, sentAtMs) },
       onFenced: (held) => { this._context.onFenced(held.hostId) },
-      onFailure: (silent) => scheduler.loseRunsIfLapsed(silent),
+      onFailure: (silent) => { scheduler.loseRunsIfLapsed(silent) },
       pollWaitMs: (polled) => this._pollWaitMs(polled)
     }, this._options.maxHoldMs, clock, log)
     this._sessions.set(hostId, session)
