A host's restart gives up only the runs that its new incarnation doesn't have

What callers saw: rule TWICE on real processes: two tasks of one job that had ended as done on one host started again at the same moment, on other hosts, and their ends were acknowledged.

Cause: a host that restarts under its id accepts orders at once, since an order names only the id. Its owner learns of the restart with the next poll, which may be a second away (a poll whose connection broke is repeated after a pause, one on a silent path times out after 1.7 s). Runs that were ordered in between are runs of the new incarnation. When the poll showed the restart, the owner gave up all runs of the host that it knew to have begun, these among them, before it read the list that showed them. Their tasks started elsewhere at once; runs that had ended were skipped and acknowledged.

The new test failed before (4 starts where 2 are asked for). Inferred, not proved: that the users' case was this one.

Change: the lists are applied first, and a run that they don't show is judged like any other missing run. Only orders without an answer are stopped on the new incarnation, as before.

Result: 209 tests of the folders concerned pass, among them a new one for runs of the earlier incarnation, which run again.

--- a/src/common/cell/HoldAnswerHandler.test.ts
+++ b/src/common/cell/HoldAnswerHandler.test.ts
@@ -69,6 +69,27 @@
   t.is(job.reportedPhase, 'completed')
 })
 
+test('a run that a host has started since its restart is not given up when its owner learns of the restart', async (t) => {
+  // A restarted host accepts orders for its id, and the next poll, which shows the restart, may be a second away.
+  const cell = new SimulatedCell({ hosts: 1, holdMs: 1000, host: { workMs: () => 3 * WORK_MS } })
+  await cell.run(1500)
+  cell.host(0).restart()
+  const job = cell.submit([{ count: 2 }])
+  await cell.run(5 * WORK_MS)
+  t.is(job.phase, 'completed')
+  t.is(cell.host(0).started.length, 2)
+})
+
+test('a run of the earlier incarnation of a host runs again after a restart', async (t) => {
+  const cell = new SimulatedCell({ hosts: 1, host: { workMs: () => WORK_MS } })
+  const job = cell.submit([{ count: 2 }])
+  while (cell.host(0).running.size === 0) await cell.run(10)
+  cell.host(0).restart()
+  await cell.run(3 * WORK_MS)
+  t.is(job.phase, 'completed')
+  t.is(cell.host(0).started.length, 4)
+})
+
 test('a run that was recorded for one incarnation of its host is not ordered on the next one', async (t) => {
   // Its record would name the earlier incarnation, and the next owner would take the run for gone while it runs.
   const cell = new SimulatedCell({ hosts: 1, host: { workMs: () => WORK_MS }, saveMs: 500 })
--- a/src/common/cell/HoldAnswerHandler.ts
+++ b/src/common/cell/HoldAnswerHandler.ts
@@ -4,7 +4,7 @@
  */
 
 import type { ILogger } from '../observability/Types.js'
-import type { IClock, MonotonicMs } from '../Types.js'
+import type { EpochMs, IClock, MonotonicMs } from '../Types.js'
 import type { Attempt } from './Attempt.js'
 import { applyEnd, storeCheckpoint } from './EndRules.js'
 import type { HostSpeeds } from './HostSpeeds.js'
@@ -37,11 +37,13 @@
   public applyAnswer (host: HostState, answer: IHoldAnswer, sentAtMs: MonotonicMs): void {
     const nowMs = this._clock.nowMs()
     if (answer.unreadableRows > 0) this._log.error('host.rowsUnreadable', { host: host.hostId, rows: answer.unreadableRows })
-    if (answer.bornMs !== host.bornMs) this.handleRestart(host, answer.bornMs)
+    const hasRestarted = answer.bornMs !== host.bornMs
+    if (hasRestarted) this._recordRestart(host, answer.bornMs)
     host.updateClock(answer.clockMs, sentAtMs, nowMs)
     const changed = new Set<Job>()
     const listed = this._applyRunning(host, answer, nowMs)
     this._applyEnds(host, answer, changed, nowMs)
+    if (hasRestarted) this._stopUnansweredOrders(host)
     if (!answer.moreEnds) this._dropAbsent(host, answer, listed, sentAtMs, changed)
     host.isFenced = true
     this._speeds.update(host, nowMs)
@@ -49,28 +51,26 @@
   }
 
   /**
-   * Handles a restart of the host under the same id: its earlier runs are gone.
-   *
-   * A start order that was never answered may still be in flight. The new incarnation knows neither the run nor the fence and
-   * would carry the order out, and the task would run there and elsewhere. So each such run is stopped on the new incarnation
-   * before its task is free.
+   * Records that the host has restarted under the same id. Its earlier runs are gone, but it may have been sent orders since then, which a new
+   * incarnation accepts like the earlier one. So a run is given up only if the lists of the new incarnation don't show it.
    */
-  public handleRestart (host: HostState, bornMs: number): void {
+  private _recordRestart (host: HostState, bornMs: EpochMs): void {
     this._log.warn('host.reborn', { host: host.hostId, runs: host.attempts.size, bornMs, earlierBornMs: host.bornMs })
     host.resetAfterRestart(bornMs)
-    for (const attempt of [...host.attempts]) {
-      // An earlier owner may have recorded runs of different incarnations.
-      if (!attempt.wasOrdered || attempt.bornMs === bornMs) continue
-      if (attempt.phase === 'recovering' || attempt.reportedAtMs < Infinity) this._loseRun(attempt, 'host restarted')
-      else this._stopOnNewIncarnation(attempt)
-    }
   }
 
-  private _stopOnNewIncarnation (attempt: Attempt): void {
-    // Its deadline refers to the clock of the earlier incarnation.
-    attempt.deadlineMs = Infinity
-    attempt.forgetStop()
-    this._runs.stop(attempt)
+  /**
+   * Stops the runs on a restarted host whose start orders were never answered. Such an order may still be in flight. The new incarnation knows
+   * neither the run nor the fence and would carry the order out, and the task would run there and elsewhere.
+   */
+  private _stopUnansweredOrders (host: HostState): void {
+    for (const attempt of [...host.attempts]) {
+      if (!attempt.wasOrdered || attempt.phase === 'recovering' || attempt.reportedAtMs < Infinity) continue
+      // Its deadline refers to the clock of the earlier incarnation.
+      attempt.deadlineMs = Infinity
+      attempt.forgetStop()
+      this._runs.stop(attempt)
+    }
   }
 
   /**
@@ -182,7 +182,7 @@
         continue
       }
       if (attempt.missingSinceMs === Infinity) this._markMissing(attempt)
-      if (attempt.bornMs === host.bornMs && sentAtMs < confirmableAtMs(attempt)) continue
+      if (sentAtMs < confirmableAtMs(attempt)) continue
       changed.add(attempt.task.step.job)
       this._loseRun(attempt, 'not listed')
     }
