A poll after one without an answer acknowledges no ends

Cause: each poll acknowledges ends by their sequence numbers, which start again when a host restarts under its id. If the owner doesn't know of the restart yet, its next poll carries the last number of the earlier incarnation. The new one forgets all ends up to it, among them ends of runs that this owner has ordered since the restart, and nobody ever sees them: the runs are in no list, and their tasks start again.

Change: after a poll without an answer, the next one acknowledges nothing; the one after its answer does. That costs one repeated list.

--- a/src/cell/HostSession.test.ts
+++ b/src/cell/HostSession.test.ts
@@ -50,3 +50,32 @@
   await advance(clock, 2500)
   t.false(host.isPlaceable(clock.nowMs()))
 })
+
+test('a poll after one without an answer acknowledges nothing', async (t) => {
+  // The host may have restarted, and would forget ends of its new incarnation that have the same numbers and that nobody has seen.
+  const clock = new ManualClock()
+  const { entry } = new SimulatedHost({
+    hostId: 'host-0', cpuMillicores: 1, memoryMb: 1, rack: 'rack', maxHoldMs: MAX_HOLD_MS, workMs: () => 1, endOf: () => 'done'
+  }, clock)
+  const host = new HostState(entry, 0, new WorkspaceUsage())
+  host.storedSequence = 57
+  host.appliedSequence = 57
+  const acknowledged: number[] = []
+  const session = new HostSession(host, {
+    hold: async (_entry, { acknowledgedSequence }) => {
+      await new Promise<void>((resolve) => { clock.after(100, resolve) })
+      acknowledged.push(acknowledgedSequence)
+      if (acknowledged.length === 2) return { kind: 'failed', reason: 'reset' }
+      return { kind: 'held', answer: { clockMs: clock.nowMs(), bornMs: entry.bornMs, running: [], ended: [], moreEnds: false, unreadableRows: 0 } }
+    },
+    holdUntilMs: () => Infinity,
+    onHeld: (held, { clockMs }, sentAtMs) => { held.updateClock(clockMs, sentAtMs, clock.nowMs()) },
+    onFenced: () => {},
+    onFailure: () => {},
+    pollWaitMs: () => LONG_WAIT_MS
+  }, MAX_HOLD_MS, clock, new SilentLogger())
+  t.teardown(() => { session.dispose() })
+  session.start()
+  await advance(clock, 800)
+  t.deepEqual(acknowledged.slice(1, 4), [57, 0, 57])
+})
--- a/src/cell/HostSession.ts
+++ b/src/cell/HostSession.ts
@@ -32,6 +32,8 @@
   private _isInterrupted = false
   /** Whether the host answers the next poll without waiting for a run to end. */
   private _isUrgent = false
+  /** Whether the last poll was answered, so that the host is still in the incarnation that numbered the ends. */
+  private _isIncarnationKnown = false
   private _failures = 0
 
   public constructor (
@@ -81,7 +83,9 @@
 
   private _createHoldOrder (nowMs: MonotonicMs): Omit<IHoldOrder, 'fence'> {
     const { host } = this
-    const acknowledgedSequence = host.storedSequence
+    // A host that has restarted meanwhile would forget ends of its new incarnation that nobody has seen.
+    const acknowledgedSequence = this._isIncarnationKnown ? host.storedSequence : 0
+    this._isIncarnationKnown = false
     // The first poll only reads the host's clock.
     if (!host.hasClock) return { acknowledgedSequence, deadlineMs: undefined, waitMs: 0 }
     const deadlineMs = host.nextDeadline(nowMs, this._maxHoldMs, this._effects.holdUntilMs())
@@ -95,6 +99,7 @@
     if (this._failures >= FAILURES_TO_LOG) this._log.info('host.regained', { host: this.host.hostId })
     this._failures = 0
     this._isUrgent = false
+    this._isIncarnationKnown = true
     this.host.recordPollAnswer()
   }
 
