Tests of a starved process no longer depend on how soon a call arrives

Traced: 240 processes that make this exchange once, 20 at a time beside load: 52 failed, and in all 52 the server had not received the request when its timeout of 80 ms passed (most got it after 83 to 165 ms). The second test of the file supposes the same of its call: 4 of 42 runs beside load failed.

Change: a call that arrives later than the timeout shows nothing and is repeated; of each that arrives in time the same is asked as before.

--- a/src/runtime/HttpExchange.test.ts
+++ b/src/runtime/HttpExchange.test.ts
@@ -21,7 +21,9 @@
 
 test('an answer that arrived while the process was starved counts, although its timeout has passed', async (t) => {
   // If timeouts came first, an overloaded process would drop answers that it already has, and would repeat its requests.
+  let receivedAtMs = Infinity
   const server = createServer((_request, response) => {
+    receivedAtMs = performance.now()
     response.end('done')
     starve()
   })
@@ -29,14 +31,23 @@
   t.teardown(() => { server.close() })
   const pool = new Pool(`http://127.0.0.1:${(server.address() as AddressInfo).port}`)
   const request = { step: 'test', peer: 'server', method: 'GET', path: '/', headers: [], timeoutMs: TIMEOUT_MS } as const
-  const answers = [await exchange(pool, request), await exchange(pool, request)]
-  t.deepEqual(answers.map((answer) => answer.isOk()), [true, true])
+  const answers: boolean[] = []
+  while (answers.length < 2) {
+    const sentAtMs = performance.now()
+    receivedAtMs = Infinity
+    const answer = await exchange(pool, request)
+    // On a busy machine, a request may time out before the server has it. Such an exchange shows nothing.
+    if (receivedAtMs - sentAtMs < TIMEOUT_MS) answers.push(answer.isOk())
+  }
+  t.deepEqual(answers, [true, true])
   await pool.destroy()
 })
 
 test('a timer of the clock fires after reading what had arrived by then', async (t) => {
+  let receivedAtMs = Infinity
   const server = createSocketServer((socket) => {
-    socket.once('data', () => {
+    socket.on('data', () => {
+      receivedAtMs = performance.now()
       socket.write('reply')
       starve()
     })
@@ -45,14 +56,22 @@
   t.teardown(() => { server.close() })
   const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
   t.teardown(() => { socket.destroy() })
-  const seen: string[] = []
+  let seen: string[] = []
   socket.on('data', () => { seen.push('reply') })
-  socket.write('call')
-  await new Promise<void>((resolve) => {
-    new SystemClock().after(TIMEOUT_MS, () => {
-      seen.push('timeout')
-      resolve()
+  let sentAtMs: number
+  do {
+    seen = []
+    receivedAtMs = Infinity
+    sentAtMs = performance.now()
+    socket.write('call')
+    await new Promise<void>((resolve) => {
+      new SystemClock().after(TIMEOUT_MS, () => {
+        seen.push('timeout')
+        resolve()
+      })
     })
-  })
+    // On a busy machine, the call may arrive only after the timeout. Such a call shows nothing, and its reply may be still to come.
+    if (!seen.includes('reply')) await new Promise<void>((resolve) => { socket.once('data', () => { resolve() }) })
+  } while (receivedAtMs - sentAtMs >= TIMEOUT_MS)
   t.deepEqual(seen, ['reply', 'timeout'])
 })
