A run that the next incarnation of its host has started late isn't given up by a new owner

What callers would see: a task runs twice after a change of the owner (found in review; no run of the users shows it).

Cause: an order that had no answer may be carried out seconds later, also by the next incarnation of its host. A new owner that learned of the restart from the first list gave up all runs that it knew only from their records, before it looked whether that list showed them. The task was free at once, and its run was stopped as an unknown one only after that.

Change: the list that tells of the restart decides on such runs; one that it lacks is gone at once, as before.

Evidence: the test failed before (two runs of the task at the same time); 208 tests of the folders concerned pass.

--- a/src/common/cell/HoldAnswerHandler.test.ts
+++ b/src/common/cell/HoldAnswerHandler.test.ts
@@ -81,6 +81,25 @@
   t.deepEqual(host.started.map(({ run }) => run), [2])
 })
 
+test('a run that the next incarnation of its host has started late is kept by a new owner that learns of the restart from its list', async (t) => {
+  // An order may be carried out seconds later. Given up as ended by the restart, its task would start elsewhere while it runs.
+  const cell = new SimulatedCell({ hosts: 2, host: { workMs: () => 3 * WORK_MS } })
+  for (const host of cell.hosts) host.losesStarts = true
+  await cell.run(WORK_MS)
+  const { spec: { jobId } } = cell.submit([{}])
+  await cell.run(100)
+  cell.takeOver()
+  for (const host of cell.hosts) {
+    host.losesStarts = false
+    host.restart()
+    host.executeLateStarts()
+  }
+  await cell.run(6 * WORK_MS)
+  t.is(cell.maxRunsOfOneTask, 1)
+  t.is(cell.hosts.flatMap(({ started }) => started).length, 1)
+  t.is(cell.job(jobId).reportedPhase, 'completed')
+})
+
 test('a task that is done by a run that had been given up does not start again', async (t) => {
   // The host is silent until its leases have ended, and is back with the end before the task has started elsewhere.
   const cell = new SimulatedCell({ hosts: 1, host: { workMs: () => WORK_MS } })
--- a/src/common/cell/HoldAnswerHandler.ts
+++ b/src/common/cell/HoldAnswerHandler.ts
@@ -61,7 +61,9 @@
     for (const attempt of [...host.attempts]) {
       // An earlier owner may have recorded runs of different incarnations.
       if (!attempt.wasOrdered || attempt.bornMs === bornMs) continue
-      if (attempt.phase === 'recovering' || attempt.reportedAtMs < Infinity) this._loseRun(attempt, 'host restarted')
+      // The new incarnation may have carried out an order of the earlier owner. Its list decides, since it accepts no further one.
+      if (attempt.phase === 'recovering') continue
+      if (attempt.reportedAtMs < Infinity) this._loseRun(attempt, 'host restarted')
       else this._stopOnNewIncarnation(attempt)
     }
   }
