A poll that is carried out late no longer makes the next incarnation of its host forget ends

What callers would see: tasks that were done start again, all those of a host at once, and their ends count as acknowledged.

Cause: a restarted host may have the same id, so the header for the expected incarnation doesn't tell the two apart. A poll that had no answer may be carried out seconds later. Each poll, and each that was repeated, acknowledged the ends of the earlier incarnation, and the sequence numbers of the new one start again. So it forgot ends that the owner hadn't read, and their runs were in no list any more: asking twice doesn't help then.

Change: an end is acknowledged only until a poll that does so is answered, and no poll acknowledges any after one that failed. What remains is the one poll that follows an end and is lost.

--- a/src/cell/HostSession.test.ts
+++ b/src/cell/HostSession.test.ts
@@ -11,7 +11,7 @@
 import { SilentLogger } from '../common/observability/SilentLogger.js'
 import { HostSession } from './HostSession.js'
 
-import type { HoldOutcome } from '../common/cell/Types.js'
+import type { HoldOutcome, IHoldOrder } from '../common/cell/Types.js'
 
 const MAX_HOLD_MS = 10_000
 const LONG_WAIT_MS = 4000
@@ -50,3 +50,55 @@
   await advance(clock, 2500)
   t.false(host.isPlaceable(clock.nowMs()))
 })
+
+test('a poll that was lost and is carried out by the next incarnation of its host does not make it forget ends there', async (t) => {
+  // Their sequence numbers start again. The owner would take the runs for gone that have ended as done, and start them again.
+  const clock = new ManualClock()
+  const simulated = new SimulatedHost({
+    hostId: 'host-0', cpuMillicores: 8000, memoryMb: 1000, rack: 'rack', maxHoldMs: MAX_HOLD_MS, workMs: () => 1, endOf: () => 'done'
+  }, clock)
+  const host = new HostState(simulated.entry, 0, new WorkspaceUsage())
+  const lost: IHoldOrder[] = []
+  let isCut = false
+  const session = new HostSession(host, {
+    hold: async (_entry, order) => {
+      await new Promise<void>((resolve) => { clock.after(LONG_WAIT_MS / 20, resolve) })
+      if (isCut) lost.push({ ...order, fence: 1 })
+      const answer = isCut ? undefined : simulated.hold({ ...order, fence: 1 })
+      return answer === undefined || answer === 'fenced' ? { kind: 'failed', reason: 'silent' } : { kind: 'held', answer }
+    },
+    holdUntilMs: () => Infinity,
+    onHeld: (held, { clockMs, ended }, sentAtMs) => {
+      held.updateClock(clockMs, sentAtMs, clock.nowMs())
+      held.appliedSequence = Math.max(held.appliedSequence, ...ended.map(({ sequence }) => sequence))
+      held.storedSequence = held.appliedSequence
+    },
+    onFenced: () => {},
+    onFailure: () => {},
+    pollWaitMs: () => LONG_WAIT_MS
+  }, MAX_HOLD_MS, clock, new SilentLogger())
+  t.teardown(() => { session.dispose() })
+  const endRuns = (): void => {
+    for (const index of [0, 1]) {
+      const ref = { jobId: '1', step: 0, index, run: 1 }
+      simulated.start({ ref, description: '', checkpoint: '', ticket: '', deadlineMs: simulated.clockMs + MAX_HOLD_MS, fence: 1 })
+    }
+    clock.advance(1)
+    simulated.tick()
+  }
+  clock.advance(1)
+  session.start()
+  endRuns()
+  await advance(clock, 2000)
+  t.is(host.storedSequence, 2)
+  t.deepEqual(simulated.hold({ fence: 1, acknowledgedSequence: 0, deadlineMs: undefined, waitMs: 0 }), {
+    clockMs: simulated.clockMs, bornMs: simulated.bornMs, running: [], ended: [], moreEnds: false, unreadableRows: 0
+  })
+  isCut = true
+  await advance(clock, 2000)
+  simulated.restart()
+  endRuns()
+  for (const order of lost) simulated.hold(order)
+  const answer = simulated.hold({ fence: 1, acknowledgedSequence: 0, deadlineMs: undefined, waitMs: 0 })
+  t.is(answer === undefined || answer === 'fenced' ? 0 : answer.ended.length, 2)
+})
--- a/src/cell/HostSession.ts
+++ b/src/cell/HostSession.ts
@@ -7,7 +7,7 @@
 import type { HostState } from '../common/cell/HostState.js'
 import type { HoldOutcome, IHoldOrder, IHostEntry } from '../common/cell/Types.js'
 import type { ILogger } from '../common/observability/Types.js'
-import type { IClock, IDisposable, ITimers, MonotonicMs } from '../common/Types.js'
+import type { EpochMs, IClock, IDisposable, ITimers, MonotonicMs } from '../common/Types.js'
 
 export interface IHostSessionEffects {
   hold (host: IHostEntry, order: Omit<IHoldOrder, 'fence'>, signal: AbortSignal): Promise<HoldOutcome>
@@ -63,11 +63,12 @@
       const sentAtMs = this._clock.nowMs()
       this._poll = new AbortController()
       this._isInterrupted = false
-      const outcome = await this._effects.hold(this.host.entry, this._createHoldOrder(sentAtMs), this._poll.signal)
+      const order = this._createHoldOrder(sentAtMs)
+      const outcome = await this._effects.hold(this.host.entry, order, this._poll.signal)
       if (this._isDisposed) return
       if (this._isInterrupted && outcome.kind === 'failed') continue
       if (outcome.kind === 'held') {
-        this._recordAnswer()
+        this._recordAnswer(outcome.answer.bornMs, order.acknowledgedSequence)
         this._effects.onHeld(this.host, outcome.answer, sentAtMs)
         await this._awaitEndsStored()
         continue
@@ -81,7 +82,7 @@
 
   private _createHoldOrder (nowMs: MonotonicMs): Omit<IHoldOrder, 'fence'> {
     const { host } = this
-    const acknowledgedSequence = host.storedSequence
+    const acknowledgedSequence = this._sequenceToAcknowledge()
     // The first poll only reads the host's clock.
     if (!host.hasClock) return { acknowledgedSequence, deadlineMs: undefined, waitMs: 0 }
     const deadlineMs = host.nextDeadline(nowMs, this._maxHoldMs, this._effects.holdUntilMs())
@@ -91,7 +92,19 @@
     return { acknowledgedSequence, deadlineMs, waitMs: host.pollWaitMs }
   }
 
-  private _recordAnswer (): void {
+  /**
+   * The last end that the host may forget. Each is acknowledged until a poll that does so is answered, and none after a failure.
+   *
+   * A poll may be carried out late, also by the next incarnation of the host, whose sequence numbers start again. It would forget ends that
+   * this owner has never seen, and their tasks would start again.
+   */
+  private _sequenceToAcknowledge (): number {
+    const { storedSequence, acknowledgedSequence } = this.host
+    return this._failures === 0 && storedSequence > acknowledgedSequence ? storedSequence : 0
+  }
+
+  private _recordAnswer (bornMs: EpochMs, acknowledgedSequence: number): void {
+    if (bornMs === this.host.bornMs) this.host.recordAcknowledged(acknowledgedSequence)
     if (this._failures >= FAILURES_TO_LOG) this._log.info('host.regained', { host: this.host.hostId })
     this._failures = 0
     this._isUrgent = false
--- a/src/common/cell/HostState.ts
+++ b/src/common/cell/HostState.ts
@@ -50,6 +50,8 @@
   /** The sequence of the last end that was applied, and of the last one whose effect is stored. */
   public appliedSequence = 0
   public storedSequence = 0
+  /** The sequence up to which the host has forgotten its ends. */
+  private _acknowledgedSequence = 0
   /** Resolves once the ends that have been applied are stored. */
   public endsStored: Promise<void> = Promise.resolve()
   /** How long the present poll may wait before the host answers, in ms. */
@@ -176,6 +178,15 @@
     return deadlineMs
   }
 
+  public get acknowledgedSequence (): number {
+    return this._acknowledgedSequence
+  }
+
+  /** Records that the host has answered a poll that acknowledged its ends up to this one. */
+  public recordAcknowledged (sequence: number): void {
+    this._acknowledgedSequence = Math.max(this._acknowledgedSequence, sequence)
+  }
+
   public markUnregistered (nowMs: MonotonicMs): void {
     this._unregisteredAtMs = nowMs
     this._failedDeparturePolls = 0
@@ -216,6 +227,7 @@
     this.bornMs = bornMs
     this.appliedSequence = 0
     this.storedSequence = 0
+    this._acknowledgedSequence = 0
     this._clockMs = 0
     this._clockAtMs = -Infinity
     this._clockRequestedAtMs = -Infinity
