A draining host without an entry that refuses its polls hasn't left

Cause: a poll that is answered with 429, 503 or a newer owner's fence counted as one without an answer. Two of them, 0.2 s apart, were taken as proof that the host had left, although each shows that it serves.

Change: such answers count as answers. If they go on, the host's runs are given up when their leases have ended, as on any host.

Evidence: the test of the cell failed before (three runs where two are asked for); the tests of both cell folders and of the platform pass.

--- a/src/cell/HostDeparture.test.ts
+++ b/src/cell/HostDeparture.test.ts
@@ -34,6 +34,8 @@
   public readonly clock = new ManualClock()
   public readonly hosts: readonly SimulatedHost[]
   public readonly scheduler: CellScheduler
+  /** A host that answers each poll with an error. */
+  public unhealthy: SimulatedHost | undefined
   private readonly _entries = new Map<string, IMetadataItem>()
   private readonly _removed = new Set<string>()
   private readonly _sessions: HostSessions
@@ -131,6 +133,7 @@
     const answer = this._hostOf(hostId).hold(order)
     await this._travel()
     if (answer === 'fenced') return { kind: 'fenced' }
+    if (this.unhealthy === this._hostOf(hostId)) return { kind: 'failed', reason: 'status 503', hasAnswered: true }
     return answer === undefined ? { kind: 'failed', reason: 'silent' } : { kind: 'held', answer }
   }
 
@@ -193,6 +196,15 @@
   t.is(leaving.running.size, 0)
 })
 
+test('a task of a draining host that answers its polls with errors does not start elsewhere when its entry is missing', async (t) => {
+  // An error is an answer: the host serves on, and so do its runs, until their leases have ended.
+  const { cell, leaving } = await setUp(t)
+  cell.unhealthy = leaving
+  cell.removeEntry(leaving)
+  await advance(cell.clock, MAX_WAIT_MS, LATENCY_MS)
+  t.is(cell.runningCount, 2)
+})
+
 test('a task of a draining host that is cut off starts elsewhere only after its last lease has ended', async (t) => {
   // Its entry expires, which looks like a departure, but the host goes on with the task, and it would run twice.
   const { cell, leaving } = await setUp(t)
--- a/src/cell/HostSession.ts
+++ b/src/cell/HostSession.ts
@@ -116,7 +116,9 @@
     this.host.pollWaitMs = MIN_POLL_WAIT_MS
     this._failures += 1
     const reason = outcome.kind === 'failed' ? outcome.reason : outcome.kind
-    this._recordPossibleDeparture(reason, sentAtMs)
+    const hasAnswered = outcome.kind === 'fenced' || (outcome.kind === 'failed' && outcome.hasAnswered === true)
+    if (hasAnswered) this.host.recordPollAnswer()
+    else this._recordPossibleDeparture(reason, sentAtMs)
     if (this._failures !== FAILURES_TO_LOG) return
     this._log.warn('host.silent', { host: this.host.hostId, reason })
   }
--- a/src/common/cell/Types.ts
+++ b/src/common/cell/Types.ts
@@ -184,7 +184,8 @@
   | { readonly kind: 'held', readonly answer: IHoldAnswer }
   | { readonly kind: 'fenced' }
   | { readonly kind: 'otherIncarnation' }
-  | { readonly kind: 'failed', readonly reason: string }
+  /** `hasAnswered`: the host itself has answered with an error, so it still serves. */
+  | { readonly kind: 'failed', readonly reason: string, readonly hasAnswered?: boolean }
 
 /** Sends orders to the hosts. */
 export interface IHostOrders {
