A run of a task that is done already is stopped when a new owner first sees it

Cause: a late end stops the task's present run, but one that a new owner knows only from its record can't be stopped before its host has listed it, and nothing tried again then, unless the whole job had ended. The log also gave 'gang' as the reason of such stops.

Change: a listed run of a task that is done is stopped, except in a gang, whose members end together. The reason is 'done'.

--- a/src/common/cell/Attempt.ts
+++ b/src/common/cell/Attempt.ts
@@ -21,8 +21,8 @@
 export type AttemptPhase = 'preparing' | 'ordered' | 'unsure' | 'recovering' | 'running' | 'stopping' | 'gone'
 export type AttemptEvent = 'ORDER' | 'DROP' | 'LISTED' | 'NOT_RUN' | 'UNANSWERED' | 'STOP' | 'ENDED' | 'LOST'
 
-/** Why a run is stopped: the phase in which its job ended, its gang can't continue, or it has stalled. */
-export type StopReason = JobPhase | 'gang' | 'stalled'
+/** Why a run is stopped: the phase in which its job ended, its gang can't continue, its task is done by another run, or it has stalled. */
+export type StopReason = JobPhase | 'gang' | 'done' | 'stalled'
 
 export class Attempt {
   private _phase: AttemptPhase
--- a/src/common/cell/HoldAnswerHandler.test.ts
+++ b/src/common/cell/HoldAnswerHandler.test.ts
@@ -129,3 +129,24 @@
   t.is(job.reportedPhase, 'completed')
   t.true(cell.hosts.every(({ running }) => running.size === 0))
 })
+
+test('a second run that a new owner has not seen yet is stopped when the first one turns out to be done', async (t) => {
+  // Otherwise it goes on to its end, and keeps its resources, as long as other tasks of the job aren't done.
+  const cell = new SimulatedCell({ hosts: 2, host: { workMs: ({ run, index }) => run === 1 && index === 0 ? WORK_MS : 20 * WORK_MS } })
+  cell.submit([{ count: 2 }])
+  await cell.run(WORK_MS / 2)
+  const [first, second] = cell.hosts
+  if (first === undefined || second === undefined) throw new Error('no hosts')
+  const isOn = (host: typeof first): boolean => [...host.running.values()].some(({ ref }) => ref.index === 0)
+  const [lost, other] = isOn(first) ? [first, second] : [second, first]
+  lost.isSilent = true
+  await cell.run(9 * WORK_MS)
+  t.true(isOn(other))
+  other.isSilent = true
+  cell.takeOver()
+  lost.isSilent = false
+  await cell.run(WORK_MS)
+  other.isSilent = false
+  await cell.run(WORK_MS)
+  t.deepEqual([...other.running.values()].filter(({ ref }) => ref.index === 0), [])
+})
--- a/src/common/cell/RunController.ts
+++ b/src/common/cell/RunController.ts
@@ -188,9 +188,10 @@
   /** Records that the host has the run. */
   public markRunning (attempt: Attempt, nowMs: number): void {
     attempt.reportedAtMs = nowMs
-    const { job } = attempt.task.step
+    const { step: { job, spec }, isDone } = attempt.task
     job.hasStarted = true
-    if (job.isFinished) this.stop(attempt)
+    // The other members of a gang that is done are about to end.
+    if (job.isFinished || (isDone && !spec.gang)) this.stop(attempt)
   }
 
   private _handleRefusal (attempt: Attempt, reason: string, nowMs: number): void {
@@ -217,8 +218,9 @@
   return { requestId: jobId, task: `${step}.${index}`, run, host: attempt.host.hostId }
 }
 
-function reasonToStop ({ task: { step } }: Attempt): StopReason {
-  return step.job.isFinished ? step.job.phase : 'gang'
+function reasonToStop ({ task: { step, isDone } }: Attempt): StopReason {
+  if (step.job.isFinished) return step.job.phase
+  return isDone && !step.spec.gang ? 'done' : 'gang'
 }
 
 /** All members of a gang have the same run number, higher than that of any earlier run of a member. */
