A run that a restarted host has started before its next list isn't given up

Cause: a restarted host may have the same id and address, so the header for the expected incarnation doesn't refuse orders that are meant for the earlier one. The owner learns of the restart from the next list, up to 0.2 s later and more if the polls fail, and goes on ordering meanwhile. With that list it gave up each run whose start had been answered, before it looked whether the list showed the run, or its end; then it stopped the runs as unknown ones. No lines but host.reborn, run.lost and run.unknown told of it.

Change: runs that the first list of the new incarnation shows, as running or as ended, are kept as runs of that incarnation; the others are handled as before. It replaces the exception for runs that a new owner knows from their records.

--- a/src/common/cell/Attempt.ts
+++ b/src/common/cell/Attempt.ts
@@ -46,8 +46,7 @@
   /** Why it was stopped; undefined if it wasn't. */
   public stopReason: StopReason | undefined
   public readonly preparedAtMs: MonotonicMs
-  /** The incarnation of the host for which the run is recorded. It is ordered on no other one. */
-  public readonly bornMs: EpochMs
+  private _bornMs: EpochMs
 
   /** @param recordedBornMs the incarnation of the host for which an earlier owner recorded the run; undefined for a new run */
   public constructor (
@@ -60,7 +59,7 @@
   ) {
     this.isInherited = recordedBornMs !== undefined
     this._phase = this.isInherited ? 'recovering' : 'preparing'
-    this.bornMs = recordedBornMs ?? host.bornMs
+    this._bornMs = recordedBornMs ?? host.bornMs
     this.preparedAtMs = nowMs
     this.startedAtMs = nowMs
     this.percentAtMs = nowMs
@@ -70,6 +69,11 @@
     return this._phase
   }
 
+  /** The incarnation of the host for which the run is recorded, or which has started it. It is ordered on no other one. */
+  public get bornMs (): EpochMs {
+    return this._bornMs
+  }
+
   public get ref (): IRunRef {
     const { step, index } = this.task
     return { jobId: step.job.spec.jobId, step: step.number, index, run: this.run }
@@ -100,12 +104,19 @@
     this._stopConfirmedAtMs = Math.min(this._stopConfirmedAtMs, nowMs)
   }
 
-  /** The host has restarted, and its new incarnation doesn't know of the stop. */
-  public forgetStop (): void {
+  /** The host has restarted. Its new incarnation doesn't know of the stop, and the deadline refers to the clock of the earlier one. */
+  public forgetOrders (): void {
+    this.deadlineMs = Infinity
     this._stopConfirmedAtMs = Infinity
     this.stopSentAtMs = -Infinity
   }
 
+  /** A later incarnation of the host has carried out the order. */
+  public moveTo (bornMs: EpochMs): void {
+    this._bornMs = bornMs
+    this.forgetOrders()
+  }
+
   public updatePercent (percent: number, nowMs: MonotonicMs): void {
     if (percent === this.percent) return
     this.percent = percent
--- a/src/common/cell/HoldAnswerHandler.test.ts
+++ b/src/common/cell/HoldAnswerHandler.test.ts
@@ -150,3 +150,26 @@
   await cell.run(WORK_MS)
   t.deepEqual([...other.running.values()].filter(({ ref }) => ref.index === 0), [])
 })
+
+test('runs that a host has started right after its restart, before its next list, are kept', async (t) => {
+  // The order reaches the new incarnation under the same id. Given up as ended by the restart, the tasks would start elsewhere while they run.
+  const cell = new SimulatedCell({ hosts: 3, host: { workMs: () => 3 * WORK_MS } })
+  await cell.run(WORK_MS)
+  const job = cell.submit([{ count: 6 }])
+  for (const host of cell.hosts) host.restart()
+  await cell.run(5 * WORK_MS)
+  t.is(cell.maxRunsOfOneTask, 1)
+  t.is(cell.hosts.flatMap(({ started }) => started).length, 6)
+  t.is(job.reportedPhase, 'completed')
+})
+
+test('a run that a host has started right after its restart is gone only if two lists lack it', async (t) => {
+  // Its exit comes before its end is listed, like that of any run.
+  const cell = new SimulatedCell({ hosts: 2, host: { workMs: () => WORK_MS } })
+  for (const host of cell.hosts) host.recordsEndsAfterMs = RECORDING_MS
+  await cell.run(WORK_MS)
+  cell.submit([{ count: 4 }])
+  for (const host of cell.hosts) host.restart()
+  await cell.run(5 * WORK_MS)
+  t.is(cell.hosts.flatMap(({ started }) => started).length, 4)
+})
--- a/src/common/cell/HoldAnswerHandler.ts
+++ b/src/common/cell/HoldAnswerHandler.ts
@@ -37,7 +37,7 @@
   public applyAnswer (host: HostState, answer: IHoldAnswer, sentAtMs: MonotonicMs): void {
     const nowMs = this._clock.nowMs()
     if (answer.unreadableRows > 0) this._log.error('host.rowsUnreadable', { host: host.hostId, rows: answer.unreadableRows })
-    if (answer.bornMs !== host.bornMs) this.handleRestart(host, answer.bornMs)
+    if (answer.bornMs !== host.bornMs) this._handleRestart(host, answer)
     host.updateClock(answer.clockMs, sentAtMs, nowMs)
     const changed = new Set<Job>()
     const listed = this._applyRunning(host, answer, nowMs)
@@ -51,27 +51,27 @@
   /**
    * Handles a restart of the host under the same id: its earlier runs are gone.
    *
-   * A start order that was never answered may still be in flight. The new incarnation knows neither the run nor the fence and
-   * would carry the order out, and the task would run there and elsewhere. So each such run is stopped on the new incarnation
+   * An order that was sent before the restart was known may have been carried out by the new incarnation: it has the same id. Runs that its
+   * list shows are kept. A start order that was never answered may still be in flight. The new incarnation knows neither the run nor the
+   * fence and would carry the order out, and the task would run there and elsewhere. So each such run is stopped on the new incarnation
    * before its task is free.
    */
-  public handleRestart (host: HostState, bornMs: number): void {
+  private _handleRestart (host: HostState, answer: IHoldAnswer): void {
+    const { bornMs } = answer
     this._log.warn('host.reborn', { host: host.hostId, runs: host.attempts.size, bornMs, earlierBornMs: host.bornMs })
     host.resetAfterRestart(bornMs)
+    const shown = new Set([...answer.running, ...answer.ended].map(({ ref }) => findAttempt(host, ref)))
     for (const attempt of [...host.attempts]) {
       // An earlier owner may have recorded runs of different incarnations.
       if (!attempt.wasOrdered || attempt.bornMs === bornMs) continue
-      // The new incarnation may have carried out an order of the earlier owner. Its list decides, since it accepts no further one.
-      if (attempt.phase === 'recovering') continue
-      if (attempt.reportedAtMs < Infinity) this._loseRun(attempt, 'host restarted')
+      if (shown.has(attempt)) attempt.moveTo(bornMs)
+      else if (attempt.phase === 'recovering' || attempt.reportedAtMs < Infinity) this._loseRun(attempt, 'host restarted')
       else this._stopOnNewIncarnation(attempt)
     }
   }
 
   private _stopOnNewIncarnation (attempt: Attempt): void {
-    // Its deadline refers to the clock of the earlier incarnation.
-    attempt.deadlineMs = Infinity
-    attempt.forgetStop()
+    attempt.forgetOrders()
     this._runs.stop(attempt)
   }
 
