A list from before a start doesn't decide on its run when it tells of a restart

Cause: answers on different connections can overtake each other. If the answer to a start order arrives before the first list of the new incarnation, and that list was made before the start, the run was given up as one of the earlier incarnation, and stopped as unknown later.

Change: a run whose start was answered after the list was requested waits for the next list, as in any other list. A run belongs to the incarnation that lists it, so it is gone only if two of its lists lack it.

--- a/src/common/cell/HoldAnswerHandler.test.ts
+++ b/src/common/cell/HoldAnswerHandler.test.ts
@@ -173,3 +173,22 @@
   await cell.run(5 * WORK_MS)
   t.is(cell.hosts.flatMap(({ started }) => started).length, 4)
 })
+
+test('a run that a restarted host has started is kept if the answer to its order overtakes a list from before the start', async (t) => {
+  // The list that tells of the restart is older than the start, so it says nothing about the run.
+  const cell = new SimulatedCell({ hosts: 1, host: { workMs: () => WORK_MS } })
+  await cell.run(WORK_MS)
+  const host = cell.host(0)
+  host.restart()
+  const sentAtMs = cell.clock.nowMs()
+  const list = host.hold({ fence: 1, acknowledgedSequence: 0, deadlineMs: undefined, waitMs: 0 })
+  const job = cell.submit([{}])
+  while (host.running.size === 0) await cell.run(10)
+  const state = cell.scheduler.hosts.get(host.options.hostId)
+  if (state === undefined || list === undefined || list === 'fenced') throw new Error('no list')
+  t.is(job.steps[0]?.tasks[0]?.attempt?.phase, 'running')
+  cell.scheduler.applyHoldAnswer(state, list, sentAtMs)
+  await cell.run(3 * WORK_MS)
+  t.is(host.started.length, 1)
+  t.is(job.reportedPhase, 'completed')
+})
--- a/src/common/cell/HoldAnswerHandler.ts
+++ b/src/common/cell/HoldAnswerHandler.ts
@@ -37,7 +37,7 @@
   public applyAnswer (host: HostState, answer: IHoldAnswer, sentAtMs: MonotonicMs): void {
     const nowMs = this._clock.nowMs()
     if (answer.unreadableRows > 0) this._log.error('host.rowsUnreadable', { host: host.hostId, rows: answer.unreadableRows })
-    if (answer.bornMs !== host.bornMs) this._handleRestart(host, answer)
+    if (answer.bornMs !== host.bornMs) this._handleRestart(host, answer, sentAtMs)
     host.updateClock(answer.clockMs, sentAtMs, nowMs)
     const changed = new Set<Job>()
     const listed = this._applyRunning(host, answer, nowMs)
@@ -52,11 +52,12 @@
    * Handles a restart of the host under the same id: its earlier runs are gone.
    *
    * An order that was sent before the restart was known may have been carried out by the new incarnation: it has the same id. Runs that its
-   * list shows are kept. A start order that was never answered may still be in flight. The new incarnation knows neither the run nor the
-   * fence and would carry the order out, and the task would run there and elsewhere. So each such run is stopped on the new incarnation
-   * before its task is free.
+   * list shows are kept, and so are those whose start was answered after that list was requested: the next list decides on them.
+   *
+   * A start order that was never answered may still be in flight. The new incarnation knows neither the run nor the fence and would carry the
+   * order out, and the task would run there and elsewhere. So each such run is stopped on the new incarnation before its task is free.
    */
-  private _handleRestart (host: HostState, answer: IHoldAnswer): void {
+  private _handleRestart (host: HostState, answer: IHoldAnswer, sentAtMs: MonotonicMs): void {
     const { bornMs } = answer
     this._log.warn('host.reborn', { host: host.hostId, runs: host.attempts.size, bornMs, earlierBornMs: host.bornMs })
     host.resetAfterRestart(bornMs)
@@ -64,8 +65,8 @@
     for (const attempt of [...host.attempts]) {
       // An earlier owner may have recorded runs of different incarnations.
       if (!attempt.wasOrdered || attempt.bornMs === bornMs) continue
-      if (shown.has(attempt)) attempt.moveTo(bornMs)
-      else if (attempt.phase === 'recovering' || attempt.reportedAtMs < Infinity) this._loseRun(attempt, 'host restarted')
+      if (shown.has(attempt) || (attempt.phase === 'running' && attempt.reportedAtMs >= sentAtMs)) continue
+      if (attempt.phase === 'recovering' || attempt.reportedAtMs < Infinity) this._loseRun(attempt, 'host restarted')
       else this._stopOnNewIncarnation(attempt)
     }
   }
@@ -97,6 +98,7 @@
         continue
       }
       listed.add(attempt)
+      if (attempt.bornMs !== host.bornMs) attempt.moveTo(host.bornMs)
       attempt.transition('LISTED')
       attempt.updatePercent(row.percent, nowMs)
       if (row.checkpoint !== '') storeCheckpoint(attempt.task, row.checkpoint)
