--- a/src/cell/HostSession.ts
+++ b/src/cell/HostSession.ts
@@ -7,7 +7,7 @@
 import type { HostState } from '../common/cell/HostState.js'
 import type { HoldOutcome, IHoldOrder, IHostEntry } from '../common/cell/Types.js'
 import type { ILogger } from '../common/observability/Types.js'
-import type { IClock, IDisposable, ITimers, MonotonicMs } from '../common/Types.js'
+import type { EpochMs, IClock, IDisposable, ITimers, MonotonicMs } from '../common/Types.js'
 
 export interface IHostSessionEffects {
   hold (host: IHostEntry, order: Omit<IHoldOrder, 'fence'>, signal: AbortSignal): Promise<HoldOutcome>
@@ -32,8 +32,7 @@
   private _isInterrupted = false
   /** Whether the host answers the next poll without waiting for a run to end. */
   private _isUrgent = false
-  /** Whether the last poll was answered, so that the host is still in the incarnation that numbered the ends. */
-  private _isIncarnationKnown = false
+  private _isLastPollAnswered = false
   private _failures = 0
 
   public constructor (
@@ -65,11 +64,13 @@
       const sentAtMs = this._clock.nowMs()
       this._poll = new AbortController()
       this._isInterrupted = false
-      const outcome = await this._effects.hold(this.host.entry, this._createHoldOrder(sentAtMs), this._poll.signal)
+      const order = this._createHoldOrder(sentAtMs)
+      this._isLastPollAnswered = false
+      const outcome = await this._effects.hold(this.host.entry, order, this._poll.signal)
       if (this._isDisposed) return
       if (this._isInterrupted && outcome.kind === 'failed') continue
       if (outcome.kind === 'held') {
-        this._recordAnswer()
+        this._recordAnswer(outcome.answer.bornMs, order.acknowledgedSequence)
         this._effects.onHeld(this.host, outcome.answer, sentAtMs)
         await this._awaitEndsStored()
         continue
@@ -83,9 +84,7 @@
 
   private _createHoldOrder (nowMs: MonotonicMs): Omit<IHoldOrder, 'fence'> {
     const { host } = this
-    // A host that has restarted meanwhile would forget ends of its new incarnation that nobody has seen.
-    const acknowledgedSequence = this._isIncarnationKnown ? host.storedSequence : 0
-    this._isIncarnationKnown = false
+    const acknowledgedSequence = this._sequenceToAcknowledge()
     // The first poll only reads the host's clock.
     if (!host.hasClock) return { acknowledgedSequence, deadlineMs: undefined, waitMs: 0 }
     const deadlineMs = host.nextDeadline(nowMs, this._maxHoldMs, this._effects.holdUntilMs())
@@ -95,11 +94,23 @@
     return { acknowledgedSequence, deadlineMs, waitMs: host.pollWaitMs }
   }
 
-  private _recordAnswer (): void {
+  /**
+   * The last end that the host may forget. Each is acknowledged until a poll that does so is answered, and none after a poll without an answer.
+   *
+   * A poll may be carried out late, also by the next incarnation of the host, whose sequence numbers start again. It would forget ends that
+   * this owner has never seen, and their tasks would start again.
+   */
+  private _sequenceToAcknowledge (): number {
+    const { storedSequence, acknowledgedSequence } = this.host
+    return this._isLastPollAnswered && storedSequence > acknowledgedSequence ? storedSequence : 0
+  }
+
+  private _recordAnswer (bornMs: EpochMs, acknowledgedSequence: number): void {
+    if (bornMs === this.host.bornMs) this.host.recordAcknowledged(acknowledgedSequence)
     if (this._failures >= FAILURES_TO_LOG) this._log.info('host.regained', { host: this.host.hostId })
     this._failures = 0
     this._isUrgent = false
-    this._isIncarnationKnown = true
+    this._isLastPollAnswered = true
     this.host.recordPollAnswer()
   }
 
@@ -108,7 +119,9 @@
     this.host.pollWaitMs = MIN_POLL_WAIT_MS
     this._failures += 1
     const reason = outcome.kind === 'failed' ? outcome.reason : outcome.kind
-    this._recordPossibleDeparture(reason, sentAtMs)
+    const hasAnswered = outcome.kind === 'fenced' || (outcome.kind === 'failed' && outcome.hasAnswered === true)
+    if (hasAnswered) this.host.recordPollAnswer()
+    else this._recordPossibleDeparture(reason, sentAtMs)
     if (this._failures !== FAILURES_TO_LOG) return
     this._log.warn('host.silent', { host: this.host.hostId, reason })
   }
--- a/src/common/cell/HoldAnswerHandler.test.ts
+++ b/src/common/cell/HoldAnswerHandler.test.ts
@@ -102,6 +102,25 @@
   t.deepEqual(host.started.map(({ run }) => run), [2])
 })
 
+test('a run that the next incarnation of its host has started late is kept by a new owner that learns of the restart from its list', async (t) => {
+  // An order may be carried out seconds later. Given up as ended by the restart, its task would start elsewhere while it runs.
+  const cell = new SimulatedCell({ hosts: 2, host: { workMs: () => 3 * WORK_MS } })
+  for (const host of cell.hosts) host.losesStarts = true
+  await cell.run(WORK_MS)
+  const { spec: { jobId } } = cell.submit([{}])
+  await cell.run(100)
+  cell.takeOver()
+  for (const host of cell.hosts) {
+    host.losesStarts = false
+    host.restart()
+    host.executeLateStarts()
+  }
+  await cell.run(6 * WORK_MS)
+  t.is(cell.maxRunsOfOneTask, 1)
+  t.is(cell.hosts.flatMap(({ started }) => started).length, 1)
+  t.is(cell.job(jobId).reportedPhase, 'completed')
+})
+
 test('a task that is done by a run that had been given up does not start again', async (t) => {
   // The host is silent until its leases have ended, and is back with the end before the task has started elsewhere.
   const cell = new SimulatedCell({ hosts: 1, host: { workMs: () => WORK_MS } })
@@ -131,3 +150,66 @@
   t.is(job.reportedPhase, 'completed')
   t.true(cell.hosts.every(({ running }) => running.size === 0))
 })
+
+test('a second run that a new owner has not seen yet is stopped when the first one turns out to be done', async (t) => {
+  // Otherwise it goes on to its end, and keeps its resources, as long as other tasks of the job aren't done.
+  const cell = new SimulatedCell({ hosts: 2, host: { workMs: ({ run, index }) => run === 1 && index === 0 ? WORK_MS : 20 * WORK_MS } })
+  cell.submit([{ count: 2 }])
+  await cell.run(WORK_MS / 2)
+  const [first, second] = cell.hosts
+  if (first === undefined || second === undefined) throw new Error('no hosts')
+  const isOn = (host: typeof first): boolean => [...host.running.values()].some(({ ref }) => ref.index === 0)
+  const [lost, other] = isOn(first) ? [first, second] : [second, first]
+  lost.isSilent = true
+  await cell.run(9 * WORK_MS)
+  t.true(isOn(other))
+  other.isSilent = true
+  cell.takeOver()
+  lost.isSilent = false
+  await cell.run(WORK_MS)
+  other.isSilent = false
+  await cell.run(WORK_MS)
+  t.deepEqual([...other.running.values()].filter(({ ref }) => ref.index === 0), [])
+})
+
+test('runs that a host has started right after its restart, before its next list, are kept', async (t) => {
+  // The order reaches the new incarnation under the same id. Given up as ended by the restart, the tasks would start elsewhere while they run.
+  const cell = new SimulatedCell({ hosts: 3, host: { workMs: () => 3 * WORK_MS } })
+  await cell.run(WORK_MS)
+  const job = cell.submit([{ count: 6 }])
+  for (const host of cell.hosts) host.restart()
+  await cell.run(5 * WORK_MS)
+  t.is(cell.maxRunsOfOneTask, 1)
+  t.is(cell.hosts.flatMap(({ started }) => started).length, 6)
+  t.is(job.reportedPhase, 'completed')
+})
+
+test('a run that a host has started right after its restart is gone only if two lists lack it', async (t) => {
+  // Its exit comes before its end is listed, like that of any run.
+  const cell = new SimulatedCell({ hosts: 2, host: { workMs: () => WORK_MS } })
+  for (const host of cell.hosts) host.recordsEndsAfterMs = RECORDING_MS
+  await cell.run(WORK_MS)
+  cell.submit([{ count: 4 }])
+  for (const host of cell.hosts) host.restart()
+  await cell.run(5 * WORK_MS)
+  t.is(cell.hosts.flatMap(({ started }) => started).length, 4)
+})
+
+test('a run that a restarted host has started is kept if the answer to its order overtakes a list from before the start', async (t) => {
+  // The list that tells of the restart is older than the start, so it says nothing about the run.
+  const cell = new SimulatedCell({ hosts: 1, host: { workMs: () => WORK_MS } })
+  await cell.run(WORK_MS)
+  const host = cell.host(0)
+  host.restart()
+  const sentAtMs = cell.clock.nowMs()
+  const list = host.hold({ fence: 1, acknowledgedSequence: 0, deadlineMs: undefined, waitMs: 0 })
+  const job = cell.submit([{}])
+  while (host.running.size === 0) await cell.run(10)
+  const state = cell.scheduler.hosts.get(host.options.hostId)
+  if (state === undefined || list === undefined || list === 'fenced') throw new Error('no list')
+  t.is(job.steps[0]?.tasks[0]?.attempt?.phase, 'running')
+  cell.scheduler.applyHoldAnswer(state, list, sentAtMs)
+  await cell.run(3 * WORK_MS)
+  t.is(host.started.length, 1)
+  t.is(job.reportedPhase, 'completed')
+})
--- a/src/common/cell/HoldAnswerHandler.ts
+++ b/src/common/cell/HoldAnswerHandler.ts
@@ -66,9 +66,7 @@
   private _stopUnansweredOrders (host: HostState): void {
     for (const attempt of [...host.attempts]) {
       if (!attempt.wasOrdered || attempt.phase === 'recovering' || attempt.reportedAtMs < Infinity) continue
-      // Its deadline refers to the clock of the earlier incarnation.
-      attempt.deadlineMs = Infinity
-      attempt.forgetStop()
+      attempt.forgetOrders()
       this._runs.stop(attempt)
     }
   }
@@ -95,6 +93,7 @@
         continue
       }
       listed.add(attempt)
+      if (attempt.bornMs !== host.bornMs) attempt.moveTo(host.bornMs)
       attempt.transition('LISTED')
       attempt.updatePercent(row.percent, nowMs)
       if (row.checkpoint !== '') storeCheckpoint(attempt.task, row.checkpoint)
