--- a/test/soak/InvariantChecker.ts
+++ b/test/soak/InvariantChecker.ts
@@ -3,6 +3,8 @@
  * the runs that hosts started and ended.
  */
 
+import { AcknowledgedEnds } from './AcknowledgedEnds.js'
+
 import type { IHostEvents } from '../../platform/standins/HostStandIn.js'
 
 export interface ICheckedJob {
@@ -18,6 +20,7 @@
   refusedSubmissions: number
   cancelledAtMs?: number
   finalState?: string
+  completedAtMs?: number
 }
 
 interface IRunningTask { readonly hostId: string, readonly run: number }
@@ -27,6 +30,8 @@
 const CANCEL_SLACK_MS = 3000
 /** If a host was disturbed after, or at most this long before, a run ended there, the owner may never learn of the end; in ms. */
 const UNREPORTED_END_MS = 3000
+/** A start later than this after its job was shown as completed is a violation, in ms. */
+const COMPLETED_SLACK_MS = 1000
 const MAX_ATTEMPTS = 6
 
 export class InvariantChecker implements IHostEvents {
@@ -37,6 +42,7 @@
   private readonly _runs = new Map<string, IRunningTask>()
   private readonly _doneTasks = new Map<string, IDoneTask>()
   private readonly _failures = new Map<string, number>()
+  private readonly _ends = new AcknowledgedEnds((violation) => { this._report(violation) })
   private readonly _disturbedAtMs = new Map<string, number>()
   /** The highest limit that each workspace has had, in millicores. */
   private readonly _limits = new Map<string, number>()
@@ -65,6 +71,8 @@
     const running = [...this._runs].filter(([key]) => key.startsWith(`${task}@`))
     if (running.length > 0) this._report(`${task} run ${run} started on ${hostId} while it runs on ${running.map(([, each]) => each.hostId).join()}`)
     this._checkNotDone(job, task, run, hostId)
+    this._ends.recordStart(hostId, task, run, job.gang)
+    if (!job.gang && performance.now() - (job.completedAtMs ?? Infinity) > COMPLETED_SLACK_MS) this._report(`${task} started after its job was completed`)
     this._checkStepOrder(job, task)
     if (job.cancelledAtMs !== undefined && performance.now() - job.cancelledAtMs > CANCEL_SLACK_MS) this._report(`${task} started after its job was cancelled`)
     if (!job.isPossiblyAccepted && job.refusedSubmissions > 0) this._report(`${task} started although every submission of its job was refused`)
@@ -77,11 +85,25 @@
     this._checkLimit(job.workspace)
   }
 
-  public onEnd (hostId: string, task: string, _run: number, outcome: string): void {
+  public onEnd (hostId: string, task: string, run: number, outcome: string, sequence: number): void {
     this._runs.delete(`${task}@${hostId}`)
     this._runningByHost.get(hostId)?.delete(task)
-    if (outcome === 'done') this._doneTasks.set(task, { hostId, atMs: performance.now() })
     if (outcome === 'failed') this._failures.set(task, (this._failures.get(task) ?? 0) + 1)
+    if (outcome !== 'done') return
+    this._doneTasks.set(task, { hostId, atMs: performance.now() })
+    this._ends.recordDone({ hostId, task, run, sequence })
+  }
+
+  public onAcknowledged (hostId: string, sequence: number): void {
+    this._ends.recordAcknowledged(hostId, sequence)
+  }
+
+  public onLapse (hostId: string): void {
+    this._ends.excuse(hostId)
+  }
+
+  public onListLost (hostId: string): void {
+    this._ends.excuse(hostId)
   }
 
   public recordState (jobId: string, state: string): void {
@@ -89,7 +111,10 @@
     if (job === undefined) return
     if (job.finalState !== undefined && job.finalState !== state) this._report(`${jobId} was ${job.finalState} and is ${state}`)
     if (state === 'completed' || state === 'failed' || state === 'cancelled') job.finalState = state
-    if (state === 'completed') this._checkCompleted(job)
+    if (state === 'completed') {
+      job.completedAtMs ??= performance.now()
+      this._checkCompleted(job)
+    }
     if (state === 'failed' && !this._hasFailed(job)) this._report(`${jobId} is failed although not enough of its runs failed`)
     if (state === 'cancelled' && job.cancelledAtMs === undefined) this._report(`${jobId} is cancelled although no caller cancelled it`)
   }
