Soak: faults around the end of a run, and a choice of faults

New faults, drawn from the seed: lists that show a run that has exited in neither part for a moment, a draining host whose entry is removed early while it goes on, cuts of the network path within a moment of an end, a restart that overtakes orders and polls on their way, and a pause of the owner while a host returns. The faults of hosts are in a file of their own. `--faults NAME...` draws only from these faults. New faults change what an old seed draws.

--- a/test/soak/FaultInjector.ts
+++ b/test/soak/FaultInjector.ts
@@ -3,14 +3,19 @@
  * platform by the switches of its stand-in. Several faults may be active at the same time.
  */
 
+import { setTimeout as pause } from 'node:timers/promises'
+import { OWNER_KEY } from '../../src/cell/Keys.js'
+import { CUTS, HostFaults } from './HostFaults.js'
+import { pickRandom } from './pickRandom.js'
+
 import type { PlatformStandIn } from '../../platform/standins/PlatformStandIn.js'
 import type { SeededRandom } from '../../src/common/Random.js'
 import type { ControllerCell, IController } from '../support/ControllerCell.js'
+import type { Fault } from './HostFaults.js'
 import type { InvariantChecker } from './InvariantChecker.js'
 
-/** Starts a fault and resolves with the function that ends it. */
-type Fault = () => Promise<() => void | Promise<void>>
-
+/** The longest pause of an owner while a host returns, in ms. */
+const MAX_OWNER_PAUSE_MS = 1500
 const NOTHING_TO_UNDO = (): void => {}
 
 export class FaultInjector {
@@ -18,14 +23,18 @@
   public readonly log: string[] = []
   private readonly _activeFaults = new Set<Promise<void>>()
   private readonly _faults: ReadonlyMap<string, Fault>
+  private readonly _hostFaults: HostFaults
   private readonly _affected = new Set<IController>()
 
   public constructor (
     private readonly _cell: ControllerCell,
     private readonly _platform: PlatformStandIn,
     private readonly _checker: InvariantChecker,
-    private readonly _random: SeededRandom
+    private readonly _random: SeededRandom,
+    /** The names of the faults to draw from; all if empty. */
+    private readonly _names: readonly string[]
   ) {
+    this._hostFaults = new HostFaults(_platform, _checker, _random)
     this._faults = new Map<string, Fault>([
       ['kill', async () => await this._disturbController(async (controller) => {
         await controller.process.kill()
@@ -45,7 +54,7 @@
         return () => { process.resume() }
       })],
       ['storeCut', async () => await this._disturbController(async ({ store }) => {
-        store.cut(...this._randomDirections())
+        store.cut(...pickRandom(this._random, CUTS))
         return () => { store.heal() }
       })],
       ['storeReset', async () => await this._disturbController(async ({ store }) => {
@@ -53,7 +62,7 @@
         return NOTHING_TO_UNDO
       })],
       ['storeOut', async () => this._switchStore(
-        { outage: this._pickRandom(['busy', 'reset', 'silent'] as const), leasesLapse: this._random.next() < 0.5 }, { outage: 'none' })],
+        { outage: pickRandom(this._random, ['busy', 'reset', 'silent'] as const), leasesLapse: this._random.next() < 0.5 }, { outage: 'none' })],
       ['storeSlow', async () => this._switchStore({ slowMs: 250 }, { slowMs: 0 })],
       ['storeLoses', async () => this._switchStore({ loseAnswers: 0.3 }, { loseAnswers: 0 })],
       ['storeLate', async () => this._switchStore({ loseAnswers: 0.3, lateMs: 1500 }, { loseAnswers: 0, lateMs: 0 })],
@@ -61,26 +70,23 @@
         this._platform.store.compact()
         return NOTHING_TO_UNDO
       }],
-      ['hostCut', async () => this._cutHost()],
-      ['hostRestart', async () => this._restartHost()],
-      ['hostLate', async () => this._delayHostOrders()],
-      ['hostLeave', async () => this._drainHost()],
-      ['hostUnlisted', async () => this._cutHostFromStore()],
       ['config', async () => {
         this._platform.putConfig()
         return NOTHING_TO_UNDO
       }],
       ['keys', async () => this._replaceKey()],
-      ['limit', async () => this._changeLimit()]
+      ['limit', async () => this._changeLimit()],
+      ['ownerPause', async () => await this._pauseOwnerAtReturn()],
+      ...this._hostFaults.all()
     ])
   }
 
   /** Injects one random fault, which ends after a random time. */
   public inject (): void {
-    const name = this._pickRandom([...this._faults.keys()])
+    const name = pickRandom(this._random, this._names.length > 0 ? this._names : [...this._faults.keys()])
     const durationMs = 300 + this._random.next() * 3500
     const fault = this._faults.get(name)
-    if (fault === undefined) return
+    if (fault === undefined) throw new Error(`no fault is named ${name}`)
     this.log.push(`${name} for ${Math.round(durationMs)} ms`)
     const activeFault = fault().then(async (undo) => {
       await new Promise<void>((resolve) => { setTimeout(resolve, durationMs) })
@@ -99,7 +105,7 @@
   private async _disturbController (start: (controller: IController) => Promise<() => void | Promise<void>>): Promise<() => Promise<void>> {
     const free = this._cell.controllers.filter((controller) => !this._affected.has(controller))
     if (free.length === 0) return async () => {}
-    const controller = this._pickRandom(free)
+    const controller = pickRandom(this._random, free)
     this._affected.add(controller)
     const undo = await start(controller)
     return async () => {
@@ -131,7 +137,7 @@
 
   /** Removes the first key of a workspace. Callers go on with its second key, which all processes know already, and a third one is added. */
   private _replaceKey (): () => void {
-    const { name } = this._pickRandom(this._platform.workspaces)
+    const { name } = pickRandom(this._random, this._platform.workspaces)
     this._platform.putWorkspaces(this._platform.workspaces.map((workspace) => {
       const [, next = ''] = workspace.keys
       return workspace.name === name ? { ...workspace, keys: [next, `${next}+`] } : workspace
@@ -140,67 +146,28 @@
   }
 
   private _changeLimit (): () => void {
-    const { name } = this._pickRandom(this._platform.workspaces)
-    const maxCpu = this._pickRandom([4500, 6000, 9000])
+    const { name } = pickRandom(this._random, this._platform.workspaces)
+    const maxCpu = pickRandom(this._random, [4500, 6000, 9000])
     this._checker.recordLimit(name, maxCpu)
     this._platform.putWorkspaces(this._platform.workspaces.map((workspace) => workspace.name === name ? { ...workspace, maxCpu } : workspace))
     return NOTHING_TO_UNDO
   }
 
-  private _cutHost (): () => void {
-    const { hostId, forwarder } = this._pickRandom(this._platform.hosts)
-    this._checker.recordDisturbance(hostId)
-    forwarder.cut(...this._randomDirections())
-    return () => {
-      this._checker.recordDisturbance(hostId)
-      forwarder.heal()
-    }
-  }
-
-  private _restartHost (): () => void {
-    const host = this._pickRandom(this._platform.hosts)
-    this._checker.recordDisturbance(host.hostId)
-    host.host.restart()
-    host.registration.renew()
-    return NOTHING_TO_UNDO
-  }
-
-  /** A host drains and leaves, and another one takes its place. Its runs end without a report. */
-  private _drainHost (): () => Promise<void> {
-    const leaving = this._pickRandom(this._platform.hosts)
-    leaving.host.isDraining = true
-    leaving.registration.renew()
+  /** The owner stands still while a host that was cut off returns. */
+  private async _pauseOwnerAtReturn (): Promise<() => Promise<void>> {
+    const heal = this._hostFaults.cut(pickRandom(this._random, this._platform.hosts))
+    const pauseMs = this._random.next() * MAX_OWNER_PAUSE_MS
     return async () => {
-      if (!this._platform.hosts.includes(leaving)) return
-      this._checker.recordDisturbance(leaving.hostId)
-      this._platform.removeHost(leaving)
-      await this._platform.addHost()
+      const record = this._platform.store.read(OWNER_KEY)
+      const owner = this._cell.controllers.find((controller) => record?.includes(`"${controller.id}"`) === true && !this._affected.has(controller))
+      if (owner === undefined) return heal()
+      this._affected.add(owner)
+      owner.process.pause()
+      await pause(pauseMs / 2)
+      heal()
+      await pause(pauseMs / 2)
+      owner.process.resume()
+      this._affected.delete(owner)
     }
   }
-
-  /** A host can't renew its entry, which expires, and goes on running its tasks. */
-  private _cutHostFromStore (): () => void {
-    const { registration } = this._pickRandom(this._platform.hosts)
-    registration.isCut = true
-    return () => {
-      registration.isCut = false
-    }
-  }
-
-  private _delayHostOrders (): () => void {
-    const { host } = this._pickRandom(this._platform.hosts)
-    host.lateShare = 0.3
-    host.lateMs = 800 + this._random.next() * 4000
-    return () => { host.lateShare = 0 }
-  }
-
-  private _randomDirections (): readonly ('toTarget' | 'toClient')[] {
-    return this._pickRandom([['toTarget'], ['toClient'], ['toTarget', 'toClient']] as const)
-  }
-
-  private _pickRandom<T> (items: readonly T[]): T {
-    const picked = items[Math.floor(this._random.next() * items.length)]
-    if (picked === undefined) throw new Error('nothing to pick from')
-    return picked
-  }
 }
--- /dev/null
+++ b/test/soak/HostFaults.ts
@@ -0,0 +1,143 @@
+/**
+ * The faults of hosts: their network path, their entry in the store, restarts, late orders and late lists.
+ */
+
+import { setTimeout as pause } from 'node:timers/promises'
+import { pickRandom } from './pickRandom.js'
+
+import type { IStandInHost, PlatformStandIn } from '../../platform/standins/PlatformStandIn.js'
+import type { SeededRandom } from '../../src/common/Random.js'
+import type { InvariantChecker } from './InvariantChecker.js'
+
+/** Starts a fault and resolves with the function that ends it. */
+export type Fault = () => Promise<() => void | Promise<void>>
+
+/** The directions of a network path that a cut may affect. */
+export const CUTS = [['toTarget'], ['toClient'], ['toTarget', 'toClient']] as const
+/** The longest time between the exit of a run and the listing of its end, in ms. */
+const MAX_LISTING_MS = 150
+/** The longest time between the announcement that a host leaves and the removal of its entry, in ms. */
+const MAX_DRAIN_MS = 2000
+/** The longest delay of a renewal that arrives after the entry was removed, in ms. */
+const MAX_RENEWAL_MS = 1000
+/** A cut around the end of a run begins at most this long before or after the end, in ms. */
+const CUT_OFFSET_MS = 60
+/** The longest time between the first late order and the restart of the host, in ms. */
+const MAX_RESTART_MS = 1000
+
+export class HostFaults {
+  public constructor (
+    private readonly _platform: PlatformStandIn,
+    private readonly _checker: InvariantChecker,
+    private readonly _random: SeededRandom
+  ) {}
+
+  public all (): ReadonlyMap<string, Fault> {
+    return new Map<string, Fault>([
+      ['hostCut', async () => this.cut(this._pickHost())],
+      ['hostCutAtEnd', async () => await this._cutAtEnd()],
+      ['hostRestart', async () => this._restart(this._pickHost())],
+      ['hostLate', async () => this._delayOrders()],
+      ['hostLateRestart', async () => await this._restartBeforeLateOrders()],
+      ['hostLeave', async () => this._drain()],
+      ['hostLeaveUnlisted', async () => await this._drainUnlisted()],
+      ['hostUnlisted', async () => this._cutFromStore()],
+      ['hostLateList', async () => this._delayLists()]
+    ])
+  }
+
+  /** Cuts one or both directions of the host's network path. Returns the function that restores them. */
+  public cut ({ hostId, forwarder }: IStandInHost): () => void {
+    this._checker.recordDisturbance(hostId)
+    forwarder.cut(...pickRandom(this._random, CUTS))
+    return () => {
+      this._checker.recordDisturbance(hostId)
+      forwarder.heal()
+    }
+  }
+
+  /** A host is cut off within a moment of the end of one of its runs. */
+  private async _cutAtEnd (): Promise<() => void> {
+    const host = this._pickHost()
+    const [run] = host.host.running.values()
+    const offsetMs = (2 * this._random.next() - 1) * CUT_OFFSET_MS
+    if (run !== undefined) await pause(Math.max(0, run.beganAtMs + run.workMs - performance.now() + offsetMs))
+    return this.cut(host)
+  }
+
+  private _restart (host: IStandInHost): () => void {
+    if (!this._platform.hosts.includes(host)) return () => {}
+    this._checker.recordDisturbance(host.hostId)
+    host.host.restart()
+    host.registration.renew()
+    return () => {}
+  }
+
+  /** A host restarts while orders and polls are on their way, and carries them out afterwards. */
+  private async _restartBeforeLateOrders (): Promise<() => Promise<void>> {
+    const listed = this._pickHost()
+    const { host } = listed
+    host.isOvertakenByRestart = true
+    host.delaysPolls = true
+    const undo = this._delayOrders(listed)
+    await pause(this._random.next() * MAX_RESTART_MS)
+    this._restart(listed)
+    return async () => {
+      undo()
+      await pause(host.lateMs)
+      this._checker.recordDisturbance(listed.hostId)
+      host.delaysPolls = false
+      host.isOvertakenByRestart = false
+    }
+  }
+
+  /** A host drains and leaves, and another one takes its place. Its runs end without a report. */
+  private _drain (leaving = this._pickHost()): () => Promise<void> {
+    leaving.host.isDraining = true
+    leaving.registration.renew()
+    return async () => {
+      if (!this._platform.hosts.includes(leaving)) return
+      this._checker.recordDisturbance(leaving.hostId)
+      this._platform.removeHost(leaving)
+      await this._platform.addHost()
+    }
+  }
+
+  /** The entry of a host that drains is removed while the host goes on, and a late renewal may bring the entry back. */
+  private async _drainUnlisted (): Promise<() => Promise<void>> {
+    const leaving = this._pickHost()
+    const undo = this._drain(leaving)
+    await pause(this._random.next() * MAX_DRAIN_MS)
+    leaving.registration.remove()
+    const renews = this._random.next() < 0.5
+    const renewalMs = this._random.next() * MAX_RENEWAL_MS
+    if (renews) setTimeout(() => { if (this._platform.hosts.includes(leaving)) leaving.registration.renew() }, renewalMs)
+    return undo
+  }
+
+  /** A host can't renew its entry, which expires, and goes on running its tasks. */
+  private _cutFromStore (): () => void {
+    const { registration } = this._pickHost()
+    registration.isCut = true
+    return () => {
+      registration.isCut = false
+    }
+  }
+
+  private _delayOrders ({ host } = this._pickHost()): () => void {
+    host.lateShare = 0.3
+    host.lateMs = 800 + this._random.next() * 4000
+    return () => { host.lateShare = 0 }
+  }
+
+  /** The lists of a host show a run that has exited neither as running nor as ended for a moment. */
+  private _delayLists (): () => void {
+    const { host } = this._pickHost()
+    host.maxListingMs = MAX_LISTING_MS
+    return () => { host.maxListingMs = 0 }
+  }
+
+  private _pickHost (): IStandInHost {
+    return pickRandom(this._random, this._platform.hosts)
+  }
+}
--- a/test/soak/Soak.ts
+++ b/test/soak/Soak.ts
@@ -18,6 +18,8 @@
   readonly faultsMs: number
   readonly controllers: number
   readonly hosts: number
+  /** The names of the faults to draw from; all if empty. */
+  readonly faults: readonly string[]
 }
 
 export interface ISoakReport {
@@ -54,7 +56,7 @@
   const callers = new SimulatedCallers(cell.controllers, platform, checker, new SeededRandom(options.seed + 2))
   const probes = new ConfigProber(cell.controllers, platform, checker)
   const keyProbes = new KeyProber(cell.controllers, platform, checker)
-  const faults = new FaultInjector(cell, platform, checker, random)
+  const faults = new FaultInjector(cell, platform, checker, random, options.faults)
   try {
     await cell.start(options.controllers)
     probes.start()
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -1,5 +1,6 @@
 /**
- * `npm run soak -- [--seed N] [--count N] [--seconds N] [--controllers N] [--hosts N]`: runs a soak for one seed after the other
+ * `npm run soak -- [--seed N] [--count N] [--seconds N] [--controllers N] [--hosts N]
+ * [--faults NAME…]`: runs a soak for one seed after the other
  * and prints a line for each. The logs of a seed that fails are written to the folder `soak-logs`.
  */
 
@@ -20,13 +21,14 @@
   .option('seconds', { type: 'number', default: 12, describe: 'the time for which faults are injected, for each seed' })
   .option('controllers', { type: 'number', default: 4 })
   .option('hosts', { type: 'number', default: 6 })
+  .option('faults', { type: 'string', array: true, default: [], describe: 'the names of the faults to draw from; all if omitted' })
   .strict()
   .parseAsync()
 
 let failed = 0
 const firstSeed = args.seed ?? randomInt(1_000_000)
 for (let seed = firstSeed; seed < firstSeed + args.count; seed += 1) {
-  const report = await runSoak({ seed, faultsMs: args.seconds * MS_PER_S, controllers: args.controllers, hosts: args.hosts })
+  const report = await runSoak({ seed, faultsMs: args.seconds * MS_PER_S, controllers: args.controllers, hosts: args.hosts, faults: args.faults })
   print(report)
   if (report.violations.length > 0) failed += 1
 }
