Soak: late polls that a restart overtakes are a fault of their own; simulated hosts can list ends late

A late poll of the owner acknowledges ends of the new incarnation that the owner has never seen, so it needs to be told from late orders. The simulated host lists each end at once by default.

--- a/test/soak/HostFaults.ts
+++ b/test/soak/HostFaults.ts
@@ -38,7 +38,8 @@
       ['hostCutAtEnd', async () => await this._cutAtEnd()],
       ['hostRestart', async () => this._restart(this._pickHost())],
       ['hostLate', async () => this._delayOrders()],
-      ['hostLateRestart', async () => await this._restartBeforeLateOrders()],
+      ['hostLateRestart', async () => await this._restartBeforeLateOrders(false)],
+      ['hostLatePollRestart', async () => await this._restartBeforeLateOrders(true)],
       ['hostLeave', async () => this._drain()],
       ['hostLeaveUnlisted', async () => await this._drainUnlisted()],
       ['hostUnlisted', async () => this._cutFromStore()],
@@ -73,12 +74,12 @@
     return () => {}
   }
 
-  /** A host restarts while orders and polls are on their way, and carries them out afterwards. */
-  private async _restartBeforeLateOrders (): Promise<() => Promise<void>> {
+  /** A host restarts while orders, and polls if `delaysPolls` is set, are on their way, and carries them out afterwards. */
+  private async _restartBeforeLateOrders (delaysPolls: boolean): Promise<() => Promise<void>> {
     const listed = this._pickHost()
     const { host } = listed
     host.isOvertakenByRestart = true
-    host.delaysPolls = true
+    host.delaysPolls = delaysPolls
     const undo = this._delayOrders(listed)
     await pause(this._random.next() * MAX_RESTART_MS)
     this._restart(listed)
--- a/test/support/SimulatedHost.ts
+++ b/test/support/SimulatedHost.ts
@@ -33,6 +33,8 @@
   /** The highest run number of each task that must not start any more, by task. */
   private readonly _lastBarredRuns = new Map<string, number>()
   private _ended: IEndRow[] = []
+  /** The ends that are not listed yet. */
+  private _unlisted: { readonly ref: IRunRef, readonly end: EndKind, readonly atMs: MonotonicMs }[] = []
   private _sequence = 0
   private _fence = 0
   private _deadlineMs = 0
@@ -43,6 +45,8 @@
   public isSilent = false
   /** The tasks make no progress. */
   public isStuck = false
+  /** The time between the exit of a run and the listing of its end, in ms; neither list shows the run meanwhile. */
+  public listingMs = 0
   /** Start orders get no answer, but are kept so that they can be carried out later. */
   public losesStarts = false
   private _lateStarts: IStartOrder[] = []
@@ -115,6 +119,7 @@
 
   /** Ends the runs that are due; call this after the clock has advanced. */
   public tick (): void {
+    this._listEnds()
     if (this.clockMs > this._deadlineMs) {
       for (const { ref } of [...this.running.values()]) this._endRun(ref, 'lapsed')
     }
@@ -129,6 +134,7 @@
     this.running.clear()
     this._lastBarredRuns.clear()
     this._ended = []
+    this._unlisted = []
     this._sequence = 0
     this._fence = 0
     this._deadlineMs = 0
@@ -160,8 +166,17 @@
   private _endRun (ref: IRunRef, end: EndKind): void {
     this.running.delete(taskKey(ref))
     this._barUpTo(ref)
-    this._sequence += 1
-    this._ended.push({ sequence: this._sequence, ref, end, checkpoint: '' })
+    this._unlisted.push({ ref, end, atMs: this._clock.nowMs() + this.listingMs })
+    this._listEnds()
+  }
+
+  private _listEnds (): void {
+    const due = this._unlisted.filter(({ atMs }) => atMs <= this._clock.nowMs())
+    this._unlisted = this._unlisted.filter((each) => !due.includes(each))
+    for (const { ref, end } of due) {
+      this._sequence += 1
+      this._ended.push({ sequence: this._sequence, ref, end, checkpoint: '' })
+    }
   }
 
   private _barUpTo (ref: IRunRef): void {
