--- a/src/cell/HostDeparture.test.ts
+++ b/src/cell/HostDeparture.test.ts
@@ -36,6 +36,8 @@
   public readonly scheduler: CellScheduler
   private readonly _entries = new Map<string, IMetadataItem>()
   private readonly _sessions: HostSessions
+  /** The hosts whose entries are gone for good. */
+  private readonly _removed = new Set<string>()
   private _revision = 1
 
   public constructor (t: ExecutionContext) {
@@ -99,11 +101,12 @@
   public removeEntry ({ options }: SimulatedHost): void {
     this._revision += 1
     this._entries.delete(options.hostId)
+    this._removed.add(options.hostId)
   }
 
   private _renewAll (): void {
     for (const { entry, isSilent } of this.hosts) {
-      if (isSilent) continue
+      if (isSilent || this._removed.has(entry.hostId)) continue
       this._revision += 1
       this._entries.set(entry.hostId, { key: entry.hostId, value: JSON.stringify(entry), revision: this._revision })
     }
@@ -181,3 +184,16 @@
   t.is(leaving.running.size, 0)
   t.is(cell.runningCount, 2)
 })
+
+test('a task of a draining host whose entry is removed while the host goes on does not start elsewhere', async (t) => {
+  // Some hosts remove their entry before they exit, and go on serving for seconds.
+  const { cell, leaving } = await setUp(t)
+  cell.removeEntry(leaving)
+  let maxRunning = 0
+  for (let elapsedMs = 0; elapsedMs < MAX_WAIT_MS; elapsedMs += LATENCY_MS) {
+    await advance(cell.clock, LATENCY_MS, LATENCY_MS)
+    maxRunning = Math.max(maxRunning, cell.runningCount)
+  }
+  t.is(maxRunning, 2)
+  t.is(leaving.running.size, 1)
+})
--- a/src/common/cell/CellScheduler.test.ts
+++ b/src/common/cell/CellScheduler.test.ts
@@ -280,3 +280,25 @@
   await cell.run(8000)
   t.is(job.phase, 'completed')
 })
+
+test('a run whose end is not listed yet when a poll is answered does not start again', async (t) => {
+  // The exit of a run and the listing of its end are two steps, and a poll between them shows the run in neither list.
+  const cell = new SimulatedCell({ hosts: 2 })
+  for (const host of cell.hosts) host.listingMs = 150
+  await cell.run(1500)
+  const jobs = Array.from({ length: 8 }, () => cell.submit([{ count: 2 }]))
+  await cell.run(8000)
+  t.true(jobs.every((job) => job.phase === 'completed'))
+  t.is(cell.hosts.reduce((sum, { started }) => sum + started.length, 0), 16)
+})
+
+test('a run that a host started after a restart is not lost when the owner learns of the restart', async (t) => {
+  // The answer to the order doesn't name the incarnation, and the poll that does comes later.
+  const cell = new SimulatedCell({ hosts: 1, holdMs: 1000, host: { workMs: () => 200 } })
+  await cell.run(1500)
+  cell.host(0).restart()
+  const job = cell.submit([{ count: 2 }])
+  await cell.run(8000)
+  t.is(job.phase, 'completed')
+  t.is(cell.host(0).started.length, 2)
+})
