Test of the first poll after a restart; it fails

The host restarts, carries out orders, and their ends get the numbers 1 to 3. The owner's next poll carries the last number of the earlier incarnation, so the host drops these ends unseen.

--- a/src/cell/HostDeparture.test.ts
+++ b/src/cell/HostDeparture.test.ts
@@ -1,5 +1,5 @@
 /**
- * What becomes of the runs of a host that is missing from the host list, on simulated hosts.
+ * What becomes of the runs of a host that is missing from the host list or has restarted, on simulated hosts.
  */
 
 import test from 'ava'
@@ -26,6 +26,8 @@
 const EXPIRY_MS = 3 * HEARTBEAT_MS
 const SETTLED_MS = 1500
 const DRAIN_MS = 5600
+/** Shorter than the pause after a failed poll. */
+const SHORT_WORK_MS = 60
 /** The longest time that a task may wait although there is room for it. */
 const MAX_WAIT_MS = 3000
 
@@ -40,11 +42,11 @@
   private readonly _removed = new Set<string>()
   private _revision = 1
 
-  public constructor (t: ExecutionContext) {
+  public constructor (t: ExecutionContext, workMs = 60_000) {
     const { clock } = this
     const log = new SilentLogger()
     this.hosts = [0, 1, 2].map((number) => new SimulatedHost({
-      hostId: `host-${number}`, cpuMillicores: 8000, memoryMb: 64_000, rack: 'rack', maxHoldMs: MAX_HOLD_MS, workMs: () => 60_000, endOf: () => 'done'
+      hostId: `host-${number}`, cpuMillicores: 8000, memoryMb: 64_000, rack: 'rack', maxHoldMs: MAX_HOLD_MS, workMs: () => workMs, endOf: () => 'done'
     }, clock))
     const orders: IHostOrders = {
       start: async ({ hostId }, order) => this._hostOf(hostId).start(order),
@@ -87,6 +89,11 @@
     return this.hosts.reduce((sum, { running }) => sum + running.size, 0)
   }
 
+  /** The number of runs that the hosts have started. */
+  public get startedCount (): number {
+    return this.hosts.reduce((sum, { started }) => sum + started.length, 0)
+  }
+
   public submit (step: Partial<IStepSpec>): void {
     this.scheduler.admit(new Job({ jobId: '1', description: '', occurrences: 0, steps: [{ ...STEP, ...step }] }, QUEUE, this.clock.nowMs()))
   }
@@ -197,3 +204,23 @@
   t.is(maxRunning, 2)
   t.is(leaving.running.size, 1)
 })
+
+test('the first poll after a restart does not acknowledge ends that the owner has not seen', async (t) => {
+  // The host numbers its ends from one again, and the owner would go by the last number of the earlier incarnation.
+  const cell = new DrainingCell(t, SHORT_WORK_MS)
+  await advance(cell.clock, SETTLED_MS, LATENCY_MS)
+  for (const count of [6, 6]) {
+    cell.submit({ count })
+    await advance(cell.clock, SETTLED_MS, LATENCY_MS)
+  }
+  const startedBefore = cell.startedCount
+  for (const host of cell.hosts) host.isSilent = true
+  await advance(cell.clock, SHORT_WORK_MS, LATENCY_MS)
+  for (const host of cell.hosts) {
+    host.restart()
+    host.isSilent = false
+  }
+  cell.submit({ count: 3, maxPerHost: 1 })
+  await advance(cell.clock, MAX_WAIT_MS, LATENCY_MS)
+  t.is(cell.startedCount - startedBefore, 3)
+})
