--- a/test/soak/FaultInjector.ts
+++ b/test/soak/FaultInjector.ts
@@ -156,8 +156,10 @@
   /** The owner stands still while a host that was cut off returns. */
   private async _pauseOwnerAtReturn (): Promise<() => Promise<void>> {
     const heal = this._hostFaults.cut(pickRandom(this._random, this._platform.hosts))
+    const longerMs = this._hostFaults.drawLongerMs()
     const pauseMs = this._random.next() * MAX_OWNER_PAUSE_MS
     return async () => {
+      await pause(longerMs)
       const record = this._platform.store.read(OWNER_KEY)
       const owner = this._cell.controllers.find((controller) => record?.includes(`"${controller.id}"`) === true && !this._affected.has(controller))
       if (owner === undefined) return heal()
--- a/test/soak/HostFaults.ts
+++ b/test/soak/HostFaults.ts
@@ -22,6 +22,7 @@
 const MAX_RENEWAL_MS = 1000
 /** A cut around the end of a run begins at most this long before or after the end, in ms. */
 const CUT_OFFSET_MS = 60
+const MAX_LONGER_MS = 5000
 /** The delay of late orders, in ms. */
 const MIN_LATE_MS = 800
 const MAX_LATE_MS = 4800
@@ -65,13 +66,23 @@
     }
   }
 
-  /** A host is cut off within a moment of the end of one of its runs. */
-  private async _cutAtEnd (): Promise<() => void> {
+  /** A host is cut off within a moment of the end of one of its runs, and returns before or after its lease has ended. */
+  private async _cutAtEnd (): Promise<() => Promise<void>> {
     const host = this._pickHost()
     const [run] = host.host.running.values()
     const offsetMs = (2 * this._random.next() - 1) * CUT_OFFSET_MS
     if (run !== undefined) await pause(Math.max(0, run.beganAtMs + run.workMs - performance.now() + offsetMs))
-    return this.cut(host)
+    const heal = this.cut(host)
+    const longerMs = this.drawLongerMs()
+    return async () => {
+      await pause(longerMs)
+      heal()
+    }
+  }
+
+  /** How much longer a cut lasts: half of the cuts may last until all leases of the host have ended. */
+  public drawLongerMs (): number {
+    return this._random.next() < 0.5 ? 0 : this._random.next() * MAX_LONGER_MS
   }
 
   private _restart (host: IStandInHost): () => void {
