--- a/test/soak/Soak.ts
+++ b/test/soak/Soak.ts
@@ -72,7 +72,7 @@
     await cell.close()
     await platform.close()
   }
-  const logs = new Map(cell.controllers.map(({ id, process }) => [id, [...process.stdout, ...process.stderr]]))
+  const logs = new Map(cell.controllers.map(({ id, earlierOutput, process }) => [id, [...earlierOutput, ...process.stdout, ...process.stderr]]))
   const { submitted, accepted } = callers
   return { seed: options.seed, violations: checker.violations, submitted, accepted, starts: checker.starts, faults: faults.log, logs }
 }
--- a/test/support/ControllerCell.ts
+++ b/test/support/ControllerCell.ts
@@ -29,6 +29,8 @@
   /** The forwarder between the controller and the store. */
   readonly store: TcpForwarder
   process: ProcessHandle
+  /** The output of the processes before the current one. */
+  readonly earlierOutput: string[]
   /** Absent until the current process has printed its ready line, and after it has ended. */
   urls: IControllerUrls | undefined
 }
@@ -54,6 +56,7 @@
 
   /** Starts the process again with the same settings. It serves as soon as the store has answered it. */
   public restart (controller: IController): void {
+    controller.earlierOutput.push(...controller.process.stdout, ...controller.process.stderr)
     controller.process = startProcess(this._binary, ['--config', controller.configPath])
     trackUrls(controller)
   }
@@ -72,7 +75,7 @@
     const configPath = join(this._folder, `${id}.ini`)
     writeFileSync(configPath, settingsText(id, port, this._platform.advicePort, this._maxHoldMs))
     const process = startProcess(this._binary, ['--config', configPath], this._nodeArgs)
-    const controller: IController = { id, configPath, store: forwarder, process, urls: undefined }
+    const controller: IController = { id, configPath, store: forwarder, process, earlierOutput: [], urls: undefined }
     this.controllers.push(controller)
     trackUrls(controller)
   }
