--- a/src/common/cell/HoldAnswerHandler.ts
+++ b/src/common/cell/HoldAnswerHandler.ts
@@ -1,6 +1,6 @@
 /**
- * Applies a host's report of its runs and ends to the jobs. A run counts as gone only when that is certain: its end is listed, a
- * list that would have to show it doesn't, the host has restarted, or every lease of the run has ended.
+ * Applies a host's report of its runs and ends to the jobs. A run counts as gone only when that is certain: its end is listed, two lists
+ * that would have to show it don't, the host has left, or every lease of the run has ended.
  */
 
 import type { ILogger } from '../observability/Types.js'
