host.endsMissed isn't logged for ends that an earlier owner acknowledged

Cause: the line was left out only before the first list; a host without open ends has an empty first list, and its next end is numbered after all that were acknowledged before.

Change: gaps are told from the first end on that this owner has seen, and from the start of an incarnation whose beginning it knows. Only a log line depends on it.

--- a/src/common/cell/HoldAnswerHandler.ts
+++ b/src/common/cell/HoldAnswerHandler.ts
@@ -108,16 +108,17 @@
       if (row.sequence <= host.appliedSequence) continue
       this._checkSequence(host, row)
       host.appliedSequence = row.sequence
+      host.isSequenceKnown = true
       const attempt = findAttempt(host, row.ref)
       if (attempt === undefined) this._applyLateEnd(host, row, changed, nowMs)
       else this._applyEnd(host, attempt, row, changed, nowMs)
     }
   }
 
-  /** Logs if the host has forgotten ends that this owner never saw. The ends before an owner's first list were acknowledged by earlier owners. */
+  /** Logs if the host has forgotten ends that this owner never saw. The ends before the first that it sees were acknowledged by earlier owners. */
   private _checkSequence (host: HostState, { sequence }: IEndRow): void {
     const { appliedSequence } = host
-    if (!host.isFenced || sequence === appliedSequence + 1) return
+    if (!host.isSequenceKnown || sequence === appliedSequence + 1) return
     this._log.error('host.endsMissed', { host: host.hostId, bornMs: host.bornMs, appliedSequence, sequence })
   }
 
--- a/src/common/cell/HostState.ts
+++ b/src/common/cell/HostState.ts
@@ -50,6 +50,8 @@
   /** The sequence of the last end that was applied, and of the last one whose effect is stored. */
   public appliedSequence = 0
   public storedSequence = 0
+  /** Whether every end after `appliedSequence` is still to be seen; not so before the first end that a new owner sees. */
+  public isSequenceKnown = false
   /** The sequence up to which the host has forgotten its ends. */
   private _acknowledgedSequence = 0
   /** Resolves once the ends that have been applied are stored. */
@@ -227,6 +229,7 @@
     this.bornMs = bornMs
     this.appliedSequence = 0
     this.storedSequence = 0
+    this.isSequenceKnown = true
     this._acknowledgedSequence = 0
     this._clockMs = 0
     this._clockAtMs = -Infinity
