Tests of the operator listener don't count a starved client as slow

Cause: every test of the file ran with 200 ms for the headers of a request, which only the test of a slow client needs. A process that gets no processor time for longer than that between accepting a connection and reading it closes the connection with 408 and an empty body.

Change: only the slow client's test uses the short limit, the others the product's default. The checks are unchanged. The new test of a starved client fails with the short limit (408 instead of 404).

--- a/src/runtime/OperatorServer.test.ts
+++ b/src/runtime/OperatorServer.test.ts
@@ -1,13 +1,16 @@
 import { createConnection } from 'node:net'
 import test from 'ava'
 import fc from 'fast-check'
-import { OPERATOR_TOKEN as TOKEN, TEST_LIMITS, startOperator as setUp } from '../../test/support/OperatorFixture.js'
+import { Client } from 'undici'
+import { OPERATOR_TOKEN as TOKEN, SHORT_TIMEOUT_LIMITS, startOperator as setUp } from '../../test/support/OperatorFixture.js'
 import { URGENT_PROFILE } from '../common/config/DefaultProfiles.js'
 import { SilentLogger } from '../common/observability/SilentLogger.js'
 import { createBroker } from './Broker.js'
 import { OperatorServer } from './OperatorServer.js'
 
 const SEED = 20_261_202
+/** Longer than the shortest time limit for the headers of a request in these tests, in ms. */
+const STARVED_MS = 400
 
 test('refuses a request without the token before it reads the body', async t => {
   const { call } = await setUp(t)
@@ -66,7 +69,7 @@
 // Clients open connections and send their headers a byte at a time, or not at all. Without a time limit, a few hundred such
 // clients would use up the connections, and operators could not connect.
 test('the connection of a slow client is closed', async t => {
-  const { url } = await setUp(t)
+  const { url } = await setUp(t, {}, SHORT_TIMEOUT_LIMITS)
   const socket = createConnection(Number(new URL(url).port), '127.0.0.1')
   socket.on('error', () => {})
   socket.write('GET /v1/dump HTTP/1.1\r\nauth')
@@ -74,10 +77,21 @@
   t.pass()
 })
 
+// A client that gets no processor time between connecting and sending must not be answered 408, without a JSON body.
+test('a client that is starved for a moment after it has connected gets its answer', async t => {
+  const { url } = await setUp(t)
+  const client = new Client(url)
+  t.teardown(async () => { await client.close() })
+  client.once('connect', () => { Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, STARVED_MS) })
+  const answer = await client.request({ path: '/', method: 'DELETE', headers: { authorization: `Bearer ${TOKEN}` }, body: '{}' })
+  t.is(answer.statusCode, 404)
+  t.is(typeof await answer.body.json(), 'object')
+})
+
 test('an address that is already in use is reported as an error', async t => {
   const { url } = await setUp(t)
   const logger = new SilentLogger()
   const listen = { ip: '127.0.0.1', port: Number(new URL(url).port) }
-  const server = new OperatorServer(createBroker('gateway-2', logger), { listen, token: TOKEN }, TEST_LIMITS, {}, logger)
+  const server = new OperatorServer(createBroker('gateway-2', logger), { listen, token: TOKEN }, SHORT_TIMEOUT_LIMITS, {}, logger)
   t.regex((await server.listen())._unsafeUnwrapErr().message, /EADDRINUSE/)
 })
--- a/test/support/OperatorFixture.ts
+++ b/test/support/OperatorFixture.ts
@@ -19,7 +19,8 @@
 import type { ILimitSettings } from '../../src/runtime/settings/Types.js'
 
 export const OPERATOR_TOKEN = 'a-token-of-the-test'
-export const TEST_LIMITS: ILimitSettings = { ...SETTINGS_DEFAULTS.limits, headersTimeoutMs: 200 }
+/** Closes the connections of slow clients early. A client that is starved of processor time counts as slow, too. */
+export const SHORT_TIMEOUT_LIMITS: ILimitSettings = { ...SETTINGS_DEFAULTS.limits, headersTimeoutMs: 200 }
 
 type Method = 'GET' | 'PUT' | 'POST' | 'DELETE'
 
@@ -30,7 +31,7 @@
 }
 
 /** Starts the listener; it is closed at the end of the test. */
-export async function startOperator (t: ExecutionContext, moreHandlers: OperatorHandlers = {}) {
+export async function startOperator (t: ExecutionContext, moreHandlers: OperatorHandlers = {}, limits: ILimitSettings = SETTINGS_DEFAULTS.limits) {
   const store = new ScriptedStore()
   const editor = new ConfigEditor(store, new ConfigReplica(), new SystemClock(), {
     newNonce: () => Math.random().toString(), retryPauseMs: 1, maxAttempts: 2, maxHistory: 10
@@ -44,7 +45,7 @@
     ...moreHandlers
   }
   const settings = { listen: { ip: '127.0.0.1', port: 0 }, token: OPERATOR_TOKEN }
-  const server = new OperatorServer(broker, settings, TEST_LIMITS, handlers, new SilentLogger())
+  const server = new OperatorServer(broker, settings, limits, handlers, new SilentLogger())
   await broker.start()
   const url = (await server.listen())._unsafeUnwrap()
   t.teardown(async () => {
