An owner is chosen by its link and memory too, not only by its processor

What callers saw: on a deployment with machines of 1.35 cores and 200 Mbit/s beside ones of 0.81 cores and 10 Mbit/s, a machine with the narrow link owned the cell for 16 s. Orders took 290 to 430 ms in the median, and hardly any job met its objective.

Cause: a process waited for others only if its processor was slow. The narrow machine has the processor that an owner needs (0.6 cores), so it counted as fit, and was the successor near the store that had started last.

Change: the settings have the link and the memory of a machine (optional; without them they count as unlimited). OwnerFitness makes one figure of the three resources, and the wait before a process acquires the cell follows it.

--- a/src/daemon/ControllerDaemon.ts
+++ b/src/daemon/ControllerDaemon.ts
@@ -21,6 +21,7 @@
 import { OwnerExitDetector } from '../cell/OwnerExitDetector.js'
 import { StandbySelector, StandbyWatch } from '../cell/Standby.js'
 import { SystemClock } from '../common/Clock.js'
+import { OWNER_CORES, ownerFitness, unfitYieldMs } from '../common/cell/OwnerFitness.js'
 import { DisposableStore } from '../common/Emitter.js'
 import { Counters } from '../common/observability/Counters.js'
 import { LatencyTable } from '../common/observability/LatencyTable.js'
@@ -51,12 +52,6 @@
 const BALANCER_NOTICE_MS = 2300
 /** Part of the stop grace period that is reserved for closing listeners and links, in ms. */
 const CLOSE_RESERVE_MS = 1500
-/**
- * Processor capacity that an owner should have, in cores: with 250 hosts and 80 jobs a second, an owner uses half a core. A process
- * on a slower machine delays its attempt to become the owner by `SLOW_MACHINE_YIELD_MS`, and so owns the cell only if no other does.
- */
-const OWNER_CORES = 0.6
-const SLOW_MACHINE_YIELD_MS = 600
 /** A process that couldn't reach the last owner may itself be unreachable, so it delays its attempt to become the owner by this time, in ms. */
 const ISOLATED_YIELD_MS = 600
 /** Interval of heartbeats on links, and the silence after which a link is lost, in ms: a lost link is detected about as fast as a lease ends. */
@@ -274,10 +269,11 @@
     return processorShare * processorSpeed
   }
 
-  /** How long this process lets others try to become the owner first: if its machine is slow, or if it didn't reach the last owner. */
+  /** How long this process lets others try to become the owner first: if its machine is less fit, or if it didn't reach the last owner. */
   private _computeYieldMs (): number {
-    const slowMachineMs = this._processorCores < OWNER_CORES ? SLOW_MACHINE_YIELD_MS : 0
-    return slowMachineMs + (this._route?.isIsolated === true ? ISOLATED_YIELD_MS : 0)
+    const { linkMbps, memoryMb } = this._settings.process
+    const fitness = ownerFitness({ processorCores: this._processorCores, linkMbps, memoryMb })
+    return unfitYieldMs(fitness) + (this._route?.isIsolated === true ? ISOLATED_YIELD_MS : 0)
   }
 
   private _stopOwner (): void {
--- a/src/runtime/settings/ControllerSettings.ts
+++ b/src/runtime/settings/ControllerSettings.ts
@@ -27,7 +27,9 @@
     region: simpleName(),
     failureDomain: simpleName(),
     processorShare: number(0.01, 1, 'the machine\'s processor'),
-    processorSpeed: number(0.01, 1000, 'cores that the processor corresponds to')
+    processorSpeed: number(0.01, 1000, 'cores that the processor corresponds to'),
+    linkMbps: number(0.01, 1_000_000, 'megabits a second of the machine\'s link').optional(),
+    memoryMb: number(1, 100_000_000, 'megabytes that the process may use').optional()
   }),
   callers: z.strictObject({ listen: listenAddress() }),
   readiness: z.strictObject({ listen: listenAddress() }),
