An unfit or overloaded owner hands the cell over to a fitter process

What callers saw: on a fleet of unlike machines, an owner on a narrow link kept the cell for as long as it lived, with orders of 290 to 430 ms in the median, although machines with a wide link were there. Hardly any job met its objective in that time.

Cause: fitness mattered only when the cell had no owner. An owner that is alive and confirmed kept the cell, however slow it is.

Peers report their effective fitness in the replies to cellOffer and cellRelief (optional field fitness), and cellTakeOver says whether it is for relief (optional field isRelief). The owner learns the fitness from the offers for the standby, so a cell of machines that are all alike never asks. An unfit owner doesn't move the cell to a machine of its own kind, overloaded or not. The peers' offers are collected by one function now, which StoreLossHandover uses as well. Replies of peers that didn't answer within 250 ms still tell the fitness.

--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -141,6 +141,10 @@
     this.ready = Promise.race([this._jobStore.then(() => {}), this._disposed])
   }
 
+  public get isOverloaded (): boolean {
+    return this._limiter.isOverloaded
+  }
+
   public async submit (submission: ISubmission): Promise<OwnerAnswer> {
     await this.ready
     const access = await this._authorizer.authorize(submission)
--- a/src/cell/Handover.test.ts
+++ b/src/cell/Handover.test.ts
@@ -69,9 +69,26 @@
   const handlers = new Map<string, () => Promise<{ readonly isWilling: boolean }>>()
   const hub = { handle: (name: string, handler: () => Promise<{ readonly isWilling: boolean }>) => { handlers.set(name, handler) } }
   const ownership = { canAcquire: true, isCurrent: false, yieldMs: 0, peerUrl: '', checkStoreReachable: async () => false }
-  registerOwnershipHandlers(hub as unknown as IPeerHub, ownership as unknown as Ownership)
+  registerOwnershipHandlers(hub as unknown as IPeerHub, ownership as unknown as Ownership, { effectiveFitness: 1, recordRequest: () => {} })
   t.is((await handlers.get('cellOffer')?.())?.isWilling, false)
   t.is((await handlers.get('cellRelief')?.())?.isWilling, false)
   ownership.isCurrent = true
   t.is((await handlers.get('cellOffer')?.())?.isWilling, true)
 })
+
+test('a process reports its fitness, and passes on who asks it for relief without changing the record that it takes', async (t) => {
+  const handlers = new Map<string, (request: object) => Promise<object>>()
+  const hub = { handle: (name: string, handler: (request: object) => Promise<object>) => { handlers.set(name, handler) } }
+  const taken: object[] = []
+  const acceptHandover = async (owner: object): Promise<boolean> => taken.push(owner) > 0
+  const ownership = { canAcquire: true, isCurrent: true, yieldMs: 0, peerUrl: '', checkStoreReachable: async () => true, acceptHandover }
+  let requests = 0
+  const candidate = { effectiveFitness: 0.5, recordRequest: () => { requests += 1 } }
+  registerOwnershipHandlers(hub as unknown as IPeerHub, ownership as unknown as Ownership, candidate)
+  t.deepEqual(await handlers.get('cellRelief')?.(RECORD), { isWilling: true, yieldMs: 0, peerUrl: '', fitness: 0.5 })
+  await handlers.get('cellTakeOver')?.(RECORD)
+  t.is(requests, 0)
+  await handlers.get('cellTakeOver')?.({ ...RECORD, isRelief: true })
+  t.is(requests, 1)
+  t.deepEqual(taken, [RECORD, RECORD])
+})
--- a/src/cell/Handover.ts
+++ b/src/cell/Handover.ts
@@ -11,25 +11,45 @@
 import type { ISuccessorOffer } from '../common/cell/Successor.js'
 import type { ICellOfferReply } from '../common/protocol/Types.js'
 import type { ILogger } from '../common/observability/Types.js'
+import type { ITimers } from '../common/Types.js'
 import type { IPeerHandlers, IPeerHub, IPeerLink } from '../peer/Types.js'
 import type { Ownership } from './Ownership.js'
 import type { IOwnerRecord } from './Types.js'
 
 /** A process that doesn't answer within this time is not asked to take over, in ms: six round trips between regions. */
-const OFFER_TIMEOUT_MS = 250
+export const OFFER_TIMEOUT_MS = 250
 /**
  * A takeover takes two calls to the store: 0.7 s in total if the store is 90 times as slow as usual. After this timeout, in ms, the owner
  * releases the record.
  */
 const TAKEOVER_TIMEOUT_MS = 1400
 
+/** What a process tells owners of its fitness. */
+export interface IReliefCandidate {
+  readonly effectiveFitness: number
+  /** An owner asks this process to take the cell over because it is fitter. */
+  recordRequest (): void
+}
+
+/** How long offers are collected, in ms. */
+export interface IOfferWait {
+  readonly timeoutMs: number
+  /** After the first acceptable offer, other peers have this long to answer. */
+  readonly moreMs: number
+}
+
 /** Registers the handlers of the peers' calls that concern who owns the cell. */
-export function registerOwnershipHandlers (handlers: IPeerHandlers, ownership: Ownership): void {
+export function registerOwnershipHandlers (handlers: IPeerHandlers, ownership: Ownership, candidate: IReliefCandidate): void {
   handlers.handle('cellReach', async () => ({ isReached: ownership.isOwner && await ownership.checkStoreReachable() }))
-  const offer = (isWilling: boolean): ICellOfferReply => ({ isWilling, yieldMs: ownership.yieldMs, peerUrl: ownership.peerUrl })
+  const offer = (isWilling: boolean): ICellOfferReply => {
+    return { isWilling, yieldMs: ownership.yieldMs, peerUrl: ownership.peerUrl, fitness: candidate.effectiveFitness }
+  }
   handlers.handle('cellOffer', async () => offer(ownership.canAcquire && ownership.isCurrent))
   handlers.handle('cellRelief', async () => offer(ownership.canAcquire && await ownership.checkStoreReachable()))
-  handlers.handle('cellTakeOver', async (owner) => ({ isOwner: await ownership.acceptHandover(owner) }))
+  handlers.handle('cellTakeOver', async ({ isRelief, ...owner }) => {
+    if (isRelief === true) candidate.recordRequest()
+    return { isOwner: await ownership.acceptHandover(owner) }
+  })
 }
 
 /** Resolves when another process owns the cell, or the record has been released. */
@@ -50,11 +70,32 @@
 ): Promise<ISuccessorOffer> {
   const { processId, incarnation } = link.peer
   const reply = await link.call(ask, record, timeoutMs)
-  return reply.isOk() ? { processId, incarnation, ...reply.value } : { processId, incarnation, peerUrl: '', isWilling: false, yieldMs: 0 }
+  if (reply.isErr()) return { processId, incarnation, peerUrl: '', isWilling: false, yieldMs: 0, isSilent: true }
+  return { processId, incarnation, ...reply.value }
+}
+
+/** Asks all peers for relief. Returns the answers that arrive until shortly after the first acceptable one. */
+export async function collectReliefOffers (
+  hub: IPeerHub, record: IOwnerRecord, { timeoutMs, moreMs }: IOfferWait, isAcceptable: (offer: ISuccessorOffer) => boolean, timers: ITimers,
+  onFailure: (error: unknown) => void
+): Promise<readonly ISuccessorOffer[]> {
+  const pause = async (forMs: number): Promise<void> => { await new Promise<void>((resolve) => { timers.after(forMs, resolve) }) }
+  const offers: ISuccessorOffer[] = []
+  const firstAcceptable = new Promise<void>((resolve) => {
+    for (const link of hub.links()) {
+      requestOffer(link, record, 'cellRelief', timeoutMs).then((offer) => {
+        offers.push(offer)
+        if (isAcceptable(offer)) resolve()
+      }, onFailure)
+    }
+  })
+  await Promise.race([firstAcceptable, pause(timeoutMs)])
+  await pause(moreMs)
+  return [...offers]
 }
 
 /** Asks a process to take the cell over; resolves to whether it has done so. */
-export async function requestTakeover (link: IPeerLink | undefined, record: IOwnerRecord): Promise<boolean> {
-  const reply = await link?.call('cellTakeOver', record, TAKEOVER_TIMEOUT_MS)
+export async function requestTakeover (link: IPeerLink | undefined, record: IOwnerRecord, isRelief = false): Promise<boolean> {
+  const reply = await link?.call('cellTakeOver', isRelief ? { ...record, isRelief } : record, TAKEOVER_TIMEOUT_MS)
   return reply?.isOk() === true && reply.value.isOwner
 }
--- a/src/cell/JobLimiter.ts
+++ b/src/cell/JobLimiter.ts
@@ -25,9 +25,15 @@
   private readonly _rate = new AdmissionRate()
   private readonly _shares = new ShareMeter()
   private _loggedAtMs: MonotonicMs = -Infinity
+  private _isOverloaded = false
 
   public constructor (private readonly _inputs: IJobLimiterInputs, private readonly _clock: IClock & ITimers, private readonly _log: ILogger) {}
 
+  /** Whether the owner is the bottleneck, as of the last update. */
+  public get isOverloaded (): boolean {
+    return this._isOverloaded
+  }
+
   /** Adapts the limit until disposed. */
   public start (): IDisposable {
     return this._clock.every(ADMISSION_UPDATE_MS, () => { this._update() })
@@ -56,7 +62,7 @@
   private _update (): void {
     const nowMs = this._clock.nowMs()
     const wasLimited = this._rate.tasksPerS !== undefined
-    this._rate.update(nowMs, this._inputs.countBacklog())
+    this._isOverloaded = this._rate.update(nowMs, this._inputs.countBacklog())
     const isLimited = this._rate.tasksPerS !== undefined
     const isLogDue = isLimited !== wasLimited || (isLimited && nowMs - this._loggedAtMs >= LOG_INTERVAL_MS)
     if (!isLogDue) return
--- a/src/cell/Standby.test.ts
+++ b/src/cell/Standby.test.ts
@@ -151,7 +151,7 @@
 test('the owner names the process nearest the store as the standby, and announces it to all peers', async (t) => {
   const clock = new ManualClock()
   const hub = new ScriptedHub({ processId: 'owner' }, clock)
-  const choice = new StandbySelector(hub as unknown as IPeerHub, OWNER, clock, new SilentLogger())
+  const choice = new StandbySelector(hub as unknown as IPeerHub, OWNER, 1, clock, new SilentLogger())
   await advance(clock, 1100, 10)
   t.deepEqual(hub.casts.filter((cast) => cast.startsWith('cellStandby')).length, 4)
   choice.dispose()
--- a/src/cell/Standby.ts
+++ b/src/cell/Standby.ts
@@ -8,20 +8,24 @@
  * it costs a takeover, so the ping timeout adapts to the owner's recent answers.
  */
 
+import { PeerFitness } from '../common/cell/PeerFitness.js'
 import { chooseSuccessor } from '../common/cell/Successor.js'
 import { DisposableStore } from '../common/Emitter.js'
 
+import type { ISuccessorOffer } from '../common/cell/Successor.js'
 import type { ILogger } from '../common/observability/Types.js'
 import type { ICellStandbyCast } from '../common/protocol/Types.js'
 import type { IClock, IDisposable, ITimers } from '../common/Types.js'
 import type { IPeerHub, IPeerLink } from '../peer/Types.js'
-import { requestOffer } from './Handover.js'
+import { OFFER_TIMEOUT_MS, requestOffer } from './Handover.js'
 import type { Ownership } from './Ownership.js'
 import { AnswerTimeout } from './AnswerTimeout.js'
 import type { IOwnerRecord } from './Types.js'
 
-/** How often an owner checks whether there is a standby, in ms; first when most processes have found the owner. */
+/** How often an owner checks whether there is a standby and whether it knows its peers, in ms; first when most processes have found the owner. */
 const CHECK_INTERVAL_MS = 1000
+/** An answer that is too late for the choice still tells the fitness, for this long, in ms: orders may queue on the link of an unfit owner. */
+const LATE_OFFER_MS = 2000
 /** How often the standby pings the owner, in ms. */
 const PING_INTERVAL_MS = 150
 /** A busy process may pause for less than `minMs`. An owner that has just taken over reads all jobs, and may take as long as a lease. */
@@ -33,13 +37,19 @@
 /** Time for the replies of the other processes in addition to that, in ms: two round trips between regions. */
 const WITNESS_SLACK_MS = 100
 
-/** On the owner: names a standby whenever there is none, and announces it to all peers. */
+/** On the owner: names a standby whenever there is none, announces it to all peers, and learns the peers' fitness. */
 export class StandbySelector implements IDisposable {
+  /** The fitness of the peers, as far as they have reported it. */
+  public readonly peerFitness = new PeerFitness()
   private readonly _disposables = new DisposableStore()
   private _standby: ICellStandbyCast | undefined
 
-  public constructor (private readonly _hub: IPeerHub, private readonly _record: IOwnerRecord, timers: ITimers, private readonly _log: ILogger) {
-    this._disposables.add(timers.every(CHECK_INTERVAL_MS, () => {
+  /** @param _ownerFitness the fitness of this machine */
+  public constructor (
+    private readonly _hub: IPeerHub, private readonly _record: IOwnerRecord, private readonly _ownerFitness: number,
+    private readonly _clock: IClock & ITimers, private readonly _log: ILogger
+  ) {
+    this._disposables.add(_clock.every(CHECK_INTERVAL_MS, () => {
       this._ensureStandby().catch((error: unknown) => { _log.error('standby.choiceFailed', { reason: String(error) }) })
     }))
     this._disposables.add(_hub.onLink((link) => { if (this._standby !== undefined) link.cast('cellStandby', this._standby) }))
@@ -50,14 +60,31 @@
   }
 
   private async _ensureStandby (): Promise<void> {
-    if (this._standby !== undefined && this._hub.link(this._standby.processId) !== undefined) return
-    const offers = await Promise.all(this._hub.links().map(async (link) => await requestOffer(link, this._record)))
-    const chosen = chooseSuccessor(offers)
+    const isPresent = this._standby !== undefined && this._hub.link(this._standby.processId) !== undefined
+    const peers = this._hub.links().map(({ peer }) => peer)
+    this.peerFitness.retain(peers)
+    // In a cell of machines that are all alike, no peer can be much fitter than the owner.
+    if (isPresent && this.peerFitness.isComplete(peers) && !this.peerFitness.isUneven(this._ownerFitness)) return
+    const offers = await this._requestOffers()
+    const chosen = isPresent ? undefined : chooseSuccessor(offers)
     if (chosen === undefined) return
     this._standby = { processId: chosen.processId, peerUrl: chosen.peerUrl, revision: this._record.revision }
-    this._log.info('standby.chosen', { peer: chosen.processId, offers: offers.length, revision: this._record.revision })
+    const { processId: peer, fitness } = chosen
+    this._log.info('standby.chosen', { peer, fitness, offers: offers.length, revision: this._record.revision })
     for (const link of this._hub.links()) link.cast('cellStandby', this._standby)
   }
+
+  /** Returns the offers for a choice; later answers only tell the fitness. */
+  private async _requestOffers (): Promise<readonly ISuccessorOffer[]> {
+    const offers: ISuccessorOffer[] = []
+    const all = Promise.all(this._hub.links().map(async (link) => {
+      const offer = await requestOffer(link, this._record, 'cellOffer', LATE_OFFER_MS)
+      offers.push(offer)
+      if (offer.isSilent !== true) this.peerFitness.record(offer)
+    }))
+    await Promise.race([all, new Promise<void>((resolve) => { this._clock.after(OFFER_TIMEOUT_MS, resolve) })])
+    return [...offers]
+  }
 }
 
 /** On every process: keeps a link to the standby, or watches the owner if this process is the standby. */
--- a/src/cell/StoreLossHandover.ts
+++ b/src/cell/StoreLossHandover.ts
@@ -9,10 +9,9 @@
 import { chooseSuccessor } from '../common/cell/Successor.js'
 import { DisposableStore } from '../common/Emitter.js'
 import { AnswerTimeout } from './AnswerTimeout.js'
-import { requestOffer, requestTakeover } from './Handover.js'
+import { collectReliefOffers, requestTakeover } from './Handover.js'
 import { RENEW_INTERVAL_MS } from './Ownership.js'
 
-import type { ISuccessorOffer } from '../common/cell/Successor.js'
 import type { ILogger } from '../common/observability/Types.js'
 import type { IClock, IDisposable, ITimers, MonotonicMs } from '../common/Types.js'
 import type { IPeerHub } from '../peer/Types.js'
@@ -26,6 +25,7 @@
 const OFFER_TIMEOUT_MS = 500
 /** After the first offer of a peer that reaches the store, other peers have this long to answer, in ms, and so has the store to answer the owner. */
 const MORE_OFFERS_MS = 100
+const OFFER_WAIT = { timeoutMs: OFFER_TIMEOUT_MS, moreMs: MORE_OFFERS_MS }
 /** Shortest interval between two requests to the peers, in ms. */
 const MIN_ASK_INTERVAL_MS = 1000
 
@@ -69,7 +69,8 @@
     this._askedAtMs = this._clock.nowMs()
     let isReached = false
     this._ownership.checkStoreReachable().then((reached) => { isReached = reached }, (error: unknown) => { this._logFailure(error) })
-    const offers = await this._collectOffers()
+    const onFailure = (error: unknown): void => { this._logFailure(error) }
+    const offers = await collectReliefOffers(this._hub, this._record, OFFER_WAIT, ({ isWilling }) => isWilling, this._clock, onFailure)
     const successor = chooseSuccessor(offers)
     const isBack = isReached || this._ownership.confirmedAtMs > confirmedAtMs || this._ownership.record?.revision !== this._record.revision
     const isTaken = successor !== undefined && !isBack && await requestTakeover(this._hub.link(successor.processId), this._record)
@@ -78,27 +79,7 @@
     this._log.warn('owner.unconfirmed', { ageMs, answered: offers.length, willing, isBack, successor: successor?.processId, isTaken, revision: this._record.revision })
   }
 
-  /** Returns the peers' answers that arrive until shortly after the first offer of a peer that reaches the store. */
-  private async _collectOffers (): Promise<readonly ISuccessorOffer[]> {
-    const offers: ISuccessorOffer[] = []
-    const firstWilling = new Promise<void>((resolve) => {
-      for (const link of this._hub.links()) {
-        requestOffer(link, this._record, 'cellRelief', OFFER_TIMEOUT_MS).then((offer) => {
-          offers.push(offer)
-          if (offer.isWilling) resolve()
-        }, (error: unknown) => { this._logFailure(error) })
-      }
-    })
-    await Promise.race([firstWilling, this._pause(OFFER_TIMEOUT_MS)])
-    await this._pause(MORE_OFFERS_MS)
-    return [...offers]
-  }
-
   private _logFailure (error: unknown): void {
     this._log.error('owner.reliefFailed', { reason: String(error) })
   }
-
-  private async _pause (forMs: number): Promise<void> {
-    await new Promise<void>((resolve) => { this._clock.after(forMs, resolve) })
-  }
 }
--- /dev/null
+++ b/src/common/cell/EffectiveFitness.ts
@@ -0,0 +1,42 @@
+/**
+ * How fit this process is to own the cell at the moment: the fitness of its machine, halved while it is overloaded as the owner and for some
+ * time after that.
+ *
+ * Designed for a load that a machine handles worse than its settings suggest. The settings alone would name the same machine again as soon
+ * as another one has taken the cell from it.
+ */
+
+import type { MonotonicMs } from '../Types.js'
+
+/** Overload that lasts this long without interruption counts, in ms: a burst that the owner works off sooner costs less than a takeover. */
+export const SUSTAINED_OVERLOAD_MS = 2000
+/** How long an overload counts after it has ended, in ms. */
+const OVERLOAD_MEMORY_MS = 30_000
+const OVERLOAD_FACTOR = 0.5
+
+export class EffectiveFitness {
+  private _overloadedSinceMs: MonotonicMs | undefined
+  private _overloadedAtMs: MonotonicMs = -Infinity
+
+  /** @param _machineFitness the current fitness of the machine, from 0 to 1 */
+  public constructor (private readonly _machineFitness: () => number) {}
+
+  public get machine (): number {
+    return this._machineFitness()
+  }
+
+  /** Records whether the process is overloaded as the owner. To be called several times a second, and with `false` when an ownership begins. */
+  public update (nowMs: MonotonicMs, isOverloaded: boolean): void {
+    this._overloadedSinceMs = isOverloaded ? this._overloadedSinceMs ?? nowMs : undefined
+    if (this.isOverloaded(nowMs)) this._overloadedAtMs = nowMs
+  }
+
+  /** Whether the process has been overloaded for long enough, until now. */
+  public isOverloaded (nowMs: MonotonicMs): boolean {
+    return this._overloadedSinceMs !== undefined && nowMs - this._overloadedSinceMs >= SUSTAINED_OVERLOAD_MS
+  }
+
+  public value (nowMs: MonotonicMs): number {
+    return nowMs - this._overloadedAtMs <= OVERLOAD_MEMORY_MS ? this.machine * OVERLOAD_FACTOR : this.machine
+  }
+}
--- a/src/common/cell/Successor.ts
+++ b/src/common/cell/Successor.ts
@@ -13,6 +13,10 @@
   readonly isWilling: boolean
   /** How long it would wait for other candidates: longer the farther the store and the weaker the machine. */
   readonly yieldMs: number
+  /** The effective fitness of the process; undefined if its version doesn't report it, or if it didn't answer. */
+  readonly fitness?: number
+  /** Whether the process didn't answer; absent if it did. */
+  readonly isSilent?: boolean
 }
 
 /**
@@ -21,8 +25,20 @@
  */
 const MAX_YIELD_DIFFERENCE_MS = 100
 
+/** How many times as fit another process must be for a change of the owner or the standby: the change has a cost, and less doesn't pay for it. */
+export const MIN_FITNESS_RATIO = 1.5
+/** Processes whose fitness differs by less than this factor count as alike. */
+export const ALIKE_RATIO = 1.1
+
 export function chooseSuccessor (offers: readonly ISuccessorOffer[]): ISuccessorOffer | undefined {
   const willing = offers.filter(({ isWilling }) => isWilling)
   const leastMs = Math.min(...willing.map(({ yieldMs }) => yieldMs))
   return willing.filter(({ yieldMs }) => yieldMs - leastMs < MAX_YIELD_DIFFERENCE_MS).sort((a, b) => b.incarnation - a.incarnation)[0]
 }
+
+/** Chooses the successor among the fittest of the willing processes that have at least the given fitness. */
+export function chooseFitter (offers: readonly ISuccessorOffer[], leastFitness: number): ISuccessorOffer | undefined {
+  const fit = offers.filter(({ isWilling, fitness = 0 }) => isWilling && fitness > 0 && fitness >= leastFitness)
+  const highest = Math.max(...fit.map(({ fitness = 0 }) => fitness))
+  return chooseSuccessor(fit.filter(({ fitness = 0 }) => fitness * ALIKE_RATIO > highest))
+}
--- a/src/common/protocol/Shapes.ts
+++ b/src/common/protocol/Shapes.ts
@@ -59,7 +59,7 @@
 })
 
 const ownerRecord = z.object({ processId: id, incarnation: count, peerUrl: id, revision: count })
-const offerReply = z.object({ isWilling: z.boolean(), yieldMs: amount, peerUrl: text })
+const offerReply = z.object({ isWilling: z.boolean(), yieldMs: amount, peerUrl: text, fitness: amount.exactOptional() })
 const callerAccess = { queue: id, keyDigest: id, configVersion: count }
 const claimRequest = z.object({ idShard: id, claimKey: id, attemptId: id, holder: id, ageMs: durationMs })
 const notOwner = z.object({ decision: z.literal('notOwner') })
@@ -221,7 +221,7 @@
   cellPing: { request: z.object({}), reply: z.object({}) },
   cellWitness: { request: z.object({ processId: id, waitMs: amount }), reply: z.object({ isReached: z.boolean() }) },
   cellLinks: { request: z.object({}), reply: z.object({ processIds: z.array(id) }) },
-  cellTakeOver: { request: ownerRecord, reply: z.object({ isOwner: z.boolean() }) }
+  cellTakeOver: { request: ownerRecord.extend({ isRelief: z.boolean().exactOptional() }), reply: z.object({ isOwner: z.boolean() }) }
 }
 
 /** The body of each cast. */
--- a/src/common/protocol/Types.ts
+++ b/src/common/protocol/Types.ts
@@ -283,6 +283,12 @@
   readonly revision: number
 }
 
+/** A request to take the cell over from this owner. */
+export interface ICellTakeOverRequest extends ICellOwnerCast {
+  /** Whether the owner hands the cell over because the called process is fitter; absent otherwise. */
+  readonly isRelief?: boolean
+}
+
 /** Whether a process is willing to take the cell over from an owner that is about to stop. */
 export interface ICellOfferReply {
   readonly isWilling: boolean
@@ -290,6 +296,8 @@
   readonly yieldMs: number
   /** The address at which the process can be dialled. */
   readonly peerUrl: string
+  /** The effective fitness of the process, from 0 to 1; absent from processes of an earlier version. */
+  readonly fitness?: number
 }
 
 /** Announces the process that is the standby of the owner, for the ownership with this revision. */
@@ -340,7 +348,7 @@
   /** The processes that the called process has a link to. */
   readonly cellLinks: { readonly request: Readonly<Record<string, never>>, readonly reply: { readonly processIds: readonly string[] } }
   /** The called process takes the cell over from this owner. It replies when this has succeeded or failed. */
-  readonly cellTakeOver: { readonly request: ICellOwnerCast, readonly reply: { readonly isOwner: boolean } }
+  readonly cellTakeOver: { readonly request: ICellTakeOverRequest, readonly reply: { readonly isOwner: boolean } }
 }
 
 /** The casts by name, with their bodies. */
--- a/src/daemon/ControllerDaemon.ts
+++ b/src/daemon/ControllerDaemon.ts
@@ -13,6 +13,7 @@
 import { OwnerAnnouncer, registerMember } from '../cell/OwnerAnnouncer.js'
 import { registerOwnerHandlers } from '../cell/OwnerHandlers.js'
 import { OwnerChallenge } from '../cell/OwnerChallenge.js'
+import { OwnerRelief } from '../cell/OwnerRelief.js'
 import { OwnerIsolationDetector } from '../cell/OwnerIsolationDetector.js'
 import { StoreLossHandover } from '../cell/StoreLossHandover.js'
 import { ConfigRelay } from '../cell/ConfigRelay.js'
@@ -87,6 +88,7 @@
   private _ownerAnnouncer: OwnerAnnouncer | undefined
   private _standbySelector: StandbySelector | undefined
   private _storeLossHandover: StoreLossHandover | undefined
+  private _relief: OwnerRelief | undefined
   private _jobServer: JobServer | undefined
   private _route: OwnerRoute | undefined
   private _resolveRoute: (route: OwnerRoute) => void = () => {}
@@ -136,7 +138,8 @@
     this._route = route
     this._resolveRoute(route)
     registerOwnerHandlers(hub, () => this._owner, this._adviceClient)
-    registerOwnershipHandlers(hub, ownership)
+    this._relief = this._disposables.add(this._createRelief(hub, ownership))
+    registerOwnershipHandlers(hub, ownership, this._relief)
     this._disposables.add(hub.listen('cellOwner', (record) => { ownership.receiveRecord(record) }))
     this._disposables.add(ownership.onRecordChange((record) => { route.follow(record) }))
     this._disposables.add(ownership.onOwned((revision) => { this._startOwner(revision) }))
@@ -199,6 +202,7 @@
       owner: this._owner === undefined ? 0 : 1,
       config_version: this._config.version,
       config_age_ms: this._config.ageMs,
+      owner_fitness: this._relief?.effectiveFitness ?? 0,
       links: this._hub?.links().length ?? 0,
       callers_in_flight: this._jobServer?.inFlight ?? 0,
       store_calls: this._store.callCount,
@@ -239,7 +243,7 @@
     const { record } = this._ownership
     if (record !== undefined && this._hub !== undefined) {
       this._ownerAnnouncer = new OwnerAnnouncer(this._store, this._hub, record, this._clock, this._log)
-      this._standbySelector = new StandbySelector(this._hub, record, this._clock, this._log)
+      this._standbySelector = new StandbySelector(this._hub, record, this._machineFitness, this._clock, this._log)
       this._storeLossHandover = new StoreLossHandover(this._hub, this._ownership, record, this._clock, this._log)
     }
     this._owner = new CellOwner({
@@ -269,11 +273,30 @@
     return processorShare * processorSpeed
   }
 
+  private get _machineFitness (): number {
+    const { linkMbps, memoryMb } = this._settings.process
+    return ownerFitness({ processorCores: this._processorCores, linkMbps, memoryMb })
+  }
+
+  private _createRelief (hub: PeerHub, ownership: Ownership): OwnerRelief {
+    const { linkMbps, memoryMb } = this._settings.process
+    this._log.info('owner.fitness', { fitness: this._machineFitness, processorCores: this._processorCores, linkMbps, memoryMb })
+    return new OwnerRelief({
+      hub,
+      ownership,
+      counters: this._counters,
+      clock: this._clock,
+      log: this._log,
+      machineFitness: () => this._machineFitness,
+      isOverloaded: () => this._owner?.isOverloaded === true,
+      peerFitness: () => this._standbySelector?.peerFitness.highest ?? 0,
+      isStopping: () => this._isStopping
+    })
+  }
+
   /** How long this process lets others try to become the owner first: if its machine is less fit, or if it didn't reach the last owner. */
   private _computeYieldMs (): number {
-    const { linkMbps, memoryMb } = this._settings.process
-    const fitness = ownerFitness({ processorCores: this._processorCores, linkMbps, memoryMb })
-    return unfitYieldMs(fitness) + (this._route?.isIsolated === true ? ISOLATED_YIELD_MS : 0)
+    return unfitYieldMs(this._machineFitness) + (this._route?.isIsolated === true ? ISOLATED_YIELD_MS : 0)
   }
 
   private _stopOwner (): void {
