The standby is chosen anew when a much fitter process is there

What callers saw: nothing of this was observed; it follows from the code. A standby that was chosen while only unfit processes were linked stays the standby for as long as it is linked. If the owner vanishes, the unfit process takes the cell, and callers wait for its slow orders.

Cause: the owner chose a standby only when there was none.

In a cell of machines that are all alike nothing changes.

Measured: the test fails without the change (p1 remains the standby); no play of a whole deployment.

--- a/src/cell/OwnerRelief.test.ts
+++ b/src/cell/OwnerRelief.test.ts
@@ -137,3 +137,13 @@
   t.is(cell.store.item?.revision, item?.revision)
   t.true(cell.process(0).ownership.isOwner)
 })
+
+test('the standby is replaced by a much fitter process', async (t) => {
+  const cell = await startCell([WIDE, NARROW, WIDE])
+  cell.process(2).isAlive = false
+  await play(cell, 2500, 100)
+  t.is(cell.process(0).selector?.standby, 'p1')
+  cell.process(2).isAlive = true
+  await play(cell, 4000, 100)
+  t.is(cell.process(0).selector?.standby, 'p2')
+})
--- a/src/cell/Standby.ts
+++ b/src/cell/Standby.ts
@@ -9,21 +9,23 @@
  */
 
 import { PeerFitness } from '../common/cell/PeerFitness.js'
-import { chooseSuccessor } from '../common/cell/Successor.js'
+import { chooseFitter, chooseSuccessor, MIN_FITNESS_RATIO } from '../common/cell/Successor.js'
 import { DisposableStore } from '../common/Emitter.js'
 
 import type { ISuccessorOffer } from '../common/cell/Successor.js'
 import type { ILogger } from '../common/observability/Types.js'
 import type { ICellStandbyCast } from '../common/protocol/Types.js'
-import type { IClock, IDisposable, ITimers } from '../common/Types.js'
+import type { IClock, IDisposable, ITimers, MonotonicMs } from '../common/Types.js'
 import type { IPeerHub, IPeerLink } from '../peer/Types.js'
 import { OFFER_TIMEOUT_MS, requestOffer } from './Handover.js'
 import type { Ownership } from './Ownership.js'
 import { AnswerTimeout } from './AnswerTimeout.js'
 import type { IOwnerRecord } from './Types.js'
 
-/** How often an owner checks whether there is a standby and whether it knows its peers, in ms; first when most processes have found the owner. */
+/** How often an owner checks whether there is a standby or a much fitter one, in ms; first when most processes have found the owner. */
 const CHECK_INTERVAL_MS = 1000
+/** Shortest interval between a choice and one of a fitter standby, in ms: each change makes all processes dial another one. */
+const MIN_CHANGE_INTERVAL_MS = 3000
 /** An answer that is too late for the choice still tells the fitness, for this long, in ms: orders may queue on the link of an unfit owner. */
 const LATE_OFFER_MS = 2000
 /** How often the standby pings the owner, in ms. */
@@ -37,12 +39,13 @@
 /** Time for the replies of the other processes in addition to that, in ms: two round trips between regions. */
 const WITNESS_SLACK_MS = 100
 
-/** On the owner: names a standby whenever there is none, announces it to all peers, and learns the peers' fitness. */
+/** On the owner: names a standby whenever there is none, or when another process is much fitter, and announces it to all peers. */
 export class StandbySelector implements IDisposable {
   /** The fitness of the peers, as far as they have reported it. */
   public readonly peerFitness = new PeerFitness()
   private readonly _disposables = new DisposableStore()
   private _standby: ICellStandbyCast | undefined
+  private _chosenAtMs: MonotonicMs = -Infinity
 
   /** @param _ownerFitness the fitness of this machine */
   public constructor (
@@ -59,21 +62,33 @@
     this._disposables.dispose()
   }
 
+  /** The process that is the standby. */
+  public get standby (): string | undefined {
+    return this._standby?.processId
+  }
+
   private async _ensureStandby (): Promise<void> {
     const isPresent = this._standby !== undefined && this._hub.link(this._standby.processId) !== undefined
     const peers = this._hub.links().map(({ peer }) => peer)
     this.peerFitness.retain(peers)
-    // In a cell of machines that are all alike, no peer can be much fitter than the owner.
+    // In a cell of machines that are all alike, no candidate can be much fitter than the standby.
     if (isPresent && this.peerFitness.isComplete(peers) && !this.peerFitness.isUneven(this._ownerFitness)) return
     const offers = await this._requestOffers()
-    const chosen = isPresent ? undefined : chooseSuccessor(offers)
+    const chosen = isPresent ? this._chooseFitter(offers) : chooseSuccessor(offers)
     if (chosen === undefined) return
     this._standby = { processId: chosen.processId, peerUrl: chosen.peerUrl, revision: this._record.revision }
+    this._chosenAtMs = this._clock.nowMs()
     const { processId: peer, fitness } = chosen
-    this._log.info('standby.chosen', { peer, fitness, offers: offers.length, revision: this._record.revision })
+    this._log.info('standby.chosen', { peer, fitness, isFitter: isPresent, offers: offers.length, revision: this._record.revision })
     for (const link of this._hub.links()) link.cast('cellStandby', this._standby)
   }
 
+  private _chooseFitter (offers: readonly ISuccessorOffer[]): ISuccessorOffer | undefined {
+    const standbyFitness = offers.find(({ processId }) => processId === this._standby?.processId)?.fitness
+    if (standbyFitness === undefined || this._clock.nowMs() - this._chosenAtMs < MIN_CHANGE_INTERVAL_MS) return undefined
+    return chooseFitter(offers, standbyFitness * MIN_FITNESS_RATIO)
+  }
+
   /** Returns the offers for a choice; later answers only tell the fitness. */
   private async _requestOffers (): Promise<readonly ISuccessorOffer[]> {
     const offers: ISuccessorOffer[] = []
