Model of the owner's relief

Callers see no change.

Change: spec/ReliefSpec.ts explores the handover from an overloaded owner to a fitter process, with requests that arrive late or never, lost answers, a lease that ends, a successor that dies, and orders in flight. The owners run the real ReliefDecision. A mutant for each safeguard: the fence of the hosts, the condition of the takeover on the revision, no order after the record was taken, the record kept until it is taken, the ratio, and another attempt after a failed one.

--- a/spec/specs.ts
+++ b/spec/specs.ts
@@ -12,9 +12,10 @@
 import { membershipSpec } from './MembershipSpec.js'
 import { ownershipSpec } from './OwnershipSpec.js'
 import { profileSpec } from './ProfileSpec.js'
+import { reliefSpec } from './ReliefSpec.js'
 
 import type { ISpec } from './Model.js'
 
 export const specs = [
-  ownershipSpec, claimsSpec, leaseSpec, gangSpec, profileSpec, jobSpec, membershipSpec, cellSpec, keySpec, limitSpec
+  ownershipSpec, claimsSpec, leaseSpec, gangSpec, profileSpec, jobSpec, membershipSpec, cellSpec, keySpec, limitSpec, reliefSpec
 ] as unknown as readonly ISpec<unknown>[]
