The soak plays processes of unlike links

Callers see no change.

Change: with even seeds, the controllers of the soak are set up with links of 10, 200 and 10 Mbit/s in turn, so that owners on narrow links hand the cell over between real processes while faults are injected. With odd seeds they are alike, as before.

--- a/test/soak/Soak.ts
+++ b/test/soak/Soak.ts
@@ -43,6 +43,8 @@
 /** The time that jobs have to end after the last fault, in ms; it covers the longest lease, its margin, and the runs. */
 const SETTLE_TIMEOUT_MS = 40_000
 const POLL_MS = 200
+/** The links that the controllers believe to have with even seeds, in turn, in Mbit/s: owners on narrow ones hand the cell over while they serve. */
+const UNLIKE_LINKS_MBPS = [10, 200, 10]
 
 export async function runSoak (options: ISoakOptions): Promise<ISoakReport> {
   const platform = new PlatformStandIn({
@@ -51,7 +53,7 @@
   const checker = new InvariantChecker(HOST_CPU)
   for (const { name, maxCpu } of WORKSPACES) checker.recordLimit(name, maxCpu)
   await platform.start(checker)
-  const cell = new ControllerCell(platform, MAX_HOLD_MS)
+  const cell = new ControllerCell(platform, MAX_HOLD_MS, [], undefined, options.seed % 2 === 0 ? UNLIKE_LINKS_MBPS : [])
   const random = new SeededRandom(options.seed + 1)
   const callers = new SimulatedCallers(cell.controllers, platform, checker, new SeededRandom(options.seed + 2))
   const probes = new ConfigProber(cell.controllers, platform, checker)
--- a/test/support/ControllerCell.ts
+++ b/test/support/ControllerCell.ts
@@ -46,7 +46,9 @@
     private readonly _platform: PlatformStandIn,
     private readonly _maxHoldMs: number,
     private readonly _nodeArgs: readonly string[] = [],
-    private readonly _binary = 'bin/jackdawreel-controller.js'
+    private readonly _binary = 'bin/jackdawreel-controller.js',
+    /** The bandwidth that each process believes to have, in turn, in Mbit/s; unlimited if there are none. */
+    private readonly _linksMbps: readonly number[] = []
   ) {}
 
   public async start (count: number): Promise<void> {
@@ -73,7 +75,8 @@
     const id = `controller-${number}`
     const { forwarder, port } = await this._platform.createStoreForwarder()
     const configPath = join(this._folder, `${id}.ini`)
-    writeFileSync(configPath, settingsText(id, port, this._platform.advicePort, this._maxHoldMs))
+    const linkMbps = this._linksMbps[number % this._linksMbps.length]
+    writeFileSync(configPath, settingsText(id, port, this._platform.advicePort, this._maxHoldMs, linkMbps))
     const process = startProcess(this._binary, ['--config', configPath], this._nodeArgs)
     const controller: IController = { id, configPath, store: forwarder, process, earlierOutput: [], urls: undefined }
     this.controllers.push(controller)
@@ -96,13 +99,13 @@
   }, () => {})
 }
 
-function settingsText (id: string, storePort: number, advicePort: number, maxHoldMs: number): string {
+function settingsText (id: string, storePort: number, advicePort: number, maxHoldMs: number, linkMbps?: number): string {
   return `[process]
 id = ${id}
 region = region-a
 failureDomain = zone-a
 processorShare = 1
-processorSpeed = 1
+processorSpeed = 1${linkMbps === undefined ? '' : `\nlinkMbps = ${linkMbps}`}
 [callers]
 listen = 127.0.0.1:0
 [readiness]
