Hosts that hang for seconds don't cost gangs their work

Callers saw wide jobs late or never done while a few hosts hung: each hang of 2.5 s or more stopped every gang with a member there, and each silent host that answered again had its runs stopped with its first list, since the time of its silence counted.

A run is now compared with its own pace, and only the time between lists counts.

--- a/bench/cellLoad.ts
+++ b/bench/cellLoad.ts
@@ -8,6 +8,7 @@
 import { ObjectiveOrder } from '../src/common/cell/JobOrder.js'
 import { ShareMeter } from '../src/common/cell/ShareMeter.js'
 import { SeededRandom } from '../src/common/Random.js'
+import { GangRates } from '../test/support/GangRates.js'
 import { SimulatedCell } from '../test/support/SimulatedCell.js'
 import { DominantShareOrder, ShareFirstOrder, ShareOrder } from './cellOrders.js'
 import { tableLines } from '../src/operator/Table.js'
@@ -32,11 +33,23 @@
   readonly gangShare: number
   /** The share of hosts that the advice service allows for a step. */
   readonly allowedShare: number
+  /** Steps that take much longer than estimated: their share, and how many times as long; none by default. */
+  readonly tail?: { readonly share: number, readonly factor: number }
+}
+
+/** Hosts that make no progress for a time, and then continue. Every second time they don't answer either. */
+interface IHangs {
+  readonly share: number
+  readonly forMs: number
+  readonly everyMs: number
 }
 
 /** A cell and the work that is offered to it. */
 export interface ILoadSet {
   readonly host: { readonly cpuMillicores: number, readonly memoryMb: number }
+  /** The speeds of the hosts, in turn; 1 by default. */
+  readonly speeds?: readonly number[]
+  readonly hangs?: IHangs
   readonly loads: readonly ILoad[]
   readonly workspaces: readonly ILoadWorkspace[]
 }
@@ -71,6 +84,7 @@
 const MAX_WIDTH_FACTOR = 6
 /** The weight of a workspace, as a multiple of what it usually sends. */
 const WEIGHT_FACTOR = 1.5
+const NO_TAIL = { share: 0, factor: 1 }
 const MAX_HASH = 0x7fffffff
 
 /** Four fifths of the cell are in use: half of the work is wide all-at-once jobs, a third is batch jobs, the rest is short and urgent. */
@@ -162,6 +176,8 @@
   readonly slackP50S: number
   readonly slackP90S: number
   readonly slackP98S: number
+  /** The work of runs that were stopped or lost before their job was done, in core-seconds. */
+  readonly discardedCoreS: number
 }
 
 /** The results of one workspace, for its jobs within its share and beyond it. */
@@ -190,17 +206,24 @@
   const random = new SeededRandom(seed)
   const workMs = new Map<string, number>()
   const loadByJob = new Map<string, ILoad>()
+  const gangRates = new GangRates()
   const cell = new SimulatedCell({
     hosts,
     adviceMachines: Math.max(MIN_MACHINES, Math.round(hosts / HOSTS_PER_MACHINE)),
     ...(order === undefined ? {} : { order }),
-    host: { ...host, workMs: ({ jobId, step }: IRunRef) => workMs.get(`${jobId}.${step}`) ?? MS_PER_S },
+    host: {
+      ...host,
+      workMs: ({ jobId, step }: IRunRef) => workMs.get(`${jobId}.${step}`) ?? MS_PER_S,
+      rateOf: (ref: IRunRef, hostRate: number) => gangRates.rateOf(ref, hostRate)
+    },
     allows: (hostId, { jobId, step }: IAdviceRequest) => hashToUnit(`${hostId} ${jobId} ${step}`) < (loadByJob.get(jobId)?.allowedShare ?? 1),
     adviceMs: ({ jobId, hostIds }) => {
       const advice = loadByJob.get(jobId)?.queue.advice
       return advice === undefined ? 0 : advice.baseMs + advice.perHostMs * hostIds.length
     }
   })
+  gangRates.attach(cell)
+  cell.hosts.forEach((each, number) => { each.speed = set.speeds?.[number % set.speeds.length] ?? 1 })
   const submitted: ISubmittedJob[] = []
   const finishedAtMs = new Map<Job, number>()
   const openJobs = new Set<Job>()
@@ -214,6 +237,7 @@
         if (random.next() < jobsPerTick * (isBurst ? workspace.burstFactor : 1)) submit(load, workspace)
       }
     }
+    if (set.hangs !== undefined) applyHangs(cell, set.hangs, nowMs)
     await cell.run(TICK_MS)
     for (const job of openJobs) {
       if (job.storedPhase !== 'completed') continue
@@ -224,6 +248,7 @@
   const measured = submitted.filter(({ job }) => job.receivedAtMs >= WARM_UP_MS && job.receivedAtMs < untilMs)
   const isInTime = ({ job, dueMs }: ISubmittedJob): boolean => (finishedAtMs.get(job) ?? Infinity) <= dueMs
   const coreSecondsOf = (each: readonly ISubmittedJob[]): number => each.reduce((sum, { job }) => sum + job.coreSeconds, 0)
+  const discarded = sumDiscarded(cell)
   return { queues: loads.map(toQueueRow), workspaces: workspaces.map(toWorkspaceRow) }
 
   function toWorkspaceRow ({ name }: ILoadWorkspace): IWorkspaceRow {
@@ -253,7 +278,8 @@
       workInTime,
       slackP50S: slackS(0.5),
       slackP90S: slackS(0.9),
-      slackP98S: slackS(0.98)
+      slackP98S: slackS(0.98),
+      discardedCoreS: Math.round(jobs.reduce((sum, { job }) => sum + (discarded.get(job.spec.jobId) ?? 0), 0))
     }
   }
 
@@ -262,12 +288,14 @@
     const workMsByStep: number[] = []
     const stepCount = random.next() < load.steps - 1 ? 2 : 1
     for (let number = 0; number < stepCount; number += 1) {
-      workMsByStep.push(load.workMs * logNormalFactor(random, WORK_DEVIATION))
+      const usualMs = load.workMs * logNormalFactor(random, WORK_DEVIATION)
+      const { share, factor: tailFactor } = load.tail ?? NO_TAIL
+      workMsByStep.push(share > 0 && random.next() < share ? usualMs * tailFactor : usualMs)
       steps.push({
         count: Math.max(1, Math.min(Math.round(load.tasks * logNormalFactor(random, WIDTH_DEVIATION)), load.tasks * MAX_WIDTH_FACTOR)),
         cpuMillicores: Math.min(host.cpuMillicores / 2, Math.round(load.cpuMillicores * logNormalFactor(random, CPU_DEVIATION))),
         memoryMb: Math.min(host.memoryMb / 2, Math.round(load.memoryMb * logNormalFactor(random, WORK_DEVIATION))),
-        estimateMs: Math.round((workMsByStep[number] ?? 0) * logNormalFactor(random, load.estimateDeviation)),
+        estimateMs: Math.round(usualMs * logNormalFactor(random, load.estimateDeviation)),
         gang: random.next() < load.gangShare,
         after: number === 0 ? [] : [number - 1]
       })
@@ -283,6 +311,26 @@
   }
 }
 
+/** Each time, other hosts hang: a few of each rack. */
+function applyHangs (cell: SimulatedCell, { share, forMs, everyMs }: IHangs, nowMs: number): void {
+  const round = Math.floor(nowMs / everyMs)
+  const isActive = round > 0 && nowMs % everyMs < forMs
+  cell.hosts.forEach((host, number) => {
+    host.isHanging = isActive && hashToUnit(`hang ${round} ${number}`) < share
+    host.isSilent = host.isHanging && round % 2 === 0
+  })
+}
+
+/** The work of runs without a result, in core-seconds, by job. */
+function sumDiscarded (cell: SimulatedCell): ReadonlyMap<string, number> {
+  const sums = new Map<string, number>()
+  for (const { ref: { jobId, step }, doneMs } of cell.hosts.flatMap(({ discarded }) => discarded)) {
+    const millicores = cell.scheduler.jobs.get(jobId)?.steps[step]?.spec.cpuMillicores ?? 0
+    sums.set(jobId, (sums.get(jobId) ?? 0) + doneMs * millicores / 1e6)
+  }
+  return sums
+}
+
 /** Draws a log-normal factor with a mean of one; `deviation` is the standard deviation of its logarithm. */
 function logNormalFactor (random: IRandom, deviation: number): number {
   const normal = Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next())
--- a/src/common/cell/Attempt.ts
+++ b/src/common/cell/Attempt.ts
@@ -24,6 +24,9 @@
 /** Why a run is stopped: the phase in which its job ended, its gang can't continue, its task is done by another run, or it has stalled. */
 export type StopReason = JobPhase | 'gang' | 'done' | 'stalled'
 
+/** A host that answers is asked for a list after at most this time, in ms: its poll waits for a second. */
+const MAX_LIST_GAP_MS = 1500
+
 export class Attempt {
   private _phase: AttemptPhase
   public ticket = ''
@@ -42,6 +45,10 @@
   /** The last progress that the host reported, and when that value was first seen. */
   public percent = 0
   public percentAtMs: MonotonicMs
+  /** For how long the host's lists have shown that value. The time in which the host didn't answer doesn't count. */
+  public stillMs = 0
+  /** When the host first reported the run's last checkpoint. */
+  public checkpointAtMs: MonotonicMs = -Infinity
   public stopSentAtMs: MonotonicMs = -Infinity
   /** Why it was stopped; undefined if it wasn't. */
   public stopReason: StopReason | undefined
@@ -117,9 +124,14 @@
     this.forgetOrders()
   }
 
+  /** Records the progress in a list of the host, before `reportedAtMs` is updated. A percentage that falls or exceeds 100 is wrong. */
   public updatePercent (percent: number, nowMs: MonotonicMs): void {
-    if (percent === this.percent) return
+    if (percent <= this.percent || percent > 100) {
+      this.stillMs += Math.min(MAX_LIST_GAP_MS, Math.max(0, nowMs - this.reportedAtMs))
+      return
+    }
     this.percent = percent
     this.percentAtMs = nowMs
+    this.stillMs = 0
   }
 }
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -206,8 +206,8 @@
         if (attempt.phase === 'stopping') this._runController.stop(attempt)
         if (attempt.phase === 'preparing') preparing.add(attempt.task.step)
       }
-      this._stalled.stopStalled(host)
     }
+    this._stalled.stopStalled([...this.hosts.values()])
     for (const step of preparing) this._runController.orderReady(step)
     this._advice.sendWaiting()
     this._effects.requestPass()
--- a/src/common/cell/HoldAnswerHandler.ts
+++ b/src/common/cell/HoldAnswerHandler.ts
@@ -96,7 +96,10 @@
       if (attempt.bornMs !== host.bornMs) attempt.moveTo(host.bornMs)
       attempt.transition('LISTED')
       attempt.updatePercent(row.percent, nowMs)
-      if (row.checkpoint !== '') storeCheckpoint(attempt.task, row.checkpoint)
+      if (row.checkpoint !== '') {
+        if (row.checkpoint !== attempt.task.checkpoint) attempt.checkpointAtMs = nowMs
+        storeCheckpoint(attempt.task, row.checkpoint)
+      }
       this._runs.markRunning(attempt, nowMs)
       if (attempt.phase === 'stopping') this._runs.stop(attempt)
     }
--- a/test/support/SimulatedHost.ts
+++ b/test/support/SimulatedHost.ts
@@ -10,7 +10,10 @@
 export interface ISimulatedRun {
   readonly ref: IRunRef
   readonly startedAtMs: MonotonicMs
+  /** The time that it takes on a host of speed 1. */
   readonly workMs: number
+  /** How much of that is done. */
+  doneMs: number
 }
 
 export interface ISimulatedHostOptions {
@@ -21,6 +24,8 @@
   readonly maxHoldMs: number
   /** The run time of a task on this host. */
   workMs (ref: IRunRef): number
+  /** How fast the run progresses now, where 1 is the usual speed; that of the host by default. */
+  rateOf? (ref: IRunRef, hostRate: number): number
   /** How a run of the task ends. */
   endOf (ref: IRunRef): EndKind
 }
@@ -45,6 +50,13 @@
   public isSilent = false
   /** The tasks make no progress. */
   public isStuck = false
+  /** The tasks make no progress until this is cleared, and then continue where they were. */
+  public isHanging = false
+  /** How fast the host works, where 1 is the usual speed. */
+  public speed = 1
+  /** The runs that ended without a result, with the work that they had done, in ms on a host of speed 1. */
+  public readonly discarded: { readonly ref: IRunRef, readonly doneMs: number }[] = []
+  private _tickedAtMs: MonotonicMs
   /** The time between the exit of a run and the listing of its end, in ms; neither list shows the run meanwhile. */
   public listingMs = 0
   /** The delay of the answers to start orders. */
@@ -55,9 +67,15 @@
 
   public constructor (public readonly options: ISimulatedHostOptions, private readonly _clock: IClock) {
     this._startedAtMs = _clock.nowMs()
+    this._tickedAtMs = _clock.nowMs()
     this.bornMs = _clock.wallMs()
   }
 
+  /** The speed at which the host works now. */
+  public get rate (): number {
+    return this.isHanging ? 0 : this.speed
+  }
+
   public get entry (): IHostEntry {
     const { hostId, cpuMillicores, memoryMb, rack } = this.options
     return {
@@ -126,9 +144,12 @@
     if (this.clockMs > this._deadlineMs) {
       for (const { ref } of [...this.running.values()]) this._endRun(ref, 'lapsed')
     }
-    if (this.isStuck) return
-    for (const { ref, startedAtMs, workMs } of [...this.running.values()]) {
-      if (this._clock.nowMs() - startedAtMs >= workMs) this._endRun(ref, this.options.endOf(ref))
+    const passedMs = this._clock.nowMs() - this._tickedAtMs
+    this._tickedAtMs = this._clock.nowMs()
+    for (const run of [...this.running.values()]) {
+      const { ref, workMs } = run
+      run.doneMs += Math.min(passedMs, this._clock.nowMs() - run.startedAtMs) * (this.options.rateOf?.(ref, this.rate) ?? this.rate)
+      if (!this.isStuck && run.doneMs >= workMs) this._endRun(ref, this.options.endOf(ref))
     }
   }
 
@@ -156,7 +177,7 @@
     const key = taskKey(order.ref)
     if (order.deadlineMs < this.clockMs) return { kind: 'refused', reason: 'late' }
     if (order.ref.run <= (this._lastBarredRuns.get(key) ?? 0)) return { kind: 'refused', reason: 'old' }
-    this.running.set(key, { ref: order.ref, startedAtMs: this._clock.nowMs(), workMs: this.options.workMs(order.ref) })
+    this.running.set(key, { ref: order.ref, startedAtMs: this._clock.nowMs(), workMs: this.options.workMs(order.ref), doneMs: 0 })
     this.started.push(order.ref)
     return { kind: 'started', clockMs: this.clockMs }
   }
@@ -167,6 +188,8 @@
   }
 
   private _endRun (ref: IRunRef, end: EndKind): void {
+    const run = this.running.get(taskKey(ref))
+    if (run !== undefined && end !== 'done') this.discarded.push({ ref, doneMs: run.doneMs })
     this.running.delete(taskKey(ref))
     this._barUpTo(ref)
     this._unlisted.push({ ref, end, atMs: this._clock.nowMs() + this.listingMs })
@@ -188,7 +211,7 @@
 
   private _percent (run: ISimulatedRun): number {
     if (this.isStuck) return 0
-    return Math.min(99, Math.floor(100 * (this._clock.nowMs() - run.startedAtMs) / run.workMs))
+    return Math.min(99, Math.floor(100 * run.doneMs / run.workMs))
   }
 }
 
