A host's base speed is learned apart from a transient slowdown

What the owner knew of a host's speed was forgotten within seconds without load, so that the first urgent tasks of a burst were placed on slow hosts, and a host that is always slow could be excluded like one that has become slow.

HostSpeeds keeps a base speed for the life of the incarnation. Placement uses base speed times transient speed; only the transient speed excludes a host. The dump of each host has both.

--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -214,9 +214,7 @@
 
   /** Returns the state for the state dump. */
   public dump (): unknown {
-    const hosts = [...this._scheduler.hosts.values()].map((host) => ({
-      host: host.hostId, freeCpu: host.freeCpu, runs: host.attempts.size, listed: host.isListed, fenced: host.isFenced, stored: host.storedSequence
-    }))
+    const hosts = [...this._scheduler.hosts.values()].map((host) => host.dumpFields)
     const open = [...this._scheduler.jobs.values()].filter((job) => !job.isFinished)
     return { fence: this._fence, jobs: this._scheduler.jobs.size, open: open.length, hosts, workspaces: this._scheduler.workspaces() }
   }
--- a/src/common/cell/HostSpeeds.test.ts
+++ b/src/common/cell/HostSpeeds.test.ts
@@ -70,3 +70,27 @@
   await cell.run(300)
   t.is(cell.host(1).running.size, 4)
 })
+
+test('a host that is always slow is not excluded', async (t) => {
+  // It is as useful as it has always been. Without it, capacity would be lost in a full cell.
+  const cell = new SimulatedCell({ hosts: 6 })
+  cell.host(0).speed = 0.22
+  await load(cell, 30_000, 1000, 5)
+  const startedBefore = cell.host(0).started.length
+  await load(cell, 10_000, 1000, 5)
+  // With 8 places and 4.5 s for each task it can take 17 in this time.
+  t.true(startedSince(cell, 0, startedBefore) >= 14, `${startedSince(cell, 0, startedBefore)} runs`)
+})
+
+test('the fast hosts are known after a time without load', async (t) => {
+  // Urgent jobs come in bursts. The first ones of a burst would be placed on slow hosts that are a little fuller, and be late.
+  const cell = new SimulatedCell({ hosts: 6 })
+  cell.hosts.forEach((host, number) => { host.speed = number % 2 === 0 ? 0.6 : 1.6 })
+  await load(cell, 8000, 1000, 4)
+  cell.submit([{ count: 12, estimateMs: 120_000, requiredLabel: 'rack-0', longRunning: true }])
+  await cell.run(40_000)
+  const before = cell.hosts.map(({ started }) => started.length)
+  await load(cell, 500, 1000, 3)
+  const started = cell.hosts.map((host, number) => ({ speed: host.speed, count: host.started.length - (before[number] ?? 0) }))
+  t.deepEqual(started.filter(({ speed, count }) => speed < 1 && count > 0), [])
+})
--- a/src/common/cell/HostSpeeds.ts
+++ b/src/common/cell/HostSpeeds.ts
@@ -1,16 +1,17 @@
 /**
  * Learns how fast hosts work from the duration and progress of their runs.
  *
- * It is designed for hosts that become six times slower for some seconds while they answer as usual, among hosts whose speeds
- * permanently differ by half. A slow host keeps its tasks for longer and so accumulates work: without this, urgent jobs on a
- * sixth of the hosts would be late although the others have room.
+ * It is designed for hosts that become six times slower for some seconds while they answer as usual, among hosts whose base speeds
+ * permanently differ by a factor of up to 2.7 (0.6 to 1.6). A host that becomes slow keeps its tasks for longer and so accumulates
+ * work: without this, urgent jobs on a sixth of the hosts would be late although the others have room. A host that is always slow
+ * takes its part of the work, and only its base speed counts while it has no runs.
  */
 
-import type { MonotonicMs } from '../Types.js'
+import type { EpochMs, MonotonicMs } from '../Types.js'
 import type { Attempt } from './Attempt.js'
 import type { HostState } from './HostState.js'
 
-/** How well a queue's estimates fit: the logarithm of estimate to run time over the runs on all hosts. */
+/** How well a queue's estimates fit: the logarithm of estimate to run time on a host of speed 1, over the runs on all hosts. */
 interface IQueueFit {
   mean: number
   variance: number
@@ -24,6 +25,13 @@
   atMs: MonotonicMs
 }
 
+/** What the ended runs of one incarnation of a host say of its base speed: the mean of its logarithm. */
+interface IBaseEvidence {
+  readonly bornMs: EpochMs
+  weight: number
+  weightedSum: number
+}
+
 /** The variance of log(estimate / run time) before a queue's first runs: estimates off by a factor of two. */
 const INITIAL_VARIANCE = 0.5
 /** A run has full weight if the estimates of its queue have at most this variance (off by a third), and proportionally less if they are worse. */
@@ -35,11 +43,15 @@
 const USUAL_WEIGHT = 1
 /** The maximum weight of ended runs, in runs, so that a few present runs that fall behind outweigh a long good history. */
 const MAX_PAST_WEIGHT = 3
+/** The maximum weight of the runs behind a base speed, in runs: the slow runs of a few seconds hardly change it. */
+const MAX_BASE_WEIGHT = 20
+/** A run changes the base speed by at most this much, as a logarithm: a straggler or a run of a slow time says little of it. */
+const MAX_BASE_DEVIATION = Math.log(2)
 /** The half-life of the evidence of ended runs, in ms: hosts become slow and recover within five to ten seconds. */
 const HALF_LIFE_MS = 4000
 /** The progress of a run is used once the run has lasted for this long, in ms; hosts report it once a second. */
 const MIN_RUN_MS = 400
-/** Hosts below this share of the usual speed get no work, as long as they are few. */
+/** Hosts below this share of their own base speed get no work, as long as they are few. */
 const MIN_SPEED = 0.4
 /** If more than this share of the hosts seem too slow, the estimates are wrong, and no host is excluded. */
 const MAX_SLOW_SHARE = 0.34
@@ -47,6 +59,7 @@
 export class HostSpeeds {
   private readonly _fits = new Map<string, IQueueFit>()
   private readonly _evidence = new WeakMap<HostState, IEvidence>()
+  private readonly _bases = new WeakMap<HostState, IBaseEvidence>()
 
   /** Learns from a run that ended as done. */
   public recordDone (attempt: Attempt, nowMs: MonotonicMs): void {
@@ -54,27 +67,30 @@
     if (!isComparable(attempt) || ranMs <= 0) return
     const sample = Math.log(attempt.task.step.spec.estimateMs / ranMs)
     const fit = this._fitOf(attempt)
-    const evidence = this._evidenceOf(attempt.host, nowMs)
-    const weight = weightOf(fit)
-    const left = Math.min(1, MAX_PAST_WEIGHT / (evidence.weight + weight))
-    evidence.weight = (evidence.weight + weight) * left
-    evidence.weightedSum = (evidence.weightedSum + weight * (sample - fit.mean)) * left
-    updateFit(fit, sample)
+    const base = this._baseOf(attempt.host)
+    const baseLog = logOf(base)
+    const off = sample - fit.mean - baseLog
+    addEvidence(this._evidenceOf(attempt.host, nowMs), weightOf(fit), off, MAX_PAST_WEIGHT)
+    const baseOff = Math.min(MAX_BASE_DEVIATION, Math.max(-MAX_BASE_DEVIATION, off))
+    addEvidence(base, weightOf(fit), baseLog + baseOff, MAX_BASE_WEIGHT)
+    updateFit(fit, sample - baseLog)
   }
 
-  /** Recomputes the host's speed from its ended runs and the progress of the others. To be called after each report of the host. */
+  /** Recomputes the host's speeds from its ended runs and the progress of the others. To be called after each report of the host. */
   public update (host: HostState, nowMs: MonotonicMs): void {
+    const baseLog = logOf(this._baseOf(host))
     const { weight, weightedSum: weighted } = this._evidenceOf(host, nowMs)
     let sumWeight = weight + USUAL_WEIGHT
     let sum = weighted
     for (const attempt of host.attempts) {
-      const shortfall = this._shortfallOf(attempt, nowMs)
+      const shortfall = this._shortfallOf(attempt, baseLog, nowMs)
       if (shortfall === undefined) continue
       const progressWeight = weightOf(this._fitOf(attempt))
       sumWeight += progressWeight
       sum += progressWeight * shortfall
     }
-    host.speed = Math.exp(sum / sumWeight)
+    host.baseSpeed = Math.exp(baseLog)
+    host.transientSpeed = Math.exp(sum / sumWeight)
   }
 
   /** Hosts that should get no work at present. */
@@ -83,17 +99,17 @@
     let count = 0
     for (const host of hosts) {
       count += 1
-      if (host.speed < MIN_SPEED) slow.add(host)
+      if (host.transientSpeed < MIN_SPEED) slow.add(host)
     }
     return slow.size <= count * MAX_SLOW_SHARE ? slow : new Set()
   }
 
   /** How far a run is behind its estimate, as a logarithm below 0; undefined if it isn't behind, or it is too early to tell. */
-  private _shortfallOf (attempt: Attempt, nowMs: MonotonicMs): number | undefined {
+  private _shortfallOf (attempt: Attempt, baseLog: number, nowMs: MonotonicMs): number | undefined {
     const reportedMs = Math.min(nowMs, attempt.reportedAtMs) - attempt.startedAtMs
     if (attempt.phase !== 'running' || !isComparable(attempt) || reportedMs < MIN_RUN_MS) return undefined
     const projectedMs = reportedMs * 100 / Math.max(1, attempt.percent)
-    const sample = Math.log(attempt.task.step.spec.estimateMs / projectedMs) - this._fitOf(attempt).mean
+    const sample = Math.log(attempt.task.step.spec.estimateMs / projectedMs) - this._fitOf(attempt).mean - baseLog
     return sample < 0 ? sample : undefined
   }
 
@@ -107,6 +123,16 @@
     return fit
   }
 
+  /** A new incarnation may be another machine. */
+  private _baseOf (host: HostState): IBaseEvidence {
+    let base = this._bases.get(host)
+    if (base?.bornMs !== host.bornMs) {
+      base = { bornMs: host.bornMs, weight: 0, weightedSum: 0 }
+      this._bases.set(host, base)
+    }
+    return base
+  }
+
   private _evidenceOf (host: HostState, nowMs: MonotonicMs): IEvidence {
     let evidence = this._evidence.get(host)
     if (evidence === undefined) {
@@ -132,6 +158,17 @@
   return spec.estimateMs > 0 && attempt.task.checkpoint === '' && !attempt.isInherited
 }
 
+function addEvidence (evidence: Pick<IEvidence, 'weight' | 'weightedSum'>, weight: number, value: number, maxWeight: number): void {
+  const left = Math.min(1, maxWeight / (evidence.weight + weight))
+  evidence.weight = (evidence.weight + weight) * left
+  evidence.weightedSum = (evidence.weightedSum + weight * value) * left
+}
+
+/** The logarithm of the base speed: 0 for a host of which nothing is known. */
+function logOf ({ weight, weightedSum }: IBaseEvidence): number {
+  return weightedSum / (weight + USUAL_WEIGHT)
+}
+
 function weightOf (fit: IQueueFit): number {
   return GOOD_VARIANCE / Math.max(GOOD_VARIANCE, fit.variance)
 }
--- a/src/common/cell/HostState.ts
+++ b/src/common/cell/HostState.ts
@@ -69,8 +69,10 @@
   private _lastFailedJob = ''
   private _probationMs = FIRST_PROBATION_MS
   private _pausedUntilMs: MonotonicMs = -Infinity
-  /** The learned speed of the host relative to the estimates: 1 means that runs take as long as estimated. */
-  public speed = 1
+  /** The learned speed of the host in normal times, relative to the estimates: 1 means that runs take as long as estimated. */
+  public baseSpeed = 1
+  /** The share of its base speed at which it works now. */
+  public transientSpeed = 1
 
   /** @param inheritedUntilMs when all leases of earlier owners have certainly ended */
   public constructor (public entry: IHostEntry, inheritedUntilMs: MonotonicMs, private readonly _workspaces: WorkspaceUsage) {
@@ -82,6 +84,11 @@
     return this.entry.hostId
   }
 
+  /** The speed at which it works now. */
+  public get speed (): number {
+    return this.baseSpeed * this.transientSpeed
+  }
+
   public get freeCpu (): number {
     return this.entry.cpuMillicores - this._used.cpuMillicores
   }
@@ -248,6 +255,19 @@
     }
   }
 
+  public get dumpFields (): Record<string, string | number | boolean> {
+    return {
+      host: this.hostId,
+      freeCpu: this.freeCpu,
+      runs: this.attempts.size,
+      listed: this.isListed,
+      fenced: this.isFenced,
+      stored: this.storedSequence,
+      baseSpeed: this.baseSpeed,
+      transientSpeed: this.transientSpeed
+    }
+  }
+
   /** When the host last answered. */
   public get contactAtMs (): MonotonicMs {
     return this._clockAtMs
