Run times are forecast by those of the queue

Where callers' estimates were wrong, gangs started just before it was too late by their real run times, ended late, and made the next ones late as well. A straggler that hadn't reported progress always seemed to be about to end.

RunTimes learns the distribution of run time to estimate of each queue, corrected by the base speed of the hosts. HostForecast uses its remainingMs, and isLate its 15th percentile in place of four fifths of the estimate. Until 20 runs of a queue have ended, and in orders that don't pass the forecast on, everything is as before. The dump has the median and the 95th percentile of each queue.

--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -216,7 +216,8 @@
   public dump (): unknown {
     const hosts = [...this._scheduler.hosts.values()].map((host) => host.dumpFields)
     const open = [...this._scheduler.jobs.values()].filter((job) => !job.isFinished)
-    return { fence: this._fence, jobs: this._scheduler.jobs.size, open: open.length, hosts, workspaces: this._scheduler.workspaces() }
+    const state = { jobs: this._scheduler.jobs.size, open: open.length, hosts }
+    return { fence: this._fence, ...state, workspaces: this._scheduler.workspaces(), runTimes: this._scheduler.runTimes() }
   }
 
   /** Returns the current values for the metrics. */
--- a/src/common/cell/CapacityReservations.ts
+++ b/src/common/cell/CapacityReservations.ts
@@ -90,6 +90,6 @@
 /** The places that become free soonest: as many as the gang needs, or all within the horizon. */
 function soonestPlaces (step: Step, hosts: readonly HostState[], view: IPlacementView): readonly IPlace[] {
   const places = hosts.flatMap((host) =>
-    forecastPlaceTimes(host, step.spec, view.headroom(host, step), view.nowMs, HORIZON_MS).map((waitMs) => ({ host, waitMs })))
+    forecastPlaceTimes(host, step.spec, view.headroom(host, step), view.nowMs, HORIZON_MS, view.times).map((waitMs) => ({ host, waitMs })))
   return places.sort((a, b) => a.waitMs - b.waitMs).slice(0, step.spec.count)
 }
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -24,6 +24,8 @@
 import { addResources } from './Resources.js'
 import { RunController } from './RunController.js'
 import type { IRunEffects } from './RunController.js'
+import { RunTimes } from './RunTimes.js'
+import type { IRunTimesRow } from './RunTimes.js'
 import { StalledRuns } from './StalledRuns.js'
 import type { IHoldAnswer, IHostEntry, IRunRef, IWorkspace, StopOutcome } from './Types.js'
 import { WorkspaceUsage } from './WorkspaceUsage.js'
@@ -49,6 +51,7 @@
   public readonly hosts = new Map<string, HostState>()
   private readonly _openJobs = new Set<Job>()
   private readonly _speeds = new HostSpeeds()
+  private readonly _times = new RunTimes()
   private readonly _workspaces = new WorkspaceUsage()
   private readonly _limits = new LimitReservations(this._workspaces)
   private readonly _runController: RunController
@@ -78,7 +81,7 @@
       },
       onChange
     }, _chart, _clock, _log)
-    this._holdHandler = new HoldAnswerHandler(this._runController, this._speeds, {
+    this._holdHandler = new HoldAnswerHandler(this._runController, this._speeds, this._times, {
       save: async (job) => { await _effects.save(job) },
       count: (name, kind) => { _effects.count(name, kind) },
       findTask: ({ jobId, step, index }) => this.jobs.get(jobId)?.steps[step]?.tasks[index],
@@ -221,6 +224,7 @@
       nowMs,
       hosts: this.hosts,
       farFactor: this._options.farFactor,
+      times: this._times,
       slowHosts: this._speeds.findSlowHosts(this.hosts.values()),
       headroom: (host, step) => addResources(urgentHeadroom(host, step), reservations.reservedOn(host, isAtRisk(step, nowMs))),
       // Uses the reservations of the previous pass: urgent work is placed first, before this pass knows which gangs have to wait.
@@ -266,6 +270,11 @@
     return this._workspaces.rows()
   }
 
+  /** How long the runs of each queue take, for the state dump. */
+  public runTimes (): readonly IRunTimesRow[] {
+    return this._times.rows()
+  }
+
   public dispose (): void {
     this._advice.dispose()
   }
@@ -281,7 +290,7 @@
         if (!step.isDone && step.isReady && step.tasks.some((task) => task.isIdle)) steps.push(step)
       }
     }
-    return this._order.sort(steps, nowMs, this._workspaces)
+    return this._order.sort(steps, nowMs, this._workspaces, this._times)
   }
 
   private _placeTasks (step: Step, allowed: number, view: IPlacementView): void {
@@ -301,7 +310,7 @@
 
   /** Reserves capacity for a waiting gang, and renews its tickets so that they are valid when that capacity becomes free. */
   private _reserveForGang (step: Step, reservations: CapacityReservations, view: IPlacementView): void {
-    const reservation = reservations.reserve(step, view, isLate(step.job, view.nowMs))
+    const reservation = reservations.reserve(step, view, isLate(step.job, view.nowMs, this._times))
     const { advice } = step
     if (reservation === undefined || advice === undefined || step.job.queue.advice === undefined) return
     const callMs = expectedAdviceMs(step, reservation.hosts.length) + ADVICE_AHEAD_MS
--- a/src/common/cell/HoldAnswerHandler.ts
+++ b/src/common/cell/HoldAnswerHandler.ts
@@ -13,6 +13,7 @@
 import type { Job, Task } from './Job.js'
 import { runLogFields } from './RunController.js'
 import type { RunController } from './RunController.js'
+import type { RunTimes } from './RunTimes.js'
 import type { IEndRow, IHoldAnswer, IRunRef, StopOutcome } from './Types.js'
 
 export interface IHoldAnswerEffects {
@@ -28,6 +29,7 @@
   public constructor (
     private readonly _runs: RunController,
     private readonly _speeds: HostSpeeds,
+    private readonly _times: RunTimes,
     private readonly _effects: IHoldAnswerEffects,
     private readonly _clock: IClock,
     private readonly _log: ILogger
@@ -163,6 +165,7 @@
     applyEnd(task, row.ref.run, row.end, row.checkpoint, host.hostId, nowMs)
     if (row.end === 'done') {
       host.recordSuccess()
+      this._times.recordDone(attempt, nowMs)
       this._speeds.recordDone(attempt, nowMs)
     }
     if (row.end === 'failed') host.recordFailure(job.spec.jobId, nowMs)
--- a/src/common/cell/JobOrder.ts
+++ b/src/common/cell/JobOrder.ts
@@ -3,38 +3,48 @@
  */
 
 import type { MonotonicMs } from '../Types.js'
+import type { IRunForecast } from './HostForecast.js'
 import type { Job, Step } from './Job.js'
 import type { WorkspaceUsage } from './WorkspaceUsage.js'
 
 export interface IJobOrder {
   /** Sorts the steps, the first to be placed first. */
-  sort (steps: Step[], nowMs: MonotonicMs, usage: WorkspaceUsage): readonly Step[]
+  sort (steps: Step[], nowMs: MonotonicMs, usage: WorkspaceUsage, times?: IRunForecast): readonly Step[]
 }
 
 /**
- * A gang is assumed to run for at least this share of its estimate. If it would miss its objective even then, gangs that can
- * still meet theirs go first, because its placement would make these late as well.
+ * A gang is assumed to run for at least this share of its estimate, or for as long as all but a few of its queue. If it would miss its
+ * objective even then, gangs that can still meet theirs go first, because its placement would make these late as well.
  */
 const MIN_ESTIMATE_SHARE = 0.8
+const MIN_PERCENTILE = 15
 /** A late job that has waited for this long, in ms, is no longer deferred: callers still want late work done. */
 const MAX_DEFERRAL_MS = 60_000
 
-/** Whether a job can no longer meet its objective by its estimates. False for a job that has waited for very long. */
-export function isLate (job: Job, nowMs: MonotonicMs): boolean {
+/** Whether a job can no longer meet its objective, by the run times of its queue. False for a job that has waited for very long. */
+export function isLate (job: Job, nowMs: MonotonicMs, times?: IRunForecast): boolean {
   if (nowMs - job.receivedAtMs > MAX_DEFERRAL_MS) return false
   let remainingMs = 0
-  for (const { spec, isDone } of job.steps) if (spec.gang && !isDone) remainingMs += spec.estimateMs * MIN_ESTIMATE_SHARE
+  for (const step of job.steps) if (step.spec.gang && !step.isDone) remainingMs += leastRemainingMs(step, nowMs, times)
   return nowMs + remainingMs > job.dueMs
 }
 
+function leastRemainingMs (step: Step, nowMs: MonotonicMs, times: IRunForecast | undefined): number {
+  const estimatedMs = step.spec.estimateMs * MIN_ESTIMATE_SHARE
+  const runMs = times?.runMs(step, MIN_PERCENTILE)
+  if (times === undefined || runMs === undefined) return estimatedMs
+  const running = step.tasks.flatMap(({ attempt }) => attempt?.phase === 'running' ? [attempt] : [])
+  return running.length < step.tasks.length ? runMs : Math.max(...running.map((attempt) => times.remainingMs(attempt, nowMs, MIN_PERCENTILE)))
+}
+
 /** By urgency, then by objective, with jobs that are late anyway behind the others. */
-export function compareByObjective (a: Job, b: Job, nowMs: MonotonicMs): number {
-  return a.queue.priority - b.queue.priority || Number(isLate(a, nowMs)) - Number(isLate(b, nowMs)) || a.dueMs - b.dueMs
+export function compareByObjective (a: Job, b: Job, nowMs: MonotonicMs, times?: IRunForecast): number {
+  return a.queue.priority - b.queue.priority || Number(isLate(a, nowMs, times)) - Number(isLate(b, nowMs, times)) || a.dueMs - b.dueMs
 }
 
 /** Whoever submits them, by objective. */
 export class ObjectiveOrder implements IJobOrder {
-  public sort (steps: Step[], nowMs: MonotonicMs): readonly Step[] {
-    return steps.sort((a, b) => compareByObjective(a.job, b.job, nowMs))
+  public sort (steps: Step[], nowMs: MonotonicMs, _usage: WorkspaceUsage, times?: IRunForecast): readonly Step[] {
+    return steps.sort((a, b) => compareByObjective(a.job, b.job, nowMs, times))
   }
 }
--- a/src/common/cell/Placement.ts
+++ b/src/common/cell/Placement.ts
@@ -6,6 +6,7 @@
  */
 
 import type { MonotonicMs } from '../Types.js'
+import type { IRunForecast } from './HostForecast.js'
 import type { HostState } from './HostState.js'
 import type { Step, Task } from './Job.js'
 import { NO_RESOURCES } from './Resources.js'
@@ -24,6 +25,7 @@
   readonly farFactor: number
   /** Hosts that get no work at present because they are too slow. */
   readonly slowHosts: ReadonlySet<HostState>
+  readonly times: IRunForecast
   /** The resources on a host that the step has to leave free. */
   headroom (host: HostState, step: Step): IResources
   /** Whether resources on the host are reserved for waiting gangs. */
