The members of a gang get hosts of similar speed

A gang ends with its slowest member. Gangs took the fastest hosts with room and filled up with slower ones, held the fast hosts for as long as the slow ones, and gangs that needed fast hosts were late.

--- a/src/common/cell/Placement.ts
+++ b/src/common/cell/Placement.ts
@@ -110,8 +110,44 @@
   return planTogether(step, hosts, view)
 }
 
+/**
+ * Plans the gang on hosts of similar speed, if there are enough. Its members wait for the slowest one, so that on faster hosts processors
+ * would be idle. Of the plans that end in time, the one with the least idle processor time is chosen, else the one that ends soonest.
+ */
 function planTogether (step: Step, hosts: readonly HostState[], view: IPlacementView): readonly IPlacement[] | undefined {
-  const capacity = new RemainingCapacity(step, hosts, view)
+  const classes = [...new Set(hosts.map(speedClass))].sort((a, b) => b - a)
+  // Where the distance to the data decides about run times, speeds don't.
+  if (classes.length <= 1 || step.spec.preferredRack !== '') return planOn(step, hosts, view)
+  const spareMs = spareTimeMs(step, view.nowMs)
+  let best: readonly IPlacement[] | undefined
+  let bestCost = Infinity
+  for (const lowest of classes) {
+    const plan = planOn(step, hosts.filter((host) => speedClass(host) >= lowest), view, classSpeed(lowest))
+    if (plan === undefined) continue
+    const ranMs = step.spec.estimateMs / Math.min(...plan.map(({ host }) => host.speed))
+    const avoided = plan.filter(({ task, host }) => task.avoidedHosts.has(host.hostId)).length
+    const idleShare = plan.reduce((sum, { host }) => sum + host.speed / classSpeed(lowest) - 1, 0) / plan.length
+    const cost = avoided * AVOIDED_COST + (ranMs <= spareMs ? idleShare : ranMs + LATE_COST)
+    if (cost < bestCost) {
+      best = plan
+      bestCost = cost
+    }
+  }
+  return best
+}
+
+/** Hosts of one class differ by less than a quarter in speed. */
+function speedClass (host: HostState): number {
+  return Math.round(Math.log(host.speed) / SPEED_CLASS_LOG)
+}
+
+function classSpeed (number: number): number {
+  return Math.exp(number * SPEED_CLASS_LOG)
+}
+
+/** @param gangSpeed the speed at which the members of a gang progress together; the hosts that are hardly faster are used first */
+function planOn (step: Step, hosts: readonly HostState[], view: IPlacementView, gangSpeed?: number): readonly IPlacement[] | undefined {
+  const capacity = new RemainingCapacity(step, hosts, view, gangSpeed)
   if (capacity.totalPlaces() < step.tasks.length) return undefined
   const plan: IPlacement[] = []
   for (const task of step.tasks) {
@@ -128,7 +164,9 @@
   private readonly _placesLeft = new Map<HostState, number>()
   private readonly _used = new Map<HostState, number>()
 
-  public constructor (private readonly _step: Step, hosts: readonly HostState[], private readonly _view: IPlacementView) {
+  public constructor (
+    private readonly _step: Step, hosts: readonly HostState[], private readonly _view: IPlacementView, private readonly _gangSpeed?: number
+  ) {
     for (const host of hosts) this._placesLeft.set(host, this._countPlaces(host))
   }
 
@@ -168,10 +206,17 @@
     return Math.max(0, Math.min(places, spec.maxPerHost - runsOfStepOn(this._step, host)))
   }
 
+  /** The run time on the host. For a member of a gang, a host that is faster than the gang counts as slower: it would be idle for a part of it. */
+  private _workMs (host: HostState): number {
+    const { estimateMs } = this._step.spec
+    if (this._gangSpeed === undefined) return estimateMs / host.speed
+    return estimateMs * (1 / Math.min(host.speed, this._gangSpeed) + Math.max(0, host.speed / this._gangSpeed - SIMILAR_SPEED))
+  }
+
   private _score (task: Task, host: HostState): number {
     const { spec, job, advice } = this._step
     const isFar = spec.preferredRack !== '' && spec.preferredRack !== host.entry.rack
-    const workMs = spec.estimateMs / host.speed * (isFar ? this._view.farFactor : 1)
+    const workMs = this._workMs(host) * (isFar ? this._view.farFactor : 1)
     const adviceMs = job.queue.advice === undefined || advice?.findTicket(host.hostId, host.bornMs, this._view.nowMs) !== undefined
       ? 0
       : job.queue.advice.baseMs
@@ -183,6 +228,24 @@
   }
 }
 
+/** The part of the time to its objective that a task may take. The rest is for errors of its estimate and for runs that are repeated. */
+const OBJECTIVE_SHARE = 0.5
+
+/** How long a run of the step may take, at most, for its job to meet its objective with some margin. */
+function spareTimeMs ({ job, spec, number }: Step, nowMs: MonotonicMs): number {
+  let restMs = 0
+  for (const step of job.steps) if (!step.isDone && step.number > number) restMs += step.spec.estimateMs
+  return (job.dueMs - nowMs) * OBJECTIVE_SHARE * spec.estimateMs / Math.max(1, spec.estimateMs + restMs)
+}
+
+/** The logarithm of the ratio of neighbouring classes of speed. */
+const SPEED_CLASS_LOG = Math.log(1.25)
+/** Up to this ratio of speeds, other differences between hosts count more. */
+const SIMILAR_SPEED = 1.125
+/** Added to the cost of a plan that ends late, in ms, and for each host on which the task has failed: more than the other parts of the cost. */
+const LATE_COST = 1000
+const AVOIDED_COST = 1e7
+
 /** The penalty of a host with resources reserved for gangs, as a share of the task's estimate: urgent tasks are small and have many other hosts. */
 const RESERVED_WEIGHT = 0.3
 /** The weight of a host's free share, as a share of the task's estimate: just enough to decide between otherwise equal hosts. */
