A wrong percentage isn't taken for a stall

A host that reports percentages over 100, or lower ones than before, had its runs stopped as stalled after some seconds, since such a report counted as one without progress. It says nothing now.

--- a/src/common/cell/Attempt.ts
+++ b/src/common/cell/Attempt.ts
@@ -124,9 +124,10 @@
     this.forgetOrders()
   }
 
-  /** Records the progress in a list of the host, before `reportedAtMs` is updated. A percentage that falls or exceeds 100 is wrong. */
+  /** Records the progress in a list of the host, before `reportedAtMs` is updated. A percentage that falls or exceeds 100 says nothing. */
   public updatePercent (percent: number, nowMs: MonotonicMs): void {
-    if (percent <= this.percent || percent > 100) {
+    if (percent < this.percent || percent > 100) return
+    if (percent === this.percent) {
       this.stillMs += Math.min(MAX_LIST_GAP_MS, Math.max(0, nowMs - this.reportedAtMs))
       return
     }
--- a/src/common/cell/StalledRuns.test.ts
+++ b/src/common/cell/StalledRuns.test.ts
@@ -107,3 +107,16 @@
   await cell.run(600)
   t.deepEqual(cell.hosts.map(({ started }, number) => started.length > (before[number] ?? 0)), cell.hosts.map((_, number) => number !== hangs))
 })
+
+test('a host that reports wrong percentages keeps its runs', async (t) => {
+  // A percentage that is too high or falls would count as a stall.
+  const cell = createCell(1, 20_000)
+  await cell.run(1500)
+  const job = cell.submit([{ count: 1, estimateMs: 20_000 }])
+  await cell.run(2500)
+  const attempt = job.steps[0]?.tasks[0]?.attempt
+  const before = attempt?.percent
+  for (const percent of [120, 5, 0, 120, 120, 120]) attempt?.updatePercent(percent, cell.clock.nowMs() + 60_000)
+  t.is(attempt?.percent, before)
+  t.is(attempt?.stillMs, 0)
+})
