Waiting gangs are planned and compared at the cost of before

Every pass computed a percentile of run times for each comparison of two waiting jobs, and a plan for each class of speeds for each gang without room. Percentiles are kept until the next run ends, and a gang that doesn't fit on all hosts together isn't tried on fewer.

--- a/src/common/cell/Placement.ts
+++ b/src/common/cell/Placement.ts
@@ -115,7 +115,7 @@
  * would be idle. Of the plans that end in time, the one with the least idle processor time is chosen, else the one that ends soonest.
  */
 function planTogether (step: Step, hosts: readonly HostState[], view: IPlacementView): readonly IPlacement[] | undefined {
-  const classes = [...new Set(hosts.map(speedClass))].sort((a, b) => b - a)
+  const classes = [...new Set(hosts.map(speedClass))].sort((a, b) => a - b)
   // Where the distance to the data decides about run times, speeds don't.
   if (classes.length <= 1 || step.spec.preferredRack !== '') return planOn(step, hosts, view)
   const spareMs = spareTimeMs(step, view.nowMs)
@@ -123,12 +123,13 @@
   let bestCost = Infinity
   for (const lowest of classes) {
     const plan = planOn(step, hosts.filter((host) => speedClass(host) >= lowest), view, classSpeed(lowest))
-    if (plan === undefined) continue
+    // Fewer hosts have no more room.
+    if (plan === undefined) break
     const ranMs = step.spec.estimateMs / Math.min(...plan.map(({ host }) => host.speed))
     const avoided = plan.filter(({ task, host }) => task.avoidedHosts.has(host.hostId)).length
     const idleShare = plan.reduce((sum, { host }) => sum + host.speed / classSpeed(lowest) - 1, 0) / plan.length
     const cost = avoided * AVOIDED_COST + (ranMs <= spareMs ? idleShare : ranMs + LATE_COST)
-    if (cost < bestCost) {
+    if (cost <= bestCost) {
       best = plan
       bestCost = cost
     }
--- a/src/common/cell/RunTimes.ts
+++ b/src/common/cell/RunTimes.ts
@@ -31,6 +31,8 @@
   readonly weights: number[]
   runs: number
   atMs: MonotonicMs
+  /** The percentiles of all ratios that were computed since the last run: each pass compares many waiting jobs. */
+  readonly percentiles: Map<number, number>
 }
 
 /** What a queue's runs took, as multiples of their estimates, for the dump. */
@@ -58,6 +60,7 @@
     const number = classOf(ranMs * baseSpeedOf(attempt) / step.spec.estimateMs)
     distribution.weights[number] = (distribution.weights[number] ?? 0) + 1
     distribution.runs += 1
+    distribution.percentiles.clear()
   }
 
   /**
@@ -78,12 +81,12 @@
   /** How long a run of the step will take on a host of usual speed; undefined while too little is known of its queue. */
   public runMs (step: Step, percentile: number): number | undefined {
     const distribution = this._known(step)
-    return distribution === undefined ? undefined : quantile(distribution, percentile, 0) * step.spec.estimateMs
+    return distribution === undefined ? undefined : percentileOf(distribution, percentile) * step.spec.estimateMs
   }
 
   public rows (): readonly IRunTimesRow[] {
     return [...this._distributions].map(([queue, distribution]) =>
-      ({ queue, runs: distribution.runs, medianRatio: quantile(distribution, 50, 0), p95Ratio: quantile(distribution, 95, 0) }))
+      ({ queue, runs: distribution.runs, medianRatio: percentileOf(distribution, 50), p95Ratio: percentileOf(distribution, 95) }))
   }
 
   private _known (step: Step): IDistribution | undefined {
@@ -94,7 +97,7 @@
   private _distributionOf (queue: string, nowMs: MonotonicMs): IDistribution {
     let distribution = this._distributions.get(queue)
     if (distribution === undefined) {
-      distribution = { weights: Array.from({ length: CLASSES }, () => 0), runs: 0, atMs: nowMs }
+      distribution = { weights: Array.from({ length: CLASSES }, () => 0), runs: 0, atMs: nowMs, percentiles: new Map() }
       this._distributions.set(queue, distribution)
     }
     return distribution
@@ -129,6 +132,14 @@
   return Math.exp(LOWEST_LOG + (number + 0.5) * CLASS_LOG)
 }
 
+function percentileOf (distribution: IDistribution, percentile: number): number {
+  const known = distribution.percentiles.get(percentile)
+  if (known !== undefined) return known
+  const ratio = quantile(distribution, percentile, 0)
+  distribution.percentiles.set(percentile, ratio)
+  return ratio
+}
+
 /** The percentile of the ratios above `minRatio`: a run that has lasted longer than others have ended is one of those that take longer. */
 function quantile ({ weights }: IDistribution, percentile: number, minRatio: number): number {
   const isLeft = (number: number): boolean => ratioOf(number) > minRatio
