--- a/src/common/cell/StalledRuns.test.ts
+++ b/src/common/cell/StalledRuns.test.ts
@@ -120,3 +120,17 @@
   t.is(attempt?.percent, before)
   t.is(attempt?.stillMs, 0)
 })
+
+test('a run with a recent checkpoint leaves a host that hangs sooner', async (t) => {
+  // A restart costs it little. Without a checkpoint, the work of five seconds would be lost.
+  const cell = createCell(2, 20_000)
+  await cell.run(1500)
+  const submit = (checkpointing: boolean): Job => cell.submit([{ count: 2, maxPerHost: 1, estimateMs: 6000, checkpointing }], { priority: 2 })
+  const jobs = [submit(false), submit(true)]
+  await cell.run(5500)
+  cell.host(0).isHanging = true
+  for (const { attempt } of jobs[1]?.steps[0]?.tasks ?? []) if (attempt !== undefined) attempt.checkpointAtMs = attempt.percentAtMs
+  await cell.run(6500)
+  const stopped = cell.host(0).discarded.map(({ ref }) => ref.jobId)
+  t.deepEqual(stopped, [jobs[1]?.spec.jobId])
+})
