--- a/src/common/cell/HoldAnswerHandler.ts
+++ b/src/common/cell/HoldAnswerHandler.ts
@@ -13,6 +13,7 @@
 import type { Job, Task } from './Job.js'
 import { runLogFields } from './RunController.js'
 import type { RunController } from './RunController.js'
+import type { RunTimes } from './RunTimes.js'
 import type { IEndRow, IHoldAnswer, IRunRef, StopOutcome } from './Types.js'
 
 export interface IHoldAnswerEffects {
@@ -28,6 +29,7 @@
   public constructor (
     private readonly _runs: RunController,
     private readonly _speeds: HostSpeeds,
+    private readonly _times: RunTimes,
     private readonly _effects: IHoldAnswerEffects,
     private readonly _clock: IClock,
     private readonly _log: ILogger
@@ -96,7 +98,10 @@
       if (attempt.bornMs !== host.bornMs) attempt.moveTo(host.bornMs)
       attempt.transition('LISTED')
       attempt.updatePercent(row.percent, nowMs)
-      if (row.checkpoint !== '') storeCheckpoint(attempt.task, row.checkpoint)
+      if (row.checkpoint !== '') {
+        if (row.checkpoint !== attempt.task.checkpoint) attempt.checkpointAtMs = nowMs
+        storeCheckpoint(attempt.task, row.checkpoint)
+      }
       this._runs.markRunning(attempt, nowMs)
       if (attempt.phase === 'stopping') this._runs.stop(attempt)
     }
@@ -160,6 +165,7 @@
     applyEnd(task, row.ref.run, row.end, row.checkpoint, host.hostId, nowMs)
     if (row.end === 'done') {
       host.recordSuccess()
+      this._times.recordDone(attempt, nowMs)
       this._speeds.recordDone(attempt, nowMs)
     }
     if (row.end === 'failed') host.recordFailure(job.spec.jobId, nowMs)
