--- a/bench/cellLoad.ts
+++ b/bench/cellLoad.ts
@@ -9,6 +9,7 @@
 import { ShareMeter } from '../src/common/cell/ShareMeter.js'
 import { SeededRandom } from '../src/common/Random.js'
 import { SimulatedCell } from '../test/support/SimulatedCell.js'
+import { AdviceCallLog } from './adviceCalls.js'
 import { DominantShareOrder, ShareFirstOrder, ShareOrder } from './cellOrders.js'
 import { tableLines } from '../src/operator/Table.js'
 
@@ -16,7 +17,9 @@
 import type { IJobOrder } from '../src/common/cell/JobOrder.js'
 import type { Job, QueueTerms } from '../src/common/cell/Job.js'
 import type { IAdviceRequest, IRunRef, IStepSpec } from '../src/common/cell/Types.js'
+import type { ILogger } from '../src/common/observability/Types.js'
 import type { IRandom } from '../src/common/Types.js'
+import type { ISimulatedCellOptions } from '../test/support/SimulatedCell.js'
 
 /** One kind of job. Its rate applies to a cell of `REFERENCE_HOSTS` hosts. */
 interface ILoad {
@@ -39,6 +42,21 @@
   readonly host: { readonly cpuMillicores: number, readonly memoryMb: number }
   readonly loads: readonly ILoad[]
   readonly workspaces: readonly ILoadWorkspace[]
+  /** The number of hosts for which the rates are given; `REFERENCE_HOSTS` by default. */
+  readonly referenceHosts?: number
+  /** The machines that may call for advice, those of them in another region, and the time of a message to these. */
+  readonly advice?: { readonly machines: number, readonly farMachines: number, readonly farTripMs: number, readonly ticketValidMs: number }
+  /** The speeds of the hosts, in turn. */
+  readonly hostSpeeds?: readonly number[]
+  readonly bursts?: readonly IQueueBurst[]
+}
+
+/** A time, counted from the end of the warm-up, in which a queue gets a multiple of its usual load. */
+interface IQueueBurst {
+  readonly queue: string
+  readonly fromMs: number
+  readonly forMs: number
+  readonly factor: number
 }
 
 export interface ILoadWorkspace {
@@ -57,6 +75,7 @@
   readonly factor?: number
   readonly set?: ILoadSet
   readonly order?: IJobOrder
+  readonly logger?: ILogger
 }
 
 const REFERENCE_HOSTS = 200
@@ -141,13 +160,19 @@
     .option('factor', { type: 'number', default: 1, describe: 'multiplies the rate of all loads' })
     .option('loads', { type: 'string', describe: 'a JSON file with the hosts, the loads and the workspaces' })
     .option('order', { choices: Object.keys(ORDERS), default: 'objective' })
+    .option('machines', { type: 'number', describe: 'the machines that may call for advice, if the loads name them' })
+    .option('calls', { type: 'boolean', default: false, describe: 'prints the calls for advice by queue and reason' })
     .parseAsync()
-  const set = args.loads === undefined ? BUSY_CELL : JSON.parse(readFileSync(args.loads, 'utf8')) as ILoadSet
+  const read = args.loads === undefined ? BUSY_CELL : JSON.parse(readFileSync(args.loads, 'utf8')) as ILoadSet
+  const set = args.machines === undefined ? read : withMachines(read, args.machines)
   const order = ORDERS[args.order]
+  const calls = args.calls ? new AdviceCallLog() : undefined
   const { hosts, seed, factor } = args
   const options = { hosts, seed, durationMs: args.seconds * MS_PER_S, factor, set }
-  const { queues, workspaces } = await simulateLoad({ ...options, ...(order === undefined ? {} : { order }) })
+  const chosen = { ...(order === undefined ? {} : { order }), ...(calls === undefined ? {} : { logger: calls }) }
+  const { queues, workspaces } = await simulateLoad({ ...options, ...chosen })
   for (const line of tableLines(queues as unknown as readonly Row[])) process.stdout.write(`${line}\n`)
+  if (calls !== undefined) for (const line of tableLines(calls.rows() as unknown as readonly Row[])) process.stdout.write(`${line}\n`)
   for (const line of tableLines(workspaces as unknown as readonly Row[])) process.stdout.write(`${line}\n`)
 }
 
@@ -181,10 +206,10 @@
 }
 
 export async function simulateLoad (options: ILoadOptions): Promise<ILoadResult> {
-  const { hosts, seed, durationMs, factor = 1, set = BUSY_CELL, order } = options
-  const { host, loads, workspaces } = set
+  const { hosts, seed, durationMs, factor = 1, set = BUSY_CELL, order, logger } = options
+  const { host, loads, workspaces, referenceHosts = REFERENCE_HOSTS, advice, hostSpeeds, bursts = [] } = set
   const meter = new ShareMeter()
-  const jobsPerS = loads.reduce((sum, load) => sum + load.jobsPerS, 0) * factor * hosts / REFERENCE_HOSTS
+  const jobsPerS = loads.reduce((sum, load) => sum + load.jobsPerS, 0) * factor * hosts / referenceHosts
   const burstFromMs = WARM_UP_MS + durationMs * (1 - BURST_SHARE) / 2
   const burstUntilMs = burstFromMs + durationMs * BURST_SHARE
   const random = new SeededRandom(seed)
@@ -193,7 +218,10 @@
   const cell = new SimulatedCell({
     hosts,
     adviceMachines: Math.max(MIN_MACHINES, Math.round(hosts / HOSTS_PER_MACHINE)),
+    ...(advice === undefined ? {} : toAdviceOptions(advice)),
+    ...(hostSpeeds === undefined ? {} : { hostSpeeds }),
     ...(order === undefined ? {} : { order }),
+    ...(logger === undefined ? {} : { logger }),
     host: { ...host, workMs: ({ jobId, step }: IRunRef) => workMs.get(`${jobId}.${step}`) ?? MS_PER_S },
     allows: (hostId, { jobId, step }: IAdviceRequest) => hashToUnit(`${hostId} ${jobId} ${step}`) < (loadByJob.get(jobId)?.allowedShare ?? 1),
     adviceMs: ({ jobId, hostIds }) => {
@@ -210,8 +238,10 @@
     const isBurst = nowMs >= burstFromMs && nowMs < burstUntilMs
     for (const load of loads) {
       for (const workspace of workspaces) {
-        const jobsPerTick = load.jobsPerS * factor * hosts / REFERENCE_HOSTS * TICK_MS / MS_PER_S * workspace.share
-        if (random.next() < jobsPerTick * (isBurst ? workspace.burstFactor : 1)) submit(load, workspace)
+        const jobsPerTick = load.jobsPerS * factor * burstOf(load, nowMs) * hosts / referenceHosts * TICK_MS / MS_PER_S * workspace.share
+        const expected = jobsPerTick * (isBurst ? workspace.burstFactor : 1)
+        const count = Math.floor(expected) + (random.next() < expected % 1 ? 1 : 0)
+        for (let number = 0; number < count; number += 1) submit(load, workspace)
       }
     }
     await cell.run(TICK_MS)
@@ -226,6 +256,12 @@
   const coreSecondsOf = (each: readonly ISubmittedJob[]): number => each.reduce((sum, { job }) => sum + job.coreSeconds, 0)
   return { queues: loads.map(toQueueRow), workspaces: workspaces.map(toWorkspaceRow) }
 
+  function burstOf ({ queue }: ILoad, nowMs: number): number {
+    const sinceMs = nowMs - WARM_UP_MS
+    const active = bursts.find((burst) => burst.queue === queue.name && sinceMs >= burst.fromMs && sinceMs < burst.fromMs + burst.forMs)
+    return active?.factor ?? 1
+  }
+
   function toWorkspaceRow ({ name }: ILoadWorkspace): IWorkspaceRow {
     const jobs = measured.filter(({ job }) => job.workspace === name)
     const within = jobs.filter(({ job }) => !job.isBeyondShare)
@@ -283,6 +319,17 @@
   }
 }
 
+function toAdviceOptions ({ machines, farMachines, farTripMs, ticketValidMs }: NonNullable<ILoadSet['advice']>): Partial<ISimulatedCellOptions> {
+  return { adviceMachines: machines, isAdviceSerial: true, farMachines: { count: farMachines, tripMs: farTripMs }, ticketValidMs }
+}
+
+/** The same loads with another number of machines that may call for advice, as many of them far from the owner in proportion. */
+export function withMachines (set: ILoadSet, machines: number): ILoadSet {
+  const { advice } = set
+  if (advice === undefined) return set
+  return { ...set, advice: { ...advice, machines, farMachines: Math.round(machines * advice.farMachines / advice.machines) } }
+}
+
 /** Draws a log-normal factor with a mean of one; `deviation` is the standard deviation of its logarithm. */
 function logNormalFactor (random: IRandom, deviation: number): number {
   const normal = Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next())
--- a/src/common/cell/AdviceRequester.ts
+++ b/src/common/cell/AdviceRequester.ts
@@ -22,6 +22,14 @@
   count (name: string, kind: string): void
 }
 
+/** Why a call is made: to learn which hosts are allowed, or to renew tickets for hosts that are. */
+export type AdviceReason = 'hosts' | 'tickets'
+
+interface INamedHosts {
+  readonly named: readonly string[]
+  readonly reason: AdviceReason
+}
+
 /** How long after a failed call the advice for a step is requested again, in ms. */
 const ADVICE_RETRY_MS = 300
 /** How often a waiting step checks whether it may use enough hosts, in ms: each check iterates over all hosts. */
@@ -77,7 +85,7 @@
     advice.nextCheckAtMs = nowMs + HOST_CHECK_MS
     if (!this._needsMoreHosts(step, advice, nowMs)) return advice
     const hostIds = chooseHostsToName(step, this._hosts.values(), this._shares.shareOf(step.job.queue.name), this._isLean(step))
-    if (hostIds.length > 0) this.requestAdvice(step, hostIds, () => {})
+    if (hostIds.length > 0) this.requestAdvice(step, hostIds, 'hosts', () => {})
     else advice.lastCallAtMs = nowMs
     return advice
   }
@@ -113,9 +121,10 @@
   /**
    * Requests advice for the given hosts.
    *
+   * @param reason why the call is made, for the log and the counters
    * @param onSettled called once, when all calls have ended
    */
-  public requestAdvice (step: Step, hostIds: readonly string[], onSettled: () => void): void {
+  public requestAdvice (step: Step, hostIds: readonly string[], reason: AdviceReason, onSettled: () => void): void {
     const { job, advice } = step
     if (job.queue.advice === undefined || advice === undefined) return
     const calls = splitIntoCalls(step, hostIds)
@@ -130,7 +139,7 @@
         expectedMs: expectedAdviceMs(step, named.length),
         isWanted: () => !job.isFinished,
         settle: (outcome, sentAtMs) => {
-          this._applyAnswer(step, advice, named, outcome, sentAtMs)
+          this._applyAnswer(step, advice, { named, reason }, outcome, sentAtMs)
           if (!advice.hasCallsInFlight) onSettled()
           this._effects.requestPass()
         }
@@ -138,8 +147,9 @@
     }
   }
 
-  private _applyAnswer (step: Step, advice: StepAdvice, hostIds: readonly string[], outcome: AdviceOutcome, sentAtMs?: MonotonicMs): void {
+  private _applyAnswer (step: Step, advice: StepAdvice, call: INamedHosts, outcome: AdviceOutcome, sentAtMs?: MonotonicMs): void {
     const { job } = step
+    const { named: hostIds, reason } = call
     const nowMs = this._clock.nowMs()
     advice.recordCallEnd()
     if (outcome.kind !== 'advised') advice.retryAtMs = nowMs + ADVICE_RETRY_MS
@@ -154,8 +164,10 @@
     const waitMs = Math.round(nowMs - advice.lastCallAtMs)
     this._effects.recordDuration('wait_for_advice', waitMs)
     this._effects.count('advice', outcome.kind)
+    this._effects.count('advice_calls', reason)
     const allowed = outcome.kind === 'advised' ? outcome.allowed.length : undefined
-    this._log.info('advice.answered', { requestId: job.spec.jobId, step: String(step.number), outcome: outcome.kind, allowed, hosts: hostIds.length, waitMs })
+    const numbers = { queue: job.queue.name, allowed, hosts: hostIds.length, waitMs }
+    this._log.info('advice.answered', { requestId: job.spec.jobId, step: String(step.number), outcome: outcome.kind, reason, ...numbers })
   }
 }
 
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -307,7 +307,7 @@
     const callMs = expectedAdviceMs(step, reservation.hosts.length) + ADVICE_AHEAD_MS
     if (reservation.waitMs > callMs || advice.hasCallsInFlight || view.nowMs < advice.retryAtMs) return
     const expiring = reservation.hosts.filter(({ hostId, bornMs }) => advice.findTicket(hostId, bornMs, view.nowMs + callMs) === undefined)
-    if (expiring.length > 0) this._advice.requestAdvice(step, expiring.map(({ hostId }) => hostId), () => { this._runController.orderReady(step) })
+    if (expiring.length > 0) this._advice.requestAdvice(step, expiring.map(({ hostId }) => hostId), 'tickets', () => { this._runController.orderReady(step) })
   }
 
   private _prepareRuns (step: Step, plan: readonly IPlacement[]): void {
@@ -327,7 +327,7 @@
     // A gang needs all its tickets at once, so tickets that would expire during the call are renewed with the missing ones.
     const validAtMs = this._clock.nowMs() + (step.spec.gang ? expectedAdviceMs(step, waiting.length) : 0)
     const requested = waiting.filter((attempt) => isMissing(attempt, validAtMs))
-    this._advice.requestAdvice(step, [...new Set(requested.map((attempt) => attempt.host.hostId))], () => {
+    this._advice.requestAdvice(step, [...new Set(requested.map((attempt) => attempt.host.hostId))], 'tickets', () => {
       this._runController.drop(requested.filter((attempt) => isMissing(attempt, this._clock.nowMs())))
       this._runController.orderReady(step)
     })
--- a/test/support/SimulatedCell.ts
+++ b/test/support/SimulatedCell.ts
@@ -12,6 +12,7 @@
 import { ChartTable } from '../../src/common/state/ChartTable.js'
 import { SimulatedHost, taskKey } from './SimulatedHost.js'
 
+import type { ILogger } from '../../src/common/observability/Types.js'
 import type { HostState } from '../../src/common/cell/HostState.js'
 import type { IJobOrder } from '../../src/common/cell/JobOrder.js'
 import type { QueueTerms } from '../../src/common/cell/Job.js'
@@ -31,6 +32,7 @@
 const HOLD_INTERVAL_MS = 200
 const SWEEP_INTERVAL_MS = 400
 const MAX_HOLD_MS = 6000
+const MAX_ADVICE_WAITING = 32
 
 export interface ISimulatedCellOptions {
   readonly hosts: number
@@ -42,6 +44,13 @@
   readonly adviceMachines?: number
   /** The time that the advice service takes for a call; zero by default. */
   adviceMs? (request: IAdviceRequest): number
+  /** Whether the advice service handles one call at a time for each machine; by default it handles all at once. */
+  readonly isAdviceSerial?: boolean
+  /** The number of machines in another region than the owner, and the time of a message to or from these. */
+  readonly farMachines?: { readonly count: number, readonly tripMs: number }
+  /** The speeds of the hosts, in turn; 1 by default. */
+  readonly hostSpeeds?: readonly number[]
+  readonly logger?: ILogger
   /** The delay between the decision of the advice service and the arrival of its answer. */
   readonly adviceReplyDelayMs?: number
   /** How long a host waits before it answers a poll; zero by default. */
@@ -76,6 +85,8 @@
   private _nextJob = 0
   /** When the poll that a host has not answered yet was sent. */
   private readonly _holdSentAtMs = new Map<SimulatedHost, number>()
+  private _adviceBusyUntilMs = new Map<string, number>()
+  private _adviceWaiting = new Map<string, number>()
   private _pendingSaves: { readonly job: Job, readonly atMs: number, readonly done: () => void }[] = []
 
   public constructor (private readonly _options: ISimulatedCellOptions) {
@@ -87,7 +98,8 @@
       maxHoldMs: MAX_HOLD_MS,
       workMs: () => 1000,
       endOf: () => 'done',
-      ..._options.host
+      ..._options.host,
+      speed: _options.hostSpeeds?.[number % _options.hostSpeeds.length] ?? 1
     }, this.clock))
     this.scheduler = this._createScheduler(0)
   }
@@ -142,7 +154,7 @@
 
   private _createScheduler (inheritedUntilMs: number): CellScheduler {
     const fence = this._fence
-    const machines = Array.from({ length: this._options.adviceMachines ?? ADVICE_MACHINES }, (_, number) => ({ name: `machine-${number}`, isNear: true }))
+    const machines = Array.from({ length: this._options.adviceMachines ?? ADVICE_MACHINES }, (_, number) => ({ name: `machine-${number}`, isNear: !this._isFar(number) }))
     const scheduler = new CellScheduler({
       save: async (job) => { await this._save(job) },
       start: async (entry, order) => await this._start(entry.hostId, { ...order, fence }),
@@ -153,8 +165,8 @@
       recordDuration: () => {},
       count: () => {},
       machines: () => machines,
-      send: async (_machine, request) => await this._send(request)
-    }, { farFactor: 3, inheritedUntilMs }, CHART, this.clock, new SilentLogger(), this._options.order)
+      send: async (machine, request) => await this._send(machine, request)
+    }, { farFactor: 3, inheritedUntilMs }, CHART, this.clock, this._options.logger ?? new SilentLogger(), this._options.order)
     for (const host of this.hosts) scheduler.addHost(host.entry)
     scheduler.applyWorkspaces(this._workspaces)
     return scheduler
@@ -175,15 +187,40 @@
     })
   }
 
-  private async _send (request: IAdviceRequest): Promise<AdviceOutcome> {
-    const takesMs = this._options.adviceMs?.(request) ?? 0
-    if (takesMs > 0) await new Promise<void>((resolve) => { this.clock.after(takesMs, resolve) })
-    const outcome = this._advise(request)
-    const lateMs = this._options.adviceReplyDelayMs ?? 0
-    if (lateMs > 0) await new Promise<void>((resolve) => { this.clock.after(lateMs, resolve) })
+  private async _send (machine: string, request: IAdviceRequest): Promise<AdviceOutcome> {
+    const tripMs = this._isFar(Number(machine.split('-')[1])) ? this._options.farMachines?.tripMs ?? 0 : 0
+    await this._wait(tripMs)
+    const isAnswered = await this._serve(machine, this._options.adviceMs?.(request) ?? 0)
+    const outcome: AdviceOutcome = isAnswered ? this._advise(request) : { kind: 'busy' }
+    await this._wait(tripMs + (this._options.adviceReplyDelayMs ?? 0))
     return outcome
   }
 
+  /** Waits for the machine's turn and until the service has decided. Returns false if too many of the machine's calls wait already. */
+  private async _serve (machine: string, takesMs: number): Promise<boolean> {
+    if (this._options.isAdviceSerial !== true) {
+      await this._wait(takesMs)
+      return true
+    }
+    const waiting = this._adviceWaiting.get(machine) ?? 0
+    if (waiting >= MAX_ADVICE_WAITING) return false
+    const nowMs = this.clock.nowMs()
+    const endsAtMs = Math.max(nowMs, this._adviceBusyUntilMs.get(machine) ?? 0) + takesMs
+    this._adviceBusyUntilMs.set(machine, endsAtMs)
+    this._adviceWaiting.set(machine, waiting + 1)
+    await this._wait(endsAtMs - nowMs)
+    this._adviceWaiting.set(machine, (this._adviceWaiting.get(machine) ?? 1) - 1)
+    return true
+  }
+
+  private async _wait (ms: number): Promise<void> {
+    if (ms > 0) await new Promise<void>((resolve) => { this.clock.after(ms, resolve) })
+  }
+
+  private _isFar (machine: number): boolean {
+    return machine < (this._options.farMachines?.count ?? 0)
+  }
+
   private _isTicketStale (ticket: string): boolean {
     const isStale = ticket !== '' && this.clock.nowMs() - Number(ticket) > (this._options.ticketValidMs ?? Infinity)
     if (isStale) this.staleTicketCount += 1
--- a/test/support/SimulatedHost.ts
+++ b/test/support/SimulatedHost.ts
@@ -21,6 +21,8 @@
   readonly maxHoldMs: number
   /** The run time of a task on this host. */
   workMs (ref: IRunRef): number
+  /** How fast the host is: 1 by default, 2 if it takes half as long. */
+  readonly speed?: number
   /** How a run of the task ends. */
   endOf (ref: IRunRef): EndKind
 }
@@ -156,7 +158,7 @@
     const key = taskKey(order.ref)
     if (order.deadlineMs < this.clockMs) return { kind: 'refused', reason: 'late' }
     if (order.ref.run <= (this._lastBarredRuns.get(key) ?? 0)) return { kind: 'refused', reason: 'old' }
-    this.running.set(key, { ref: order.ref, startedAtMs: this._clock.nowMs(), workMs: this.options.workMs(order.ref) })
+    this.running.set(key, { ref: order.ref, startedAtMs: this._clock.nowMs(), workMs: this.options.workMs(order.ref) / (this.options.speed ?? 1) })
     this.started.push(order.ref)
     return { kind: 'started', clockMs: this.clockMs }
   }
