Calls for advice are sent by urgency, and slow ones no longer starve

Callers of a queue with slow advice calls waited for many seconds for the first answer while a queue with short calls used the same machines.

Cause: a slow call needs a machine with nothing in flight, and each short call that ended was followed at once by the next, even a less urgent one.

While a slow call waits, short calls after it in the order leave the machines for slow calls alone. Waiting calls are ordered by priority, then those of jobs that can still meet their objective, then by objective. The machines nearest to the owner make only brief calls. A machine gets its next call shortly before the present one is expected to end, none while a call is overdue, and is used last for 4 s after two failed calls in a row.

AdviceDispatcher.test.ts and AdviceLimit.test.ts give their calls the new isLate.

--- a/src/common/cell/AdviceDispatcher.test.ts
+++ b/src/common/cell/AdviceDispatcher.test.ts
@@ -11,20 +11,23 @@
 
 const SLOW_MS = 1000
 const SHORT_MS = 25
+const BATCH_MS = 200
+const USED_LAST_MS = 4000
 
 /** Three regions; the owner is in the west. */
 const MACHINES = ['east-1', 'east-2', 'north-1', 'west-1', 'west-2'].map((name) => ({ name, isNear: name.startsWith('west') }))
 
 function createDispatcher () {
   const sent: { readonly machine: string, readonly jobId: string, readonly answer: (outcome: AdviceOutcome) => void }[] = []
+  const clock = new ManualClock()
   const dispatcher = new AdviceDispatcher({
     machines: () => MACHINES,
     send: async (machine, { jobId }) => await new Promise((resolve) => { sent.push({ machine, jobId, answer: resolve }) })
-  }, new ManualClock())
-  const ask = (jobId: string, expectedMs: number, priority = 1): void => {
-    dispatcher.dispatch({ jobId, step: 0, hostIds: [], priority, dueMs: 0, expectedMs, isWanted: () => true, settle: () => {} })
+  }, clock)
+  const ask = (jobId: string, expectedMs: number, priority = 1, isLate = false): void => {
+    dispatcher.dispatch({ jobId, step: 0, hostIds: [], priority, dueMs: 0, isLate: () => isLate, expectedMs, isWanted: () => true, settle: () => {} })
   }
-  return { sent, ask, machines: () => sent.map(({ machine }) => machine) }
+  return { clock, sent, ask, machines: () => sent.map(({ machine }) => machine) }
 }
 
 test('a short call goes through a near machine', (t) => {
@@ -56,6 +59,75 @@
   t.is(sent.length, 4)
 })
 
+test('less urgent short calls do not take the machines that a slow call waits for', async (t) => {
+  // A slow call needs a machine without other calls. If each short call that ends is followed by the next, the slow call is never sent.
+  const { ask, sent } = createDispatcher()
+  for (let number = 0; number < 5; number += 1) ask(`batch-${number}`, BATCH_MS, 2)
+  ask('wide', SLOW_MS, 1)
+  for (let number = 0; number < 5; number += 1) ask(`later-batch-${number}`, BATCH_MS, 2)
+  t.false(sent.some(({ jobId }) => jobId === 'wide'))
+  sent.find(({ machine }) => machine === 'east-1')?.answer({ kind: 'advised', allowed: [] })
+  await setImmediate()
+  t.is(sent.at(-1)?.jobId, 'wide')
+})
+
+test('calls of jobs that can no longer meet their objective come after those that can', async (t) => {
+  const { ask, sent } = createDispatcher()
+  for (let number = 0; number < 3; number += 1) ask(`slow-${number}`, SLOW_MS)
+  ask('late', SLOW_MS, 1, true)
+  ask('in-time', SLOW_MS, 1)
+  sent[0]?.answer({ kind: 'advised', allowed: [] })
+  await setImmediate()
+  t.is(sent.at(-1)?.jobId, 'in-time')
+})
+
+test('an urgent call does not wait behind batch calls', (t) => {
+  // Batch calls on all machines would delay the advice of an urgent job by most of its slack.
+  const { ask, machines } = createDispatcher()
+  ask('urgent-1', SHORT_MS, 0)
+  for (let number = 0; number < 9; number += 1) ask(`batch-${number}`, BATCH_MS, 2)
+  const batchMachines = machines().slice(1)
+  ask('urgent-2', SHORT_MS, 0)
+  t.false(batchMachines.includes(machines().at(-1) ?? ''))
+})
+
+test('a machine gets its next call shortly before the present one ends', async (t) => {
+  const { ask, sent, clock } = createDispatcher()
+  for (let number = 0; number < 4; number += 1) ask(`slow-${number}`, SLOW_MS)
+  clock.advance(SLOW_MS - 100)
+  await setImmediate()
+  t.is(sent.length, 3)
+  clock.advance(60)
+  await setImmediate()
+  t.is(sent.length, 4)
+})
+
+test('a machine that does not answer in time gets no further call', async (t) => {
+  const { ask, sent, clock } = createDispatcher()
+  for (let number = 0; number < 3; number += 1) ask(`slow-${number}`, SLOW_MS)
+  clock.advance(SLOW_MS + 200)
+  ask('next', SLOW_MS)
+  await setImmediate()
+  t.is(sent.length, 3)
+})
+
+test('a machine whose calls failed twice in a row is used last for some seconds', async (t) => {
+  const { ask, sent, clock, machines } = createDispatcher()
+  for (let number = 0; number < 2; number += 1) {
+    ask(`slow-${number}`, SLOW_MS)
+    sent.at(-1)?.answer({ kind: 'failed', reason: 'unreachable' })
+    await setImmediate()
+  }
+  t.deepEqual(machines(), ['east-1', 'east-1'])
+  ask('other', SLOW_MS)
+  t.is(machines().at(-1), 'east-2')
+  sent.at(-1)?.answer({ kind: 'advised', allowed: [] })
+  clock.advance(USED_LAST_MS)
+  await setImmediate()
+  ask('later', SLOW_MS)
+  t.is(machines().at(-1), 'east-1')
+})
+
 test('answers that the network delays do not lower the limit of an owner that notices the delay in time', async (t) => {
   const clock = new ManualClock()
   const dispatcher = new AdviceDispatcher({
@@ -66,7 +138,7 @@
   }, clock)
   const before = dispatcher.limit
   for (let number = 0; number < 60; number += 1) {
-    dispatcher.dispatch({ jobId: `job-${number}`, step: 0, hostIds: [], priority: 0, dueMs: 0, expectedMs: SHORT_MS, isWanted: () => true, settle: () => {} })
+    dispatcher.dispatch({ jobId: `job-${number}`, step: 0, hostIds: [], priority: 0, dueMs: 0, isLate: () => false, expectedMs: SHORT_MS, isWanted: () => true, settle: () => {} })
   }
   for (let passedMs = 0; passedMs < 10_000 && dispatcher.inFlightCount > 0; passedMs += 10) {
     clock.advance(10)
--- a/src/common/cell/AdviceDispatcher.ts
+++ b/src/common/cell/AdviceDispatcher.ts
@@ -2,13 +2,15 @@
  * Decides which machine calls the advice service for a step, and when.
  *
  * The service handles one call at a time for each calling machine, and a call takes from tens of milliseconds to more than a
- * second, depending on the queue. The design case is a burst of wide steps with slow calls beside many urgent steps with fast
- * ones: sent through the nearest machine, an urgent step would wait behind a slow call for longer than its whole objective. So
- * slow calls are limited to some of the machines, each machine has few calls in flight, and waiting calls are sent by urgency. All machines
- * together have no more calls in flight than the owner can process in time.
+ * second, depending on the queue. The design case is a burst of wide steps with slow calls beside batch steps with short calls and
+ * many urgent steps with brief ones. Behind a slow call, an urgent step would wait for longer than its whole objective; so slow calls
+ * are limited to some of the machines, and the machines nearest to the owner make only brief calls. Slow calls need a machine
+ * that is about to become idle, while short ones follow each other on every machine; so less urgent short calls leave the machines
+ * for slow calls alone while a slow call waits. All machines together have no more calls in flight than the owner can process in time.
  */
 
 import { AdviceLimit, LATE_MS, SENDING_MS } from './AdviceLimit.js'
+import { URGENT_PRIORITY } from './Placement.js'
 
 import type { IClock, IDisposable, ITimers, MonotonicMs } from '../Types.js'
 import type { AdviceOutcome, IAdviceRequest } from './Types.js'
@@ -16,6 +18,8 @@
 export interface IAdviceCall extends IAdviceRequest {
   readonly priority: number
   readonly dueMs: number
+  /** Whether the job can no longer meet its objective. Checked when the waiting calls are ordered. */
+  isLate (): boolean
   /** How long the service needs for the call, in ms. */
   readonly expectedMs: number
   /** Whether the answer is still needed; checked when the call is about to be sent. */
@@ -40,8 +44,24 @@
 const SLOW_CALL_MS = 300
 /** The share of the machines that make slow calls. The others stay free for short ones, since an urgent step behind a slow call would be late. */
 const SLOW_MACHINE_SHARE = 0.6
-/** The number of short calls in flight from one machine: two, so that the service never idles for a round trip between regions. */
-const SHORT_CALLS_AT_ONCE = 2
+/** The same share while no short call waits for a machine. */
+const MAX_SLOW_MACHINE_SHARE = 0.75
+/** A call of at most this length, in ms, delays the next one by a small part of an objective of half a second. */
+const BRIEF_CALL_MS = 60
+/** The share of the machines that make only brief calls. An urgent call behind a batch call of 200 ms would be late as often as not. */
+const BRIEF_MACHINE_SHARE = 0.1
+/** Without brief calls for this long, in ms, all machines make the other ones. */
+const BRIEF_KEEP_MS = 10_000
+/** The number of calls in flight from one machine: the one that the service handles, and the next. */
+const MAX_CALLS_AT_ONCE = 2
+/** A machine gets its next call this long before the present one ends, in ms: else the service is idle for a round trip between regions. */
+const LEAD_MS = 45
+/** A machine whose call takes this much longer than expected, in ms, gets no other: more than two round trips between regions. */
+const OVERDUE_MS = 100
+/** After this many failed calls in a row, a machine is used last. */
+const MAX_FAILURES = 2
+/** How long a machine is used last after a failed call, in ms: a link that is cut for a moment is back by then. */
+const USED_LAST_MS = 4000
 /** How much longer than expected a call may take, in ms: two round trips between regions and one short call ahead of it. */
 const CALL_SLACK_MS = 700
 /** A timer that is late by less than this, in ms, shows that this process has time to spare. */
@@ -50,6 +70,19 @@
 interface IMachineLoad {
   slow: number
   short: number
+  /** When the service is expected to have handled the calls in flight. */
+  busyUntilMs: MonotonicMs
+  /** Calls that failed in a row. */
+  failures: number
+  usedLastUntilMs: MonotonicMs
+}
+
+/** The machines by the calls that they may make: the first ones all, the last ones only brief calls. */
+interface IMachineShares {
+  readonly names: readonly string[]
+  readonly slowCount: number
+  readonly maxSlowCount: number
+  readonly shortCount: number
 }
 
 export class AdviceDispatcher {
@@ -57,6 +90,8 @@
   private readonly _limit = new AdviceLimit()
   private _waiting: IAdviceCall[] = []
   private _retry: IDisposable | undefined
+  private _nextEnd: IDisposable | undefined
+  private _briefAtMs: MonotonicMs = -Infinity
   private _isShortOfMachines = false
 
   public constructor (private readonly _sender: IAdviceSender, private readonly _clock: IClock & ITimers) {}
@@ -88,32 +123,41 @@
 
   public dispatch (call: IAdviceCall): void {
     this._waiting.push(call)
+    if (call.expectedMs <= BRIEF_CALL_MS) this._briefAtMs = this._clock.nowMs()
     this.sendWaiting()
   }
 
   /** Sends the calls that can be sent. To be called when machines come or go. */
   public sendWaiting (): void {
     if (this._waiting.length === 0 || !this._hasRoom()) return
-    this._waiting.sort((a, b) => a.priority - b.priority || a.dueMs - b.dueMs)
+    this._waiting = sortCalls(this._waiting)
     const left: IAdviceCall[] = []
     const unwanted: IAdviceCall[] = []
-    const names = farFirst(this._sender.machines())
+    const shares = this._shareMachines()
     this._isShortOfMachines = false
+    const hasShort = this._waiting.some(({ expectedMs }) => !isSlowCall(expectedMs))
+    let isSlowHeldUp = false
     for (const call of this._waiting) {
+      if (!call.isWanted()) {
+        unwanted.push(call)
+        continue
+      }
       const hasRoom = this._hasRoom()
-      const name = hasRoom ? this._chooseMachine(names, call) : undefined
-      if (!call.isWanted()) unwanted.push(call)
-      else if (name === undefined) {
+      const name = hasRoom ? this._chooseMachine(shares, call, isSlowHeldUp, hasShort) : undefined
+      if (name === undefined) {
         left.push(call)
         this._isShortOfMachines ||= hasRoom
+        isSlowHeldUp ||= hasRoom && isSlowCall(call.expectedMs)
       } else this._send(name, call)
     }
     this._waiting = left
+    if (this._isShortOfMachines) this._awaitNextEnd(shares.names)
     for (const call of unwanted) call.settle({ kind: 'failed', reason: 'no longer wanted' })
   }
 
   public dispose (): void {
     this._retry?.dispose()
+    this._nextEnd?.dispose()
     for (const call of this._waiting.splice(0)) call.settle({ kind: 'failed', reason: 'no longer the owner' })
   }
 
@@ -127,24 +171,50 @@
     return false
   }
 
-  private _chooseMachine (names: readonly string[], call: IAdviceCall): string | undefined {
-    const isSlow = isSlowCall(call.expectedMs)
-    const slowCount = Math.max(1, Math.floor(names.length * SLOW_MACHINE_SHARE))
-    const slow = names.slice(0, slowCount)
-    if (isSlow) return this._leastLoaded(slow, true)
+  /** Sends the waiting calls again shortly before the next call in flight is expected to end. */
+  private _awaitNextEnd (names: readonly string[]): void {
+    this._nextEnd?.dispose()
+    this._nextEnd = undefined
+    const nowMs = this._clock.nowMs()
+    let waitMs = Infinity
+    for (const name of names) {
+      const freeInMs = this._loadOf(name).busyUntilMs - LEAD_MS - nowMs
+      if (freeInMs > 0) waitMs = Math.min(waitMs, freeInMs)
+    }
+    if (waitMs < Infinity) this._nextEnd = this._clock.after(Math.ceil(waitMs), () => { this.sendWaiting() })
+  }
+
+  private _shareMachines (): IMachineShares {
+    const names = farFirst(this._sender.machines())
+    const hasBrief = this._clock.nowMs() - this._briefAtMs < BRIEF_KEEP_MS
+    const shortCount = Math.max(1, names.length - (hasBrief ? Math.ceil(names.length * BRIEF_MACHINE_SHARE) : 0))
+    const slowCount = Math.min(shortCount, Math.max(1, Math.floor(names.length * SLOW_MACHINE_SHARE)))
+    return { names, shortCount, slowCount, maxSlowCount: Math.min(shortCount, Math.max(1, Math.floor(names.length * MAX_SLOW_MACHINE_SHARE))) }
+  }
+
+  /**
+   * @param isSlowHeldUp whether a slow call before this one waits for a machine that may make it
+   * @param hasShort whether short calls wait
+   */
+  private _chooseMachine (shares: IMachineShares, call: IAdviceCall, isSlowHeldUp: boolean, hasShort: boolean): string | undefined {
+    const { names, slowCount, maxSlowCount, shortCount } = shares
+    if (isSlowCall(call.expectedMs)) return this._leastLoaded(names.slice(0, hasShort ? slowCount : maxSlowCount), call)
     // Short calls use the machines without slow calls first, and of these the near ones first.
-    return this._leastLoaded(names.slice(slowCount).reverse(), false) ?? this._leastLoaded(slow, false)
+    const free = names.slice(slowCount, call.expectedMs <= BRIEF_CALL_MS ? names.length : shortCount).reverse()
+    return this._leastLoaded(free, call) ?? (isSlowHeldUp ? undefined : this._leastLoaded(names.slice(0, slowCount), call))
   }
 
-  private _leastLoaded (names: readonly string[], isSlow: boolean): string | undefined {
+  private _leastLoaded (names: readonly string[], call: IAdviceCall): string | undefined {
+    const nowMs = this._clock.nowMs()
     let best: string | undefined
-    let bestLoad = Infinity
+    let bestWaitMs = Infinity
     for (const name of names) {
-      const { slow, short } = this._loadOf(name)
-      const isFree = isSlow ? slow + short === 0 : slow === 0 && short < SHORT_CALLS_AT_ONCE
-      if (isFree && short < bestLoad) {
+      const load = this._loadOf(name)
+      if (!isFree(load, call, nowMs)) continue
+      const waitMs = expectedWaitMs(load, nowMs)
+      if (waitMs < bestWaitMs) {
         best = name
-        bestLoad = short
+        bestWaitMs = waitMs
       }
     }
     return best
@@ -156,6 +226,7 @@
     load[kind] += 1
     const { jobId, step, hostIds, expectedMs } = call
     const sentAtMs = this._clock.nowMs()
+    load.busyUntilMs = Math.max(load.busyUntilMs, sentAtMs) + expectedMs
     const limited = { sentAtMs, expectedMs, isNoticedInTime: false }
     this._limit.recordSent(limited)
     const lateAtMs = sentAtMs + expectedMs + LATE_MS
@@ -163,6 +234,7 @@
     const done = (outcome: AdviceOutcome): void => {
       notice.dispose()
       load[kind] -= 1
+      this._recordEnd(load, outcome)
       this._limit.recordEnd(limited, this._clock.nowMs(), outcome.kind === 'advised', this._waiting.length > 0)
       call.settle(outcome, sentAtMs)
       this.sendWaiting()
@@ -171,16 +243,46 @@
       .then(done, (error: unknown) => { done({ kind: 'failed', reason: String(error) }) })
   }
 
+  private _recordEnd (load: IMachineLoad, outcome: AdviceOutcome): void {
+    const nowMs = this._clock.nowMs()
+    if (load.slow + load.short === 0) load.busyUntilMs = nowMs
+    load.failures = outcome.kind === 'advised' ? 0 : load.failures + 1
+    load.usedLastUntilMs = load.failures < MAX_FAILURES ? -Infinity : nowMs + USED_LAST_MS
+  }
+
   private _loadOf (name: string): IMachineLoad {
     let load = this._loads.get(name)
     if (load === undefined) {
-      load = { slow: 0, short: 0 }
+      load = { slow: 0, short: 0, busyUntilMs: -Infinity, failures: 0, usedLastUntilMs: -Infinity }
       this._loads.set(name, load)
     }
     return load
   }
 }
 
+/** Whether the machine may be given the call now. Short calls are never given to a machine with a slow one in flight. */
+function isFree ({ slow, short, busyUntilMs }: IMachineLoad, { expectedMs, priority }: IAdviceCall, nowMs: MonotonicMs): boolean {
+  const calls = slow + short
+  if (calls === 0) return true
+  const isSlow = isSlowCall(expectedMs)
+  if (calls >= MAX_CALLS_AT_ONCE || (!isSlow && slow > 0) || nowMs - busyUntilMs > OVERDUE_MS) return false
+  // No call that arrives later is more urgent, so nothing is gained by keeping an urgent one here.
+  return busyUntilMs - nowMs <= LEAD_MS || (!isSlow && priority === URGENT_PRIORITY)
+}
+
+/** How long a further call is expected to wait at the machine, in ms; machines whose calls have failed come last. */
+function expectedWaitMs ({ slow, short, busyUntilMs, usedLastUntilMs }: IMachineLoad, nowMs: MonotonicMs): number {
+  const waitMs = slow + short === 0 ? 0 : Math.max(1, busyUntilMs - nowMs)
+  return nowMs < usedLastUntilMs ? USED_LAST_MS + waitMs : waitMs
+}
+
+/** By priority; of the same priority, the calls of jobs that can still meet their objective first, then by objective. */
+function sortCalls (calls: readonly IAdviceCall[]): IAdviceCall[] {
+  const ordered = calls.map((call) => ({ call, isLate: Number(call.isLate()) }))
+  ordered.sort((a, b) => a.call.priority - b.call.priority || a.isLate - b.isLate || a.call.dueMs - b.call.dueMs)
+  return ordered.map(({ call }) => call)
+}
+
 export function isSlowCall (expectedMs: number): boolean {
   return expectedMs > SLOW_CALL_MS
 }
--- a/src/common/cell/AdviceLimit.test.ts
+++ b/src/common/cell/AdviceLimit.test.ts
@@ -56,6 +56,7 @@
       priority: 0,
       dueMs: 0,
       expectedMs: EXPECTED_MS,
+      isLate: () => false,
       isWanted: () => true,
       settle: ({ kind }) => {
         if (kind === 'advised') advised += 1
--- a/src/common/cell/AdviceRequester.ts
+++ b/src/common/cell/AdviceRequester.ts
@@ -5,6 +5,7 @@
 
 import { AdviceDispatcher, isSlowCall } from './AdviceDispatcher.js'
 import { AllowedShares, splitIntoCalls, findUnnamedHosts, chooseHostsToName } from './AdviceHosts.js'
+import { isLate } from './JobOrder.js'
 import { allowedHosts } from './Placement.js'
 import { StepAdvice } from './StepAdvice.js'
 
@@ -136,6 +137,7 @@
         hostIds: named,
         priority: job.queue.priority,
         dueMs: job.dueMs,
+        isLate: () => isLate(job, this._clock.nowMs()),
         expectedMs: expectedAdviceMs(step, named.length),
         isWanted: () => !job.isFinished,
         settle: (outcome, sentAtMs) => {
