A process that has just lost the cell is no candidate for relief

A fit process that can't keep the cell, for example one that reaches the owner but is cut off from most others, steps aside as soon as it owns the cell. An unfit owner then acquires it and hands it over again 2 s later, and callers wait for a takeover every few seconds.

Cause: the fit process offered itself again as soon as it could acquire the cell.

Change: a process that lost the cell other than by relief reports no fitness for 30 s, so it is no candidate; other fit machines are. A peer that reports no fitness is asked again for the next choice of a standby, since it may report one later.

Measured: in the test the cell goes to the fit process once in 30 s; the test fails without the change.

--- a/src/cell/Handover.test.ts
+++ b/src/cell/Handover.test.ts
@@ -69,7 +69,7 @@
   const handlers = new Map<string, () => Promise<{ readonly isWilling: boolean }>>()
   const hub = { handle: (name: string, handler: () => Promise<{ readonly isWilling: boolean }>) => { handlers.set(name, handler) } }
   const ownership = { canAcquire: true, isCurrent: false, yieldMs: 0, peerUrl: '', checkStoreReachable: async () => false }
-  registerOwnershipHandlers(hub as unknown as IPeerHub, ownership as unknown as Ownership, { effectiveFitness: 1, recordRequest: () => {} })
+  registerOwnershipHandlers(hub as unknown as IPeerHub, ownership as unknown as Ownership, { offeredFitness: 1, recordRequest: () => {} })
   t.is((await handlers.get('cellOffer')?.())?.isWilling, false)
   t.is((await handlers.get('cellRelief')?.())?.isWilling, false)
   ownership.isCurrent = true
@@ -83,7 +83,7 @@
   const acceptHandover = async (owner: object): Promise<boolean> => taken.push(owner) > 0
   const ownership = { canAcquire: true, isCurrent: true, yieldMs: 0, peerUrl: '', checkStoreReachable: async () => true, acceptHandover }
   let requests = 0
-  const candidate = { effectiveFitness: 0.5, recordRequest: () => { requests += 1 } }
+  const candidate = { offeredFitness: 0.5, recordRequest: () => { requests += 1 } }
   registerOwnershipHandlers(hub as unknown as IPeerHub, ownership as unknown as Ownership, candidate)
   t.deepEqual(await handlers.get('cellRelief')?.(RECORD), { isWilling: true, yieldMs: 0, peerUrl: '', fitness: 0.5 })
   await handlers.get('cellTakeOver')?.(RECORD)
--- a/src/cell/Handover.ts
+++ b/src/cell/Handover.ts
@@ -26,7 +26,8 @@
 
 /** What a process tells owners of its fitness. */
 export interface IReliefCandidate {
-  readonly effectiveFitness: number
+  /** Undefined while the process is no candidate for relief. */
+  readonly offeredFitness: number | undefined
   /** An owner asks this process to take the cell over because it is fitter. */
   recordRequest (): void
 }
@@ -42,7 +43,8 @@
 export function registerOwnershipHandlers (handlers: IPeerHandlers, ownership: Ownership, candidate: IReliefCandidate): void {
   handlers.handle('cellReach', async () => ({ isReached: ownership.isOwner && await ownership.checkStoreReachable() }))
   const offer = (isWilling: boolean): ICellOfferReply => {
-    return { isWilling, yieldMs: ownership.yieldMs, peerUrl: ownership.peerUrl, fitness: candidate.effectiveFitness }
+    const { offeredFitness: fitness } = candidate
+    return { isWilling, yieldMs: ownership.yieldMs, peerUrl: ownership.peerUrl, ...(fitness === undefined ? {} : { fitness }) }
   }
   handlers.handle('cellOffer', async () => offer(ownership.canAcquire && ownership.isCurrent))
   handlers.handle('cellRelief', async () => offer(ownership.canAcquire && await ownership.checkStoreReachable()))
@@ -70,8 +72,7 @@
 ): Promise<ISuccessorOffer> {
   const { processId, incarnation } = link.peer
   const reply = await link.call(ask, record, timeoutMs)
-  if (reply.isErr()) return { processId, incarnation, peerUrl: '', isWilling: false, yieldMs: 0, isSilent: true }
-  return { processId, incarnation, ...reply.value }
+  return reply.isOk() ? { processId, incarnation, ...reply.value } : { processId, incarnation, peerUrl: '', isWilling: false, yieldMs: 0 }
 }
 
 /** Asks all peers for relief. Returns the answers that arrive until shortly after the first acceptable one. */
--- a/src/cell/OwnerRelief.test.ts
+++ b/src/cell/OwnerRelief.test.ts
@@ -117,6 +117,16 @@
   t.true(unownedMs <= 2000, `${unownedMs}`)
 })
 
+test('the cell isn\'t handed again and again to a fit process that gives it up each time', async (t) => {
+  // A fit process that only the owner reaches steps aside as soon as it owns the cell, and the unfit one would hand it over again 2 s later.
+  const cell = await startCell([NARROW, WIDE])
+  const fit = cell.process(1)
+  fit.ownership.onOwned(() => { cell.clock.after(1000, () => { fit.ownership.stepAside('isolated').catch(t.fail) }) })
+  const { owners } = await play(cell, 30_000, 100)
+  t.deepEqual(owners, ['p0', 'p1', 'p0'])
+  t.deepEqual((await play(cell, 10_000, 100)).owners, ['p0', 'p1', 'p0'])
+})
+
 test('an owner that stops, or that the store doesn\'t confirm, asks nobody for relief', async (t) => {
   const stopping = await startCell([NARROW, WIDE])
   stopping.process(0).isStopping = true
--- a/src/cell/OwnerRelief.ts
+++ b/src/cell/OwnerRelief.ts
@@ -52,11 +52,16 @@
   private _requestedAtMs: MonotonicMs = -Infinity
   private _isByRelief = false
   private _isAsking = false
+  /** Whether another process has been asked to take the cell over, and hasn't replied yet. */
+  private _isHandingOver = false
 
   public constructor (private readonly _context: IOwnerReliefContext) {
     this._fitness = new EffectiveFitness(() => _context.machineFitness())
     this._disposables.add(_context.ownership.onOwned(() => { this._start() }))
-    this._disposables.add(_context.ownership.onLost(() => { this._stop() }))
+    this._disposables.add(_context.ownership.onLost(() => {
+      this._stop()
+      if (!this._isHandingOver) this._fitness.recordLoss(_context.clock.nowMs())
+    }))
   }
 
   public dispose (): void {
@@ -68,6 +73,10 @@
     return this._fitness.value(this._context.clock.nowMs())
   }
 
+  public get offeredFitness (): number | undefined {
+    return this._fitness.offered(this._context.clock.nowMs())
+  }
+
   public recordRequest (): void {
     this._requestedAtMs = this._context.clock.nowMs()
   }
@@ -107,6 +116,7 @@
     const offers = await collectReliefOffers(hub, record, OFFER_WAIT, isAcceptable, clock, onFailure)
     const inputs = this._inputs()
     const successor = this._owns(record) ? decision.choose(clock.nowMs(), inputs, offers) : undefined
+    this._isHandingOver = successor !== undefined
     const isTaken = successor !== undefined && await requestTakeover(hub.link(successor.processId), record, true)
     const outcome = successor === undefined ? 'noPeer' : isTaken ? 'taken' : 'refused'
     counters.add('reliefs', outcome)
@@ -116,6 +126,7 @@
     log.info('owner.relief', { ...inputs, offers: offers.length, willing, ...peer, outcome, durationMs, revision: record.revision })
     if (!isTaken) decision.recordFailure(clock.nowMs())
     else if (this._owns(record)) this._context.ownership.resign('a fitter process has taken the cell over')
+    this._isHandingOver = false
   }
 
   /** Whether this process still has the ownership of this record. */
--- a/src/cell/Standby.ts
+++ b/src/cell/Standby.ts
@@ -95,7 +95,7 @@
     const all = Promise.all(this._hub.links().map(async (link) => {
       const offer = await requestOffer(link, this._record, 'cellOffer', LATE_OFFER_MS)
       offers.push(offer)
-      if (offer.isSilent !== true) this.peerFitness.record(offer)
+      this.peerFitness.record(offer)
     }))
     await Promise.race([all, new Promise<void>((resolve) => { this._clock.after(OFFER_TIMEOUT_MS, resolve) })])
     return [...offers]
--- a/src/common/cell/EffectiveFitness.test.ts
+++ b/src/common/cell/EffectiveFitness.test.ts
@@ -18,3 +18,11 @@
   t.is(fitness.value(34_250), 0.4)
   t.is(fitness.value(34_251), 0.8)
 })
+
+test('a process that lost the cell is no candidate for 30 s', (t) => {
+  const fitness = new EffectiveFitness(() => 1)
+  t.is(fitness.offered(0), 1)
+  fitness.recordLoss(1000)
+  t.is(fitness.offered(31_000), undefined)
+  t.is(fitness.offered(31_001), 1)
+})
--- a/src/common/cell/EffectiveFitness.ts
+++ b/src/common/cell/EffectiveFitness.ts
@@ -13,10 +13,16 @@
 /** How long an overload counts after it has ended, in ms. */
 const OVERLOAD_MEMORY_MS = 30_000
 const OVERLOAD_FACTOR = 0.5
+/**
+ * How long a process that lost the cell is no candidate for relief, in ms. What it lost the cell by, for example a cut to most of the other
+ * processes, may go on, and the cell would go back and forth between it and an unfit owner.
+ */
+const LOSS_MEMORY_MS = 30_000
 
 export class EffectiveFitness {
   private _overloadedSinceMs: MonotonicMs | undefined
   private _overloadedAtMs: MonotonicMs = -Infinity
+  private _lostAtMs: MonotonicMs = -Infinity
 
   /** @param _machineFitness the current fitness of the machine, from 0 to 1 */
   public constructor (private readonly _machineFitness: () => number) {}
@@ -36,6 +42,16 @@
     return this._overloadedSinceMs !== undefined && nowMs - this._overloadedSinceMs >= SUSTAINED_OVERLOAD_MS
   }
 
+  /** Records that the process lost the cell without handing it over for relief. */
+  public recordLoss (nowMs: MonotonicMs): void {
+    this._lostAtMs = nowMs
+  }
+
+  /** What the process reports to owners; undefined while it is no candidate for relief. */
+  public offered (nowMs: MonotonicMs): number | undefined {
+    return nowMs - this._lostAtMs <= LOSS_MEMORY_MS ? undefined : this.value(nowMs)
+  }
+
   public value (nowMs: MonotonicMs): number {
     return nowMs - this._overloadedAtMs <= OVERLOAD_MEMORY_MS ? this.machine * OVERLOAD_FACTOR : this.machine
   }
--- a/src/common/cell/PeerFitness.test.ts
+++ b/src/common/cell/PeerFitness.test.ts
@@ -15,14 +15,16 @@
   t.is(peers.highest, 1)
 })
 
-// A process that was restarted, or has just started, would never be asked and so never be found to be fitter.
-test('the reports are complete only if each linked process has answered in its present incarnation', (t) => {
+// A process that was restarted, has just started, or reported no fitness for a while would never be asked and so never be found to be fitter.
+test('the reports are complete only if each linked process has reported its fitness in its present incarnation', (t) => {
   const peers = new PeerFitness()
   t.false(peers.isComplete([A]))
   peers.record({ ...A, fitness: 1 })
   peers.record(B)
+  t.false(peers.isComplete([A, B]))
+  peers.record({ ...B, fitness: 0.1 })
   t.true(peers.isComplete([A, B]))
   peers.retain([{ ...A, incarnation: 2 }, B])
   t.false(peers.isComplete([{ ...A, incarnation: 2 }, B]))
-  t.is(peers.highest, 0)
+  t.is(peers.highest, 0.1)
 })
--- a/src/common/cell/PeerFitness.ts
+++ b/src/common/cell/PeerFitness.ts
@@ -15,11 +15,12 @@
 }
 
 export class PeerFitness {
-  private readonly _reports = new Map<string, Pick<ISuccessorOffer, 'incarnation' | 'fitness'>>()
+  private readonly _reports = new Map<string, { readonly incarnation: number, readonly fitness: number }>()
 
-  /** Records the answer of a process. */
+  /** Records the offer of a process. One that didn't answer, or reports no fitness at the moment, has to be asked again. */
   public record ({ processId, incarnation, fitness }: Pick<ISuccessorOffer, 'processId' | 'incarnation' | 'fitness'>): void {
-    this._reports.set(processId, fitness === undefined ? { incarnation } : { incarnation, fitness })
+    if (fitness === undefined) this._reports.delete(processId)
+    else this._reports.set(processId, { incarnation, fitness })
   }
 
   /** Removes the processes that are no longer linked. */
@@ -28,7 +29,7 @@
     for (const [processId, { incarnation }] of this._reports) if (linked.get(processId) !== incarnation) this._reports.delete(processId)
   }
 
-  /** Whether all of these processes have answered. */
+  /** Whether all of these processes have reported their fitness. */
   public isComplete (peers: readonly IPeerIncarnation[]): boolean {
     return peers.every(({ processId, incarnation }) => this._reports.get(processId)?.incarnation === incarnation)
   }
@@ -45,6 +46,6 @@
   }
 
   private get _fitnesses (): readonly number[] {
-    return [...this._reports.values()].flatMap(({ fitness }) => fitness ?? [])
+    return [...this._reports.values()].map(({ fitness }) => fitness)
   }
 }
--- a/src/common/cell/Successor.ts
+++ b/src/common/cell/Successor.ts
@@ -13,10 +13,8 @@
   readonly isWilling: boolean
   /** How long it would wait for other candidates: longer the farther the store and the weaker the machine. */
   readonly yieldMs: number
-  /** The effective fitness of the process; undefined if its version doesn't report it, or if it didn't answer. */
+  /** The effective fitness of the process; undefined if it doesn't report it at the moment, or didn't answer. */
   readonly fitness?: number
-  /** Whether the process didn't answer; absent if it did. */
-  readonly isSilent?: boolean
 }
 
 /**
--- a/src/common/protocol/Types.ts
+++ b/src/common/protocol/Types.ts
@@ -296,7 +296,7 @@
   readonly yieldMs: number
   /** The address at which the process can be dialled. */
   readonly peerUrl: string
-  /** The effective fitness of the process, from 0 to 1; absent from processes of an earlier version. */
+  /** The effective fitness of the process, from 0 to 1; absent while it is no candidate for relief, and from earlier versions. */
   readonly fitness?: number
 }
 
