A straggler on a slow host isn't stopped before its first percent

A task that takes seven times an estimate of 4 s on a host of speed 0.6 that is six times slower reports its first percent after 2.8 s, and was stopped after 2.5 s without one.

--- a/src/common/cell/StalledRuns.test.ts
+++ b/src/common/cell/StalledRuns.test.ts
@@ -69,6 +69,15 @@
   t.is(countStarts(cell), 1)
 })
 
+test('a straggler on a slow host is not stopped before its first percent', async (t) => {
+  const cell = createCell(1, 28_000, { holdMs: 0 })
+  cell.host(0).speed = 0.1
+  const job = cell.submit([{ count: 1, estimateMs: 4000 }])
+  await cell.run(12_000)
+  t.is(countStarts(cell), 1)
+  t.true((job.steps[0]?.tasks[0]?.attempt?.percent ?? 0) > 0)
+})
+
 test('a run that stalls on a host where others progress is soon started elsewhere', async (t) => {
   // One task makes no progress although its host is healthy. Its caller would wait for it as long as for a host that hangs.
   const cell = createCell(2, 4000, { rateOf: ({ jobId, run }, rate) => jobId.endsWith('7') && run === 1 ? 0 : rate })
--- a/src/common/cell/StalledRuns.ts
+++ b/src/common/cell/StalledRuns.ts
@@ -19,8 +19,10 @@
 
 /** A run is stalled only after no progress for at least this long, in ms: two polls and a round trip. */
 const MIN_STALL_MS = 2500
-/** How many times as long as estimated the slowest straggler takes on the slowest host: seven times, and six times slower. */
-const MAX_SLOWDOWN = 42
+/** A run is stalled only after this share of its estimate without progress. */
+const STALL_SHARE = 0.3
+/** How many times as long as estimated the slowest straggler takes: seven times, on a host of speed 0.6 that is six times slower. */
+const MAX_SLOWDOWN = 70
 const PERCENT_SHARE = 0.01
 /** A run may take this many times as long for a percent as it did on average: its host may have become six times slower. */
 const MAX_PACE_FACTOR = 8
@@ -125,16 +127,22 @@
 }
 
 /** How long the run takes for a percent, by its progress so far. Before it has reported any, it may be the slowest straggler. */
-function percentMs ({ percent, percentAtMs, startedAtMs, isInherited, task }: Attempt): number {
+function percentMs (attempt: Attempt): number {
+  const { percent, percentAtMs, startedAtMs, task } = attempt
   const estimatedMs = task.step.spec.estimateMs * PERCENT_SHARE
-  if (percent === 0 || isInherited) return estimatedMs * MAX_SLOWDOWN
+  if (!hasPace(attempt)) return estimatedMs * MAX_SLOWDOWN
   return Math.max(estimatedMs, (percentAtMs - startedAtMs) / percent)
 }
 
+/** Whether the run has reported progress since this owner started it. */
+function hasPace ({ percent, isInherited }: Attempt): boolean {
+  return percent > 0 && !isInherited
+}
+
 function stallLimitMs (attempt: Attempt): number {
-  const slowestMs = attempt.task.step.spec.estimateMs * PERCENT_SHARE * MAX_SLOWDOWN
-  const paceMs = attempt.percent === 0 || attempt.isInherited ? 0 : percentMs(attempt) * MAX_PACE_FACTOR
-  return Math.max(MIN_STALL_MS, slowestMs, paceMs)
+  const leastMs = Math.max(MIN_STALL_MS, attempt.task.step.spec.estimateMs * STALL_SHARE)
+  if (hasPace(attempt)) return Math.max(leastMs, percentMs(attempt) * MAX_PACE_FACTOR)
+  return Math.max(leastMs, Math.min(MAX_HANG_MS, percentMs(attempt)))
 }
 
 /** How long it would take until another run is as far: the work since the last checkpoint, and the wait for advice and free capacity. */
