Owners ask for the fitness of their peers only while one of them is much fitter

What it costs: with the distance to the store in the fitness, every cell in several regions has processes of unlike fitness, and its owner would ask all peers every second.

Once the fittest processes are owner and standby, it asks nobody.

--- a/src/cell/Standby.ts
+++ b/src/cell/Standby.ts
@@ -47,7 +47,7 @@
   private _standby: ICellStandbyCast | undefined
   private _chosenAtMs: MonotonicMs = -Infinity
 
-  /** @param _ownerFitness the fitness of this machine */
+  /** @param _ownerFitness the fitness of this process */
   public constructor (
     private readonly _hub: IPeerHub, private readonly _record: IOwnerRecord, private readonly _ownerFitness: number,
     private readonly _clock: IClock & ITimers, private readonly _log: ILogger
@@ -68,11 +68,12 @@
   }
 
   private async _ensureStandby (): Promise<void> {
-    const isPresent = this._standby !== undefined && this._hub.link(this._standby.processId) !== undefined
+    const { standby } = this
+    const isPresent = standby !== undefined && this._hub.link(standby) !== undefined
     const peers = this._hub.links().map(({ peer }) => peer)
     this.peerFitness.retain(peers)
-    // In a cell of machines that are all alike, no candidate can be much fitter than the standby.
-    if (isPresent && this.peerFitness.isComplete(peers) && !this.peerFitness.isUneven(this._ownerFitness)) return
+    // In a cell of machines that are all alike, no candidate can be much fitter than the owner and the standby.
+    if (isPresent && this.peerFitness.isComplete(peers) && !this.peerFitness.hasMuchFitter(this._ownerFitness, standby)) return
     const offers = await this._requestOffers()
     const chosen = isPresent ? this._chooseFitter(offers) : chooseSuccessor(offers)
     if (chosen === undefined) return
--- a/src/common/cell/PeerFitness.ts
+++ b/src/common/cell/PeerFitness.ts
@@ -39,10 +39,10 @@
     return Math.max(0, ...this._fitnesses)
   }
 
-  /** Whether some process is much fitter than another, with the owner among them. */
-  public isUneven (ownerFitness: number): boolean {
-    const all = [...this._fitnesses, ownerFitness]
-    return Math.max(...all) >= Math.min(...all) * MIN_FITNESS_RATIO
+  /** Whether some process is much fitter than the owner or the standby. */
+  public hasMuchFitter (ownerFitness: number, standbyId: string): boolean {
+    const standbyFitness = this._reports.get(standbyId)?.fitness ?? ownerFitness
+    return this.highest >= Math.min(ownerFitness, standbyFitness) * MIN_FITNESS_RATIO
   }
 
   private get _fitnesses (): readonly number[] {
