The owner forecasts how long the work that waits will take

What operators see: the gauge room_forecast_ms by priority, and every 2 s a log line room.forecast for each priority of which not all waiting work can be in time. Callers see nothing new.

Cause: from the metrics it could not be told whether the hosts or something else makes jobs late.

JobLimiter computes it every 2 s; no decision depends on it.

--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -129,6 +129,8 @@
     }, { farFactor: _options.farFactor, inheritedUntilMs: clock.nowMs() + inheritedMs }, chart, clock, log, new WorkspaceShareOrder())
     this._limiter = new JobLimiter({
       countBacklog: () => this._scheduler.countBacklog(),
+      hosts: () => [...this._scheduler.hosts.values()],
+      openJobs: () => this._scheduler.openJobs,
       usableCores: () => usableCores(this._scheduler.hosts.values(), clock.nowMs()),
       logFields: () => this._scheduler.adviceLoad
     }, clock, log)
@@ -228,7 +230,7 @@
 
   /** Returns the current values for the metrics. */
   public gauges (): Readonly<Record<string, number>> {
-    return this._scheduler.gauges()
+    return { ...this._scheduler.gauges(), ...this._limiter.gauges() }
   }
 
   public dispose (): void {
--- a/src/cell/JobLimiter.test.ts
+++ b/src/cell/JobLimiter.test.ts
@@ -8,7 +8,7 @@
 import { Job } from '../common/cell/Job.js'
 import { NO_RESOURCES } from '../common/cell/Resources.js'
 import { SilentLogger } from '../common/observability/SilentLogger.js'
-import { QUEUE, STEP } from '../../test/support/SimulatedCell.js'
+import { QUEUE, STEP, SimulatedCell } from '../../test/support/SimulatedCell.js'
 import { JobLimiter } from './JobLimiter.js'
 
 import type { ExecutionContext } from 'ava'
@@ -17,7 +17,7 @@
 
 function setUp (t: ExecutionContext, usableCores: number | undefined) {
   const clock = new ManualClock()
-  const inputs = { usableCores, countBacklog: () => ({ tasks: 0, urgentTasks: 0 }), logFields: () => ({}) }
+  const inputs = { usableCores, countBacklog: () => ({ tasks: 0, urgentTasks: 0 }), logFields: () => ({}), hosts: () => [], openJobs: () => [] }
   const limiter = new JobLimiter({ ...inputs, usableCores: () => inputs.usableCores }, clock, new SilentLogger())
   const timer = limiter.start()
   t.teardown(() => { timer.dispose() })
@@ -69,3 +69,21 @@
   limiter.restore([jobOf('hot', 1000)])
   t.true(accept('hot', 1).isBeyondWorkShare)
 })
+
+test('operators see how long waiting work will take, and a log line only while not all of it can be in time', async (t) => {
+  const cell = new SimulatedCell({ hosts: 1 })
+  const lines: string[] = []
+  const log = Object.assign(new SilentLogger(), { info: (event: string) => { lines.push(event) } })
+  const hosts = () => [...cell.scheduler.hosts.values()]
+  const inputs = { usableCores: () => 8, countBacklog: () => ({ tasks: 0, urgentTasks: 0 }), logFields: () => ({}), hosts }
+  const limiter = new JobLimiter({ ...inputs, openJobs: () => cell.scheduler.openJobs }, cell.clock, log)
+  const timer = limiter.start()
+  t.teardown(() => { timer.dispose() })
+  cell.submit([{ count: 40 }], { stretch: 20 })
+  await cell.run(3000)
+  t.true((limiter.gauges()['room_forecast_ms{kind="1"}'] ?? 0) > 1000)
+  t.deepEqual(lines, [])
+  cell.submit([{ count: 400 }], { stretch: 20 })
+  await cell.run(3000)
+  t.deepEqual([...new Set(lines)], ['room.forecast'])
+})
--- a/src/cell/JobLimiter.ts
+++ b/src/cell/JobLimiter.ts
@@ -3,11 +3,14 @@
  */
 
 import { ADMISSION_UPDATE_MS, AdmissionRate } from '../common/cell/AdmissionRate.js'
+import { RoomForecast } from '../common/cell/RoomForecast.js'
 import { URGENT_PRIORITY } from '../common/cell/Placement.js'
 import { ShareMeter } from '../common/cell/ShareMeter.js'
 import { WorkspaceShares, workCoreMs } from '../common/cell/WorkspaceShares.js'
+import { DisposableStore } from '../common/Emitter.js'
 
 import type { IBacklog } from '../common/cell/AdmissionRate.js'
+import type { HostState } from '../common/cell/HostState.js'
 import type { Job } from '../common/cell/Job.js'
 import type { IWorkspace } from '../common/cell/Types.js'
 import type { IShareRow } from '../common/cell/WorkspaceShares.js'
@@ -19,17 +22,22 @@
   countBacklog (): IBacklog
   /** The processors of the hosts that can take work; undefined while they aren't known. */
   usableCores (): number | undefined
+  hosts (): readonly HostState[]
+  openJobs (): Iterable<Job>
   /** What else may explain a limit, for the log. */
   logFields (): ILogFields
 }
 
 /** How often the inputs of the limit are logged while there is one, in ms. */
 const LOG_INTERVAL_MS = 2000
+/** How often free capacity is forecast, in ms: it is for operators, and takes time for each run of the cell. */
+const FORECAST_INTERVAL_MS = 2000
 
 export class JobLimiter {
   private readonly _rate = new AdmissionRate()
   private readonly _shares = new ShareMeter()
   private readonly _workShares = new WorkspaceShares()
+  private readonly _room = new RoomForecast()
   /** As of the last update. Infinity, with which no job is beyond a share, while it isn't known. */
   private _cores = Infinity
   private _loggedAtMs: MonotonicMs = -Infinity
@@ -38,7 +46,15 @@
 
   /** Adapts the limit until disposed. */
   public start (): IDisposable {
-    return this._clock.every(ADMISSION_UPDATE_MS, () => { this._update() })
+    const timers = new DisposableStore()
+    timers.add(this._clock.every(ADMISSION_UPDATE_MS, () => { this._update() }))
+    timers.add(this._clock.every(FORECAST_INTERVAL_MS, () => { this._forecast() }))
+    return timers
+  }
+
+  /** How long the hosts need for the work that waits, by priority, for the metrics. */
+  public gauges (): Readonly<Record<string, number>> {
+    return Object.fromEntries([...this._room.waitsMs()].map(([priority, waitMs]) => [`room_forecast_ms{kind="${priority}"}`, Math.round(waitMs)]))
   }
 
   /** Applies the weights of a configuration. */
@@ -78,6 +94,12 @@
     this._rate.recordOrder(durationMs, isAnswered)
   }
 
+  private _forecast (): void {
+    const nowMs = this._clock.nowMs()
+    this._room.update(this._inputs.hosts(), this._inputs.openJobs(), nowMs)
+    for (const shortage of this._room.shortages(nowMs)) this._log.info('room.forecast', { ...shortage })
+  }
+
   private _update (): void {
     const nowMs = this._clock.nowMs()
     if (this._workShares.hasWeights) this._cores = this._inputs.usableCores() ?? Infinity
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -178,6 +178,11 @@
     return host.attempts.size === 0
   }
 
+  /** The accepted jobs that aren't finished, and those that are being accepted. */
+  public get openJobs (): ReadonlySet<Job> {
+    return this._openJobs
+  }
+
   /** The number of accepted jobs of the queue that have not started. */
   public countWaiting (queue: string): number {
     let count = 0
