--- a/bench/cellLoad.ts
+++ b/bench/cellLoad.ts
@@ -8,9 +8,11 @@
 import { ObjectiveOrder, WorkspaceShareOrder } from '../src/common/cell/JobOrder.js'
 import { ShareMeter } from '../src/common/cell/ShareMeter.js'
 import { WorkspaceShares } from '../src/common/cell/WorkspaceShares.js'
+import { RoomForecast } from '../src/common/cell/RoomForecast.js'
 import { NO_RESOURCES } from '../src/common/cell/Resources.js'
 import { SeededRandom } from '../src/common/Random.js'
 import { SimulatedCell } from '../test/support/SimulatedCell.js'
+import { AdmissionForecast } from './AdmissionForecast.js'
 import { DominantShareOrder, LateThenShareOrder, ShareFirstOrder, ShareOrder } from './cellOrders.js'
 import { tableLines } from '../src/operator/Table.js'
 
@@ -51,6 +53,9 @@
   readonly burstFactor: number
 }
 
+/** Which jobs may be refused. */
+type Refuses = 'none' | 'beyondShare' | 'all'
+
 export interface ILoadOptions {
   readonly hosts: number
   readonly seed: number
@@ -59,11 +64,18 @@
   readonly factor?: number
   readonly set?: ILoadSet
   readonly order?: IJobOrder
+  /** Whether jobs are refused by the forecast of free capacity; callers return up to `MAX_RETURNS` times within `MAX_RETURN_MS`. */
+  readonly refuses?: Refuses
 }
 
 const REFERENCE_HOSTS = 200
 const HOSTS_PER_MACHINE = 6
 const MIN_MACHINES = 8
+const MAX_RETURNS = 4
+const MAX_RETURN_MS = 3000
+const FORECAST_INTERVAL_MS = 250
+/** What a late result is worth to its caller. */
+const LATE_WORTH = 0.2
 const WARM_UP_MS = 12_000
 const TICK_MS = 10
 const MS_PER_S = 1000
@@ -128,6 +140,18 @@
   readonly load: ILoad
   /** The time from which the job counts as late, computed from its true run time. */
   readonly dueMs: number
+  readonly receivedAtMs: number
+  readonly isRefused: boolean
+}
+
+/** A job that a caller sends, for the first time or again after refusals. */
+interface IAttempt {
+  readonly load: ILoad
+  readonly workspace: ILoadWorkspace
+  readonly steps: readonly Partial<IStepSpec>[]
+  readonly workMsByStep: readonly number[]
+  readonly firstAtMs: number
+  readonly returns: number
 }
 
 const ORDERS: Readonly<Record<string, IJobOrder>> = {
@@ -148,11 +172,12 @@
     .option('factor', { type: 'number', default: 1, describe: 'multiplies the rate of all loads' })
     .option('loads', { type: 'string', describe: 'a JSON file with the hosts, the loads and the workspaces' })
     .option('order', { choices: Object.keys(ORDERS), default: 'objective' })
+    .option('refuses', { choices: ['none', 'beyondShare', 'all'] as const, default: 'none' as const, describe: 'jobs that the forecast of free capacity refuses' })
     .parseAsync()
   const set = args.loads === undefined ? BUSY_CELL : JSON.parse(readFileSync(args.loads, 'utf8')) as ILoadSet
   const order = ORDERS[args.order]
-  const { hosts, seed, factor } = args
-  const options = { hosts, seed, durationMs: args.seconds * MS_PER_S, factor, set }
+  const { hosts, seed, factor, refuses } = args
+  const options = { hosts, seed, durationMs: args.seconds * MS_PER_S, factor, set, refuses }
   const { queues, workspaces } = await simulateLoad({ ...options, ...(order === undefined ? {} : { order }) })
   for (const line of tableLines(queues as unknown as readonly Row[])) process.stdout.write(`${line}\n`)
   for (const line of tableLines(workspaces as unknown as readonly Row[])) process.stdout.write(`${line}\n`)
@@ -171,6 +196,10 @@
   /** The share of the jobs within the shares of their workspaces that were done in time, and of their work. */
   readonly withinInTime: number
   readonly withinWorkInTime: number
+  /** The share of the jobs whose caller gave up after refusals, and what callers got: 1 for a job in time, `LATE_WORTH` for a late one. */
+  readonly refused: number
+  readonly worth: number
+  readonly workWorth: number
   /** The percentiles of the delay of jobs after their due time, in s: half, nine in ten and 98 in a hundred of the jobs are at most this late. */
   readonly slackP50S: number
   readonly slackP90S: number
@@ -194,7 +223,7 @@
 }
 
 export async function simulateLoad (options: ILoadOptions): Promise<ILoadResult> {
-  const { hosts, seed, durationMs, factor = 1, set = BUSY_CELL, order } = options
+  const { hosts, seed, durationMs, factor = 1, set = BUSY_CELL, order, refuses = 'none' } = options
   const { host, loads, workspaces } = set
   const meter = new ShareMeter()
   const shares = new WorkspaceShares()
@@ -216,12 +245,20 @@
       return advice === undefined ? 0 : advice.baseMs + advice.perHostMs * hostIds.length
     }
   })
+  const room = new RoomForecast()
+  const admission = new AdmissionForecast(room, refuses === 'all')
   const submitted: ISubmittedJob[] = []
+  const returns: { readonly atMs: number, readonly submit: () => void }[] = []
   const finishedAtMs = new Map<Job, number>()
   const openJobs = new Set<Job>()
   const untilMs = WARM_UP_MS + durationMs
   while (cell.clock.nowMs() < untilMs + WARM_UP_MS * 2) {
     const nowMs = cell.clock.nowMs()
+    if (refuses !== 'none' && nowMs % FORECAST_INTERVAL_MS === 0) room.update([...cell.scheduler.hosts.values()], cell.scheduler.jobs.values(), nowMs)
+    for (const each of returns.splice(0)) {
+      if (each.atMs <= nowMs) each.submit()
+      else returns.push(each)
+    }
     const isBurst = nowMs >= burstFromMs && nowMs < burstUntilMs
     for (const load of loads) {
       for (const workspace of workspaces) {
@@ -236,8 +273,9 @@
       openJobs.delete(job)
     }
   }
-  const measured = submitted.filter(({ job }) => job.receivedAtMs >= WARM_UP_MS && job.receivedAtMs < untilMs)
+  const measured = submitted.filter(({ receivedAtMs }) => receivedAtMs >= WARM_UP_MS && receivedAtMs < untilMs)
   const isInTime = ({ job, dueMs }: ISubmittedJob): boolean => (finishedAtMs.get(job) ?? Infinity) <= dueMs
+  const worthOf = (each: ISubmittedJob): number => isInTime(each) ? 1 : finishedAtMs.has(each.job) ? LATE_WORTH : 0
   const coreSecondsOf = (each: readonly ISubmittedJob[]): number => each.reduce((sum, { job }) => sum + job.coreSeconds, 0)
   return { queues: loads.map(toQueueRow), workspaces: workspaces.map(toWorkspaceRow) }
 
@@ -269,6 +307,9 @@
       workInTime,
       withinInTime: within.filter(isInTime).length / within.length,
       withinWorkInTime: coreSecondsOf(within.filter(isInTime)) / coreSecondsOf(within),
+      refused: jobs.filter(({ isRefused }) => isRefused).length / jobs.length,
+      worth: mean(jobs.map(worthOf)),
+      workWorth: jobs.reduce((sum, each) => sum + each.job.coreSeconds * worthOf(each), 0) / coreSecondsOf(jobs),
       slackP50S: slackS(0.5),
       slackP90S: slackS(0.9),
       slackP98S: slackS(0.98)
@@ -290,14 +331,33 @@
         after: number === 0 ? [] : [number - 1]
       })
     }
-    const job = cell.submit(steps, load.queue, workspace.name)
-    job.isBeyondShare = !meter.recordJob(workspace.name, jobsPerS * workspace.share * WEIGHT_FACTOR, job.receivedAtMs)
-    job.isBeyondWorkShare = shares.recordJob(job, hosts * host.cpuMillicores / MILLICORES_PER_CORE, job.receivedAtMs)
+    offer({ load, workspace, steps, workMsByStep, firstAtMs: cell.clock.nowMs(), returns: 0 })
+  }
+
+  function offer (attempt: IAttempt): void {
+    const { load, workspace, steps, workMsByStep, firstAtMs } = attempt
+    const nowMs = cell.clock.nowMs()
+    const job = cell.createJob(steps, load.queue, workspace.name)
+    const cores = hosts * host.cpuMillicores / MILLICORES_PER_CORE
+    job.isBeyondWorkShare = shares.isBeyondShare(workspace.name, cores, nowMs)
+    const refusal = refuses !== 'none' ? admission.findRefusal(job, nowMs) : undefined
+    const returnAtMs = nowMs + Math.ceil((refusal?.retryAfterMs ?? 0) / MS_PER_S) * MS_PER_S
+    const mayReturn = attempt.returns < MAX_RETURNS && returnAtMs <= firstAtMs + MAX_RETURN_MS
+    if (refusal !== undefined && mayReturn) {
+      returns.push({ atMs: returnAtMs, submit: () => { offer({ ...attempt, returns: attempt.returns + 1 }) } })
+      return
+    }
+    job.isBeyondShare = !meter.recordJob(workspace.name, jobsPerS * workspace.share * WEIGHT_FACTOR, firstAtMs)
+    const chainMs = workMsByStep.reduce((sum, ms) => sum + ms + (load.queue.advice?.baseMs ?? 0), 0)
+    const dueMs = firstAtMs + chainMs * (load.queue.stretch ?? 1) + (load.queue.targetMs ?? 0)
+    submitted.push({ job, load, dueMs, receivedAtMs: firstAtMs, isRefused: refusal !== undefined })
+    if (refusal !== undefined) return
     const { jobId } = job.spec
     workMsByStep.forEach((ms, number) => { workMs.set(`${jobId}.${number}`, ms) })
     loadByJob.set(jobId, load)
-    const chainMs = workMsByStep.reduce((sum, ms) => sum + ms + (load.queue.advice?.baseMs ?? 0), 0)
-    submitted.push({ job, load, dueMs: job.receivedAtMs + chainMs * (load.queue.stretch ?? 1) + (load.queue.targetMs ?? 0) })
+    shares.recordJob(job, cores, nowMs)
+    room.addJob(job)
+    cell.accept(job)
     openJobs.add(job)
   }
 }
--- a/test/support/SimulatedCell.ts
+++ b/test/support/SimulatedCell.ts
@@ -100,13 +100,21 @@
 
   /** Submits a job, which is accepted at once. */
   public submit (steps: readonly Partial<IStepSpec>[], queue: Partial<QueueTerms> = {}, workspace = ''): Job {
+    const job = this.createJob(steps, queue, workspace)
+    this.accept(job)
+    return job
+  }
+
+  public createJob (steps: readonly Partial<IStepSpec>[], queue: Partial<QueueTerms> = {}, workspace = ''): Job {
     this._nextJob += 1
     const jobId = this._nextJob.toString(16).padStart(16, '0')
     const spec = { jobId, description: '', occurrences: 0, steps: steps.map((step) => ({ ...STEP, ...step })) }
-    const job = new Job(spec, { ...QUEUE, ...queue }, this.clock.nowMs(), workspace)
-    this.accepted.set(jobId, encodeAccepted(job, this.clock.wallMs()))
+    return new Job(spec, { ...QUEUE, ...queue }, this.clock.nowMs(), workspace)
+  }
+
+  public accept (job: Job): void {
+    this.accepted.set(job.spec.jobId, encodeAccepted(job, this.clock.wallMs()))
     this.scheduler.admit(job)
-    return job
   }
 
   public async run (forMs: number): Promise<void> {
