--- a/bench/cellLoad.ts
+++ b/bench/cellLoad.ts
@@ -5,13 +5,17 @@
 
 import { readFileSync } from 'node:fs'
 import yargs from 'yargs'
-import { ObjectiveOrder } from '../src/common/cell/JobOrder.js'
+import { ObjectiveOrder, WorkspaceShareOrder } from '../src/common/cell/JobOrder.js'
 import { ShareMeter } from '../src/common/cell/ShareMeter.js'
+import { WorkspaceShares } from '../src/common/cell/WorkspaceShares.js'
+import { RoomForecast } from '../src/common/cell/RoomForecast.js'
+import { NO_RESOURCES } from '../src/common/cell/Resources.js'
 import { SeededRandom } from '../src/common/Random.js'
 import { GangRates } from '../test/support/GangRates.js'
 import { SimulatedCell } from '../test/support/SimulatedCell.js'
+import { AdmissionForecast } from './AdmissionForecast.js'
 import { AdviceCallLog } from './adviceCalls.js'
-import { DominantShareOrder, ShareFirstOrder, ShareOrder } from './cellOrders.js'
+import { DominantShareOrder, LateThenShareOrder, ShareFirstOrder, ShareOrder } from './cellOrders.js'
 import { tableLines } from '../src/operator/Table.js'
 
 import type { Row } from '../src/operator/Table.js'
@@ -78,6 +82,9 @@
   readonly burstFactor: number
 }
 
+/** Which jobs may be refused. */
+type Refuses = 'none' | 'beyondShare' | 'all'
+
 export interface ILoadOptions {
   readonly hosts: number
   readonly seed: number
@@ -87,14 +94,22 @@
   readonly set?: ILoadSet
   readonly order?: IJobOrder
   readonly logger?: ILogger
+  /** Whether jobs are refused by the forecast of free capacity; callers return up to `MAX_RETURNS` times within `MAX_RETURN_MS`. */
+  readonly refuses?: Refuses
 }
 
 const REFERENCE_HOSTS = 200
 const HOSTS_PER_MACHINE = 6
 const MIN_MACHINES = 8
+const MAX_RETURNS = 4
+const MAX_RETURN_MS = 3000
+const FORECAST_INTERVAL_MS = 250
+/** What a late result is worth to its caller. */
+const LATE_WORTH = 0.2
 const WARM_UP_MS = 12_000
 const TICK_MS = 10
 const MS_PER_S = 1000
+const MILLICORES_PER_CORE = 1000
 const WORK_DEVIATION = 0.5
 const WIDTH_DEVIATION = 0.8
 const CPU_DEVIATION = 0.4
@@ -102,6 +117,8 @@
 /** The weight of a workspace, as a multiple of what it usually sends. */
 const WEIGHT_FACTOR = 1.5
 const NO_TAIL = { share: 0, factor: 1 }
+/** The share of the workspaces that count as the worst served. */
+const WORST_SHARE = 0.1
 const MAX_HASH = 0x7fffffff
 
 /** Four fifths of the cell are in use: half of the work is wide all-at-once jobs, a third is batch jobs, the rest is short and urgent. */
@@ -154,10 +171,24 @@
   readonly load: ILoad
   /** The time from which the job counts as late, computed from its true run time. */
   readonly dueMs: number
+  readonly receivedAtMs: number
+  readonly isRefused: boolean
+}
+
+/** A job that a caller sends, for the first time or again after refusals. */
+interface IAttempt {
+  readonly load: ILoad
+  readonly workspace: ILoadWorkspace
+  readonly steps: readonly Partial<IStepSpec>[]
+  readonly workMsByStep: readonly number[]
+  readonly firstAtMs: number
+  readonly returns: number
 }
 
 const ORDERS: Readonly<Record<string, IJobOrder>> = {
   objective: new ObjectiveOrder(),
+  workShare: new WorkspaceShareOrder(),
+  lateThenShare: new LateThenShareOrder(),
   share: new ShareOrder(),
   shareFirst: new ShareFirstOrder(),
   dominantShare: new DominantShareOrder()
@@ -174,18 +205,22 @@
     .option('order', { choices: Object.keys(ORDERS), default: 'objective' })
     .option('machines', { type: 'number', describe: 'the machines that may call for advice, if the loads name them' })
     .option('calls', { type: 'boolean', default: false, describe: 'prints the calls for advice by queue and reason' })
+    .option('refuses', { choices: ['none', 'beyondShare', 'all'] as const, default: 'none' as const, describe: 'jobs that the forecast of free capacity refuses' })
     .parseAsync()
   const read = args.loads === undefined ? BUSY_CELL : JSON.parse(readFileSync(args.loads, 'utf8')) as ILoadSet
   const set = args.machines === undefined ? read : withMachines(read, args.machines)
   const order = ORDERS[args.order]
   const calls = args.calls ? new AdviceCallLog() : undefined
-  const { hosts, seed, factor } = args
-  const options = { hosts, seed, durationMs: args.seconds * MS_PER_S, factor, set }
+  const { hosts, seed, factor, refuses } = args
+  const options = { hosts, seed, durationMs: args.seconds * MS_PER_S, factor, set, refuses }
   const chosen = { ...(order === undefined ? {} : { order }), ...(calls === undefined ? {} : { logger: calls }) }
   const { queues, workspaces } = await simulateLoad({ ...options, ...chosen })
   for (const line of tableLines(queues as unknown as readonly Row[])) process.stdout.write(`${line}\n`)
   if (calls !== undefined) for (const line of tableLines(calls.rows() as unknown as readonly Row[])) process.stdout.write(`${line}\n`)
   for (const line of tableLines(workspaces as unknown as readonly Row[])) process.stdout.write(`${line}\n`)
+  const worst = workspaces.map(({ withinWorkInTime }) => withinWorkInTime).sort((a, b) => a - b).slice(0, Math.ceil(workspaces.length * WORST_SHARE))
+  process.stdout.write(`work within shares in time: mean of the workspaces ${mean(workspaces.map((row) => row.withinWorkInTime)).toFixed(3)}, ` +
+    `of the worst tenth ${mean(worst).toFixed(3)}\n`)
 }
 
 /** The results of one queue, for the jobs that were submitted after the warm-up. */
@@ -195,6 +230,13 @@
   readonly inTime: number
   /** The share of the work, in core-seconds, that was done in time, so that a wide job counts by its size. */
   readonly workInTime: number
+  /** The share of the jobs within the shares of their workspaces that were done in time, and of their work. */
+  readonly withinInTime: number
+  readonly withinWorkInTime: number
+  /** The share of the jobs whose caller gave up after refusals, and what callers got: 1 for a job in time, `LATE_WORTH` for a late one. */
+  readonly refused: number
+  readonly worth: number
+  readonly workWorth: number
   /** The percentiles of the delay of jobs after their due time, in s: half, nine in ten and 98 in a hundred of the jobs are at most this late. */
   readonly slackP50S: number
   readonly slackP90S: number
@@ -220,10 +262,12 @@
 }
 
 export async function simulateLoad (options: ILoadOptions): Promise<ILoadResult> {
-  const { hosts, seed, durationMs, factor = 1, set = BUSY_CELL, order, logger } = options
+  const { hosts, seed, durationMs, factor = 1, set = BUSY_CELL, order, logger, refuses = 'none' } = options
   const { host, loads, workspaces, referenceHosts = REFERENCE_HOSTS, advice, bursts = [] } = set
   const meter = new ShareMeter()
+  const shares = new WorkspaceShares()
   const jobsPerS = loads.reduce((sum, load) => sum + load.jobsPerS, 0) * factor * hosts / referenceHosts
+  shares.setWeights(workspaces.map(({ name, share }) => ({ name, weight: jobsPerS * share * WEIGHT_FACTOR, keyDigests: [], maximum: NO_RESOURCES })))
   const burstFromMs = WARM_UP_MS + durationMs * (1 - BURST_SHARE) / 2
   const burstUntilMs = burstFromMs + durationMs * BURST_SHARE
   const random = new SeededRandom(seed)
@@ -249,12 +293,20 @@
   })
   gangRates.attach(cell)
   cell.hosts.forEach((each, number) => { each.speed = set.speeds?.[number % set.speeds.length] ?? 1 })
+  const room = new RoomForecast()
+  const admission = new AdmissionForecast(room, refuses === 'all')
   const submitted: ISubmittedJob[] = []
+  const returns: { readonly atMs: number, readonly submit: () => void }[] = []
   const finishedAtMs = new Map<Job, number>()
   const openJobs = new Set<Job>()
   const untilMs = WARM_UP_MS + durationMs
   while (cell.clock.nowMs() < untilMs + WARM_UP_MS * 2) {
     const nowMs = cell.clock.nowMs()
+    if (refuses !== 'none' && nowMs % FORECAST_INTERVAL_MS === 0) room.update([...cell.scheduler.hosts.values()], cell.scheduler.jobs.values(), nowMs)
+    for (const each of returns.splice(0)) {
+      if (each.atMs <= nowMs) each.submit()
+      else returns.push(each)
+    }
     const isBurst = nowMs >= burstFromMs && nowMs < burstUntilMs
     for (const load of loads) {
       for (const workspace of workspaces) {
@@ -272,8 +324,9 @@
       openJobs.delete(job)
     }
   }
-  const measured = submitted.filter(({ job }) => job.receivedAtMs >= WARM_UP_MS && job.receivedAtMs < untilMs)
+  const measured = submitted.filter(({ receivedAtMs }) => receivedAtMs >= WARM_UP_MS && receivedAtMs < untilMs)
   const isInTime = ({ job, dueMs }: ISubmittedJob): boolean => (finishedAtMs.get(job) ?? Infinity) <= dueMs
+  const worthOf = (each: ISubmittedJob): number => isInTime(each) ? 1 : finishedAtMs.has(each.job) ? LATE_WORTH : 0
   const coreSecondsOf = (each: readonly ISubmittedJob[]): number => each.reduce((sum, { job }) => sum + job.coreSeconds, 0)
   const discarded = sumDiscarded(cell)
   return { queues: loads.map(toQueueRow), workspaces: workspaces.map(toWorkspaceRow) }
@@ -291,8 +344,8 @@
     return {
       workspace: name,
       within: within.length,
-      withinInTime: within.filter(isInTime).length / within.length,
-      withinWorkInTime: coreSecondsOf(within.filter(isInTime)) / coreSecondsOf(within),
+      withinInTime: within.length === 0 ? 1 : within.filter(isInTime).length / within.length,
+      withinWorkInTime: within.length === 0 ? 1 : coreSecondsOf(within.filter(isInTime)) / coreSecondsOf(within),
       beyond: beyond.length,
       beyondInTime: beyond.length === 0 ? 1 : beyond.filter(isInTime).length / beyond.length
     }
@@ -300,6 +353,7 @@
 
   function toQueueRow (load: ILoad): ILoadRow {
     const jobs = measured.filter((each) => each.load === load)
+    const within = jobs.filter(({ job }) => !job.isBeyondShare)
     const lateMs = jobs.map(({ job, dueMs }) => (finishedAtMs.get(job) ?? Infinity) - dueMs).sort((a, b) => a - b)
     const slackS = (share: number): number => Math.round((lateMs[Math.floor(lateMs.length * share)] ?? Infinity) / MS_PER_S * 10) / 10
     const inTime = lateMs.filter((ms) => ms <= 0).length
@@ -309,6 +363,11 @@
       jobs: jobs.length,
       inTime: inTime / jobs.length,
       workInTime,
+      withinInTime: within.filter(isInTime).length / within.length,
+      withinWorkInTime: coreSecondsOf(within.filter(isInTime)) / coreSecondsOf(within),
+      refused: jobs.filter(({ isRefused }) => isRefused).length / jobs.length,
+      worth: mean(jobs.map(worthOf)),
+      workWorth: jobs.reduce((sum, each) => sum + each.job.coreSeconds * worthOf(each), 0) / coreSecondsOf(jobs),
       slackP50S: slackS(0.5),
       slackP90S: slackS(0.9),
       slackP98S: slackS(0.98),
@@ -333,13 +392,33 @@
         after: number === 0 ? [] : [number - 1]
       })
     }
-    const job = cell.submit(steps, load.queue, workspace.name)
-    job.isBeyondShare = !meter.recordJob(workspace.name, jobsPerS * workspace.share * WEIGHT_FACTOR, job.receivedAtMs)
+    offer({ load, workspace, steps, workMsByStep, firstAtMs: cell.clock.nowMs(), returns: 0 })
+  }
+
+  function offer (attempt: IAttempt): void {
+    const { load, workspace, steps, workMsByStep, firstAtMs } = attempt
+    const nowMs = cell.clock.nowMs()
+    const job = cell.createJob(steps, load.queue, workspace.name)
+    const cores = hosts * host.cpuMillicores / MILLICORES_PER_CORE
+    job.isBeyondWorkShare = shares.isBeyondShare(workspace.name, cores, nowMs)
+    const refusal = refuses !== 'none' ? admission.findRefusal(job, nowMs) : undefined
+    const returnAtMs = nowMs + Math.ceil((refusal?.retryAfterMs ?? 0) / MS_PER_S) * MS_PER_S
+    const mayReturn = attempt.returns < MAX_RETURNS && returnAtMs <= firstAtMs + MAX_RETURN_MS
+    if (refusal !== undefined && mayReturn) {
+      returns.push({ atMs: returnAtMs, submit: () => { offer({ ...attempt, returns: attempt.returns + 1 }) } })
+      return
+    }
+    job.isBeyondShare = !meter.recordJob(workspace.name, jobsPerS * workspace.share * WEIGHT_FACTOR, firstAtMs)
+    const chainMs = workMsByStep.reduce((sum, ms) => sum + ms + (load.queue.advice?.baseMs ?? 0), 0)
+    const dueMs = firstAtMs + chainMs * (load.queue.stretch ?? 1) + (load.queue.targetMs ?? 0)
+    submitted.push({ job, load, dueMs, receivedAtMs: firstAtMs, isRefused: refusal !== undefined })
+    if (refusal !== undefined) return
     const { jobId } = job.spec
     workMsByStep.forEach((ms, number) => { workMs.set(`${jobId}.${number}`, ms) })
     loadByJob.set(jobId, load)
-    const chainMs = workMsByStep.reduce((sum, ms) => sum + ms + (load.queue.advice?.baseMs ?? 0), 0)
-    submitted.push({ job, load, dueMs: job.receivedAtMs + chainMs * (load.queue.stretch ?? 1) + (load.queue.targetMs ?? 0) })
+    shares.recordJob(job, cores, nowMs)
+    room.addJob(job)
+    cell.accept(job)
     openJobs.add(job)
   }
 }
@@ -375,6 +454,10 @@
   return { ...set, advice: { ...advice, machines, farMachines: Math.round(machines * advice.farMachines / advice.machines) } }
 }
 
+function mean (values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length
+}
+
 /** Draws a log-normal factor with a mean of one; `deviation` is the standard deviation of its logarithm. */
 function logNormalFactor (random: IRandom, deviation: number): number {
   const normal = Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next())
