Test: the owner places jobs beyond their workspace's share after the others

Callers see nothing new. The test plays it through the owner, from the configuration to the order; it fails if the owner keeps the order by objective.

--- a/src/cell/CellOwner.test.ts
+++ b/src/cell/CellOwner.test.ts
@@ -334,8 +334,7 @@
 
 async function setUpWithWorkspaces (t: ExecutionContext) {
   const cell = setUpWithHost(t)
-  cell.config.queue = () => ({ ...QUEUE, isPublic: false })
-  cell.config.config = { workspaces: [BLUE, RED] }
+  Object.assign(cell.config, { queue: () => ({ ...QUEUE, isPublic: false }), config: { workspaces: [BLUE, RED] } })
   await cell.owner.ready
   await advance(cell.clock, 20, 5)
   return cell
@@ -387,3 +386,14 @@
   config.catchUp = async () => false
   t.is((await owner.submit({ ...submission, configVersion: 2 })).kind, 'inDoubt')
 })
+
+test('a job beyond the share of its workspace is placed after one of another workspace that was sent later', async (t) => {
+  const { owner, clock, store, started } = await setUpWithWorkspaces(t)
+  await advance(clock, 500) // The owner learns of the hosts' capacity.
+  for (const [jobId, keyDigest, cpuMillicores] of [['1', 'blue-key', 1], ['2', 'blue-key', 4500], ['3', 'red-key', 4500]] as const) {
+    const record = encodeJob({ jobId, description: '', occurrences: 0, steps: [{ ...DEFAULT_STEP, count: 1, cpuMillicores, estimateMs: 1e9 }] })
+    owner.submit({ ...SUBMISSION, jobId, keyDigest, record }).catch(t.fail)
+  }
+  for (let turn = 0; turn < 10; turn += 1, store.carryOut()) await advance(clock, 20, 5)
+  t.deepEqual(started, ['1', '3'])
+})
