The order by shares of workspaces uses the learned run times

What callers would see: with workspaces or without, the product's order took a job for late by its estimates alone, although the owner knows how long the runs of its queue take.

--- a/src/common/cell/JobOrder.ts
+++ b/src/common/cell/JobOrder.ts
@@ -56,9 +56,9 @@
  * behind that one's, and theirs are late as well. Without workspaces no job is beyond a share, and the order is that by objective.
  */
 export class WorkspaceShareOrder implements IJobOrder {
-  public sort (steps: Step[], nowMs: MonotonicMs): readonly Step[] {
+  public sort (steps: Step[], nowMs: MonotonicMs, _usage: WorkspaceUsage, times?: IRunForecast): readonly Step[] {
     return steps.sort(({ job: a }, { job: b }) => a.queue.priority - b.queue.priority ||
-      Number(isDeferred(a, nowMs)) - Number(isDeferred(b, nowMs)) || compareByObjective(a, b, nowMs))
+      Number(isDeferred(a, nowMs)) - Number(isDeferred(b, nowMs)) || compareByObjective(a, b, nowMs, times))
   }
 }
 
--- a/src/common/cell/WorkspaceShares.test.ts
+++ b/src/common/cell/WorkspaceShares.test.ts
@@ -7,6 +7,7 @@
 import { WorkspaceShareOrder } from './JobOrder.js'
 import { NO_RESOURCES } from './Resources.js'
 import { WorkspaceShares } from './WorkspaceShares.js'
+import { WorkspaceUsage } from './WorkspaceUsage.js'
 
 import type { IJobOrder } from './JobOrder.js'
 import type { Job } from './Job.js'
@@ -63,7 +64,9 @@
   deferred.isBeyondWorkShare = true
   const other = cell.submit([{ count: 1 }], { stretch: 2, targetMs: 3000 }, 'calm')
   const urgent = cell.submit([{ count: 1 }], { priority: 0, stretch: 9 }, 'calm')
-  const orderAt = (nowMs: number) => new WorkspaceShareOrder().sort([...deferred.steps, ...other.steps, ...urgent.steps], nowMs).map(({ job }) => job)
+  const usage = new WorkspaceUsage()
+  const steps = [...deferred.steps, ...other.steps, ...urgent.steps]
+  const orderAt = (nowMs: number) => new WorkspaceShareOrder().sort([...steps], nowMs, usage).map(({ job }) => job)
   t.deepEqual(orderAt(0), [urgent, other, deferred])
   t.deepEqual(orderAt(7999), [urgent, other, deferred])
   t.deepEqual(orderAt(8000), [urgent, deferred, other])
