A call for tickets of a batch step also names the hosts that it will use next

Batch steps in a full cell made up to five calls for tickets each, of one host, and their capacity was idle during each call.

Cause: tickets were requested only for a task that was already placed, and capacity becomes free for one task at a time.

TicketRenewal names, in the same call, up to 12 allowed hosts without a ticket that have room by the forecast while the tickets are valid, beside what gangs have reserved. The renewal of tickets moves there from CellScheduler; that of gangs is unchanged.

--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -6,7 +6,7 @@
 import type { ILogger } from '../observability/Types.js'
 import type { ChartTable } from '../state/ChartTable.js'
 import type { IClock, ITimers, MonotonicMs } from '../Types.js'
-import { AdviceRequester, expectedAdviceMs } from './AdviceRequester.js'
+import { AdviceRequester } from './AdviceRequester.js'
 import type { IBacklog } from './AdmissionRate.js'
 import type { IAdviceEffects } from './AdviceRequester.js'
 import { Attempt } from './Attempt.js'
@@ -21,10 +21,12 @@
 import { LimitReservations } from './LimitReservations.js'
 import { URGENT_PRIORITY, planGang, planTasks, urgentHeadroom } from './Placement.js'
 import type { IPlacement, IPlacementView } from './Placement.js'
-import { addResources } from './Resources.js'
+import { NO_RESOURCES, addResources } from './Resources.js'
+import type { IResources } from './Resources.js'
 import { RunController } from './RunController.js'
 import type { IRunEffects } from './RunController.js'
 import { StalledRuns } from './StalledRuns.js'
+import { TicketRenewal } from './TicketRenewal.js'
 import type { IHoldAnswer, IHostEntry, IRunRef, IWorkspace, StopOutcome } from './Types.js'
 import { WorkspaceUsage } from './WorkspaceUsage.js'
 
@@ -41,9 +43,6 @@
 /** Once a job has waited for this share of the time to its objective, it may use capacity that is reserved for late gangs. */
 const AT_RISK_WAIT_SHARE = 0.5
 
-/** Tickets of a waiting gang are renewed this many ms before the advice service's answer is needed. */
-const ADVICE_AHEAD_MS = 300
-
 export class CellScheduler {
   public readonly jobs = new Map<string, Job>()
   public readonly hosts = new Map<string, HostState>()
@@ -54,6 +53,7 @@
   private readonly _runController: RunController
   private readonly _holdHandler: HoldAnswerHandler
   private readonly _advice: AdviceRequester
+  private readonly _tickets: TicketRenewal
   private readonly _stalled: StalledRuns
   private _lastReservations: CapacityReservations | undefined
 
@@ -71,7 +71,7 @@
       start: async (host, order) => await _effects.start(host, order),
       stop: async (host, ref) => await _effects.stop(host, ref),
       onFenced: (hostId) => { _effects.onFenced(hostId) },
-      requestTickets: (step) => { this._requestTickets(step) },
+      requestTickets: (step) => { this._tickets.requestMissing(step) },
       onStarted: (job, waitedMs) => {
         _effects.count('starts', job.queue.name)
         _effects.recordDuration('wait_for_start', waitedMs)
@@ -85,6 +85,7 @@
       stopUnknown: async (host, ref) => await _effects.stopUnknown(host.entry, ref)
     }, _clock, _log)
     this._advice = new AdviceRequester(this.hosts, _effects, _clock, _log)
+    this._tickets = new TicketRenewal(this.hosts, this._advice, this._runController, _clock, (host, step) => this._headroomOf(host, step))
     this._stalled = new StalledRuns(this._runController, _clock, _log)
   }
 
@@ -302,35 +303,18 @@
   /** Reserves capacity for a waiting gang, and renews its tickets so that they are valid when that capacity becomes free. */
   private _reserveForGang (step: Step, reservations: CapacityReservations, view: IPlacementView): void {
     const reservation = reservations.reserve(step, view, isLate(step.job, view.nowMs))
-    const { advice } = step
-    if (reservation === undefined || advice === undefined || step.job.queue.advice === undefined) return
-    const callMs = expectedAdviceMs(step, reservation.hosts.length) + ADVICE_AHEAD_MS
-    if (reservation.waitMs > callMs || advice.hasCallsInFlight || view.nowMs < advice.retryAtMs) return
-    const expiring = reservation.hosts.filter(({ hostId, bornMs }) => advice.findTicket(hostId, bornMs, view.nowMs + callMs) === undefined)
-    if (expiring.length > 0) this._advice.requestAdvice(step, expiring.map(({ hostId }) => hostId), 'tickets', () => { this._runController.orderReady(step) })
+    if (reservation !== undefined) this._tickets.renewForReservation(step, reservation)
+  }
+
+  /** What a less urgent step had to leave free in the last pass: the reservations of the present one are not complete while it runs. */
+  private _headroomOf (host: HostState, step: Step): IResources {
+    return addResources(urgentHeadroom(host, step), this._lastReservations?.reservedOn(host, false) ?? NO_RESOURCES)
   }
 
   private _prepareRuns (step: Step, plan: readonly IPlacement[]): void {
     if (plan.length === 0) return
     this._runController.prepare(step, plan)
-    this._requestTickets(step)
-  }
-
-  /** Requests the tickets that prepared runs of the step lack. Runs that get none are dropped and placed again. */
-  private _requestTickets (step: Step): void {
-    const { advice } = step
-    if (step.job.queue.advice === undefined || advice === undefined || advice.hasCallsInFlight) return
-    const waiting = step.tasks.flatMap(({ attempt }) => attempt?.phase === 'preparing' ? [attempt] : [])
-    const isMissing = (attempt: Attempt, atMs: MonotonicMs): boolean =>
-      advice.findTicket(attempt.host.hostId, attempt.host.bornMs, atMs) === undefined
-    if (!waiting.some((attempt) => isMissing(attempt, this._clock.nowMs()))) return
-    // A gang needs all its tickets at once, so tickets that would expire during the call are renewed with the missing ones.
-    const validAtMs = this._clock.nowMs() + (step.spec.gang ? expectedAdviceMs(step, waiting.length) : 0)
-    const requested = waiting.filter((attempt) => isMissing(attempt, validAtMs))
-    this._advice.requestAdvice(step, [...new Set(requested.map((attempt) => attempt.host.hostId))], 'tickets', () => {
-      this._runController.drop(requested.filter((attempt) => isMissing(attempt, this._clock.nowMs())))
-      this._runController.orderReady(step)
-    })
+    this._tickets.requestMissing(step)
   }
 }
 
