--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -147,8 +147,9 @@
     this.ready = Promise.race([this._jobStore.then(() => {}), this._disposed])
   }
 
-  public get isOverloaded (): boolean {
-    return this._limiter.isOverloaded
+  /** How the owner copes with its load. */
+  public get load (): Pick<JobLimiter, 'isOverloaded' | 'isCalm'> {
+    return this._limiter
   }
 
   public async submit (submission: ISubmission): Promise<OwnerAnswer> {
--- a/src/daemon/ControllerDaemon.ts
+++ b/src/daemon/ControllerDaemon.ts
@@ -287,8 +287,9 @@
       counters: this._counters,
       clock: this._clock,
       log: this._log,
-      machineFitness: () => this._machineFitness * storeProximity(ownership.storeLatencyMs),
-      isOverloaded: () => this._owner?.isOverloaded === true,
+      // While urgent work waits, a handover would cost callers more than the distance to the store.
+      machineFitness: () => this._machineFitness * (this._owner?.load.isCalm === false ? 1 : storeProximity(ownership.storeLatencyMs)),
+      isOverloaded: () => this._owner?.load.isOverloaded === true,
       peerFitness: () => this._standbySelector?.peerFitness.highest ?? 0,
       isStopping: () => this._isStopping
     })
