--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -147,9 +147,8 @@
     this.ready = Promise.race([this._jobStore.then(() => {}), this._disposed])
   }
 
-  /** How the owner copes with its load. */
-  public get load (): Pick<JobLimiter, 'isOverloaded' | 'isCalm'> {
-    return this._limiter
+  public get isOverloaded (): boolean {
+    return this._limiter.isOverloaded
   }
 
   public async submit (submission: ISubmission): Promise<OwnerAnswer> {
--- a/src/cell/JobLimiter.test.ts
+++ b/src/cell/JobLimiter.test.ts
@@ -87,28 +87,3 @@
   await cell.run(3000)
   t.deepEqual([...new Set(lines)], ['room.forecast'])
 })
-
-// An owner that hands the cell over for a small gain while urgent tasks wait makes all of them late: nothing is placed during a takeover.
-test('an owner with more urgent tasks waiting than it starts in a moment is not calm', (t) => {
-  const clock = new ManualClock()
-  const backlog = { tasks: 0, urgentTasks: 0 }
-  const limiter = new JobLimiter({
-    countBacklog: () => ({ ...backlog }), logFields: () => ({}), hosts: () => [], openJobs: () => [], usableCores: () => undefined
-  }, clock, new SilentLogger())
-  const timer = limiter.start()
-  t.teardown(() => { timer.dispose() })
-  const startTasks = (perUpdate: number): void => {
-    for (let update = 0; update < 8; update += 1) {
-      for (let task = 0; task < perUpdate; task += 1) limiter.recordOrder(20, true)
-      clock.advance(ADMISSION_UPDATE_MS)
-    }
-  }
-  startTasks(50)
-  t.true(limiter.isCalm)
-  Object.assign(backlog, { tasks: 2000, urgentTasks: 20 })
-  startTasks(50)
-  t.true(limiter.isCalm, 'only less urgent tasks wait')
-  backlog.urgentTasks = 400
-  startTasks(50)
-  t.false(limiter.isCalm)
-})
--- a/src/cell/JobLimiter.ts
+++ b/src/cell/JobLimiter.ts
@@ -30,8 +30,6 @@
 
 /** How often the inputs of the limit are logged while there is one, in ms. */
 const LOG_INTERVAL_MS = 2000
-/** With more urgent work waiting than the owner starts in this time, in ms, that work would be late if nothing were placed meanwhile. */
-const MAX_CALM_DRAIN_MS = 300
 /** How often free capacity is forecast, in ms: it is for operators, and takes time for each run of the cell. */
 const FORECAST_INTERVAL_MS = 2000
 
@@ -65,11 +63,6 @@
     return Object.fromEntries([...this._room.waitsMs()].map(([priority, waitMs]) => [`room_forecast_ms{kind="${priority}"}`, Math.round(waitMs)]))
   }
 
-  /** Whether the owner keeps up with the urgent work, so that a pause would make none of it late that isn't late already. */
-  public get isCalm (): boolean {
-    return this._rate.tasksPerS === undefined && this._rate.urgentDrainMs <= MAX_CALM_DRAIN_MS
-  }
-
   /** Applies the weights of a configuration. */
   public applyWorkspaces (workspaces: readonly IWorkspace[]): void {
     this._workShares.setWeights(workspaces)
--- a/src/common/cell/AdmissionRate.ts
+++ b/src/common/cell/AdmissionRate.ts
@@ -159,11 +159,6 @@
     return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs))
   }
 
-  /** How long the owner needs to start the most urgent tasks that wait, in ms. */
-  public get urgentDrainMs (): number {
-    return this._drainMs(true)
-  }
-
   /** How long the owner needs to start the tasks that wait. */
   private _drainMs (isUrgent: boolean): number {
     const { tasks, urgentTasks } = this._backlog
--- a/src/daemon/ControllerDaemon.ts
+++ b/src/daemon/ControllerDaemon.ts
@@ -287,9 +287,8 @@
       counters: this._counters,
       clock: this._clock,
       log: this._log,
-      // While urgent work waits, a handover would cost callers more than the distance to the store.
-      machineFitness: () => this._machineFitness * (this._owner?.load.isCalm === false ? 1 : storeProximity(ownership.storeLatencyMs)),
-      isOverloaded: () => this._owner?.load.isOverloaded === true,
+      machineFitness: () => this._machineFitness * storeProximity(ownership.storeLatencyMs),
+      isOverloaded: () => this._owner?.isOverloaded === true,
       peerFitness: () => this._standbySelector?.peerFitness.highest ?? 0,
       isStopping: () => this._isStopping
     })
