RoomForecast uses the estimate of remaining time of HostForecast

The two parts were built side by side, and the same estimate stood in both. Behaviour is unchanged; the tests of RoomForecast and JobLimiter pass.

--- a/src/common/cell/HostForecast.ts
+++ b/src/common/cell/HostForecast.ts
@@ -61,7 +61,7 @@
 }
 
 /** The remaining time of a run by its progress so far, or by its estimate before it has reported any. */
-function remainingMs (attempt: Attempt, nowMs: MonotonicMs): number {
+export function remainingMs (attempt: Attempt, nowMs: MonotonicMs): number {
   return progressRemainingMs(attempt, nowMs) ?? estimatedRemainingMs(attempt, nowMs)
 }
 
--- a/src/common/cell/RoomForecast.ts
+++ b/src/common/cell/RoomForecast.ts
@@ -6,7 +6,7 @@
  */
 
 import type { MonotonicMs } from '../Types.js'
-import type { Attempt } from './Attempt.js'
+import { remainingMs } from './HostForecast.js'
 import type { HostState } from './HostState.js'
 import { isLate } from './JobOrder.js'
 import type { Job } from './Job.js'
@@ -15,10 +15,6 @@
 
 /** What work can use of the hosts' processors, as a share. */
 const USABLE_SHARE = 0.85
-/** The progress of a run is used once the run has lasted for this long, in ms; hosts report it once a second. */
-const MIN_PROGRESS_AGE_MS = 300
-/** A run that exceeds its estimate is assumed to need this share of it once more: how far off the estimate is can't be known. */
-const OVERRUN_SHARE = 0.25
 /** Ends of runs are counted in intervals, so that the forecast takes the same time for each run in a cell of any size. */
 const BUCKET_MS = 100
 const BUCKETS = 600
@@ -158,14 +154,3 @@
   }
   return sum
 }
-
-/** The remaining time of a run by its progress so far, or by its estimate before it has reported any. */
-function remainingMs (attempt: Attempt, nowMs: MonotonicMs): number {
-  const { spec } = attempt.task.step
-  if (attempt.phase === 'stopping') return 0
-  if (spec.longRunning) return Infinity
-  const reportedMs = Math.min(nowMs, attempt.reportedAtMs) - attempt.startedAtMs
-  const ranMs = nowMs - attempt.startedAtMs
-  if (attempt.percent > 0 && reportedMs >= MIN_PROGRESS_AGE_MS) return Math.max(0, reportedMs * 100 / attempt.percent - ranMs)
-  return ranMs < spec.estimateMs ? spec.estimateMs - ranMs : spec.estimateMs * OVERRUN_SHARE
-}
