The owner says why a job waits: step.waiting, steps_waiting, and rows in the dump

The logs of both controllers had `job.accepted` for them and nothing after it; the dump shows what each workspace uses and each host has free, and neither shows what is kept free for another job.

Cause of the gap: a pass leaves out a step silently, wherever it stops.

Change: WaitingSteps keeps, for each step with nothing started, where the last pass stopped: at the limit, the advice, earlier runs of its gang, or the room on the hosts. After 5 s it determines whether the limit or the room would do without the reservations, and for which jobs these are; it logs that every 30 s, at most five steps in one go. Counters by reason in the metrics, rows in the state dump.

--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -226,7 +226,8 @@
   public dump (): unknown {
     const hosts = [...this._scheduler.hosts.values()].map((host) => host.dumpFields)
     const open = [...this._scheduler.jobs.values()].filter((job) => !job.isFinished)
-    const state = { jobs: this._scheduler.jobs.size, open: open.length, hosts, workspaces: this._scheduler.workspaces() }
+    const waits = { workspaces: this._scheduler.workspaces(), waiting: this._scheduler.waitingSteps() }
+    const state = { jobs: this._scheduler.jobs.size, open: open.length, hosts, ...waits }
     return { fence: this._fence, ...state, shares: this._limiter.shares(), runTimes: this._scheduler.runTimes() }
   }
 
--- a/src/common/cell/CapacityReservations.ts
+++ b/src/common/cell/CapacityReservations.ts
@@ -35,6 +35,7 @@
 export class CapacityReservations {
   private readonly _reserved = new Map<HostState, IResources>()
   private readonly _reservedForLate = new Map<HostState, IResources>()
+  private readonly _holders = new Map<HostState, Step[]>()
   private _leftMillicores: number
 
   public constructor (hosts: Iterable<HostState>) {
@@ -57,6 +58,13 @@
     return this._reserved.has(host) || this._reservedForLate.has(host)
   }
 
+  /** The gangs for which resources are reserved on the hosts. */
+  public findHolders (hosts: Iterable<HostState>): ReadonlySet<Step> {
+    const holders = new Set<Step>()
+    for (const host of hosts) for (const step of this._holders.get(host) ?? []) holders.add(step)
+    return holders
+  }
+
   /** Reserves resources for a gang that couldn't be placed. Returns where and when it will have room for all its tasks, if that can be forecast. */
   public reserve (step: Step, view: IPlacementView, isLate: boolean): IReservation | undefined {
     const { spec } = step
@@ -65,7 +73,10 @@
     if (!fitsWhenEmpty(step, hosts)) return undefined
     const places = soonestPlaces(step, hosts, view)
     const reserved = isLate ? this._reservedForLate : this._reserved
-    for (const { host } of places) this._addReservation(reserved, host, resourcesOf(spec))
+    for (const { host } of places) {
+      this._addReservation(reserved, host, resourcesOf(spec))
+      this._holders.set(host, [...this._holders.get(host) ?? [], step])
+    }
     const last = places.at(-1)
     if (last === undefined || places.length < spec.count) return undefined
     return { hosts: [...new Set(places.map(({ host }) => host))], waitMs: last.waitMs }
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -19,7 +19,7 @@
 import type { IJobOrder } from './JobOrder.js'
 import type { IRecordedRun } from './JobRecord.js'
 import { LimitReservations } from './LimitReservations.js'
-import { URGENT_PRIORITY, planGang, planTasks, urgentHeadroom } from './Placement.js'
+import { URGENT_PRIORITY, canTake, planGang, planTasks, urgentHeadroom } from './Placement.js'
 import type { IPlacement, IPlacementView } from './Placement.js'
 import { NO_RESOURCES, addResources } from './Resources.js'
 import type { IResources } from './Resources.js'
@@ -29,6 +29,8 @@
 import type { IRunTimesRow } from './RunTimes.js'
 import { StalledRuns } from './StalledRuns.js'
 import { TicketRenewal } from './TicketRenewal.js'
+import { WaitingSteps } from './WaitingSteps.js'
+import type { IWaitCause, IWaitingRow, WaitStage } from './WaitingSteps.js'
 import type { IHoldAnswer, IHostEntry, IRunRef, IWorkspace, StopOutcome } from './Types.js'
 import { WorkspaceUsage } from './WorkspaceUsage.js'
 
@@ -58,6 +60,7 @@
   private readonly _advice: AdviceRequester
   private readonly _tickets: TicketRenewal
   private readonly _stalled: StalledRuns
+  private readonly _waiting: WaitingSteps
   private _lastReservations: CapacityReservations | undefined
 
   public constructor (
@@ -90,6 +93,7 @@
     this._advice = new AdviceRequester(this.hosts, _effects, _clock, _log)
     this._tickets = new TicketRenewal(this.hosts, this._advice, this._runController, _clock, (host, step) => this._headroomOf(host, step))
     this._stalled = new StalledRuns(this._runController, _clock, _log)
+    this._waiting = new WaitingSteps((step, stage) => this._explainWait(step, stage), _clock, _log)
   }
 
   /** Restores a job that an earlier owner recorded, with the runs that may still exist. */
@@ -219,6 +223,7 @@
     this._stalled.stopStalled([...this.hosts.values()])
     for (const step of preparing) this._runController.orderReady(step)
     this._advice.sendWaiting()
+    this._waiting.log()
     this._effects.requestPass()
   }
 
@@ -237,13 +242,10 @@
       hasReservation: (host) => this._lastReservations?.hasReservation(host) === true
     }
     this._limits.beginPass()
+    this._waiting.beginPass()
     for (const step of this._readySteps(nowMs)) {
-      const allowed = this._limits.countAllowed(step, nowMs)
-      if (allowed === 0) continue
-      const advice = this._advice.ensureAdvice(step)
-      if (step.job.queue.advice !== undefined && !advice.hasAnswer) continue
-      if (!step.spec.gang) this._placeTasks(step, allowed, view)
-      else if (!this._placeGang(step, view)) this._reserveForGang(step, reservations, view)
+      const stage = this._placeStep(step, reservations, view)
+      if (stage !== undefined && (step.hasNoRuns || step.spec.gang)) this._waiting.record(step, stage)
     }
     this._lastReservations = reservations
   }
@@ -268,7 +270,8 @@
     const jobs = { workspaces_at_limit: limited, jobs: this.jobs.size, jobs_open: this._openJobs.size }
     const { adviceWaiting, adviceInFlight, adviceLimit } = this.adviceLoad
     const advice = { advice_waiting: adviceWaiting, advice_in_flight: adviceInFlight, advice_limit: adviceLimit }
-    return { ...jobs, ...advice, hosts: this.hosts.size, runs, used_millicores: usedCpu, host_millicores: cpu }
+    const waiting = Object.fromEntries([...this._waiting.counts()].map(([reason, count]) => [`steps_waiting{kind="${reason}"}`, count]))
+    return { ...jobs, ...advice, ...waiting, hosts: this.hosts.size, runs, used_millicores: usedCpu, host_millicores: cpu }
   }
 
   /** What each workspace uses and may use, for the state dump. */
@@ -281,6 +284,11 @@
     return this._times.rows()
   }
 
+  /** The steps that have waited for long, and why, for the state dump. */
+  public waitingSteps (): readonly IWaitingRow[] {
+    return this._waiting.rows()
+  }
+
   public dispose (): void {
     this._advice.dispose()
   }
@@ -299,21 +307,48 @@
     return this._order.sort(steps, nowMs, this._workspaces, this._times)
   }
 
-  private _placeTasks (step: Step, allowed: number, view: IPlacementView): void {
+  /** Places what can be placed of the step. Returns what it waits for if that is nothing. */
+  private _placeStep (step: Step, reservations: CapacityReservations, view: IPlacementView): WaitStage | undefined {
+    const allowed = this._limits.countAllowed(step, view.nowMs)
+    if (allowed === 0) return 'limit'
+    const advice = this._advice.ensureAdvice(step)
+    if (step.job.queue.advice !== undefined && !advice.hasAnswer) return 'advice'
+    if (!step.spec.gang) return this._placeTasks(step, allowed, view) ? undefined : 'room'
+    // All runs of the previous attempt must be gone, or one of the gang's tasks could run twice.
+    if (!step.hasNoRuns || step.tasks.some((task) => task.notBeforeMs > view.nowMs)) return 'earlierRuns'
+    if (this._placeGang(step, view)) return undefined
+    this._reserveForGang(step, reservations, view)
+    return 'room'
+  }
+
+  private _placeTasks (step: Step, allowed: number, view: IPlacementView): boolean {
     const idle = step.tasks.filter((task) => task.isIdle && task.notBeforeMs <= view.nowMs)
-    if (idle.length === 0) return
-    this._prepareRuns(step, planTasks(step, idle.slice(0, allowed), view))
+    if (idle.length === 0) return false
+    const plan = planTasks(step, idle.slice(0, allowed), view)
+    this._prepareRuns(step, plan)
+    return plan.length > 0
   }
 
   private _placeGang (step: Step, view: IPlacementView): boolean {
-    // All runs of the previous attempt must be gone, or one of the gang's tasks could run twice.
-    if (!step.hasNoRuns || step.tasks.some((task) => task.notBeforeMs > view.nowMs)) return true
     const plan = planGang(step, view)
     if (plan === undefined) return false
     this._prepareRuns(step, plan)
     return true
   }
 
+  private _explainWait (step: Step, stage: WaitStage): IWaitCause {
+    if (stage === 'limit') {
+      const holder = this._limits.findHolder(step)
+      return holder === undefined ? { reason: 'limit' } : { reason: 'limitReserved', reservedFor: [holder.job.spec.jobId] }
+    }
+    if (stage !== 'room') return { reason: stage }
+    const nowMs = this._clock.nowMs()
+    const hasRoom = (host: HostState): boolean => canTake(host, step, nowMs) && host.placesFor(step.spec, urgentHeadroom(host, step)) > 0
+    const withRoom = [...this.hosts.values()].filter(hasRoom)
+    const holders = [...this._lastReservations?.findHolders(withRoom) ?? []].filter((holder) => holder !== step)
+    return holders.length === 0 ? { reason: 'room' } : { reason: 'roomReserved', reservedFor: holders.map(({ job }) => job.spec.jobId) }
+  }
+
   /** Reserves capacity for a waiting gang, and renews its tickets so that they are valid when that capacity becomes free. */
   private _reserveForGang (step: Step, reservations: CapacityReservations, view: IPlacementView): void {
     const reservation = reservations.reserve(step, view, isLate(step.job, view.nowMs, this._times))
--- a/src/common/cell/LimitReservations.ts
+++ b/src/common/cell/LimitReservations.ts
@@ -37,6 +37,13 @@
     return places >= needed ? places : 0
   }
 
+  /** The step whose reservation keeps this one from starting; undefined if the limit alone does. */
+  public findHolder (step: Step): Step | undefined {
+    const needed = step.spec.gang ? step.spec.count : 1
+    const isFree = this._usage.placesFor(step.job.workspace, step.spec) >= needed
+    return isFree ? this._reserved.get(step.job.workspace) : undefined
+  }
+
   private _recordWaiting (step: Step): void {
     const { workspace, receivedAtMs } = step.job
     const longest = this._waiting.get(workspace)
--- a/src/common/cell/Placement.ts
+++ b/src/common/cell/Placement.ts
@@ -52,16 +52,20 @@
 
 /** The hosts on which a task of the step may start, regardless of free resources. */
 export function eligibleHosts (step: Step, view: IPlacementView): readonly HostState[] {
-  const { spec, job, advice } = step
+  const { job, advice } = step
   const eligible: HostState[] = []
   for (const host of candidateHosts(step, view)) {
-    if (host.entry.service !== job.queue.service || !host.isPlaceable(view.nowMs) || !host.couldHold(spec)) continue
-    if (view.slowHosts.has(host)) continue
+    if (!canTake(host, step, view.nowMs) || view.slowHosts.has(host)) continue
     if (job.queue.advice === undefined || isAdvised(advice, host, view.nowMs)) eligible.push(host)
   }
   return eligible
 }
 
+/** Whether the host takes work now, and could hold a task of the step if it were empty. */
+export function canTake (host: HostState, { spec, job }: Step, nowMs: MonotonicMs): boolean {
+  return host.entry.service === job.queue.service && host.isPlaceable(nowMs) && host.couldHold(spec)
+}
+
 function candidateHosts (step: Step, view: IPlacementView): Iterable<HostState> {
   if (step.job.queue.advice === undefined) return view.hosts.values()
   return allowedHosts(step, view.hosts)
--- /dev/null
+++ b/src/common/cell/WaitingSteps.ts
@@ -0,0 +1,105 @@
+/**
+ * Keeps why each step that waits for long could not start in the last scheduling pass: for the log, the metrics and the state dump.
+ *
+ * Explains jobs that wait while hosts are idle. The hosts and the workspaces' limits show what is in use, but not what is kept free for
+ * another job.
+ */
+
+import type { ILogger } from '../observability/Types.js'
+import type { IClock, MonotonicMs } from '../Types.js'
+import type { Step } from './Job.js'
+
+/** Where a pass stopped: at the workspace's limit, at the advice, at earlier runs of the gang, or at the room on the hosts. */
+export type WaitStage = 'limit' | 'advice' | 'earlierRuns' | 'room'
+/** `limitReserved` and `roomReserved`: there would be enough if nothing were reserved for another job. */
+export type WaitReason = WaitStage | 'limitReserved' | 'roomReserved'
+
+export interface IWaitCause {
+  readonly reason: WaitReason
+  /** The jobs that it waits behind. */
+  readonly reservedFor?: readonly string[]
+}
+
+export interface IWaitingRow extends IWaitCause {
+  readonly job: string
+  readonly step: number
+  readonly queue: string
+  readonly workspace: string
+  readonly waitMs: number
+}
+
+interface IWait {
+  readonly sinceMs: MonotonicMs
+  /** Undefined until the step has waited for `EXPLAIN_AFTER_MS`. */
+  cause: IWaitCause | undefined
+  explainedAtMs: MonotonicMs
+  loggedAtMs: MonotonicMs
+}
+
+/** A step that has waited for less than this, in ms, needs no explanation. */
+const EXPLAIN_AFTER_MS = 5000
+/** How often the reason is determined, in ms: it takes an iteration over the hosts. */
+const EXPLAIN_INTERVAL_MS = 1000
+const LOG_INTERVAL_MS = 30_000
+/** The most steps that are logged in one go; the others follow. */
+const MAX_LINES = 5
+const MAX_ROWS = 100
+
+export class WaitingSteps {
+  private _waits = new Map<Step, IWait>()
+  private _next = new Map<Step, IWait>()
+
+  /** @param _explain the cause, given the stage at which the pass stopped */
+  public constructor (
+    private readonly _explain: (step: Step, stage: WaitStage) => IWaitCause, private readonly _clock: IClock, private readonly _log: ILogger
+  ) {}
+
+  /** To be called before the steps of a scheduling pass are considered. Forgets the steps that were not recorded since the last call. */
+  public beginPass (): void {
+    this._waits = this._next
+    this._next = new Map()
+  }
+
+  /** Records that nothing of the step could start in this pass. */
+  public record (step: Step, stage: WaitStage): void {
+    const nowMs = this._clock.nowMs()
+    const wait = this._waits.get(step) ?? { sinceMs: nowMs, cause: undefined, explainedAtMs: -Infinity, loggedAtMs: -Infinity }
+    this._next.set(step, wait)
+    if (nowMs - wait.sinceMs < EXPLAIN_AFTER_MS || nowMs - wait.explainedAtMs < EXPLAIN_INTERVAL_MS) return
+    wait.cause = this._explain(step, stage)
+    wait.explainedAtMs = nowMs
+  }
+
+  /** Logs the steps that have waited for long, each of them every `LOG_INTERVAL_MS`. */
+  public log (): void {
+    const nowMs = this._clock.nowMs()
+    let lines = 0
+    for (const [step, wait] of this._next) {
+      if (wait.cause === undefined || nowMs - wait.loggedAtMs < LOG_INTERVAL_MS) continue
+      wait.loggedAtMs = nowMs
+      const { job, step: number, ...row } = rowOf(step, wait.sinceMs, wait.cause, nowMs)
+      this._log.info('step.waiting', { requestId: job, step: String(number), ...row })
+      lines += 1
+      if (lines === MAX_LINES) return
+    }
+  }
+
+  /** The number of steps that have waited for long, by reason. */
+  public counts (): ReadonlyMap<WaitReason, number> {
+    const counts = new Map<WaitReason, number>()
+    for (const { cause } of this._next.values()) {
+      if (cause !== undefined) counts.set(cause.reason, (counts.get(cause.reason) ?? 0) + 1)
+    }
+    return counts
+  }
+
+  /** The steps that have waited for long, for the state dump. */
+  public rows (): readonly IWaitingRow[] {
+    const nowMs = this._clock.nowMs()
+    return [...this._next].flatMap(([step, { sinceMs, cause }]) => cause === undefined ? [] : [rowOf(step, sinceMs, cause, nowMs)]).slice(0, MAX_ROWS)
+  }
+}
+
+function rowOf ({ job: { spec, queue, workspace }, number }: Step, sinceMs: MonotonicMs, cause: IWaitCause, nowMs: MonotonicMs): IWaitingRow {
+  return { job: spec.jobId, step: number, queue: queue.name, workspace, waitMs: Math.round(nowMs - sinceMs), ...cause }
+}
