A blocked step reserves nothing within the limit of its workspace

Cause: LimitReservations lets the step that has waited longest reserve its need within the limit, without an end, and checked only whether the limit by itself allows the step. A gang that needs a host that is lost for good never starts, and keeps all of the limit.

Change: BlockedSteps decides whether a step could start once all runs have ended that end by themselves, on the hosts that take work now and by the advice so far, within what tasks that last and runs on silent hosts leave of the limit. If not, the step is blocked and reserves nothing. The decision is made anew every 100 ms. A host from which a new owner waits for the first answer counts as usable for 3 s, so that a takeover blocks nothing. `step.waiting` shows the blocker.

Why this works: what is reserved for a step is used as soon as the runs around it have ended; for a blocked step, that would be never. Once a host joins or returns, the step is no longer blocked and reserves again. A time limit for reservations was ruled out: a gang behind long runs would starve.

--- /dev/null
+++ b/src/common/cell/BlockedSteps.ts
@@ -0,0 +1,135 @@
+/**
+ * Decides which steps are blocked: they could not start even if all runs had ended that end by themselves, because of the hosts, the limits
+ * or the advice as they are now.
+ *
+ * A step holds something back from other work only while it isn't blocked: capacity on hosts, the limit of its workspace, calls for advice
+ * or the admission of jobs. Designed for a gang that waits when a host is lost: the gang doesn't fit any more, and what is kept free for it
+ * would be idle until another host joins. The decision is made again as hosts come and go, so the step takes part again once it can start.
+ */
+
+import type { IClock, MonotonicMs } from '../Types.js'
+import type { Attempt } from './Attempt.js'
+import type { HostState } from './HostState.js'
+import type { Step } from './Job.js'
+import { urgentHeadroom } from './Placement.js'
+import { NO_RESOURCES, addResources, countPlaces, resourcesOf } from './Resources.js'
+import type { IResources } from './Resources.js'
+import type { WorkspaceUsage } from './WorkspaceUsage.js'
+
+/**
+ * What blocks a step. `earlierRuns`: a run of its gang may exist on a host that doesn't answer; `limit`: its workspace may not run it, or only
+ * without the tasks that last; `hosts`: they are too small, too few or occupied by tasks that last; `advice`: the allowed hosts are.
+ */
+export type Blocker = 'earlierRuns' | 'limit' | 'hosts' | 'advice'
+
+export interface IBlockedSteps {
+  isBlocked (step: Step): boolean
+}
+
+interface ICheck {
+  readonly blocker: Blocker | undefined
+  readonly atMs: MonotonicMs
+}
+
+/** A decision is reused for this long, in ms: waiting steps are considered several times in each scheduling pass. */
+const CHECK_INTERVAL_MS = 100
+
+export class BlockedSteps implements IBlockedSteps {
+  private readonly _checks = new WeakMap<Step, ICheck>()
+  private _lastingByWorkspace: ReadonlyMap<string, IResources> = new Map()
+  private _lastingAtMs: MonotonicMs = -Infinity
+
+  /** @param _slowHosts the hosts that get no work at present because they are too slow */
+  public constructor (
+    private readonly _hosts: ReadonlyMap<string, HostState>,
+    private readonly _usage: WorkspaceUsage,
+    private readonly _slowHosts: () => ReadonlySet<HostState>,
+    private readonly _clock: IClock
+  ) {}
+
+  public isBlocked (step: Step): boolean {
+    return this.findBlocker(step) !== undefined
+  }
+
+  public findBlocker (step: Step): Blocker | undefined {
+    const nowMs = this._clock.nowMs()
+    const known = this._checks.get(step)
+    if (known !== undefined && nowMs - known.atMs < CHECK_INTERVAL_MS) return known.blocker
+    const blocker = this._check(step, nowMs)
+    this._checks.set(step, { blocker, atMs: nowMs })
+    return blocker
+  }
+
+  private _check (step: Step, nowMs: MonotonicMs): Blocker | undefined {
+    const { spec, job: { workspace } } = step
+    // The members of a gang start together, once all earlier runs are gone.
+    if (spec.gang && step.tasks.some(({ attempt }) => attempt?.host.isSilent(nowMs) === true)) return 'earlierRuns'
+    if (this._usage.isLimited(workspace) && !this._usage.couldRun(workspace, spec, this._lastingUse(workspace, nowMs))) return 'limit'
+    if (fitsOnceFree(step, this._possibleHosts(step, nowMs))) return undefined
+    return step.advice !== undefined && fitsOnceFree(step, this._hostsThatHold(step, nowMs)) ? 'advice' : 'hosts'
+  }
+
+  /** The hosts that the advice service allows, and those about which it has not been asked. */
+  private * _possibleHosts (step: Step, nowMs: MonotonicMs): Iterable<HostState> {
+    const { advice } = step
+    for (const host of this._hostsThatHold(step, nowMs)) {
+      if (advice === undefined || advice.allows(host.hostId) || !advice.wasAsked(host.hostId)) yield host
+    }
+  }
+
+  private * _hostsThatHold ({ spec, job }: Step, nowMs: MonotonicMs): Iterable<HostState> {
+    const slowHosts = this._slowHosts()
+    for (const host of this._hosts.values()) {
+      if (host.entry.service === job.queue.service && host.mayTakeWork(nowMs) && host.couldHold(spec) && !slowHosts.has(host)) yield host
+    }
+  }
+
+  /** What the workspace's runs use that don't end by themselves. */
+  private _lastingUse (workspace: string, nowMs: MonotonicMs): IResources {
+    if (nowMs - this._lastingAtMs >= CHECK_INTERVAL_MS) {
+      this._lastingByWorkspace = sumLastingUse(this._hosts.values(), nowMs)
+      this._lastingAtMs = nowMs
+    }
+    return this._lastingByWorkspace.get(workspace) ?? NO_RESOURCES
+  }
+}
+
+/** Whether the step fits on the hosts once the runs there that end by themselves have ended: a gang as a whole, of other steps one task. */
+export function fitsOnceFree (step: Step, hosts: Iterable<HostState>): boolean {
+  const needed = step.spec.gang ? step.spec.count : 1
+  let places = 0
+  for (const host of hosts) {
+    places += placesOnceFree(step, host)
+    if (places >= needed) return true
+  }
+  return false
+}
+
+function placesOnceFree (step: Step, host: HostState): number {
+  const lasting: Attempt[] = []
+  for (const attempt of host.attempts) if (isLasting(attempt)) lasting.push(attempt)
+  if (lasting.length === 0) return host.capacityFor(step.spec)
+  const keepFree = lasting.reduce((sum, { task }) => addResources(sum, resourcesOf(task.step.spec)), urgentHeadroom(host, step))
+  const places = countPlaces(addResources(host.entry, keepFree, -1), step.spec)
+  if (step.spec.maxPerHost === 0) return places
+  return Math.min(places, step.spec.maxPerHost - lasting.filter(({ task }) => task.step === step).length)
+}
+
+/** Whether the run ends only when its job is cancelled. */
+function isLasting ({ phase, task }: Attempt): boolean {
+  return task.step.spec.longRunning && phase !== 'stopping'
+}
+
+/** What the runs use that don't end by themselves, and those on hosts that don't answer: when they end is not known. */
+function sumLastingUse (hosts: Iterable<HostState>, nowMs: MonotonicMs): ReadonlyMap<string, IResources> {
+  const used = new Map<string, IResources>()
+  for (const host of hosts) {
+    const isSilent = host.isSilent(nowMs)
+    for (const attempt of host.attempts) {
+      if (!isSilent && !isLasting(attempt)) continue
+      const { job: { workspace }, spec } = attempt.task.step
+      used.set(workspace, addResources(used.get(workspace) ?? NO_RESOURCES, resourcesOf(spec)))
+    }
+  }
+  return used
+}
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -10,6 +10,7 @@
 import type { IBacklog } from './AdmissionRate.js'
 import type { IAdviceEffects } from './AdviceRequester.js'
 import { Attempt } from './Attempt.js'
+import { BlockedSteps } from './BlockedSteps.js'
 import { CapacityReservations } from './CapacityReservations.js'
 import { HoldAnswerHandler } from './HoldAnswerHandler.js'
 import { HostSpeeds } from './HostSpeeds.js'
@@ -54,7 +55,8 @@
   private readonly _speeds = new HostSpeeds()
   private readonly _times = new RunTimes()
   private readonly _workspaces = new WorkspaceUsage()
-  private readonly _limits = new LimitReservations(this._workspaces)
+  private readonly _blocked: BlockedSteps
+  private readonly _limits: LimitReservations
   private readonly _runController: RunController
   private readonly _holdHandler: HoldAnswerHandler
   private readonly _advice: AdviceRequester
@@ -62,6 +64,7 @@
   private readonly _stalled: StalledRuns
   private readonly _waiting: WaitingSteps
   private _lastReservations: CapacityReservations | undefined
+  private _slowHosts: ReadonlySet<HostState> = new Set()
 
   public constructor (
     private readonly _effects: ICellEffects,
@@ -72,6 +75,8 @@
     private readonly _order: IJobOrder = new ObjectiveOrder()
   ) {
     const onChange = (): void => { _effects.requestPass() }
+    this._blocked = new BlockedSteps(this.hosts, this._workspaces, () => this._slowHosts, _clock)
+    this._limits = new LimitReservations(this._workspaces, this._blocked)
     this._runController = new RunController({
       save: async (job) => { await _effects.save(job) },
       start: async (host, order) => await _effects.start(host, order),
@@ -149,7 +154,7 @@
       known.markRegistered()
       return known
     }
-    const host = new HostState(entry, this._options.inheritedUntilMs, this._workspaces)
+    const host = new HostState(entry, this._options.inheritedUntilMs, this._workspaces, this._clock.nowMs())
     this.hosts.set(entry.hostId, host)
     return host
   }
@@ -230,13 +235,14 @@
   /** Places every task that can be placed now, the most urgent first. */
   public runPass (): void {
     const nowMs = this._clock.nowMs()
+    this._slowHosts = this._speeds.findSlowHosts(this.hosts.values())
     const reservations = new CapacityReservations(this.hosts.values())
     const view: IPlacementView = {
       nowMs,
       hosts: this.hosts,
       farFactor: this._options.farFactor,
       times: this._times,
-      slowHosts: this._speeds.findSlowHosts(this.hosts.values()),
+      slowHosts: this._slowHosts,
       headroom: (host, step) => addResources(urgentHeadroom(host, step), reservations.reservedOn(host, isAtRisk(step, nowMs))),
       // Uses the reservations of the previous pass: urgent work is placed first, before this pass knows which gangs have to wait.
       hasReservation: (host) => this._lastReservations?.hasReservation(host) === true
@@ -337,6 +343,8 @@
   }
 
   private _explainWait (step: Step, stage: WaitStage): IWaitCause {
+    const blocker = this._blocked.findBlocker(step)
+    if (blocker !== undefined) return { reason: stage, blocker }
     if (stage === 'limit') {
       const holder = this._limits.findHolder(step)
       return holder === undefined ? { reason: 'limit' } : { reason: 'limitReserved', reservedFor: [holder.job.spec.jobId] }
--- a/src/common/cell/HostState.ts
+++ b/src/common/cell/HostState.ts
@@ -17,6 +17,8 @@
 const LAPSE_MARGIN_MS = 300
 /** A host that has not answered for this long after the wait of its poll, in ms, gets no new work. */
 const CONTACT_FRESH_MS = 1500
+/** A host whose first answer takes longer than this, in ms, counts as silent. An owner that takes over needs some time to query all hosts. */
+const FIRST_ANSWER_MS = 3000
 /** The leases of a host that has not answered for this long after the wait of its poll, in ms, are no longer extended: it needs a round trip. */
 const HOLD_CONTACT_MS = 800
 /** The number of consecutive failures of different jobs after which a host is suspected to fail every task. */
@@ -74,8 +76,16 @@
   /** The share of its base speed at which it works now. */
   public transientSpeed = 1
 
-  /** @param inheritedUntilMs when all leases of earlier owners have certainly ended */
-  public constructor (public entry: IHostEntry, inheritedUntilMs: MonotonicMs, private readonly _workspaces: WorkspaceUsage) {
+  /**
+   * @param inheritedUntilMs when all leases of earlier owners have certainly ended
+   * @param _seenAtMs when the owner learned of the host
+   */
+  public constructor (
+    public entry: IHostEntry,
+    inheritedUntilMs: MonotonicMs,
+    private readonly _workspaces: WorkspaceUsage,
+    private readonly _seenAtMs: MonotonicMs = -Infinity
+  ) {
     this.bornMs = entry.bornMs
     this._inheritedUntilMs = inheritedUntilMs
   }
@@ -275,7 +285,17 @@
 
   public isPlaceable (nowMs: MonotonicMs): boolean {
     if (!this.isListed || !this.isFenced || this.entry.draining || nowMs < this._pausedUntilMs) return false
-    return this.bornMs === this.entry.bornMs && nowMs - this._clockAtMs < this.pollWaitMs + CONTACT_FRESH_MS
+    return this.bornMs === this.entry.bornMs && this._isContactFresh(nowMs)
+  }
+
+  /** Whether it takes work now, or soon if this owner waits for its first answer. */
+  public mayTakeWork (nowMs: MonotonicMs): boolean {
+    return this.hasClock ? this.isPlaceable(nowMs) : this.isListed && !this.entry.draining && !this.isSilent(nowMs)
+  }
+
+  /** Whether it doesn't answer. */
+  public isSilent (nowMs: MonotonicMs): boolean {
+    return this.hasClock ? !this._isContactFresh(nowMs) : nowMs - this._seenAtMs >= FIRST_ANSWER_MS
   }
 
   public recordSuccess (): void {
@@ -304,6 +324,10 @@
     this._pausedUntilMs = Math.max(this._pausedUntilMs, untilMs)
   }
 
+  private _isContactFresh (nowMs: MonotonicMs): boolean {
+    return nowMs - this._clockAtMs < this.pollWaitMs + CONTACT_FRESH_MS
+  }
+
   private _addUsage (attempt: Attempt, sign: 1 | -1): void {
     this._used = addResources(this._used, resourcesOf(attempt.task.step.spec), sign)
   }
--- a/src/common/cell/LimitReservations.ts
+++ b/src/common/cell/LimitReservations.ts
@@ -1,11 +1,13 @@
 /**
- * Decides how many tasks of a step its workspace may start now. Within a workspace, the job that has waited longest reserves room.
+ * Decides how many tasks of a step its workspace may start now. Within a workspace, the job that has waited longest reserves room, unless it
+ * is blocked.
  *
  * Designed for a workspace that asks for more than its limit. Without reservations, narrow tasks take all room that becomes free, and a
  * gang that needs much of the limit never starts.
  */
 
 import type { MonotonicMs } from '../Types.js'
+import type { IBlockedSteps } from './BlockedSteps.js'
 import type { Step } from './Job.js'
 import { NO_RESOURCES, addResources, resourcesOf } from './Resources.js'
 import type { IResources } from './Resources.js'
@@ -19,7 +21,7 @@
   private _reserved = new Map<string, Step>()
   private _waiting = new Map<string, Step>()
 
-  public constructor (private readonly _usage: WorkspaceUsage) {}
+  public constructor (private readonly _usage: WorkspaceUsage, private readonly _blocked: IBlockedSteps) {}
 
   /** To be called before the steps of a scheduling pass are considered. */
   public beginPass (): void {
@@ -30,7 +32,7 @@
   /** The number of tasks of the step that may start; for a gang that can't start whole, 0. */
   public countAllowed (step: Step, nowMs: MonotonicMs): number {
     const { spec, job: { workspace, receivedAtMs } } = step
-    if (nowMs - receivedAtMs > RESERVE_AFTER_MS && this._usage.couldRun(workspace, spec)) this._recordWaiting(step)
+    if (nowMs - receivedAtMs > RESERVE_AFTER_MS && this._usage.isLimited(workspace)) this._recordWaiting(step)
     const places = this._usage.placesFor(workspace, spec, this._reservedAgainst(step))
     // A gang that has runs is not placed again before they are gone.
     const needed = spec.gang && step.hasNoRuns ? spec.count : 1
@@ -47,7 +49,8 @@
   private _recordWaiting (step: Step): void {
     const { workspace, receivedAtMs } = step.job
     const longest = this._waiting.get(workspace)
-    if (longest === undefined || receivedAtMs < longest.job.receivedAtMs) this._waiting.set(workspace, step)
+    if (longest !== undefined && longest.job.receivedAtMs <= receivedAtMs) return
+    if (!this._blocked.isBlocked(step)) this._waiting.set(workspace, step)
   }
 
   /** What the step has to leave free. More urgent steps need not wait for the one that reserves. */
--- a/src/common/cell/WaitingSteps.ts
+++ b/src/common/cell/WaitingSteps.ts
@@ -7,6 +7,7 @@
 
 import type { ILogger } from '../observability/Types.js'
 import type { IClock, MonotonicMs } from '../Types.js'
+import type { Blocker } from './BlockedSteps.js'
 import type { Step } from './Job.js'
 
 /** Where a pass stopped: at the workspace's limit, at the advice, at earlier runs of the gang, or at the room on the hosts. */
@@ -18,6 +19,8 @@
   readonly reason: WaitReason
   /** The jobs that it waits behind. */
   readonly reservedFor?: readonly string[]
+  /** Why it couldn't start even if all runs had ended that end by themselves. */
+  readonly blocker?: Blocker
 }
 
 export interface IWaitingRow extends IWaitCause {
--- a/src/common/cell/WorkspaceUsage.ts
+++ b/src/common/cell/WorkspaceUsage.ts
@@ -37,9 +37,13 @@
     return countPlaces(addResources(free, keepFree, -1), step)
   }
 
-  /** Whether the workspace may run the step if nothing else of it runs: one task after the other, or all together if it is a gang. */
-  public couldRun (workspace: string, step: IStepSpec): boolean {
-    return countPlaces(this._limitOf(workspace), step) >= (step.gang ? step.count : 1)
+  public isLimited (workspace: string): boolean {
+    return this._limits.has(workspace)
+  }
+
+  /** Whether the workspace may run the step beside what uses `lasting`: one task after the other, or all together if it is a gang. */
+  public couldRun (workspace: string, step: IStepSpec, lasting = NO_RESOURCES): boolean {
+    return countPlaces(addResources(this._limitOf(workspace), lasting, -1), step) >= (step.gang ? step.count : 1)
   }
 
   public isOverLimit (workspace: string): boolean {
--- a/test/support/SimulatedCell.ts
+++ b/test/support/SimulatedCell.ts
@@ -88,16 +88,7 @@
   private _pendingSaves: { readonly job: Job, readonly atMs: number, readonly done: () => void }[] = []
 
   public constructor (private readonly _options: ISimulatedCellOptions) {
-    this.hosts = Array.from({ length: _options.hosts }, (_, number) => new SimulatedHost({
-      hostId: `host-${number}`,
-      cpuMillicores: 8000,
-      memoryMb: 64_000,
-      rack: `rack-${number % 2}`,
-      maxHoldMs: MAX_HOLD_MS,
-      workMs: () => 1000,
-      endOf: () => 'done',
-      ..._options.host,
-    }, this.clock))
+    this.hosts = Array.from({ length: _options.hosts }, (_, number) => this._createHost(number))
     this.scheduler = this._createScheduler(0)
   }
 
@@ -107,6 +98,11 @@
     return host
   }
 
+  /** Adds another host, which the owner learns of with its first poll. */
+  public joinHost (): void {
+    this.hosts.push(this._createHost(this.hosts.length))
+  }
+
   /** Submits a job, which is accepted at once. */
   public submit (steps: readonly Partial<IStepSpec>[], queue: Partial<QueueTerms> = {}, workspace = ''): Job {
     const job = this.createJob(steps, queue, workspace)
@@ -157,6 +153,19 @@
     return job
   }
 
+  private _createHost (number: number): SimulatedHost {
+    return new SimulatedHost({
+      hostId: `host-${number}`,
+      cpuMillicores: 8000,
+      memoryMb: 64_000,
+      rack: `rack-${number % 2}`,
+      maxHoldMs: MAX_HOLD_MS,
+      workMs: () => 1000,
+      endOf: () => 'done',
+      ...this._options.host,
+    }, this.clock)
+  }
+
   private _createScheduler (inheritedUntilMs: number): CellScheduler {
     const fence = this._fence
     const machines = Array.from({ length: this._options.adviceMachines ?? ADVICE_MACHINES }, (_, number) => ({ name: `machine-${number}`, isNear: !this._isFar(number) }))
