Capacity isn't reserved for a gang that doesn't fit beside tasks that last

Cause: CapacityReservations reserves for a gang that fits on empty hosts. Hosts with tasks that last never become empty. For a minute the gang is late, and other work may use what is reserved; after that the reservation is strict, and has no end.

Evidence: with a lasting task on each of two hosts of four and a gang of four, jobs of the same queue don't start on the two empty hosts 65 s later (BlockedSteps.test.ts before this change).

Change: the places of a host are those that it will have once its runs have ended that end by themselves, by the rule of BlockedSteps.

Why this works: a gang that can start keeps its reservation; one that can't has none, as within the limit of its workspace.

Result: the test failed before and passes.

--- a/src/common/cell/BlockedSteps.test.ts
+++ b/src/common/cell/BlockedSteps.test.ts
@@ -160,3 +160,17 @@
   await cell.run(30_000)
   t.is(gang.phase, 'completed')
 })
+
+test('a queue goes on beside a gang that fits on no hosts but those with tasks that last', async (t) => {
+  // After a minute, the gang is no longer deferred, and work of the same priority may not use what is reserved for it.
+  const { cell, workMs } = setUp()
+  const lasting = cell.submit([{ count: 2, cpuMillicores: 4000, longRunning: true, maxPerHost: 1 }])
+  workMs.set(lasting.spec.jobId, Infinity)
+  await cell.run(200)
+  const gang = cell.submit([WIDE])
+  await cell.run(65_000)
+  const narrow = Array.from({ length: 3 }, () => cell.submit([{ cpuMillicores: 5000 }]))
+  await cell.run(4000)
+  t.true(narrow.every(({ phase }) => phase === 'completed'))
+  t.false(gang.hasStarted)
+})
--- a/src/common/cell/CapacityReservations.ts
+++ b/src/common/cell/CapacityReservations.ts
@@ -8,6 +8,7 @@
  * late, too.
  */
 
+import { fitsOnceFree } from './BlockedSteps.js'
 import type { HostState } from './HostState.js'
 import { forecastPlaceTimes } from './HostForecast.js'
 import type { Step } from './Job.js'
@@ -70,7 +71,7 @@
     const { spec } = step
     if (this._leftMillicores <= 0) return undefined
     const hosts = eligibleHosts(step, view)
-    if (!fitsWhenEmpty(step, hosts)) return undefined
+    if (!fitsOnceFree(step, hosts)) return undefined
     const places = soonestPlaces(step, hosts, view)
     const reserved = isLate ? this._reservedForLate : this._reserved
     for (const { host } of places) {
@@ -88,16 +89,6 @@
   }
 }
 
-/**
- * Whether the gang would fit if the hosts were empty. Reserving capacity for a gang that is too wide for the few hosts it may use
- * would leave these hosts idle for ever, with work waiting beside them.
- */
-export function fitsWhenEmpty (step: Step, hosts: Iterable<HostState>): boolean {
-  let places = 0
-  for (const host of hosts) places += host.capacityFor(step.spec)
-  return places >= step.spec.count
-}
-
 /** The places that become free soonest: as many as the gang needs, or all within the horizon. */
 function soonestPlaces (step: Step, hosts: readonly HostState[], view: IPlacementView): readonly IPlace[] {
   const places = hosts.flatMap((host) =>
