No calls for advice are made for a blocked step

Cause: a call for advice was wanted as long as its job was open. The service handles one call at a time for each machine, so a slow call for a gang that can't start keeps calls of other steps back. Prepared runs of such a gang kept their capacity until its call for tickets had ended.

Evidence: with one machine that calls, and a host lost that two gangs need, the second gang's call of 4 s was sent (BlockedSteps.test.ts before this change).

Change: a step that is blocked by the rule of BlockedSteps requests no advice, and its waiting calls are dropped when they would be sent.

--- a/src/common/cell/AdviceRequester.ts
+++ b/src/common/cell/AdviceRequester.ts
@@ -12,6 +12,7 @@
 import type { ILogger } from '../observability/Types.js'
 import type { IClock, ITimers, MonotonicMs } from '../Types.js'
 import type { IAdviceSender } from './AdviceDispatcher.js'
+import type { IBlockedSteps } from './BlockedSteps.js'
 import type { HostState } from './HostState.js'
 import type { Step } from './Job.js'
 import type { AdviceOutcome, ITicket } from './Types.js'
@@ -44,6 +45,7 @@
 
   public constructor (
     private readonly _hosts: ReadonlyMap<string, HostState>,
+    private readonly _blocked: IBlockedSteps,
     private readonly _effects: IAdviceEffects,
     private readonly _clock: IClock & ITimers,
     private readonly _log: ILogger
@@ -74,7 +76,7 @@
     this._dispatcher.dispose()
   }
 
-  /** Returns the step's advice, and requests it if there is none yet or it allows too few hosts. */
+  /** Returns the step's advice, and requests it if there is none yet or it allows too few hosts, unless the step couldn't start with it. */
   public ensureAdvice (step: Step): StepAdvice {
     step.advice ??= new StepAdvice()
     const { advice } = step
@@ -84,7 +86,7 @@
     // Choosing hosts for every waiting step would take most of the time of an owner whose calls wait anyway.
     if (this._dispatcher.isBusyFor(step.job.queue.priority)) return advice
     advice.nextCheckAtMs = nowMs + HOST_CHECK_MS
-    if (!this._needsMoreHosts(step, advice, nowMs)) return advice
+    if (this._blocked.isBlocked(step) || !this._needsMoreHosts(step, advice, nowMs)) return advice
     const hostIds = chooseHostsToName(step, this._hosts.values(), this._shares.shareOf(step.job.queue.name), this._isLean(step))
     if (hostIds.length > 0) this.requestAdvice(step, hostIds, 'hosts', () => {})
     else advice.lastCallAtMs = nowMs
@@ -139,7 +141,7 @@
         dueMs: job.dueMs,
         isLate: () => isLate(job, this._clock.nowMs()),
         expectedMs: expectedAdviceMs(step, named.length),
-        isWanted: () => !job.isFinished,
+        isWanted: () => !job.isFinished && !this._blocked.isBlocked(step),
         settle: (outcome, sentAtMs) => {
           this._applyAnswer(step, advice, { named, reason }, outcome, sentAtMs)
           if (!advice.hasCallsInFlight) onSettled()
--- a/src/common/cell/BlockedSteps.test.ts
+++ b/src/common/cell/BlockedSteps.test.ts
@@ -7,7 +7,7 @@
 
 import type { ISimulatedCellOptions } from '../../../test/support/SimulatedCell.js'
 import type { Job } from './Job.js'
-import type { IStepSpec, IWorkspace } from './Types.js'
+import type { IAdviceRequest, IStepSpec, IWorkspace } from './Types.js'
 
 const HOSTS = 4
 /** One of its tasks takes most of a host, so it needs all four. */
@@ -174,3 +174,21 @@
   t.true(narrow.every(({ phase }) => phase === 'completed'))
   t.false(gang.hasStarted)
 })
+
+test('no machine is occupied with calls for advice for a gang that no longer fits on the hosts', async (t) => {
+  const asked: string[] = []
+  const adviceMs = ({ jobId }: IAdviceRequest): number => {
+    asked.push(jobId)
+    return 4000
+  }
+  const { cell } = setUp(0, { adviceMs, isAdviceSerial: true, adviceMachines: 1 })
+  const slow = { ...PATIENT, advice: { baseMs: 4000, perHostMs: 0, validMs: 5000 } }
+  const gangs = [cell.submit([WIDE], slow), cell.submit([WIDE], slow)]
+  await cell.run(200)
+  cell.host(0).isSilent = true
+  await cell.run(5000)
+  t.deepEqual(asked, gangs.slice(0, 1).map(({ spec }) => spec.jobId))
+  cell.host(0).isSilent = false
+  await cell.run(30_000)
+  t.true(gangs.every(({ phase }) => phase === 'completed'))
+})
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -95,7 +95,7 @@
       findTask: ({ jobId, step, index }) => this.jobs.get(jobId)?.steps[step]?.tasks[index],
       stopUnknown: async (host, ref) => await _effects.stopUnknown(host.entry, ref)
     }, _clock, _log)
-    this._advice = new AdviceRequester(this.hosts, _effects, _clock, _log)
+    this._advice = new AdviceRequester(this.hosts, this._blocked, _effects, _clock, _log)
     this._tickets = new TicketRenewal(this.hosts, this._advice, this._runController, _clock, (host, step) => this._headroomOf(host, step))
     this._stalled = new StalledRuns(this._runController, _clock, _log)
     this._waiting = new WaitingSteps((step, stage) => this._explainWait(step, stage), _clock, _log)
