The tasks of blocked steps don't count for the admission of jobs

Cause: an overloaded owner refuses jobs while more tasks wait than it can start within 5 s. It counted every accepted task whose turn had come, also those that can't start: they need no start order, and never become fewer.

Evidence: four tasks of a gang that needs a lost host were counted (BlockedSteps.test.ts before this change: 4 where 0 is expected).

Change: the tasks of steps that are blocked by the rule of BlockedSteps aren't counted.

Why this works: what is counted is what the owner will order when there is room. The tasks count again once the step can start.

Result: the test failed before and passes.

--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -203,13 +203,14 @@
     return count
   }
 
-  /** The accepted tasks that could start now, but were not ordered yet. */
+  /** The accepted tasks that the owner has to start as soon as there is room. */
   public countBacklog (): IBacklog {
     let tasks = 0
     let urgentTasks = 0
     for (const job of this._openJobs) {
       if (job.isFinished) continue
-      const waiting = job.steps.reduce((sum, step) => sum + (step.isReady ? step.tasks.filter(isWaiting).length : 0), 0)
+      const startable = job.steps.filter((step) => step.isReady && !step.isDone && !this._blocked.isBlocked(step))
+      const waiting = startable.reduce((sum, step) => sum + step.tasks.filter(isWaiting).length, 0)
       tasks += waiting
       if (job.queue.priority === URGENT_PRIORITY) urgentTasks += waiting
     }
