Blocked steps are reconsidered four times a second; a test of the turn to reserve

Cause: for a blocked step the decision takes an iteration over all hosts. With hundreds of blocked steps, ten times a second would be a good part of an owner's processor time (by the number of iterations, not measured).

Change: a decision is reused for 250 ms instead of 100 ms.

--- a/src/common/cell/BlockedSteps.test.ts
+++ b/src/common/cell/BlockedSteps.test.ts
@@ -98,6 +98,21 @@
   })
 }
 
+test('a gang that fits without a lost host starts behind an older one that doesn\'t, although narrow jobs of their workspace keep coming', async (t) => {
+  // Only the job that has waited longest reserves within the limit; a blocked one must not take that turn.
+  const { cell, workMs } = setUp()
+  await occupyHost(cell, workMs, 3000)
+  const blocked = cell.submit([WIDE], PATIENT, 'blue')
+  idleHost(cell).isSilent = true
+  const fitting = cell.submit([{ ...WIDE, count: HOSTS - 1, cpuMillicores: 6500 }], PATIENT, 'blue')
+  for (let second = 0; second < 20 && !fitting.hasStarted; second += 1) {
+    for (let job = 0; job < 20; job += 1) cell.submit([{}], { targetMs: 0 }, 'blue')
+    await cell.run(1000)
+  }
+  t.true(fitting.hasStarted)
+  t.false(blocked.hasStarted)
+})
+
 test('a workspace goes on beside a task of it whose label no host has any more', async (t) => {
   const { cell } = setUp(1000)
   for (const host of cell.hosts) host.isSilent = host.options.rack === 'rack-1'
--- a/src/common/cell/BlockedSteps.ts
+++ b/src/common/cell/BlockedSteps.ts
@@ -31,8 +31,8 @@
   readonly atMs: MonotonicMs
 }
 
-/** A decision is reused for this long, in ms: waiting steps are considered several times in each scheduling pass. */
-const CHECK_INTERVAL_MS = 100
+/** A decision is reused for this long, in ms: for a blocked step it takes an iteration over all hosts, and there may be hundreds of steps. */
+const CHECK_INTERVAL_MS = 250
 
 export class BlockedSteps implements IBlockedSteps {
   private readonly _checks = new WeakMap<Step, ICheck>()
