Reasons for waiting are determined every two seconds

Cause: the reason takes an iteration over the hosts for each step that has waited for 5 s. An owner with hundreds of these would determine as many each second.

Change: EXPLAIN_INTERVAL_MS is 2000 instead of 1000.

Result: WaitingSteps.test.ts passes. The processor time was not measured.

--- a/src/common/cell/WaitingSteps.ts
+++ b/src/common/cell/WaitingSteps.ts
@@ -42,7 +42,7 @@
 /** A step that has waited for less than this, in ms, needs no explanation. */
 const EXPLAIN_AFTER_MS = 5000
 /** How often the reason is determined, in ms: it takes an iteration over the hosts. */
-const EXPLAIN_INTERVAL_MS = 1000
+const EXPLAIN_INTERVAL_MS = 2000
 const LOG_INTERVAL_MS = 30_000
 /** The most steps that are logged in one go; the others follow. */
 const MAX_LINES = 5
