Many silent hosts block no steps

Cause: an overloaded owner handles the answers of its hosts late. All of them seem silent, so that all steps seem blocked, request no advice and don't count for the admission of jobs, just when the owner has to limit it.

Evidence: with three of four hosts silent, the tasks of a gang weren't counted (BlockedSteps.test.ts before this change).

Change: if more than a third of the listed hosts don't answer, BlockedSteps takes none of them for silent, as the choice of slow hosts does. A host whose entry is gone still counts. The test of the label drains the hosts that have it, since two silent hosts of four say nothing now.

Why this works: a lost host is noticed as before. If most are lost at once, their entries expire after three heartbeats.

--- a/src/common/cell/BlockedSteps.ts
+++ b/src/common/cell/BlockedSteps.ts
@@ -33,11 +33,14 @@
 
 /** A decision is reused for this long, in ms: for a blocked step it takes an iteration over all hosts, and there may be hundreds of steps. */
 const CHECK_INTERVAL_MS = 250
+/** If more than this share of the hosts doesn't answer, the cause is with this process or its network, and says nothing about the hosts. */
+const MAX_SILENT_SHARE = 1 / 3
 
 export class BlockedSteps implements IBlockedSteps {
   private readonly _checks = new WeakMap<Step, ICheck>()
+  private _silentHosts: ReadonlySet<HostState> = new Set()
   private _lastingByWorkspace: ReadonlyMap<string, IResources> = new Map()
-  private _lastingAtMs: MonotonicMs = -Infinity
+  private _refreshedAtMs: MonotonicMs = -Infinity
 
   /** @param _slowHosts the hosts that get no work at present because they are too slow */
   public constructor (
@@ -61,10 +64,11 @@
   }
 
   private _check (step: Step, nowMs: MonotonicMs): Blocker | undefined {
+    this._refresh(nowMs)
     const { spec, job: { workspace } } = step
     // The members of a gang start together, once all earlier runs are gone.
-    if (spec.gang && step.tasks.some(({ attempt }) => attempt?.host.isSilent(nowMs) === true)) return 'earlierRuns'
-    if (this._usage.isLimited(workspace) && !this._usage.couldRun(workspace, spec, this._lastingUse(workspace, nowMs))) return 'limit'
+    if (spec.gang && step.tasks.some(({ attempt }) => attempt !== undefined && this._silentHosts.has(attempt.host))) return 'earlierRuns'
+    if (this._usage.isLimited(workspace) && !this._usage.couldRun(workspace, spec, this._lastingByWorkspace.get(workspace))) return 'limit'
     if (fitsOnceFree(step, this._possibleHosts(step, nowMs))) return undefined
     return step.advice !== undefined && fitsOnceFree(step, this._hostsThatHold(step, nowMs)) ? 'advice' : 'hosts'
   }
@@ -80,17 +84,17 @@
   private * _hostsThatHold ({ spec, job }: Step, nowMs: MonotonicMs): Iterable<HostState> {
     const slowHosts = this._slowHosts()
     for (const host of this._hosts.values()) {
-      if (host.entry.service === job.queue.service && host.mayTakeWork(nowMs) && host.couldHold(spec) && !slowHosts.has(host)) yield host
+      if (host.entry.service !== job.queue.service || !host.isAccepting(nowMs) || !host.couldHold(spec)) continue
+      if (!slowHosts.has(host) && !this._silentHosts.has(host)) yield host
     }
   }
 
-  /** What the workspace's runs use that don't end by themselves. */
-  private _lastingUse (workspace: string, nowMs: MonotonicMs): IResources {
-    if (nowMs - this._lastingAtMs >= CHECK_INTERVAL_MS) {
-      this._lastingByWorkspace = sumLastingUse(this._hosts.values(), nowMs)
-      this._lastingAtMs = nowMs
-    }
-    return this._lastingByWorkspace.get(workspace) ?? NO_RESOURCES
+  private _refresh (nowMs: MonotonicMs): void {
+    if (nowMs - this._refreshedAtMs < CHECK_INTERVAL_MS) return
+    this._refreshedAtMs = nowMs
+    const hosts = [...this._hosts.values()]
+    this._silentHosts = findSilentHosts(hosts, nowMs)
+    this._lastingByWorkspace = sumLastingUse(hosts, this._silentHosts)
   }
 }
 
@@ -120,11 +124,19 @@
   return task.step.spec.longRunning && phase !== 'stopping'
 }
 
-/** What the runs use that don't end by themselves, and those on hosts that don't answer: when they end is not known. */
-function sumLastingUse (hosts: Iterable<HostState>, nowMs: MonotonicMs): ReadonlyMap<string, IResources> {
+/** The hosts that don't answer. */
+function findSilentHosts (hosts: readonly HostState[], nowMs: MonotonicMs): ReadonlySet<HostState> {
+  const silent = hosts.filter((host) => host.isSilent(nowMs))
+  const listedCount = hosts.filter(({ isListed }) => isListed).length
+  const isTelling = silent.filter(({ isListed }) => isListed).length <= listedCount * MAX_SILENT_SHARE
+  return new Set(isTelling ? silent : silent.filter(({ isListed }) => !isListed))
+}
+
+/** What each workspace uses for runs that don't end by themselves, and for those on silent hosts: when these end is not known. */
+function sumLastingUse (hosts: readonly HostState[], silentHosts: ReadonlySet<HostState>): ReadonlyMap<string, IResources> {
   const used = new Map<string, IResources>()
   for (const host of hosts) {
-    const isSilent = host.isSilent(nowMs)
+    const isSilent = silentHosts.has(host)
     for (const attempt of host.attempts) {
       if (!isSilent && !isLasting(attempt)) continue
       const { job: { workspace }, spec } = attempt.task.step
--- a/src/common/cell/HostState.ts
+++ b/src/common/cell/HostState.ts
@@ -284,13 +284,12 @@
   }
 
   public isPlaceable (nowMs: MonotonicMs): boolean {
-    if (!this.isListed || !this.isFenced || this.entry.draining || nowMs < this._pausedUntilMs) return false
-    return this.bornMs === this.entry.bornMs && this._isContactFresh(nowMs)
+    return this.isAccepting(nowMs) && this.isFenced && this.bornMs === this.entry.bornMs && this._isContactFresh(nowMs)
   }
 
-  /** Whether it takes work now, or soon if this owner waits for its first answer. */
-  public mayTakeWork (nowMs: MonotonicMs): boolean {
-    return this.hasClock ? this.isPlaceable(nowMs) : this.isListed && !this.entry.draining && !this.isSilent(nowMs)
+  /** Whether nothing but a missing answer would keep it from getting work. */
+  public isAccepting (nowMs: MonotonicMs): boolean {
+    return this.isListed && !this.entry.draining && nowMs >= this._pausedUntilMs
   }
 
   /** Whether it doesn't answer. */
