BlockedSteps and WaitingSteps: names and comments as a newcomer needs them

Cause: `_hostsThatHold`, `isTelling` and `_next` didn't say what they hold.

Result: no change of behaviour; the tests of both classes pass.

--- a/src/common/cell/BlockedSteps.ts
+++ b/src/common/cell/BlockedSteps.ts
@@ -70,18 +70,19 @@
     if (spec.gang && step.tasks.some(({ attempt }) => attempt !== undefined && this._silentHosts.has(attempt.host))) return 'earlierRuns'
     if (this._usage.isLimited(workspace) && !this._usage.couldRun(workspace, spec, this._lastingByWorkspace.get(workspace))) return 'limit'
     if (fitsOnceFree(step, this._possibleHosts(step, nowMs))) return undefined
-    return step.advice !== undefined && fitsOnceFree(step, this._hostsThatHold(step, nowMs)) ? 'advice' : 'hosts'
+    return step.advice !== undefined && fitsOnceFree(step, this._suitableHosts(step, nowMs)) ? 'advice' : 'hosts'
   }
 
   /** The hosts that the advice service allows, and those about which it has not been asked. */
   private * _possibleHosts (step: Step, nowMs: MonotonicMs): Iterable<HostState> {
     const { advice } = step
-    for (const host of this._hostsThatHold(step, nowMs)) {
+    for (const host of this._suitableHosts(step, nowMs)) {
       if (advice === undefined || advice.allows(host.hostId) || !advice.wasAsked(host.hostId)) yield host
     }
   }
 
-  private * _hostsThatHold ({ spec, job }: Step, nowMs: MonotonicMs): Iterable<HostState> {
+  /** The hosts that take work and could hold a task of the step if they were empty. */
+  private * _suitableHosts ({ spec, job }: Step, nowMs: MonotonicMs): Iterable<HostState> {
     const slowHosts = this._slowHosts()
     for (const host of this._hosts.values()) {
       if (host.entry.service !== job.queue.service || !host.isAccepting(nowMs) || !host.couldHold(spec)) continue
@@ -89,6 +90,7 @@
     }
   }
 
+  /** Determines what all steps have in common. */
   private _refresh (nowMs: MonotonicMs): void {
     if (nowMs - this._refreshedAtMs < CHECK_INTERVAL_MS) return
     this._refreshedAtMs = nowMs
@@ -124,12 +126,13 @@
   return task.step.spec.longRunning && phase !== 'stopping'
 }
 
-/** The hosts that don't answer. */
+/** The hosts that don't answer; if too many don't, only those whose entry is gone as well. */
 function findSilentHosts (hosts: readonly HostState[], nowMs: MonotonicMs): ReadonlySet<HostState> {
   const silent = hosts.filter((host) => host.isSilent(nowMs))
   const listedCount = hosts.filter(({ isListed }) => isListed).length
-  const isTelling = silent.filter(({ isListed }) => isListed).length <= listedCount * MAX_SILENT_SHARE
-  return new Set(isTelling ? silent : silent.filter(({ isListed }) => !isListed))
+  const listedSilentCount = silent.filter(({ isListed }) => isListed).length
+  if (listedSilentCount <= listedCount * MAX_SILENT_SHARE) return new Set(silent)
+  return new Set(silent.filter(({ isListed }) => !isListed))
 }
 
 /** What each workspace uses for runs that don't end by themselves, and for those on silent hosts: when these end is not known. */
--- a/src/common/cell/WaitingSteps.ts
+++ b/src/common/cell/WaitingSteps.ts
@@ -49,8 +49,8 @@
 const MAX_ROWS = 100
 
 export class WaitingSteps {
+  private _lastWaits = new Map<Step, IWait>()
   private _waits = new Map<Step, IWait>()
-  private _next = new Map<Step, IWait>()
 
   /** @param _explain the cause, given the stage at which the pass stopped */
   public constructor (
@@ -59,15 +59,15 @@
 
   /** To be called before the steps of a scheduling pass are considered. Forgets the steps that were not recorded since the last call. */
   public beginPass (): void {
-    this._waits = this._next
-    this._next = new Map()
+    this._lastWaits = this._waits
+    this._waits = new Map()
   }
 
   /** Records that nothing of the step could start in this pass. */
   public record (step: Step, stage: WaitStage): void {
     const nowMs = this._clock.nowMs()
-    const wait = this._waits.get(step) ?? { sinceMs: nowMs, cause: undefined, explainedAtMs: -Infinity, loggedAtMs: -Infinity }
-    this._next.set(step, wait)
+    const wait = this._lastWaits.get(step) ?? { sinceMs: nowMs, cause: undefined, explainedAtMs: -Infinity, loggedAtMs: -Infinity }
+    this._waits.set(step, wait)
     if (nowMs - wait.sinceMs < EXPLAIN_AFTER_MS || nowMs - wait.explainedAtMs < EXPLAIN_INTERVAL_MS) return
     wait.cause = this._explain(step, stage)
     wait.explainedAtMs = nowMs
@@ -77,7 +77,7 @@
   public log (): void {
     const nowMs = this._clock.nowMs()
     let lines = 0
-    for (const [step, wait] of this._next) {
+    for (const [step, wait] of this._waits) {
       if (wait.cause === undefined || nowMs - wait.loggedAtMs < LOG_INTERVAL_MS) continue
       wait.loggedAtMs = nowMs
       const { job, step: number, ...row } = rowOf(step, wait.sinceMs, wait.cause, nowMs)
@@ -90,7 +90,7 @@
   /** The number of steps that have waited for long, by reason. */
   public counts (): ReadonlyMap<WaitReason, number> {
     const counts = new Map<WaitReason, number>()
-    for (const { cause } of this._next.values()) {
+    for (const { cause } of this._waits.values()) {
       if (cause !== undefined) counts.set(cause.reason, (counts.get(cause.reason) ?? 0) + 1)
     }
     return counts
@@ -99,7 +99,8 @@
   /** The steps that have waited for long, for the state dump. */
   public rows (): readonly IWaitingRow[] {
     const nowMs = this._clock.nowMs()
-    return [...this._next].flatMap(([step, { sinceMs, cause }]) => cause === undefined ? [] : [rowOf(step, sinceMs, cause, nowMs)]).slice(0, MAX_ROWS)
+    const rows = [...this._waits].flatMap(([step, { sinceMs, cause }]) => cause === undefined ? [] : [rowOf(step, sinceMs, cause, nowMs)])
+    return rows.slice(0, MAX_ROWS)
   }
 }
 
