Slow and short calls for advice take turns where they share a machine

Cause: a machine gets its next slow call shortly before the present one ends, but a short call only while no slow one is in flight. With one machine, slow calls that always wait follow each other without a gap, and short ones are never sent, however urgent they are. With two machines, batch calls share the fate as long as there are brief calls.

Evidence: from 32 to 46 s the last machine had 18 answers, all to slow calls; step.waiting names `advice`, without a blocker, for all steps.

Change: where short calls have to share a machine with slow ones, no slow call is sent while another is in flight and a short one waits, and after a slow call the less urgent short ones may take as much time as it took. With three or more machines the choice is the same as before.

Why it works: urgent calls are first in the order, so they get the machine when a slow call ends; neither of the other kinds can wait for more than a turn of the other and the urgent calls.

--- a/src/common/cell/AdviceDispatcher.test.ts
+++ b/src/common/cell/AdviceDispatcher.test.ts
@@ -7,6 +7,7 @@
 import { ManualClock } from '../Clock.js'
 import { AdviceDispatcher } from './AdviceDispatcher.js'
 
+import type { IAdviceMachine } from './AdviceDispatcher.js'
 import type { AdviceOutcome } from './Types.js'
 
 const SLOW_MS = 1000
@@ -16,12 +17,16 @@
 
 /** Three regions; the owner is in the west. */
 const MACHINES = ['east-1', 'east-2', 'north-1', 'west-1', 'west-2'].map((name) => ({ name, isNear: name.startsWith('west') }))
+const ONE_MACHINE: readonly IAdviceMachine[] = [{ name: 'west-1', isNear: true }]
+const TWO_MACHINES: readonly IAdviceMachine[] = [...ONE_MACHINE, { name: 'west-2', isNear: true }]
+/** The share of one machine's time that the urgent calls need. */
+const URGENT_LOAD = 0.4
 
-function createDispatcher () {
+function createDispatcher (machines: readonly IAdviceMachine[] = MACHINES) {
   const sent: { readonly machine: string, readonly jobId: string, readonly answer: (outcome: AdviceOutcome) => void }[] = []
   const clock = new ManualClock()
   const dispatcher = new AdviceDispatcher({
-    machines: () => MACHINES,
+    machines: () => machines,
     send: async (machine, { jobId }) => await new Promise((resolve) => { sent.push({ machine, jobId, answer: resolve }) })
   }, clock)
   const ask = (jobId: string, expectedMs: number, priority = 1, isLate = false): void => {
@@ -30,6 +35,46 @@
   return { clock, sent, ask, machines: () => sent.map(({ machine }) => machine) }
 }
 
+/**
+ * Simulates a service that handles one call at a time for each machine, with a demand for slow and for patient short calls that is never
+ * satisfied. Returns for how long it handled each kind, in ms.
+ */
+async function simulateDemand (machines: readonly IAdviceMachine[], lengthMs: number): Promise<Readonly<Record<string, number>>> {
+  const clock = new ManualClock()
+  const durationsMs: Readonly<Record<string, number>> = { slow: SLOW_MS, batch: BATCH_MS, urgent: SHORT_MS }
+  const servedMs: Record<string, number> = { slow: 0, batch: 0, urgent: 0 }
+  const busyUntilMs = new Map<string, number>()
+  const dispatcher = new AdviceDispatcher({
+    machines: () => machines,
+    send: async (machine, { jobId: kind }) => await new Promise((resolve) => {
+      const durationMs = durationsMs[kind] ?? 0
+      const endMs = Math.max(clock.nowMs(), busyUntilMs.get(machine) ?? 0) + durationMs
+      busyUntilMs.set(machine, endMs)
+      clock.after(endMs - clock.nowMs(), () => {
+        servedMs[kind] = (servedMs[kind] ?? 0) + durationMs
+        resolve({ kind: 'advised', allowed: [] })
+      })
+    })
+  }, clock)
+  const ask = (kind: string, priority: number, onEnd: () => void): void => {
+    const expectedMs = durationsMs[kind] ?? 0
+    const request = { jobId: kind, step: 0, hostIds: [], priority, dueMs: clock.nowMs(), expectedMs }
+    dispatcher.dispatch({ ...request, isLate: () => false, isWanted: () => true, settle: onEnd })
+  }
+  const askAlways = (kind: string, priority: number): void => { ask(kind, priority, () => { askAlways(kind, priority) }) }
+  for (let number = 0; number < 4; number += 1) {
+    askAlways('slow', 1)
+    askAlways('batch', 2)
+  }
+  const urgentEveryMs = SHORT_MS / URGENT_LOAD
+  for (let passedMs = 0; passedMs < lengthMs; passedMs += 2.5) {
+    if (passedMs % urgentEveryMs === 0) ask('urgent', 0, () => {})
+    clock.advance(2.5)
+    await setImmediate()
+  }
+  return servedMs
+}
+
 test('a short call goes through a near machine', (t) => {
   // Through another region, the advice call of an urgent job takes four times as long, although near machines are idle.
   const { ask, machines } = createDispatcher()
@@ -128,6 +173,39 @@
   t.is(machines().at(-1), 'east-1')
 })
 
+test('an urgent call is the next one on the only machine, before the slow calls that wait', async (t) => {
+  // If the slow calls follow each other without a pause, the advice for urgent jobs is never requested.
+  const { ask, sent, clock } = createDispatcher(ONE_MACHINE)
+  for (let number = 0; number < 3; number += 1) ask(`slow-${number}`, SLOW_MS)
+  ask('urgent', SHORT_MS, 0)
+  clock.advance(SLOW_MS - 20)
+  await setImmediate()
+  t.deepEqual(sent.map(({ jobId }) => jobId), ['slow-0'])
+  sent[0]?.answer({ kind: 'advised', allowed: [] })
+  await setImmediate()
+  t.deepEqual(sent.map(({ jobId }) => jobId).slice(0, 2), ['slow-0', 'urgent'])
+})
+
+test('slow calls follow each other without a pause on the only machine while no other call waits', async (t) => {
+  // The service would be idle for a round trip between regions after each call.
+  const { ask, sent, clock } = createDispatcher(ONE_MACHINE)
+  for (let number = 0; number < 3; number += 1) ask(`slow-${number}`, SLOW_MS)
+  clock.advance(SLOW_MS - 20)
+  await setImmediate()
+  t.is(sent.length, 2)
+})
+
+for (const machines of [ONE_MACHINE, TWO_MACHINES]) {
+  test(`slow calls and patient short ones share too few machines, beside urgent ones: ${machines.length} left`, async (t) => {
+    // Whichever kind always waits behind the other is never requested, and its jobs don't start although hosts are free.
+    const servedMs = await simulateDemand(machines, 60_000)
+    const { slow = 0, batch = 0, urgent = 0 } = servedMs
+    t.true(urgent > 60_000 * URGENT_LOAD * 0.9, `urgent ${urgent} ms`)
+    t.true(slow > 60_000 * (1 - URGENT_LOAD) / 3, `slow ${slow} ms`)
+    t.true(batch > 60_000 * (1 - URGENT_LOAD) / 3, `batch ${batch} ms`)
+  })
+}
+
 test('answers that the network delays do not lower the limit of an owner that notices the delay in time', async (t) => {
   const clock = new ManualClock()
   const dispatcher = new AdviceDispatcher({
--- a/src/common/cell/AdviceDispatcher.ts
+++ b/src/common/cell/AdviceDispatcher.ts
@@ -6,7 +6,9 @@
  * many urgent steps with brief ones. Behind a slow call, an urgent step would wait for longer than its whole objective; so slow calls
  * are limited to some of the machines, and the machines nearest to the owner make only brief calls. Slow calls need a machine
  * that is about to become idle, while short ones follow each other on every machine; so less urgent short calls leave the machines
- * for slow calls alone while a slow call waits. All machines together have no more calls in flight than the owner can process in time.
+ * for slow calls alone while a slow call waits. With one or two machines, none is left for some short calls: on the one that they share
+ * with slow calls, both kinds take turns, and urgent calls don't wait for the turn. All machines together have no more calls in flight
+ * than the owner can process in time.
  */
 
 import { AdviceLimit, LATE_MS, SENDING_MS } from './AdviceLimit.js'
@@ -75,6 +77,8 @@
   /** Calls that failed in a row. */
   failures: number
   usedLastUntilMs: MonotonicMs
+  /** How long the service still handles short calls other than urgent ones before the next slow one, in ms, if both kinds share the machine. */
+  shortTurnMs: number
 }
 
 /** The machines by the calls that they may make: the first ones all, the last ones only brief calls. */
@@ -85,6 +89,15 @@
   readonly shortCount: number
 }
 
+/** Which calls wait. */
+interface IWaitingKinds {
+  readonly hasShort: boolean
+  /** The number of calls that have to share a machine with slow ones. */
+  sharingCount: number
+  /** Whether a slow call before the present one waits for a machine that may make it. */
+  isSlowHeldUp: boolean
+}
+
 export class AdviceDispatcher {
   private readonly _loads = new Map<string, IMachineLoad>()
   private readonly _limit = new AdviceLimit()
@@ -130,25 +143,24 @@
   /** Sends the calls that can be sent. To be called when machines come or go. */
   public sendWaiting (): void {
     if (this._waiting.length === 0 || !this._hasRoom()) return
-    this._waiting = sortCalls(this._waiting)
     const left: IAdviceCall[] = []
-    const unwanted: IAdviceCall[] = []
+    const [wanted, unwanted] = partition(sortCalls(this._waiting), (call) => call.isWanted())
     const shares = this._shareMachines()
     this._isShortOfMachines = false
-    const hasShort = this._waiting.some(({ expectedMs }) => !isSlowCall(expectedMs))
-    let isSlowHeldUp = false
-    for (const call of this._waiting) {
-      if (!call.isWanted()) {
-        unwanted.push(call)
-        continue
-      }
+    const hasShort = wanted.some(({ expectedMs }) => !isSlowCall(expectedMs))
+    const sharingCount = wanted.filter((call) => hasToShare(shares, call)).length
+    const kinds: IWaitingKinds = { hasShort, sharingCount, isSlowHeldUp: false }
+    for (const call of wanted) {
       const hasRoom = this._hasRoom()
-      const name = hasRoom ? this._chooseMachine(shares, call, isSlowHeldUp, hasShort) : undefined
+      const name = hasRoom ? this._chooseMachine(shares, call, kinds) : undefined
       if (name === undefined) {
         left.push(call)
         this._isShortOfMachines ||= hasRoom
-        isSlowHeldUp ||= hasRoom && isSlowCall(call.expectedMs)
-      } else this._send(name, call)
+        kinds.isSlowHeldUp ||= hasRoom && isSlowCall(call.expectedMs)
+      } else {
+        if (hasToShare(shares, call)) kinds.sharingCount -= 1
+        this._send(name, call)
+      }
     }
     this._waiting = left
     if (this._isShortOfMachines) this._awaitNextEnd(shares.names)
@@ -192,16 +204,22 @@
     return { names, shortCount, slowCount, maxSlowCount: Math.min(shortCount, Math.max(1, Math.floor(names.length * MAX_SLOW_MACHINE_SHARE))) }
   }
 
-  /**
-   * @param isSlowHeldUp whether a slow call before this one waits for a machine that may make it
-   * @param hasShort whether short calls wait
-   */
-  private _chooseMachine (shares: IMachineShares, call: IAdviceCall, isSlowHeldUp: boolean, hasShort: boolean): string | undefined {
-    const { names, slowCount, maxSlowCount, shortCount } = shares
-    if (isSlowCall(call.expectedMs)) return this._leastLoaded(names.slice(0, hasShort ? slowCount : maxSlowCount), call)
-    // Short calls use the machines without slow calls first, and of these the near ones first.
-    const free = names.slice(slowCount, call.expectedMs <= BRIEF_CALL_MS ? names.length : shortCount).reverse()
-    return this._leastLoaded(free, call) ?? (isSlowHeldUp ? undefined : this._leastLoaded(names.slice(0, slowCount), call))
+  private _chooseMachine (shares: IMachineShares, call: IAdviceCall, kinds: IWaitingKinds): string | undefined {
+    const { names, slowCount, maxSlowCount } = shares
+    const slowNames = names.slice(0, slowCount)
+    if (isSlowCall(call.expectedMs)) {
+      if (kinds.sharingCount > 0) return this._leastLoaded(slowNames.filter((name) => this._isSlowTurn(name)), call)
+      return this._leastLoaded(kinds.hasShort ? slowNames : names.slice(0, maxSlowCount), call)
+    }
+    const name = this._leastLoaded(shortOnlyNames(shares, call), call)
+    if (name !== undefined || !kinds.isSlowHeldUp) return name ?? this._leastLoaded(slowNames, call)
+    return hasToShare(shares, call) ? this._leastLoaded(slowNames.filter((slowName) => !this._isSlowTurn(slowName)), call) : undefined
+  }
+
+  /** Whether the next call of a shared machine is a slow one. */
+  private _isSlowTurn (name: string): boolean {
+    const { slow, shortTurnMs } = this._loadOf(name)
+    return slow === 0 && shortTurnMs <= 0
   }
 
   private _leastLoaded (names: readonly string[], call: IAdviceCall): string | undefined {
@@ -224,7 +242,9 @@
     const load = this._loadOf(name)
     const kind = isSlowCall(call.expectedMs) ? 'slow' : 'short'
     load[kind] += 1
-    const { jobId, step, hostIds, expectedMs } = call
+    const { jobId, step, hostIds, expectedMs, priority } = call
+    if (kind === 'slow') load.shortTurnMs = expectedMs
+    else if (priority !== URGENT_PRIORITY) load.shortTurnMs -= expectedMs
     const sentAtMs = this._clock.nowMs()
     load.busyUntilMs = Math.max(load.busyUntilMs, sentAtMs) + expectedMs
     const limited = { sentAtMs, expectedMs, isNoticedInTime: false }
@@ -253,13 +273,23 @@
   private _loadOf (name: string): IMachineLoad {
     let load = this._loads.get(name)
     if (load === undefined) {
-      load = { slow: 0, short: 0, busyUntilMs: -Infinity, failures: 0, usedLastUntilMs: -Infinity }
+      load = { slow: 0, short: 0, busyUntilMs: -Infinity, failures: 0, usedLastUntilMs: -Infinity, shortTurnMs: 0 }
       this._loads.set(name, load)
     }
     return load
   }
 }
 
+/** The machines that the short call uses first because they make no slow calls, near ones first. None if there are too few machines. */
+function shortOnlyNames ({ names, slowCount, shortCount }: IMachineShares, { expectedMs }: IAdviceCall): readonly string[] {
+  return names.slice(slowCount, expectedMs <= BRIEF_CALL_MS ? names.length : shortCount).reverse()
+}
+
+/** Whether a short call can only use machines that also make slow ones. */
+function hasToShare (shares: IMachineShares, call: IAdviceCall): boolean {
+  return !isSlowCall(call.expectedMs) && shortOnlyNames(shares, call).length === 0
+}
+
 /** Whether the machine may be given the call now. Short calls are never given to a machine with a slow one in flight. */
 function isFree ({ slow, short, busyUntilMs }: IMachineLoad, { expectedMs, priority }: IAdviceCall, nowMs: MonotonicMs): boolean {
   const calls = slow + short
@@ -283,6 +313,13 @@
   return ordered.map(({ call }) => call)
 }
 
+function partition (calls: readonly IAdviceCall[], predicate: (call: IAdviceCall) => boolean): readonly [IAdviceCall[], IAdviceCall[]] {
+  const matching: IAdviceCall[] = []
+  const others: IAdviceCall[] = []
+  for (const call of calls) (predicate(call) ? matching : others).push(call)
+  return [matching, others]
+}
+
 export function isSlowCall (expectedMs: number): boolean {
   return expectedMs > SLOW_CALL_MS
 }
