One of four calls for advice is the overdue one that has waited longest

Cause: calls for advice that wait for a machine are sent by priority, then those of jobs that are not late, then by objective. While such calls keep coming, a late job of a less urgent queue gets no advice at all: nothing bounds its wait. Each further step of a job waits anew.

Change: after three calls, an overdue one has its turn: the one that has waited longest, if that is more than 2 s, whatever its priority.

Why it works: each waiting call becomes the oldest after the calls that are older, and one in four of all calls that are sent is the oldest. Urgent calls keep three of four, and the machines that make only brief calls.

The test (calls of other jobs keep all machines busy) failed before: neither the late short call nor the late slow one was sent within 3 s.

--- a/src/common/cell/AdviceDispatcher.test.ts
+++ b/src/common/cell/AdviceDispatcher.test.ts
@@ -14,6 +14,8 @@
 const SHORT_MS = 25
 const BATCH_MS = 200
 const USED_LAST_MS = 4000
+/** A step that can run has nothing running for at most this long. */
+const LATE_BOUND_MS = 3000
 
 /** Three regions; the owner is in the west. */
 const MACHINES = ['east-1', 'east-2', 'north-1', 'west-1', 'west-2'].map((name) => ({ name, isNear: name.startsWith('west') }))
@@ -126,6 +128,25 @@
   t.is(sent.at(-1)?.jobId, 'in-time')
 })
 
+test('a call of a late job is sent within a bounded time although calls of other jobs keep all machines busy', async (t) => {
+  // Steps that have room would have nothing running for as long as other jobs keep coming.
+  const { ask, sent, clock } = createDispatcher()
+  const isSent = (jobId: string): boolean => sent.some((call) => call.jobId === jobId)
+  for (let number = 0; number < 20; number += 1) ask(`before-${number}`, BATCH_MS, 1)
+  ask('late', BATCH_MS, 2, true)
+  ask('late-wide', SLOW_MS, 2, true)
+  let answered = 0
+  for (let roundMs = 0; roundMs < LATE_BOUND_MS; roundMs += BATCH_MS) {
+    for (let number = 0; number < 10; number += 1) ask(`in-time-${roundMs}-${number}`, number % 2 === 0 ? BATCH_MS : SLOW_MS, 1)
+    clock.advance(BATCH_MS)
+    for (const { answer } of sent.slice(answered)) answer({ kind: 'advised', allowed: [] })
+    answered = sent.length
+    await setImmediate()
+  }
+  t.true(isSent('late'))
+  t.true(isSent('late-wide'))
+})
+
 test('an urgent call does not wait behind batch calls', (t) => {
   // Batch calls on all machines would delay the advice of an urgent job by most of its slack.
   const { ask, machines } = createDispatcher()
--- a/src/common/cell/AdviceDispatcher.ts
+++ b/src/common/cell/AdviceDispatcher.ts
@@ -66,6 +66,10 @@
 const USED_LAST_MS = 4000
 /** How much longer than expected a call may take, in ms: two round trips between regions and one short call ahead of it. */
 const CALL_SLACK_MS = 700
+/** A call that has waited for this long, in ms, is overdue: a step that has room must not wait without bound, however late its job is. */
+const OVERDUE_WAIT_MS = 2000
+/** One of this many calls is the overdue one that has waited longest. The others keep the usual order. */
+const CALLS_PER_TURN = 4
 /** A timer that is late by less than this, in ms, shows that this process has time to spare. */
 const PUNCTUAL_MS = 100
 
@@ -81,6 +85,11 @@
   shortTurnMs: number
 }
 
+interface IWaitingCall {
+  readonly call: IAdviceCall
+  readonly sinceMs: MonotonicMs
+}
+
 /** The machines by the calls that they may make: the first ones all, the last ones only brief calls. */
 interface IMachineShares {
   readonly names: readonly string[]
@@ -101,7 +110,9 @@
 export class AdviceDispatcher {
   private readonly _loads = new Map<string, IMachineLoad>()
   private readonly _limit = new AdviceLimit()
-  private _waiting: IAdviceCall[] = []
+  private _waiting: IWaitingCall[] = []
+  /** The number of calls that were sent since an overdue one had its turn. */
+  private _sentSinceTurn = 0
   private _retry: IDisposable | undefined
   private _nextEnd: IDisposable | undefined
   private _briefAtMs: MonotonicMs = -Infinity
@@ -130,12 +141,12 @@
   /** Whether so many calls wait already, at least as urgent ones, that a further one would not be sent soon. */
   public isBusyFor (priority: number): boolean {
     let ahead = 0
-    for (const call of this._waiting) if (call.priority <= priority) ahead += 1
+    for (const { call } of this._waiting) if (call.priority <= priority) ahead += 1
     return ahead >= this._limit.calls
   }
 
   public dispatch (call: IAdviceCall): void {
-    this._waiting.push(call)
+    this._waiting.push({ call, sinceMs: this._clock.nowMs() })
     if (call.expectedMs <= BRIEF_CALL_MS) this._briefAtMs = this._clock.nowMs()
     this.sendWaiting()
   }
@@ -143,18 +154,47 @@
   /** Sends the calls that can be sent. To be called when machines come or go. */
   public sendWaiting (): void {
     if (this._waiting.length === 0 || !this._hasRoom()) return
-    const left: IAdviceCall[] = []
-    const [wanted, unwanted] = partition(sortCalls(this._waiting), (call) => call.isWanted())
+    const [wanted, unwanted] = partition(sortCalls(this._waiting), ({ call }) => call.isWanted())
     const shares = this._shareMachines()
+    this._waiting = wanted
+    this._sendOverdue(shares)
+    this._sendInOrder(shares)
+    if (this._isShortOfMachines) this._awaitNextEnd(shares.names)
+    for (const { call } of unwanted) call.settle({ kind: 'failed', reason: 'no longer wanted' })
+  }
+
+  public dispose (): void {
+    this._retry?.dispose()
+    this._nextEnd?.dispose()
+    for (const { call } of this._waiting.splice(0)) call.settle({ kind: 'failed', reason: 'no longer the owner' })
+  }
+
+  /** If it is its turn, sends the overdue call that has waited longest, of those for which there is a machine. */
+  private _sendOverdue (shares: IMachineShares): void {
+    if (this._sentSinceTurn < CALLS_PER_TURN - 1) return
+    const overdueSinceMs = this._clock.nowMs() - OVERDUE_WAIT_MS
+    const overdue = this._waiting.filter(({ sinceMs }) => sinceMs <= overdueSinceMs).sort((a, b) => a.sinceMs - b.sinceMs)
+    const kinds = this._waitingKinds(shares)
+    for (const waiting of overdue) {
+      const name = this._chooseMachine(shares, waiting.call, kinds)
+      if (name === undefined) continue
+      this._waiting = this._waiting.filter((each) => each !== waiting)
+      this._send(name, waiting.call)
+      this._sentSinceTurn = 0
+      return
+    }
+  }
+
+  private _sendInOrder (shares: IMachineShares): void {
+    const left: IWaitingCall[] = []
+    const kinds = this._waitingKinds(shares)
     this._isShortOfMachines = false
-    const hasShort = wanted.some(({ expectedMs }) => !isSlowCall(expectedMs))
-    const sharingCount = wanted.filter((call) => hasToShare(shares, call)).length
-    const kinds: IWaitingKinds = { hasShort, sharingCount, isSlowHeldUp: false }
-    for (const call of wanted) {
+    for (const waiting of this._waiting) {
+      const { call } = waiting
       const hasRoom = this._hasRoom()
       const name = hasRoom ? this._chooseMachine(shares, call, kinds) : undefined
       if (name === undefined) {
-        left.push(call)
+        left.push(waiting)
         this._isShortOfMachines ||= hasRoom
         kinds.isSlowHeldUp ||= hasRoom && isSlowCall(call.expectedMs)
       } else {
@@ -163,14 +203,11 @@
       }
     }
     this._waiting = left
-    if (this._isShortOfMachines) this._awaitNextEnd(shares.names)
-    for (const call of unwanted) call.settle({ kind: 'failed', reason: 'no longer wanted' })
   }
 
-  public dispose (): void {
-    this._retry?.dispose()
-    this._nextEnd?.dispose()
-    for (const call of this._waiting.splice(0)) call.settle({ kind: 'failed', reason: 'no longer the owner' })
+  private _waitingKinds (shares: IMachineShares): IWaitingKinds {
+    const hasShort = this._waiting.some(({ call }) => !isSlowCall(call.expectedMs))
+    return { hasShort, sharingCount: this._waiting.filter(({ call }) => hasToShare(shares, call)).length, isSlowHeldUp: false }
   }
 
   /** Whether the owner can process a further call now. If not, the waiting calls are sent when one in flight no longer occupies it. */
@@ -240,6 +277,7 @@
 
   private _send (name: string, call: IAdviceCall): void {
     const load = this._loadOf(name)
+    this._sentSinceTurn += 1
     const kind = isSlowCall(call.expectedMs) ? 'slow' : 'short'
     load[kind] += 1
     const { jobId, step, hostIds, expectedMs, priority } = call
@@ -307,16 +345,16 @@
 }
 
 /** By priority; of the same priority, the calls of jobs that can still meet their objective first, then by objective. */
-function sortCalls (calls: readonly IAdviceCall[]): IAdviceCall[] {
-  const ordered = calls.map((call) => ({ call, isLate: Number(call.isLate()) }))
+function sortCalls (calls: readonly IWaitingCall[]): IWaitingCall[] {
+  const ordered = calls.map((waiting) => ({ waiting, call: waiting.call, isLate: Number(waiting.call.isLate()) }))
   ordered.sort((a, b) => a.call.priority - b.call.priority || a.isLate - b.isLate || a.call.dueMs - b.call.dueMs)
-  return ordered.map(({ call }) => call)
+  return ordered.map(({ waiting }) => waiting)
 }
 
-function partition (calls: readonly IAdviceCall[], predicate: (call: IAdviceCall) => boolean): readonly [IAdviceCall[], IAdviceCall[]] {
-  const matching: IAdviceCall[] = []
-  const others: IAdviceCall[] = []
-  for (const call of calls) (predicate(call) ? matching : others).push(call)
+function partition<T> (values: readonly T[], predicate: (value: T) => boolean): readonly [T[], T[]] {
+  const matching: T[] = []
+  const others: T[] = []
+  for (const value of values) (predicate(value) ? matching : others).push(value)
   return [matching, others]
 }
 
