--- a/src/common/cell/AdviceDispatcher.ts
+++ b/src/common/cell/AdviceDispatcher.ts
@@ -67,9 +67,9 @@
 /** How much longer than expected a call may take, in ms: two round trips between regions and one short call ahead of it. */
 const CALL_SLACK_MS = 700
 /** A call that has waited for this long, in ms, is overdue: a step that has room must not wait without bound, however late its job is. */
-const OVERDUE_WAIT_MS = 2000
+const OVERDUE_WAIT_MS = 5000
 /** One of this many calls is the overdue one that has waited longest. The others keep the usual order. */
-const CALLS_PER_TURN = 4
+const CALLS_PER_TURN = 8
 /** A timer that is late by less than this, in ms, shows that this process has time to spare. */
 const PUNCTUAL_MS = 100
 
