Calls for advice that prepared runs wait for go before those of other steps of their priority

What callers saw: nothing of a step runs although hosts have room.

Cause: a run is prepared on a host, which keeps its place, and then waits for a call for tickets that is ordered like all others: behind the calls of all jobs of its priority that are not late or have an earlier objective. Other steps get advice for hosts whose places such runs keep. The step isn't idle meanwhile, so that step.waiting doesn't show it either.

Change: of the calls of one priority, those of steps with prepared runs come first.

Why it works: such a call starts runs on places that are kept anyway, so it gains more than any other of its priority, and no call of its priority that comes later delays it. Behind more urgent calls, it has the turns of overdue calls.

The test failed before (the call of another step was sent first).

--- a/src/common/cell/AdviceDispatcher.test.ts
+++ b/src/common/cell/AdviceDispatcher.test.ts
@@ -31,8 +31,10 @@
     machines: () => machines,
     send: async (machine, { jobId }) => await new Promise((resolve) => { sent.push({ machine, jobId, answer: resolve }) })
   }, clock)
-  const ask = (jobId: string, expectedMs: number, priority = 1, isLate = false): void => {
-    dispatcher.dispatch({ jobId, step: 0, hostIds: [], priority, dueMs: 0, isLate: () => isLate, expectedMs, isWanted: () => true, settle: () => {} })
+  const ask = (jobId: string, expectedMs: number, priority = 1, isLate = false, holdsCapacity = false): void => {
+    dispatcher.dispatch({
+      jobId, step: 0, hostIds: [], priority, holdsCapacity, dueMs: 0, isLate: () => isLate, expectedMs, isWanted: () => true, settle: () => {}
+    })
   }
   return { clock, sent, ask, machines: () => sent.map(({ machine }) => machine) }
 }
@@ -60,7 +62,7 @@
   }, clock)
   const ask = (kind: string, priority: number, onEnd: () => void): void => {
     const expectedMs = durationsMs[kind] ?? 0
-    const request = { jobId: kind, step: 0, hostIds: [], priority, dueMs: clock.nowMs(), expectedMs }
+    const request = { jobId: kind, step: 0, hostIds: [], priority, holdsCapacity: false, dueMs: clock.nowMs(), expectedMs }
     dispatcher.dispatch({ ...request, isLate: () => false, isWanted: () => true, settle: onEnd })
   }
   const askAlways = (kind: string, priority: number): void => { ask(kind, priority, () => { askAlways(kind, priority) }) }
@@ -147,6 +149,17 @@
   t.true(isSent('late-wide'))
 })
 
+test('a call that runs on occupied hosts wait for goes before those of other steps', async (t) => {
+  // Nothing can use the places of such runs meanwhile, and they don't run.
+  const { ask, sent } = createDispatcher()
+  for (let number = 0; number < 3; number += 1) ask(`slow-${number}`, SLOW_MS)
+  ask('hosts', SLOW_MS, 1)
+  ask('tickets', SLOW_MS, 1, true, true)
+  sent[0]?.answer({ kind: 'advised', allowed: [] })
+  await setImmediate()
+  t.is(sent.at(-1)?.jobId, 'tickets')
+})
+
 test('an urgent call does not wait behind batch calls', (t) => {
   // Batch calls on all machines would delay the advice of an urgent job by most of its slack.
   const { ask, machines } = createDispatcher()
@@ -237,7 +250,7 @@
   }, clock)
   const before = dispatcher.limit
   for (let number = 0; number < 60; number += 1) {
-    dispatcher.dispatch({ jobId: `job-${number}`, step: 0, hostIds: [], priority: 0, dueMs: 0, isLate: () => false, expectedMs: SHORT_MS, isWanted: () => true, settle: () => {} })
+    dispatcher.dispatch({ jobId: `job-${number}`, step: 0, hostIds: [], priority: 0, holdsCapacity: false, dueMs: 0, isLate: () => false, expectedMs: SHORT_MS, isWanted: () => true, settle: () => {} })
   }
   for (let passedMs = 0; passedMs < 10_000 && dispatcher.inFlightCount > 0; passedMs += 10) {
     clock.advance(10)
--- a/src/common/cell/AdviceDispatcher.ts
+++ b/src/common/cell/AdviceDispatcher.ts
@@ -19,6 +19,8 @@
 
 export interface IAdviceCall extends IAdviceRequest {
   readonly priority: number
+  /** Whether runs that wait for the answer occupy hosts. */
+  readonly holdsCapacity: boolean
   readonly dueMs: number
   /** Whether the job can no longer meet its objective. Checked when the waiting calls are ordered. */
   isLate (): boolean
@@ -344,10 +346,14 @@
   return nowMs < usedLastUntilMs ? USED_LAST_MS + waitMs : waitMs
 }
 
-/** By priority; of the same priority, the calls of jobs that can still meet their objective first, then by objective. */
+/**
+ * By priority; of the same priority, calls that runs on occupied hosts wait for come first, then those of jobs that can still meet their
+ * objective, then by objective.
+ */
 function sortCalls (calls: readonly IWaitingCall[]): IWaitingCall[] {
   const ordered = calls.map((waiting) => ({ waiting, call: waiting.call, isLate: Number(waiting.call.isLate()) }))
-  ordered.sort((a, b) => a.call.priority - b.call.priority || a.isLate - b.isLate || a.call.dueMs - b.call.dueMs)
+  ordered.sort((a, b) => a.call.priority - b.call.priority || Number(b.call.holdsCapacity) - Number(a.call.holdsCapacity) ||
+    a.isLate - b.isLate || a.call.dueMs - b.call.dueMs)
   return ordered.map(({ waiting }) => waiting)
 }
 
--- a/src/common/cell/AdviceLimit.test.ts
+++ b/src/common/cell/AdviceLimit.test.ts
@@ -54,6 +54,7 @@
       step,
       hostIds: [],
       priority: 0,
+      holdsCapacity: false,
       dueMs: 0,
       expectedMs: EXPECTED_MS,
       isLate: () => false,
--- a/src/common/cell/AdviceRequester.ts
+++ b/src/common/cell/AdviceRequester.ts
@@ -138,6 +138,7 @@
         step: step.number,
         hostIds: named,
         priority: job.queue.priority,
+        holdsCapacity: step.tasks.some(({ attempt }) => attempt?.phase === 'preparing'),
         dueMs: job.dueMs,
         isLate: () => isLate(job, this._clock.nowMs()),
         expectedMs: expectedAdviceMs(step, named.length),
