--- a/test/soak/Soak.ts
+++ b/test/soak/Soak.ts
@@ -34,6 +34,8 @@
 }
 
 const HOST_CPU = 4000
+/** How long the advice service takes for a call that names no host, by the seed, in ms. */
+const ADVICE_MS = [20, 60, 150]
 const MAX_HOLD_MS = 3000
 const FAIL_SHARE = 0.03
 /** Wide jobs take up to 4500 millicores, so no job is too wide for its workspace. */
@@ -48,7 +50,13 @@
 
 export async function runSoak (options: ISoakOptions): Promise<ISoakReport> {
   const platform = new PlatformStandIn({
-    seed: options.seed, hosts: options.hosts, hostCpu: HOST_CPU, maxHoldMs: MAX_HOLD_MS, failShare: FAIL_SHARE, workspaces: WORKSPACES
+    seed: options.seed,
+    hosts: options.hosts,
+    hostCpu: HOST_CPU,
+    maxHoldMs: MAX_HOLD_MS,
+    failShare: FAIL_SHARE,
+    workspaces: WORKSPACES,
+    advice: { decideMs: ADVICE_MS[options.seed % ADVICE_MS.length] ?? 0, intervalMs: 2, validMs: 1500 }
   })
   const checker = new InvariantChecker(HOST_CPU)
   for (const { name, maxCpu } of WORKSPACES) checker.recordLimit(name, maxCpu)
--- a/test/support/ControllerCell.ts
+++ b/test/support/ControllerCell.ts
@@ -76,7 +76,7 @@
     const { forwarder, port } = await this._platform.createStoreForwarder()
     const configPath = join(this._folder, `${id}.ini`)
     const linkMbps = this._linksMbps[number % this._linksMbps.length]
-    writeFileSync(configPath, settingsText(id, port, this._platform.advicePort, this._maxHoldMs, linkMbps))
+    writeFileSync(configPath, settingsText(id, port, await this._platform.createAdvicePort(), this._maxHoldMs, linkMbps))
     const process = startProcess(this._binary, ['--config', configPath], this._nodeArgs)
     const controller: IController = { id, configPath, store: forwarder, process, earlierOutput: [], urls: undefined }
     this.controllers.push(controller)
