--- a/test/soak/HostFaults.ts
+++ b/test/soak/HostFaults.ts
@@ -51,6 +51,7 @@
       ['hostLatePollRestart', async () => await this._restartBeforeLateOrders(true)],
       ['hostLeave', async () => this._drain()],
       ['hostLeaveUnlisted', async () => await this._drainUnlisted()],
+      ['hostLost', async () => this._lose()],
       ['hostUnlisted', async () => this._cutFromStore()],
       ['hostLateList', async () => this._delayLists()]
     ])
@@ -137,6 +138,14 @@
     return undo
   }
 
+  /** A host is gone for good without a word. Another one joins later. */
+  private _lose (): () => Promise<void> {
+    const lost = this._pickHost()
+    this._checker.recordDisturbance(lost.hostId)
+    this._platform.loseHost(lost)
+    return async () => { await this._platform.addHost() }
+  }
+
   /** A host can't renew its entry, which expires, and goes on running its tasks. */
   private _cutFromStore (): () => void {
     const { registration } = this._pickHost()
