--- a/test/soak/InvariantChecker.ts
+++ b/test/soak/InvariantChecker.ts
@@ -4,8 +4,10 @@
  */
 
 import { AcknowledgedEnds } from './AcknowledgedEnds.js'
+import { StalledJobs } from './StalledJobs.js'
 
 import type { IHostEvents } from '../../platform/standins/HostStandIn.js'
+import type { PlatformStandIn } from '../../platform/standins/PlatformStandIn.js'
 
 export interface ICheckedJob {
   readonly jobId: string
@@ -14,6 +16,10 @@
   /** The number of tasks of each step; a step starts after the step before it is done. */
   readonly counts: readonly number[]
   readonly workspace?: string
+  /** Whether the job's queue needs advice. */
+  readonly isAdvised?: boolean
+  /** Whether no host may run any of its tasks. */
+  readonly neverRuns?: boolean
   accepted: boolean
   /** Whether a submission was accepted, or may have been because its answer was lost or left the result open. */
   isPossiblyAccepted: boolean
@@ -43,6 +49,7 @@
   private readonly _doneTasks = new Map<string, IDoneTask>()
   private readonly _failures = new Map<string, number>()
   private readonly _ends = new AcknowledgedEnds((violation) => { this._report(violation) })
+  private readonly _stalled = new StalledJobs()
   private readonly _disturbedAtMs = new Map<string, number>()
   /** The highest limit that each workspace has had, in millicores. */
   private readonly _limits = new Map<string, number>()
@@ -68,6 +75,8 @@
     this.starts += 1
     const job = this._jobOf(task)
     if (job === undefined) return this._report(`${task} run ${run} on ${hostId}: the job was never submitted`)
+    this._stalled.recordRun(job.jobId)
+    if (job.neverRuns === true) this._report(`${task} run ${run} started on ${hostId} although no host may run it`)
     const running = [...this._runs].filter(([key]) => key.startsWith(`${task}@`))
     if (running.length > 0) this._report(`${task} run ${run} started on ${hostId} while it runs on ${running.map(([, each]) => each.hostId).join()}`)
     this._checkNotDone(job, task, run, hostId)
@@ -88,6 +97,7 @@
   public onEnd (hostId: string, task: string, run: number, outcome: string, sequence: number): void {
     this._runs.delete(`${task}@${hostId}`)
     this._runningByHost.get(hostId)?.delete(task)
+    this._stalled.recordRun(task.slice(0, 16))
     if (outcome === 'failed') this._failures.set(task, (this._failures.get(task) ?? 0) + 1)
     if (outcome !== 'done') return
     this._doneTasks.set(task, { hostId, atMs: performance.now() })
@@ -139,6 +149,33 @@
     this._report(`${jobId} is still ${state} after the faults have ended`)
   }
 
+  /** Reports jobs that have stalled. To be called again and again once traffic and faults have ended and earlier leases are over. */
+  public checkStalledJobs (platform: PlatformStandIn): void {
+    const roomByHost = new Map(platform.hosts.map(({ hostId }) => [hostId, this._hostCpu - this._usedCpu(this._runningByHost.get(hostId) ?? [])]))
+    const freeCpu = [...roomByHost.values()].reduce((sum, room) => sum + room, 0)
+    const isMostlyFree = freeCpu > roomByHost.size * this._hostCpu / 2
+    const running = new Set([...this._runningByHost.values()].flatMap((tasks) => [...tasks].map((task) => task.slice(0, 16))))
+    const waiting = [...this.jobs.values()].filter((job) => job.accepted && job.neverRuns !== true && !running.has(job.jobId) &&
+      job.finalState === undefined && job.cancelledAtMs === undefined && !this._hasFailed(job))
+    const startable = isMostlyFree ? waiting.filter((job) => this._couldStart(job, platform, roomByHost)) : []
+    for (const jobId of this._stalled.record(startable.map((job) => job.jobId))) {
+      const { gang = false, cpu = 0, counts = [] } = this.jobs.get(jobId) ?? {}
+      this._report(`${jobId} (${gang ? 'gang, ' : ''}${counts.join()} tasks of ${cpu} millicores) could go on and has had nothing running for a while`)
+    }
+  }
+
+  /** Whether a task of the job's next step, or all of a gang, has room on the allowed hosts and within a limit of which less than half is in use. */
+  private _couldStart (job: ICheckedJob, platform: PlatformStandIn, roomByHost: ReadonlyMap<string, number>): boolean {
+    const step = job.counts.findIndex((_, number) => !this._isStepDone(job, number))
+    if (step === -1) return false
+    const needed = job.gang ? job.counts[step] ?? 0 : 1
+    const allowed = [...roomByHost].filter(([hostId]) => job.isAdvised !== true || platform.advicePolicy.isAllowed(`${job.jobId}.0.${step}`, hostId))
+    const places = allowed.reduce((sum, [, room]) => sum + Math.floor(room / job.cpu), 0)
+    const limit = platform.workspaces.find(({ name }) => name === job.workspace)?.maxCpu ?? Infinity
+    const used = this._usedByWorkspace(job.workspace)
+    return places >= needed && used < limit / 2 && used + needed * job.cpu <= limit
+  }
+
   private _checkNotDone (job: ICheckedJob, task: string, run: number, hostId: string): void {
     const done = this._doneTasks.get(task)
     if (done === undefined || job.gang) return
@@ -171,18 +208,26 @@
   }
 
   private _checkCapacity (hostId: string, tasks: ReadonlySet<string>): void {
-    const used = [...tasks].reduce((sum, task) => sum + (this._jobOf(task)?.cpu ?? 0), 0)
+    const used = this._usedCpu(tasks)
     if (used > this._hostCpu) this._report(`${hostId} runs ${used} of ${this._hostCpu} millicores`)
   }
 
   private _checkLimit (workspace: string | undefined): void {
     if (workspace === undefined) return
     const limit = this._limits.get(workspace) ?? Infinity
-    const jobs = [...this._runningByHost.values()].flatMap((tasks) => [...tasks].map((task) => this._jobOf(task)))
-    const used = jobs.reduce((sum, job) => sum + (job?.workspace === workspace ? job.cpu : 0), 0)
+    const used = this._usedByWorkspace(workspace)
     if (used > limit) this._report(`${workspace} runs ${used} of ${limit} millicores`)
   }
 
+  private _usedByWorkspace (workspace: string | undefined): number {
+    const tasks = [...this._runningByHost.values()].flatMap((each) => [...each])
+    return this._usedCpu(tasks.filter((task) => this._jobOf(task)?.workspace === workspace))
+  }
+
+  private _usedCpu (tasks: Iterable<string>): number {
+    return [...tasks].reduce((sum, task) => sum + (this._jobOf(task)?.cpu ?? 0), 0)
+  }
+
   private _jobOf (task: string): ICheckedJob | undefined {
     return this.jobs.get(task.slice(0, 16))
   }
--- a/test/soak/SimulatedCallers.ts
+++ b/test/soak/SimulatedCallers.ts
@@ -5,6 +5,7 @@
 
 import { Agent, request } from 'undici'
 import { CALLER_HOST, QUEUE_PREFIXES } from '../../platform/standins/PlatformStandIn.js'
+import { pickRandom } from './pickRandom.js'
 
 import type { PlatformStandIn } from '../../platform/standins/PlatformStandIn.js'
 import type { SeededRandom } from '../../src/common/Random.js'
@@ -22,6 +23,13 @@
 /** The share of accepted jobs that callers of another workspace try to read. */
 const FOREIGN_READ_SHARE = 0.1
 
+/** The counts and sizes of the wide second steps of jobs: each takes about five whole hosts of the soak. */
+const WIDE_STEPS = [[24, 800], [40, 500], [60, 330]] as const
+const WIDE_GANG_SHARE = 0.5
+/** The share of jobs that can never run, because no host has their label or none is allowed. */
+const NEVER_RUNS_SHARE = 0.02
+const MISSING_LABEL = 'no-host-has-this-label'
+
 interface IAnswer { readonly status: number, readonly body: string }
 
 export class SimulatedCallers {
@@ -36,7 +44,9 @@
     private readonly _controllers: readonly IController[],
     private readonly _platform: PlatformStandIn,
     private readonly _checker: InvariantChecker,
-    private readonly _random: SeededRandom
+    private readonly _random: SeededRandom,
+    /** The share of jobs in the queue `night`, whose second step is wide. */
+    private readonly _nightShare = 0
   ) {}
 
   /** Submits one job without waiting for the answer. */
@@ -117,27 +127,41 @@
     if (answer?.status === 200) this._checker.reportForeignRead(jobId)
   }
 
-  private _drawWorkspace (): string {
-    const names = this._platform.workspaces.map(({ name }) => name)
+  /** Draws a workspace whose limit the need doesn't exceed. */
+  private _drawWorkspace (needCpu: number): string {
+    const names = this._platform.workspaces.filter(({ maxCpu }) => maxCpu >= needCpu).map(({ name }) => name)
     const number = this._random.next() < HOT_SHARE ? 0 : Math.floor(this._random.next() * names.length)
     return names[number] ?? ''
   }
 
   private _createJob (): { readonly job: ICheckedJob, readonly queue: QueueName, readonly body: string } {
     this._lastNumber += 1
-    const draw = this._random.next()
-    const queue: QueueName = draw < 0.6 ? 'urgent' : draw < 0.85 ? 'batch' : 'wide'
-    const gang = queue === 'wide'
-    const cpu = gang ? 1500 : 500
-    const counts = queue === 'batch' ? [1 + Math.floor(this._random.next() * 3), 1] : [1 + Math.floor(this._random.next() * 3)]
+    const queue = this._drawQueue()
+    const [wideCount, wideCpu] = pickRandom(this._random, WIDE_STEPS)
+    const gang = queue === 'wide' || (queue === 'night' && this._random.next() < WIDE_GANG_SHARE)
+    const cpu = queue === 'night' ? wideCpu : gang ? 1500 : 500
+    const count = 1 + Math.floor(this._random.next() * 3)
+    const counts = queue === 'night' ? [count, wideCount] : queue === 'batch' ? [count, 1] : [count]
     const jobId = (BigInt(this._lastNumber) * 0x9e3779b97f4a7c15n & 0xffffffffffffffffn).toString(16).padStart(16, '0')
-    const steps = counts.map((count, step) =>
-      ({ count, cpu, memMb: 100, estimateMs: 300, ...(step > 0 ? { after: [step - 1] } : {}), ...(gang ? { gang } : {}) }))
-    const workspace = this._drawWorkspace()
-    const job: ICheckedJob = { jobId, gang, cpu, counts, workspace, accepted: false, isPossiblyAccepted: false, refusedSubmissions: 0 }
+    const isAdvised = queue !== 'batch'
+    const neverRuns = this._nightShare > 0 && this._random.next() < NEVER_RUNS_SHARE
+    const lacksLabel = neverRuns && (!isAdvised || this._random.next() < 0.5)
+    if (neverRuns && !lacksLabel) this._platform.advicePolicy.jobsAllowedNowhere.add(jobId)
+    const common = { cpu, memMb: 100, estimateMs: 300, ...(gang ? { gang } : {}), ...(lacksLabel ? { requiredLabel: MISSING_LABEL } : {}) }
+    const steps = counts.map((each, step) => ({ ...common, count: each, ...(step > 0 ? { after: [step - 1] } : {}) }))
+    const workspace = this._drawWorkspace(cpu * Math.max(...counts))
+    const job: ICheckedJob = {
+      jobId, gang, cpu, counts, workspace, isAdvised, neverRuns, accepted: false, isPossiblyAccepted: false, refusedSubmissions: 0
+    }
     return { job, queue, body: JSON.stringify({ spec: `job ${this._lastNumber}`, steps }) }
   }
 
+  private _drawQueue (): QueueName {
+    if (this._random.next() < this._nightShare) return 'night'
+    const draw = this._random.next()
+    return draw < 0.6 ? 'urgent' : draw < 0.85 ? 'batch' : 'wide'
+  }
+
   /** Calls a random controller; undefined if no complete answer arrives. */
   private async _call (method: 'GET' | 'POST' | 'DELETE', path: string, workspace: string | undefined, body?: string): Promise<IAnswer | undefined> {
     const controller = this._controllers[Math.floor(this._random.next() * this._controllers.length)]
--- a/test/soak/Soak.ts
+++ b/test/soak/Soak.ts
@@ -5,6 +5,7 @@
 
 import { PlatformStandIn } from '../../platform/standins/PlatformStandIn.js'
 import { SeededRandom } from '../../src/common/Random.js'
+import { OWNER_KEY } from '../../src/cell/Keys.js'
 import { ControllerCell } from '../support/ControllerCell.js'
 import { SimulatedCallers } from './SimulatedCallers.js'
 import { ConfigProber } from './ConfigProber.js'
@@ -38,12 +39,19 @@
 const ADVICE_MS = [20, 60, 150]
 const MAX_HOLD_MS = 3000
 const FAIL_SHARE = 0.03
-/** Wide jobs take up to 4500 millicores, so no job is too wide for its workspace. */
-const WORKSPACES = ['hot', 'calm', 'quiet'].map((name) => ({ name, keys: [`${name}-key-1`, `${name}-key-2`], maxCpu: 6000 }))
+/** Jobs of the queue `night` take up to 20,000 millicores and all others up to 4500, so no job is too wide for its workspace. */
+const WORKSPACES = [['hot', 24_000], ['calm', 24_000], ['quiet', 6000]]
+  .map(([name, maxCpu]) => ({ name: String(name), keys: [`${name}-key-1`, `${name}-key-2`], maxCpu: Number(maxCpu) }))
+/** The share of jobs in the queue `night`. */
+const NIGHT_SHARE = 0.05
 const SUBMIT_INTERVAL_MS = 60
 const FAULT_INTERVAL_MS = 900
 /** The time that jobs have to end after the last fault, in ms; it covers the longest lease, its margin, and the runs. */
 const SETTLE_TIMEOUT_MS = 40_000
+/** The leases of earlier owners are over this long after the present one took the cell, in ms: it counts 4 s more, by the slowest clock, and 1 s. */
+const LEASES_END_MS = (MAX_HOLD_MS + 4000) * 1.02 + 1000
+/** The time in which an owner acts on the end of a lease, in ms. */
+const LEASE_CHECK_MS = 1000
 const POLL_MS = 200
 /** The links that the controllers believe to have with even seeds, in turn, in Mbit/s: owners on narrow ones hand the cell over while they serve. */
 const UNLIKE_LINKS_MBPS = [10, 200, 10]
@@ -63,7 +71,7 @@
   await platform.start(checker)
   const cell = new ControllerCell(platform, MAX_HOLD_MS, [], undefined, options.seed % 2 === 0 ? UNLIKE_LINKS_MBPS : [])
   const random = new SeededRandom(options.seed + 1)
-  const callers = new SimulatedCallers(cell.controllers, platform, checker, new SeededRandom(options.seed + 2))
+  const callers = new SimulatedCallers(cell.controllers, platform, checker, new SeededRandom(options.seed + 2), NIGHT_SHARE)
   const probes = new ConfigProber(cell.controllers, platform, checker)
   const keyProbes = new KeyProber(cell.controllers, platform, checker)
   const faults = new FaultInjector(cell, platform, checker, random, options.faults)
@@ -72,7 +80,7 @@
     probes.start()
     keyProbes.start()
     await runWithFaults(options.faultsMs, callers, faults, random)
-    await waitForJobs(callers, checker)
+    await waitForJobs(callers, checker, platform)
     await waitForConfig(probes, checker, platform.configVersion)
     await keyProbes.checkRemovedKeys()
   } finally {
@@ -99,15 +107,24 @@
   await callers.waitForSubmissions()
 }
 
-async function waitForJobs (callers: SimulatedCallers, checker: InvariantChecker): Promise<void> {
+async function waitForJobs (callers: SimulatedCallers, checker: InvariantChecker, platform: PlatformStandIn): Promise<void> {
   const untilMs = performance.now() + SETTLE_TIMEOUT_MS
-  let open = [...checker.jobs.values()].filter((job) => job.accepted)
+  let ownedSinceMs = performance.now()
+  let ownerRevision = platform.store.revisionOf(OWNER_KEY)
+  const stallTimer = setInterval(() => {
+    const nowMs = performance.now()
+    if (platform.store.revisionOf(OWNER_KEY) !== ownerRevision) ownedSinceMs = nowMs
+    ownerRevision = platform.store.revisionOf(OWNER_KEY)
+    if (nowMs > ownedSinceMs + LEASES_END_MS + LEASE_CHECK_MS) checker.checkStalledJobs(platform)
+  }, POLL_MS)
+  let open = [...checker.jobs.values()].filter((job) => job.accepted && job.neverRuns !== true)
   const states = new Map<string, string | undefined>()
   while (open.length > 0 && performance.now() < untilMs) {
     for (const { jobId } of open) states.set(jobId, await callers.queryState(jobId, callers.queues.get(jobId) ?? 'urgent'))
     open = open.filter(({ finalState }) => finalState === undefined)
     if (open.length > 0) await pause(POLL_MS)
   }
+  clearInterval(stallTimer)
   for (const { jobId } of open) checker.reportUnfinishedJob(jobId, states.get(jobId) ?? 'in an unknown state')
 }
 
