Soak: each queue has its own advice, slow for wide gangs and narrow for all

Calls for gangs take 0.1 to 0.7 s by the seed and allow a third of the hosts, those for wide steps of the queue night 0.05 to 0.3 s and two thirds; a fifth of the wide steps that aren't gangs may have three tasks on one host.

--- a/test/soak/SimulatedCallers.ts
+++ b/test/soak/SimulatedCallers.ts
@@ -26,6 +26,8 @@
 /** The counts and sizes of the wide second steps of jobs: each takes about five whole hosts of the soak. */
 const WIDE_STEPS = [[24, 800], [40, 500], [60, 330]] as const
 const WIDE_GANG_SHARE = 0.5
+/** The share of wide steps that are not gangs and may have only a few tasks on one host. */
+const SPREAD_SHARE = 0.2
 /** The share of jobs that can never run, because no host has their label or none is allowed. */
 const NEVER_RUNS_SHARE = 0.02
 const MISSING_LABEL = 'no-host-has-this-label'
@@ -146,8 +148,16 @@
     const isAdvised = queue !== 'batch'
     const neverRuns = this._nightShare > 0 && this._random.next() < NEVER_RUNS_SHARE
     const lacksLabel = neverRuns && (!isAdvised || this._random.next() < 0.5)
-    if (neverRuns && !lacksLabel) this._platform.advicePolicy.jobsAllowedNowhere.add(jobId)
-    const common = { cpu, memMb: 100, estimateMs: 300, ...(gang ? { gang } : {}), ...(lacksLabel ? { requiredLabel: MISSING_LABEL } : {}) }
+    this._platform.advicePolicy.registerJob(jobId, queue, neverRuns && !lacksLabel)
+    const isSpread = queue === 'night' && !gang && this._random.next() < SPREAD_SHARE
+    const common = {
+      cpu,
+      memMb: 100,
+      estimateMs: 300,
+      ...(gang ? { gang } : {}),
+      ...(isSpread ? { maxPerServer: 3 } : {}),
+      ...(lacksLabel ? { requiredLabel: MISSING_LABEL } : {})
+    }
     const steps = counts.map((each, step) => ({ ...common, count: each, ...(step > 0 ? { after: [step - 1] } : {}) }))
     const workspace = this._drawWorkspace(cpu * Math.max(...counts))
     const job: ICheckedJob = {
--- a/test/soak/Soak.ts
+++ b/test/soak/Soak.ts
@@ -35,8 +35,13 @@
 }
 
 const HOST_CPU = 4000
-/** How long the advice service takes for a call that names no host, by the seed, in ms. */
-const ADVICE_MS = [20, 60, 150]
+/** The terms of the advice service; by the seed, it takes several times as long as these or a part of that. */
+const ADVICE = {
+  urgent: { decideMs: 7, intervalMs: 0.1, validMs: 1500, allowedKinds: 2 },
+  wide: { decideMs: 340, intervalMs: 5, validMs: 1500, allowedKinds: 1 },
+  night: { decideMs: 130, intervalMs: 2, validMs: 1500, allowedKinds: 2 }
+}
+const ADVICE_FACTORS = [0.3, 1, 2]
 const MAX_HOLD_MS = 3000
 const FAIL_SHARE = 0.03
 /** Jobs of the queue `night` take up to 20,000 millicores and all others up to 4500, so no job is too wide for its workspace. */
@@ -57,6 +62,7 @@
 const UNLIKE_LINKS_MBPS = [10, 200, 10]
 
 export async function runSoak (options: ISoakOptions): Promise<ISoakReport> {
+  const adviceFactor = ADVICE_FACTORS[options.seed % ADVICE_FACTORS.length] ?? 1
   const platform = new PlatformStandIn({
     seed: options.seed,
     hosts: options.hosts,
@@ -64,7 +70,7 @@
     maxHoldMs: MAX_HOLD_MS,
     failShare: FAIL_SHARE,
     workspaces: WORKSPACES,
-    advice: { decideMs: ADVICE_MS[options.seed % ADVICE_MS.length] ?? 0, intervalMs: 2, validMs: 1500 }
+    advice: Object.fromEntries(Object.entries(ADVICE).map(([queue, terms]) => [queue, { ...terms, decideMs: terms.decideMs * adviceFactor }]))
   })
   const checker = new InvariantChecker(HOST_CPU)
   for (const { name, maxCpu } of WORKSPACES) checker.recordLimit(name, maxCpu)
