Soak: members of a gang work from the moment when all are present, and end together

The stand-ins of the hosts ran each member by itself, so a gang of which only a part had started was done.

--- a/test/soak/HostFaults.ts
+++ b/test/soak/HostFaults.ts
@@ -70,7 +70,7 @@
   /** A host is cut off within a moment of the end of one of its runs, and returns before or after its lease has ended. */
   private async _cutAtEnd (): Promise<() => Promise<void>> {
     const host = this._pickHost()
-    const [run] = host.host.running.values()
+    const run = [...host.host.running.values()].find(({ workMs }) => workMs < Infinity)
     const offsetMs = (2 * this._random.next() - 1) * CUT_OFFSET_MS
     if (run !== undefined) await pause(Math.max(0, run.beganAtMs + run.workMs - performance.now() + offsetMs))
     const heal = this.cut(host)
--- a/test/soak/SimulatedCallers.ts
+++ b/test/soak/SimulatedCallers.ts
@@ -148,6 +148,7 @@
     const isAdvised = queue !== 'batch'
     const neverRuns = this._nightShare > 0 && this._random.next() < NEVER_RUNS_SHARE
     const lacksLabel = neverRuns && (!isAdvised || this._random.next() < 0.5)
+    if (gang) counts.forEach((size, step) => { this._platform.gangs.register(`${jobId}.0.${step}`, size) })
     this._platform.advicePolicy.registerJob(jobId, queue, neverRuns && !lacksLabel)
     const isSpread = queue === 'night' && !gang && this._random.next() < SPREAD_SHARE
     const common = {
