--- a/test/soak/HostFaults.ts
+++ b/test/soak/HostFaults.ts
@@ -51,6 +51,7 @@
       ['hostLatePollRestart', async () => await this._restartBeforeLateOrders(true)],
       ['hostLeave', async () => this._drain()],
       ['hostLeaveUnlisted', async () => await this._drainUnlisted()],
+      ['hostLost', async () => this._lose()],
       ['hostUnlisted', async () => this._cutFromStore()],
       ['hostLateList', async () => this._delayLists()]
     ])
@@ -69,7 +70,7 @@
   /** A host is cut off within a moment of the end of one of its runs, and returns before or after its lease has ended. */
   private async _cutAtEnd (): Promise<() => Promise<void>> {
     const host = this._pickHost()
-    const [run] = host.host.running.values()
+    const run = [...host.host.running.values()].find(({ workMs }) => workMs < Infinity)
     const offsetMs = (2 * this._random.next() - 1) * CUT_OFFSET_MS
     if (run !== undefined) await pause(Math.max(0, run.beganAtMs + run.workMs - performance.now() + offsetMs))
     const heal = this.cut(host)
@@ -137,6 +138,14 @@
     return undo
   }
 
+  /** A host is gone for good without a word. Another one joins later. */
+  private _lose (): () => Promise<void> {
+    const lost = this._pickHost()
+    this._checker.recordDisturbance(lost.hostId)
+    this._platform.loseHost(lost)
+    return async () => { await this._platform.addHost() }
+  }
+
   /** A host can't renew its entry, which expires, and goes on running its tasks. */
   private _cutFromStore (): () => void {
     const { registration } = this._pickHost()
