--- a/test/support/SimulatedCell.ts
+++ b/test/support/SimulatedCell.ts
@@ -37,6 +37,8 @@
 export interface ISimulatedCellOptions {
   readonly hosts: number
   readonly host?: Partial<ISimulatedHostOptions>
+  /** What distinguishes single hosts, by number. */
+  hostOf? (number: number): Partial<ISimulatedHostOptions>
   /** Whether a host may run a step, if the step's queue uses advice; by default every host may. */
   allows? (hostId: string, request: IAdviceRequest): boolean
   readonly saveMs?: number
@@ -57,6 +59,8 @@
   readonly order?: IJobOrder
   /** The time for which the hosts accept a ticket; unlimited by default. */
   readonly ticketValidMs?: number
+  /** Whether a call for advice fails once the timeout that the owner has set has passed; by default it waits for its answer. */
+  readonly hasAdviceTimeouts?: boolean
 }
 
 export class SimulatedCell {
@@ -74,6 +78,17 @@
   public scheduler: CellScheduler
   /** While this is set, no save completes. */
   public isStoreDown = false
+  /** The machines that have disappeared: they make no calls for advice, and those that they have in flight get no answer. */
+  public readonly goneMachines = new Set<string>()
+  /** The machines of which every call for advice is answered as busy. */
+  public readonly busyMachines = new Set<string>()
+  /** An additional delay of all answers to calls for advice. */
+  public adviceDelayMs = 0
+  /** The time between the decision to start a run and the arrival of the order. */
+  public orderDelayMs = 0
+  /** The minimum time between two scheduling passes: a slow owner makes few. */
+  public passIntervalMs = 0
+  private _passedAtMs = -Infinity
   /** The stored progress record of each job, by job id. */
   public readonly stored = new Map<string, string>()
   /** The stored record of each accepted job, by job id. */
@@ -122,6 +137,14 @@
     this.scheduler.admit(job)
   }
 
+  /** Cancels a job, as an owner does once the cancellation is stored. */
+  public cancel (job: Job): void {
+    const { scheduler } = this
+    job.phase = 'cancelled'
+    job.finishedAtMs = this.clock.nowMs()
+    this._save(job).then(() => { scheduler.stopJob(job) }, () => {})
+  }
+
   public async run (forMs: number): Promise<void> {
     const untilMs = this.clock.nowMs() + forMs
     while (this.clock.nowMs() < untilMs) await this._tick()
@@ -163,6 +186,7 @@
       workMs: () => 1000,
       endOf: () => 'done',
       ...this._options.host,
+      ...this._options.hostOf?.(number),
     }, this.clock)
   }
 
@@ -178,15 +202,16 @@
       requestPass: () => { this._isPassDue = true },
       recordDuration: () => {},
       count: () => {},
-      machines: () => machines,
-      send: async (machine, request) => await this._send(machine, request)
+      machines: () => machines.filter(({ name }) => !this.goneMachines.has(name)),
+      send: async (machine, request, timeoutMs) => await this._sendInTime(machine, request, timeoutMs)
     }, { farFactor: 3, inheritedUntilMs }, CHART, this.clock, this._options.logger ?? new SilentLogger(), this._options.order)
-    for (const host of this.hosts) scheduler.addHost(host.entry)
+    for (const host of this.hosts) if (host.isListed) scheduler.addHost(host.entry)
     scheduler.applyWorkspaces(this._workspaces)
     return scheduler
   }
 
   private async _start (hostId: string, order: IStartOrder): Promise<StartOutcome> {
+    await this._wait(this.orderDelayMs)
     if (this._isTicketStale(order.ticket)) return { kind: 'refused', reason: 'ticket' }
     const host = this._hostOf(hostId)
     const outcome = host.start(order)
@@ -201,12 +226,20 @@
     })
   }
 
+  private async _sendInTime (machine: string, request: IAdviceRequest, timeoutMs: number): Promise<AdviceOutcome> {
+    const answer = this._send(machine, request)
+    if (this._options.hasAdviceTimeouts !== true) return await answer
+    return await Promise.race([answer, this._wait(timeoutMs).then((): AdviceOutcome => ({ kind: 'failed', reason: 'timeout' }))])
+  }
+
   private async _send (machine: string, request: IAdviceRequest): Promise<AdviceOutcome> {
     const tripMs = this._isFar(Number(machine.split('-')[1])) ? this._options.farMachines?.tripMs ?? 0 : 0
     await this._wait(tripMs)
+    if (this.busyMachines.has(machine)) return { kind: 'busy' }
     const isAnswered = await this._serve(machine, this._options.adviceMs?.(request) ?? 0)
     const outcome: AdviceOutcome = isAnswered ? this._advise(request) : { kind: 'busy' }
-    await this._wait(tripMs + (this._options.adviceReplyDelayMs ?? 0))
+    await this._wait(tripMs + (this._options.adviceReplyDelayMs ?? 0) + this.adviceDelayMs)
+    if (this.goneMachines.has(machine)) return await new Promise<never>(() => {})
     return outcome
   }
 
@@ -254,8 +287,9 @@
     if (this.clock.nowMs() % HOLD_INTERVAL_MS === 0) this._sendHolds()
     if (this.clock.nowMs() % SWEEP_INTERVAL_MS === 0) this.scheduler.sweep()
     await settlePromises()
-    if (this._isPassDue) {
+    if (this._isPassDue && this.clock.nowMs() - this._passedAtMs >= this.passIntervalMs) {
       this._isPassDue = false
+      this._passedAtMs = this.clock.nowMs()
       this.scheduler.runPass()
       await settlePromises()
     }
@@ -285,12 +319,15 @@
   }
 
   private _answerHold (host: SimulatedHost, sentAtMs: number): void {
+    if (!host.isListed && !this.scheduler.hosts.has(host.options.hostId)) return
     const state = this._stateOf(host.options.hostId)
     state.entry = host.entry
+    state.isListed = host.isListed
     const deadlineMs = state.nextDeadline(sentAtMs, MAX_HOLD_MS, Infinity)
     const answer = host.hold({ fence: this._fence, acknowledgedSequence: state.storedSequence, deadlineMs, waitMs: 0 })
-    if (answer === undefined || answer === 'fenced') this.scheduler.loseRunsIfLapsed(state)
-    else this.scheduler.applyHoldAnswer(state, answer, sentAtMs)
+    if (answer === undefined || answer === 'fenced') {
+      if (this.scheduler.loseRunsIfLapsed(state) && !host.isListed) this.scheduler.hosts.delete(host.options.hostId)
+    } else this.scheduler.applyHoldAnswer(state, answer, sentAtMs)
   }
 
   private _recordWorstUse (): void {
@@ -320,7 +357,10 @@
   }
 
   private _stateOf (hostId: string): HostState {
-    return this.scheduler.addHost(this._hostOf(hostId).entry)
+    const host = this._hostOf(hostId)
+    const state = this.scheduler.addHost(host.entry)
+    state.isListed = host.isListed
+    return state
   }
 }
 
--- a/test/support/SimulatedHost.ts
+++ b/test/support/SimulatedHost.ts
@@ -21,6 +21,8 @@
   readonly cpuMillicores: number
   readonly memoryMb: number
   readonly rack: string
+  /** Further labels, beside those that every host has. */
+  readonly labels?: readonly string[]
   readonly maxHoldMs: number
   /** The run time of a task on this host. */
   workMs (ref: IRunRef): number
@@ -48,6 +50,10 @@
   public isDraining = false
   /** The host answers no order. */
   public isSilent = false
+  /** Whether the store has its entry. */
+  public isListed = true
+  /** The host refuses every start. */
+  public refusesStarts = false
   /** The tasks make no progress. */
   public isStuck = false
   /** The tasks make no progress until this is cleared, and then continue where they were. */
@@ -77,7 +83,7 @@
   }
 
   public get entry (): IHostEntry {
-    const { hostId, cpuMillicores, memoryMb, rack } = this.options
+    const { hostId, cpuMillicores, memoryMb, rack, labels = [] } = this.options
     return {
       hostId,
       bornMs: this.bornMs,
@@ -89,7 +95,7 @@
       cpuMillicores,
       memoryMb,
       accelerators: 0,
-      labels: ['kind', rack],
+      labels: ['kind', rack, ...labels],
       rack
     }
   }
@@ -100,6 +106,7 @@
 
   public start (order: IStartOrder): StartOutcome {
     if (this.isSilent) return { kind: 'unanswered' }
+    if (this.refusesStarts) return { kind: 'refused', reason: 'failed' }
     if (this.losesStarts) {
       this._lateStarts.push(order)
       return { kind: 'unanswered' }
