Short runs of a workspace use the limit that an older gang reserves while it waits for a longer run

Cause: five seconds after it was received, the job that has waited longest reserves its whole need within the limit of its workspace, for as long as it waits: for a long run in the workspace, or for one on the hosts that it may use. So a job that came with it can run its first step and not its second. The rule of blocked steps ends this only for a gang that could never start as the hosts are.

Change: backfilling. A step may use what is reserved if its runs are forecast to end before the step that reserves can start.

Why it works: the reserving gang starts no later, as what is lent is back by then. A reservation without an end in sight holds nothing back.

Ruled out: no reservation behind runs that last longer than 5 s (with a stream of narrow 15 s tasks, the gang had not started after 110 s).

--- a/src/common/cell/LimitReservations.ts
+++ b/src/common/cell/LimitReservations.ts
@@ -11,21 +11,30 @@
 import type { Step } from './Job.js'
 import { NO_RESOURCES, addResources, resourcesOf } from './Resources.js'
 import type { IResources } from './Resources.js'
+import type { IStartForecast } from './StartForecast.js'
 import type { WorkspaceUsage } from './WorkspaceUsage.js'
 
+interface IReservation {
+  readonly step: Step
+  /** How long the step has to wait until it can start. */
+  readonly waitMs: number
+}
+
 /** A job that has waited for this long, in ms, reserves room within the limit of its workspace. */
 const RESERVE_AFTER_MS = 5000
 
 export class LimitReservations {
   /** The step that reserves room, by workspace: the one that had waited longest in the last pass. */
-  private _reserved = new Map<string, Step>()
+  private _reserved = new Map<string, IReservation>()
   private _waiting = new Map<string, Step>()
 
-  public constructor (private readonly _usage: WorkspaceUsage, private readonly _blocked: IBlockedSteps) {}
+  public constructor (
+    private readonly _usage: WorkspaceUsage, private readonly _blocked: IBlockedSteps, private readonly _forecast: IStartForecast
+  ) {}
 
   /** To be called before the steps of a scheduling pass are considered. */
   public beginPass (): void {
-    this._reserved = this._waiting
+    this._reserved = new Map([...this._waiting].map(([workspace, step]) => [workspace, { step, waitMs: this._forecast.waitMs(step) }]))
     this._waiting = new Map()
   }
 
@@ -43,7 +52,7 @@
   public findHolder (step: Step): Step | undefined {
     const needed = step.spec.gang ? step.spec.count : 1
     const isFree = this._usage.placesFor(step.job.workspace, step.spec) >= needed
-    return isFree ? this._reserved.get(step.job.workspace) : undefined
+    return isFree ? this._reserved.get(step.job.workspace)?.step : undefined
   }
 
   private _recordWaiting (step: Step): void {
@@ -53,10 +62,14 @@
     if (!this._blocked.isBlocked(step)) this._waiting.set(workspace, step)
   }
 
-  /** What the step has to leave free. More urgent steps need not wait for the one that reserves. */
+  /**
+   * What the step has to leave free. More urgent steps need not wait for the one that reserves, nor do steps that will have ended by the time
+   * at which it can start (backfilling).
+   */
   private _reservedAgainst (step: Step): IResources {
-    const reserved = this._reserved.get(step.job.workspace)
+    const { step: reserved, waitMs = 0 } = this._reserved.get(step.job.workspace) ?? {}
     if (reserved === undefined || reserved === step || step.job.queue.priority < reserved.job.queue.priority) return NO_RESOURCES
+    if (this._forecast.runMs(step) <= waitMs) return NO_RESOURCES
     return addResources(NO_RESOURCES, resourcesOf(reserved.spec), reserved.spec.gang ? reserved.spec.count : 1)
   }
 }
