--- a/src/common/cell/AdviceDispatcher.ts
+++ b/src/common/cell/AdviceDispatcher.ts
@@ -7,8 +7,8 @@
  * are limited to some of the machines, and the machines nearest to the owner make only brief calls. Slow calls need a machine
  * that is about to become idle, while short ones follow each other on every machine; so less urgent short calls leave the machines
  * for slow calls alone while a slow call waits. With one or two machines, none is left for some short calls: on the one that they share
- * with slow calls, both kinds take turns, and urgent calls don't wait for the turn. All machines together have no more calls in flight
- * than the owner can process in time.
+ * with slow calls, both kinds take turns, and urgent calls don't wait for the turn. Now and then, the call that has waited longest is sent,
+ * so that late jobs get advice while others keep coming. All machines together have no more calls in flight than the owner can process in time.
  */
 
 import { AdviceLimit, LATE_MS, SENDING_MS } from './AdviceLimit.js'
@@ -68,9 +68,9 @@
 const USED_LAST_MS = 4000
 /** How much longer than expected a call may take, in ms: two round trips between regions and one short call ahead of it. */
 const CALL_SLACK_MS = 700
-/** A call that has waited for this long, in ms, is overdue: a step that has room must not wait without bound, however late its job is. */
-const OVERDUE_WAIT_MS = 5000
-/** One of this many calls is the overdue one that has waited longest. The others keep the usual order. */
+/** A call that has waited for this long, in ms, has its turn, however late its job is. Otherwise it would wait for as long as others keep coming. */
+const LONG_WAIT_MS = 5000
+/** One of this many calls is the one that has waited longest, if it has waited for long. The others keep the usual order. */
 const CALLS_PER_TURN = 8
 /** A timer that is late by less than this, in ms, shows that this process has time to spare. */
 const PUNCTUAL_MS = 100
@@ -113,7 +113,7 @@
   private readonly _loads = new Map<string, IMachineLoad>()
   private readonly _limit = new AdviceLimit()
   private _waiting: IWaitingCall[] = []
-  /** The number of calls that were sent since an overdue one had its turn. */
+  /** The number of calls that were sent since one had its turn because of a long wait. */
   private _sentSinceTurn = 0
   private _retry: IDisposable | undefined
   private _nextEnd: IDisposable | undefined
@@ -159,7 +159,7 @@
     const [wanted, unwanted] = partition(sortCalls(this._waiting), ({ call }) => call.isWanted())
     const shares = this._shareMachines()
     this._waiting = wanted
-    this._sendOverdue(shares)
+    this._sendLongestWaiting(shares)
     this._sendInOrder(shares)
     if (this._isShortOfMachines) this._awaitNextEnd(shares.names)
     for (const { call } of unwanted) call.settle({ kind: 'failed', reason: 'no longer wanted' })
@@ -171,13 +171,13 @@
     for (const { call } of this._waiting.splice(0)) call.settle({ kind: 'failed', reason: 'no longer the owner' })
   }
 
-  /** If it is its turn, sends the overdue call that has waited longest, of those for which there is a machine. */
-  private _sendOverdue (shares: IMachineShares): void {
+  /** If a turn is due, sends the call that has waited longest, of those that have waited for long and for which there is a machine. */
+  private _sendLongestWaiting (shares: IMachineShares): void {
     if (this._sentSinceTurn < CALLS_PER_TURN - 1) return
-    const overdueSinceMs = this._clock.nowMs() - OVERDUE_WAIT_MS
-    const overdue = this._waiting.filter(({ sinceMs }) => sinceMs <= overdueSinceMs).sort((a, b) => a.sinceMs - b.sinceMs)
+    const longSinceMs = this._clock.nowMs() - LONG_WAIT_MS
+    const longWaiting = this._waiting.filter(({ sinceMs }) => sinceMs <= longSinceMs).sort((a, b) => a.sinceMs - b.sinceMs)
     const kinds = this._waitingKinds(shares)
-    for (const waiting of overdue) {
+    for (const waiting of longWaiting) {
       const name = this._chooseMachine(shares, waiting.call, kinds)
       if (name === undefined) continue
       this._waiting = this._waiting.filter((each) => each !== waiting)
--- a/src/common/cell/CapacityReservations.ts
+++ b/src/common/cell/CapacityReservations.ts
@@ -36,6 +36,7 @@
 export class CapacityReservations {
   private readonly _reserved = new Map<HostState, IResources>()
   private readonly _reservedForLate = new Map<HostState, IResources>()
+  /** How long each gang that has found no room is expected to wait for it, in ms; Infinity if that can't be forecast. */
   private readonly _waits = new Map<Step, number>()
   private readonly _holders = new Map<HostState, Step[]>()
   private _leftMillicores: number
