When a reserving job can start is forecast only where a step waits for it

Cause, suspected: processor time of the owner. Each pass forecast the ends of all runs for each workspace with a waiting job, and the places of each waiting gang without a horizon.

Change: the forecast is made once a pass for a workspace, and only if a step would start without the reservation. Room that is further off than the horizon of reservations counts as that far off.

The same bursts of BoundedStart.test.ts pass as before.

--- a/src/common/cell/CapacityReservations.ts
+++ b/src/common/cell/CapacityReservations.ts
@@ -36,7 +36,7 @@
 export class CapacityReservations {
   private readonly _reserved = new Map<HostState, IResources>()
   private readonly _reservedForLate = new Map<HostState, IResources>()
-  /** How long each gang that has found no room is expected to wait for it, in ms; Infinity if that can't be forecast. */
+  /** How long each gang that has found no room is expected to wait for it, in ms; `HORIZON_MS` if that is longer. */
   private readonly _waits = new Map<Step, number>()
   private readonly _holders = new Map<HostState, Step[]>()
   private _leftMillicores: number
@@ -57,7 +57,7 @@
     return isAtRisk ? reserved : addResources(reserved, this._reservedForLate.get(host) ?? NO_RESOURCES)
   }
 
-  /** How long the gang is expected to wait for room, in ms; undefined if it doesn't wait for room. */
+  /** How long the gang is expected to wait for room, in ms, up to `HORIZON_MS`; undefined if it doesn't wait for room. */
   public waitOf (step: Step): number | undefined {
     return this._waits.get(step)
   }
@@ -79,9 +79,8 @@
     if (this._leftMillicores <= 0) return undefined
     const hosts = eligibleHosts(step, view)
     if (!fitsOnceFree(step, hosts)) return undefined
-    const allPlaces = soonestPlaces(step, hosts, view)
-    this._waits.set(step, allPlaces.length < spec.count ? Infinity : allPlaces.at(-1)?.waitMs ?? 0)
-    const places = allPlaces.filter(({ waitMs }) => waitMs <= HORIZON_MS)
+    const places = soonestPlaces(step, hosts, view)
+    this._waits.set(step, places.length < spec.count ? HORIZON_MS : places.at(-1)?.waitMs ?? 0)
     const reserved = isLate ? this._reservedForLate : this._reserved
     for (const { host } of places) {
       this._addReservation(reserved, host, resourcesOf(spec))
@@ -98,9 +97,9 @@
   }
 }
 
-/** The places that become free soonest, as many as the gang needs. */
+/** The places that become free soonest: as many as the gang needs, or all within the horizon. */
 function soonestPlaces (step: Step, hosts: readonly HostState[], view: IPlacementView): readonly IPlace[] {
   const places = hosts.flatMap((host) =>
-    forecastPlaceTimes(host, step.spec, view.headroom(host, step), view.nowMs, Infinity, view.times).map((waitMs) => ({ host, waitMs })))
+    forecastPlaceTimes(host, step.spec, view.headroom(host, step), view.nowMs, HORIZON_MS, view.times).map((waitMs) => ({ host, waitMs })))
   return places.sort((a, b) => a.waitMs - b.waitMs).slice(0, step.spec.count)
 }
--- a/src/common/cell/LimitReservations.ts
+++ b/src/common/cell/LimitReservations.ts
@@ -14,18 +14,14 @@
 import type { IStartForecast } from './StartForecast.js'
 import type { WorkspaceUsage } from './WorkspaceUsage.js'
 
-interface IReservation {
-  readonly step: Step
-  /** How long the step has to wait until it can start. */
-  readonly waitMs: number
-}
-
 /** A job that has waited for this long, in ms, reserves room within the limit of its workspace. */
 const RESERVE_AFTER_MS = 5000
 
 export class LimitReservations {
   /** The step that reserves room, by workspace: the one that had waited longest in the last pass. */
-  private _reserved = new Map<string, IReservation>()
+  private _reserved = new Map<string, Step>()
+  /** How long these steps have to wait until they can start, in ms, by workspace, as far as it was asked for in this pass. */
+  private readonly _waitsMs = new Map<string, number>()
   private _waiting = new Map<string, Step>()
 
   public constructor (
@@ -34,7 +30,8 @@
 
   /** To be called before the steps of a scheduling pass are considered. */
   public beginPass (): void {
-    this._reserved = new Map([...this._waiting].map(([workspace, step]) => [workspace, { step, waitMs: this._forecast.waitMs(step) }]))
+    this._reserved = this._waiting
+    this._waitsMs.clear()
     this._waiting = new Map()
   }
 
@@ -45,14 +42,16 @@
     const places = this._usage.placesFor(workspace, spec, this._reservedAgainst(step))
     // A gang that has runs is not placed again before they are gone.
     const needed = spec.gang && step.hasNoRuns ? spec.count : 1
-    return places >= needed ? places : 0
+    if (places >= needed) return places
+    const freePlaces = this._usage.placesFor(workspace, spec)
+    return freePlaces >= needed && this._endsBeforeReserved(step) ? freePlaces : 0
   }
 
   /** The step whose reservation keeps this one from starting; undefined if the limit alone does. */
   public findHolder (step: Step): Step | undefined {
     const needed = step.spec.gang ? step.spec.count : 1
     const isFree = this._usage.placesFor(step.job.workspace, step.spec) >= needed
-    return isFree ? this._reserved.get(step.job.workspace)?.step : undefined
+    return isFree ? this._reserved.get(step.job.workspace) : undefined
   }
 
   private _recordWaiting (step: Step): void {
@@ -62,14 +61,20 @@
     if (!this._blocked.isBlocked(step)) this._waiting.set(workspace, step)
   }
 
-  /**
-   * What the step has to leave free. More urgent steps need not wait for the one that reserves, nor do steps that will have ended by the time
-   * at which it can start (backfilling).
-   */
+  /** What the step has to leave free. More urgent steps need not wait for the one that reserves. */
   private _reservedAgainst (step: Step): IResources {
-    const { step: reserved, waitMs = 0 } = this._reserved.get(step.job.workspace) ?? {}
+    const reserved = this._reserved.get(step.job.workspace)
     if (reserved === undefined || reserved === step || step.job.queue.priority < reserved.job.queue.priority) return NO_RESOURCES
-    if (this._forecast.runMs(step) <= waitMs) return NO_RESOURCES
     return addResources(NO_RESOURCES, resourcesOf(reserved.spec), reserved.spec.gang ? reserved.spec.count : 1)
   }
+
+  /** Whether the runs of the step will have ended by the time at which the one that reserves can start, so that it may use what is reserved. */
+  private _endsBeforeReserved (step: Step): boolean {
+    const { workspace } = step.job
+    const reserved = this._reserved.get(workspace)
+    if (reserved === undefined) return false
+    const waitMs = this._waitsMs.get(workspace) ?? this._forecast.waitMs(reserved)
+    this._waitsMs.set(workspace, waitMs)
+    return this._forecast.runMs(step) <= waitMs
+  }
 }
