--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -29,7 +29,6 @@
 import { RunTimes } from './RunTimes.js'
 import type { IRunTimesRow } from './RunTimes.js'
 import { StalledRuns } from './StalledRuns.js'
-import { StartForecast } from './StartForecast.js'
 import { TicketRenewal } from './TicketRenewal.js'
 import { WaitingSteps } from './WaitingSteps.js'
 import type { IWaitCause, IWaitingRow, WaitStage } from './WaitingSteps.js'
@@ -57,7 +56,6 @@
   private readonly _times = new RunTimes()
   private readonly _workspaces = new WorkspaceUsage()
   private readonly _blocked: BlockedSteps
-  private readonly _forecast: StartForecast
   private readonly _limits: LimitReservations
   private readonly _runController: RunController
   private readonly _holdHandler: HoldAnswerHandler
@@ -78,8 +76,7 @@
   ) {
     const onChange = (): void => { _effects.requestPass() }
     this._blocked = new BlockedSteps(this.hosts, this._workspaces, () => this._slowHosts, _clock)
-    this._forecast = new StartForecast(this.hosts, this._workspaces, this._times, (step) => this._lastReservations?.waitOf(step), _clock)
-    this._limits = new LimitReservations(this._workspaces, this._blocked, this._forecast)
+    this._limits = new LimitReservations(this._workspaces, this._blocked)
     this._runController = new RunController({
       save: async (job) => { await _effects.save(job) },
       start: async (host, order) => await _effects.start(host, order),
--- a/src/common/cell/LimitReservations.ts
+++ b/src/common/cell/LimitReservations.ts
@@ -11,7 +11,6 @@
 import type { Step } from './Job.js'
 import { NO_RESOURCES, addResources, resourcesOf } from './Resources.js'
 import type { IResources } from './Resources.js'
-import type { IStartForecast } from './StartForecast.js'
 import type { WorkspaceUsage } from './WorkspaceUsage.js'
 
 /** A job that has waited for this long, in ms, reserves room within the limit of its workspace. */
@@ -20,18 +19,13 @@
 export class LimitReservations {
   /** The step that reserves room, by workspace: the one that had waited longest in the last pass. */
   private _reserved = new Map<string, Step>()
-  /** How long these steps have to wait until they can start, in ms, by workspace, as far as it was asked for in this pass. */
-  private readonly _waitsMs = new Map<string, number>()
   private _waiting = new Map<string, Step>()
 
-  public constructor (
-    private readonly _usage: WorkspaceUsage, private readonly _blocked: IBlockedSteps, private readonly _forecast: IStartForecast
-  ) {}
+  public constructor (private readonly _usage: WorkspaceUsage, private readonly _blocked: IBlockedSteps) {}
 
   /** To be called before the steps of a scheduling pass are considered. */
   public beginPass (): void {
     this._reserved = this._waiting
-    this._waitsMs.clear()
     this._waiting = new Map()
   }
 
@@ -42,9 +36,7 @@
     const places = this._usage.placesFor(workspace, spec, this._reservedAgainst(step))
     // A gang that has runs is not placed again before they are gone.
     const needed = spec.gang && step.hasNoRuns ? spec.count : 1
-    if (places >= needed) return places
-    const freePlaces = this._usage.placesFor(workspace, spec)
-    return freePlaces >= needed && this._endsBeforeReserved(step) ? freePlaces : 0
+    return places >= needed ? places : 0
   }
 
   /** The step whose reservation keeps this one from starting; undefined if the limit alone does. */
@@ -67,14 +59,4 @@
     if (reserved === undefined || reserved === step || step.job.queue.priority < reserved.job.queue.priority) return NO_RESOURCES
     return addResources(NO_RESOURCES, resourcesOf(reserved.spec), reserved.spec.gang ? reserved.spec.count : 1)
   }
-
-  /** Whether the runs of the step will have ended by the time at which the one that reserves can start, so that it may use what is reserved. */
-  private _endsBeforeReserved (step: Step): boolean {
-    const { workspace } = step.job
-    const reserved = this._reserved.get(workspace)
-    if (reserved === undefined) return false
-    const waitMs = this._waitsMs.get(workspace) ?? this._forecast.waitMs(reserved)
-    this._waitsMs.set(workspace, waitMs)
-    return this._forecast.runMs(step) <= waitMs
-  }
 }
