Observability: slow and late scheduling passes, and steps whose runs are all prepared

Change: the pacing of passes is a class of its own, PassPacer, with the delays of before. What a pass recorded is shown once that pass has ended.

--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -8,6 +8,7 @@
 import { CellScheduler } from '../common/cell/CellScheduler.js'
 import { WorkspaceShareOrder } from '../common/cell/JobOrder.js'
 import { decodeJob, queueTermsOf } from '../common/cell/JobRecord.js'
+import { PassPacer } from '../common/cell/PassPacer.js'
 import type { IAdviceSender } from '../common/cell/AdviceDispatcher.js'
 import type {
   CancelOutcome, ICallerAccess, ICellOwnerPort, IHostEntry, IHostOrders, IMetadataStore, IQueue, IStartOrder, ISubmission, OwnerAnswer, StartOutcome,
@@ -64,12 +65,6 @@
 const SLOW_CLOCK_FACTOR = 1.02
 const INHERITED_MARGIN_MS = 1000
 const SWEEP_INTERVAL_MS = 400
-/**
- * Delay of a scheduling pass after a change, so that one pass handles several changes: at least this long, in ms, and a multiple of the
- * duration of the last pass. So passes never take more than a fifth of the processor, however long the queue is.
- */
-const MIN_PASS_DELAY_MS = 4
-const PASS_DELAY_FACTOR = 4
 /** An owner that has not read the store within this time steps aside for another process, in ms: ten times the usual duration. */
 const LOAD_TIMEOUT_MS = 4000
 const CLEANUP_INTERVAL_MS = 10_000
@@ -91,13 +86,12 @@
   private readonly _scheduler: CellScheduler
   private readonly _jobStore: Promise<JobStore>
   private readonly _hosts: HostSessions
+  private readonly _pacer: PassPacer
   private readonly _disposables = new DisposableStore()
   private readonly _accepting = new Map<string, IAccepting>()
   private readonly _authorizer: CallerAuthorizer
   private readonly _limiter: JobLimiter
   private _isDisposed = false
-  private _isPassDue = false
-  private _lastPassMs = 0
   private _store: JobStore | undefined
 
   private readonly _disposed: Promise<void>
@@ -111,6 +105,8 @@
   ) {
     const { clock, chart, log, advice, orders } = _context
     const inheritedMs = (_options.maxHoldMs + UNCONFIRMED_HOLD_MS) * SLOW_CLOCK_FACTOR + INHERITED_MARGIN_MS
+    const recordDuration = (name: string, ms: number): void => { _context.times.record(name, ms) }
+    this._pacer = new PassPacer({ runPass: () => this._scheduler.runPass(), recordDuration }, clock, log)
     this._scheduler = new CellScheduler({
       save: async (job) => { await (await this._jobStore).save(job) },
       start: async (host, order) => {
@@ -123,8 +119,8 @@
       onFenced: (hostId) => { this._onFenced(hostId) },
       machines: () => advice.machines(),
       send: async (machine, ask, timeoutMs) => await advice.send(machine, ask, timeoutMs),
-      requestPass: () => { this._requestPass() },
-      recordDuration: (name, ms) => { _context.times.record(name, ms) },
+      requestPass: () => { this._pacer.request() },
+      recordDuration,
       count: (name, kind) => { _context.counters.add(name, kind) }
     }, { farFactor: _options.farFactor, inheritedUntilMs: clock.nowMs() + inheritedMs }, chart, clock, log, new WorkspaceShareOrder())
     this._limiter = new JobLimiter({
@@ -139,7 +135,7 @@
       scheduler: this._scheduler,
       holdUntilMs: () => this._holdUntilMs(_context.ownership.confirmedAtMs),
       onFenced: (hostId) => { this._onFenced(hostId) },
-      requestPass: () => { this._requestPass() }
+      requestPass: () => { this._pacer.request() }
     }, { fence: _fence, maxHoldMs: _options.maxHoldMs, heartbeatMs: _options.heartbeatMs, processorCores: _options.processorCores })
     this._authorizer = new CallerAuthorizer(_context.config, () => this._store?.isStoreUnavailable === true)
     this._jobStore = this._load()
@@ -241,6 +237,7 @@
     this._resolveDisposed()
     this._disposables.dispose()
     this._hosts.dispose()
+    this._pacer.dispose()
     this._scheduler.dispose()
     this._store?.dispose()
   }
@@ -367,7 +364,7 @@
   /** Applies the current terms of each queue to its accepted jobs. Jobs of a removed queue keep the terms under which they were accepted. */
   private _updateAllQueueTerms (): void {
     for (const job of this._scheduler.jobs.values()) this._updateQueueTerms(job)
-    this._requestPass()
+    this._pacer.request()
   }
 
   private _updateQueueTerms (job: Job): void {
@@ -383,16 +380,4 @@
       this._store?.remove(jobId)
     }
   }
-
-  private _requestPass (): void {
-    if (this._isPassDue || this._isDisposed) return
-    this._isPassDue = true
-    this._context.clock.after(Math.max(MIN_PASS_DELAY_MS, this._lastPassMs * PASS_DELAY_FACTOR), () => {
-      this._isPassDue = false
-      if (this._isDisposed) return
-      const passStartedAtMs = this._context.clock.nowMs()
-      this._scheduler.runPass()
-      this._lastPassMs = this._context.clock.nowMs() - passStartedAtMs
-    })
-  }
 }
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -233,8 +233,8 @@
     this._effects.requestPass()
   }
 
-  /** Places every task that can be placed now, the most urgent first. */
-  public runPass (): void {
+  /** Places every task that can be placed now, the most urgent first. Returns the number of steps that were considered. */
+  public runPass (): number {
     const nowMs = this._clock.nowMs()
     this._slowHosts = this._speeds.findSlowHosts(this.hosts.values())
     const reservations = new CapacityReservations(this.hosts.values())
@@ -249,12 +249,11 @@
       hasReservation: (host) => this._lastReservations?.hasReservation(host) === true
     }
     this._limits.beginPass()
-    this._waiting.beginPass()
-    for (const step of this._readySteps(nowMs)) {
-      const stage = this._placeStep(step, reservations, view)
-      if (stage !== undefined && (step.hasNoRuns || step.spec.gang)) this._waiting.record(step, stage)
-    }
+    const steps = this._readySteps(nowMs)
+    for (const step of steps) this._waiting.recordResult(step, this._placeStep(step, reservations, view))
+    this._waiting.endPass()
     this._lastReservations = reservations
+    return steps.length
   }
 
   /** The calls for advice that wait and that are in flight, and how many may occupy the owner at once. */
@@ -308,7 +307,9 @@
         continue
       }
       for (const step of job.steps) {
-        if (!step.isDone && step.isReady && step.tasks.some((task) => task.isIdle)) steps.push(step)
+        if (step.isDone || !step.isReady) continue
+        if (step.tasks.some((task) => task.isIdle)) steps.push(step)
+        else this._waiting.recordResult(step)
       }
     }
     return this._order.sort(steps, nowMs, this._workspaces, this._times)
--- a/src/common/cell/WaitingSteps.test.ts
+++ b/src/common/cell/WaitingSteps.test.ts
@@ -58,3 +58,23 @@
   await cell.run(6000)
   t.deepEqual(reasonsOf(cell), ['1 advice'])
 })
+
+test('a job whose runs are all prepared is shown as waiting for the store or for its tickets', async (t) => {
+  let calls = 0
+  const advice = { baseMs: 10, perHostMs: 0, validMs: 100 }
+  const cell = new SimulatedCell({
+    hosts: 1,
+    saveMs: 500,
+    adviceMs: () => {
+      calls += 1
+      return calls === 1 ? 10 : 20_000
+    }
+  })
+  cell.submit([{ count: 2 }], { advice })
+  await cell.run(6500)
+  t.deepEqual(reasonsOf(cell), ['1 tickets'])
+  cell.isStoreDown = true
+  cell.submit([{ count: 2 }])
+  await cell.run(6500)
+  t.deepEqual(reasonsOf(cell), ['1 tickets', '2 record'])
+})
--- a/src/common/cell/WaitingSteps.ts
+++ b/src/common/cell/WaitingSteps.ts
@@ -10,8 +10,11 @@
 import type { Blocker } from './BlockedSteps.js'
 import type { Step } from './Job.js'
 
-/** Where a pass stopped: at the workspace's limit, at the advice, at earlier runs of the gang, or at the room on the hosts. */
-export type WaitStage = 'limit' | 'advice' | 'earlierRuns' | 'room'
+/**
+ * Where a pass stopped: at the workspace's limit, at the advice, at earlier runs of the gang, or at the room on the hosts. Prepared runs wait
+ * until they are in the store (`record`), and then for their `tickets`.
+ */
+export type WaitStage = 'limit' | 'advice' | 'earlierRuns' | 'room' | 'record' | 'tickets'
 /** `limitReserved` and `roomReserved`: there would be enough if nothing were reserved for another job. */
 export type WaitReason = WaitStage | 'limitReserved' | 'roomReserved'
 
@@ -49,25 +52,40 @@
 const MAX_ROWS = 100
 
 export class WaitingSteps {
-  private _lastWaits = new Map<Step, IWait>()
+  /** Of the last pass. */
   private _waits = new Map<Step, IWait>()
+  /** Of the pass that runs. */
+  private _nextWaits = new Map<Step, IWait>()
 
   /** @param _explain the cause, given the stage at which the pass stopped */
   public constructor (
     private readonly _explain: (step: Step, stage: WaitStage) => IWaitCause, private readonly _clock: IClock, private readonly _log: ILogger
   ) {}
 
-  /** To be called before the steps of a scheduling pass are considered. Forgets the steps that were not recorded since the last call. */
-  public beginPass (): void {
-    this._lastWaits = this._waits
-    this._waits = new Map()
+  /** To be called once the steps of a scheduling pass have been considered. Forgets the steps that were not recorded since the last call. */
+  public endPass (): void {
+    this._waits = this._nextWaits
+    this._nextWaits = new Map()
   }
 
-  /** Records that nothing of the step could start in this pass. */
-  public record (step: Step, stage: WaitStage): void {
+  /**
+   * Records a step that has nothing running after it was considered.
+   *
+   * @param stage what kept the pass from placing any of its tasks; undefined if it has placed some, or none is idle
+   */
+  public recordResult (step: Step, stage?: WaitStage): void {
+    if (step.tasks.some(({ attempt }) => attempt?.wasOrdered === true)) {
+      if (stage !== undefined && step.spec.gang) this._record(step, stage)
+      return
+    }
+    const reached = preparedStage(step) ?? stage
+    if (reached !== undefined) this._record(step, reached)
+  }
+
+  private _record (step: Step, stage: WaitStage): void {
     const nowMs = this._clock.nowMs()
-    const wait = this._lastWaits.get(step) ?? { sinceMs: nowMs, cause: undefined, explainedAtMs: -Infinity, loggedAtMs: -Infinity }
-    this._waits.set(step, wait)
+    const wait = this._waits.get(step) ?? { sinceMs: nowMs, cause: undefined, explainedAtMs: -Infinity, loggedAtMs: -Infinity }
+    this._nextWaits.set(step, wait)
     if (nowMs - wait.sinceMs < EXPLAIN_AFTER_MS || nowMs - wait.explainedAtMs < EXPLAIN_INTERVAL_MS) return
     wait.cause = this._explain(step, stage)
     wait.explainedAtMs = nowMs
@@ -104,6 +122,13 @@
   }
 }
 
+/** What the prepared runs of the step wait for; undefined if it has none. */
+function preparedStage ({ tasks }: Step): WaitStage | undefined {
+  const prepared = tasks.flatMap(({ attempt }) => attempt?.phase === 'preparing' ? [attempt] : [])
+  if (prepared.length === 0) return undefined
+  return prepared.some(({ isRecorded }) => isRecorded) ? 'tickets' : 'record'
+}
+
 function rowOf ({ job: { spec, queue, workspace }, number }: Step, sinceMs: MonotonicMs, cause: IWaitCause, nowMs: MonotonicMs): IWaitingRow {
   return { job: spec.jobId, step: number, queue: queue.name, workspace, waitMs: Math.round(nowMs - sinceMs), ...cause }
 }
