Bench passCost: what a scheduling pass costs by hosts and waiting steps

Nothing showed what a pass costs as hosts and steps grow, in cells that are full, half free, and taken over.

--- a/bench/run.ts
+++ b/bench/run.ts
@@ -15,6 +15,7 @@
   decisions: './decisions.js',
   links: './links.js',
   membership: './membership.js',
+  passCost: './passCost.js',
   path: './path.js',
   slopes: './slopes.js'
 }
