The order of waiting steps forecasts once a step whether it is late, not in each comparison

With many gangs waiting, sorting them took a part of each pass: each comparison forecast anew for both jobs whether they are late, and a forecast of a running gang summed the distribution of its queue, with an exponential for each class. The keys are now computed before the sort, and the classes' ratios once.

--- a/src/common/cell/JobOrder.ts
+++ b/src/common/cell/JobOrder.ts
@@ -45,7 +45,7 @@
 /** Whoever submits them, by objective. */
 export class ObjectiveOrder implements IJobOrder {
   public sort (steps: Step[], nowMs: MonotonicMs, _usage: WorkspaceUsage, times?: IRunForecast): readonly Step[] {
-    return steps.sort((a, b) => compareByObjective(a.job, b.job, nowMs, times))
+    return sortByKeys(steps, nowMs, times, () => false)
   }
 }
 
@@ -57,11 +57,32 @@
  */
 export class WorkspaceShareOrder implements IJobOrder {
   public sort (steps: Step[], nowMs: MonotonicMs, _usage: WorkspaceUsage, times?: IRunForecast): readonly Step[] {
-    return steps.sort(({ job: a }, { job: b }) => a.queue.priority - b.queue.priority ||
-      Number(isDeferred(a, nowMs)) - Number(isDeferred(b, nowMs)) || compareByObjective(a, b, nowMs, times))
+    return sortByKeys(steps, nowMs, times, (job) => isDeferred(job, nowMs))
   }
 }
 
+/** What the order compares of a step. Whether its job is late takes a forecast, which would be repeated with each comparison. */
+interface ISortKeys {
+  readonly step: Step
+  readonly isDeferred: boolean
+  readonly isLate: boolean
+}
+
+/** Sorts by urgency, with deferred jobs behind the others, then late ones, and otherwise by objective. */
+function sortByKeys (
+  steps: readonly Step[], nowMs: MonotonicMs, times: IRunForecast | undefined, isDeferredJob: (job: Job) => boolean
+): readonly Step[] {
+  const keys = steps.map((step): ISortKeys => ({ step, isDeferred: isDeferredJob(step.job), isLate: isLate(step.job, nowMs, times) }))
+  return keys.sort(compareKeys).map(({ step }) => step)
+}
+
+function compareKeys (a: ISortKeys, b: ISortKeys): number {
+  const { job: first } = a.step
+  const { job: second } = b.step
+  return first.queue.priority - second.queue.priority || Number(a.isDeferred) - Number(b.isDeferred) || Number(a.isLate) - Number(b.isLate) ||
+    first.dueMs - second.dueMs
+}
+
 /** A job beyond the share is deferred for at most the time to its objective once more. */
 function isDeferred ({ isBeyondWorkShare, receivedAtMs, dueMs }: Job, nowMs: MonotonicMs): boolean {
   return isBeyondWorkShare && nowMs < dueMs + (dueMs - receivedAtMs)
--- a/src/common/cell/RunTimes.ts
+++ b/src/common/cell/RunTimes.ts
@@ -20,6 +20,8 @@
 const CLASSES = 58
 const CLASS_LOG = Math.log(256) / CLASSES
 const LOWEST_LOG = -Math.log(16)
+/** The ratio in the middle of each class. */
+const RATIOS: readonly number[] = Array.from({ length: CLASSES }, (_, number) => Math.exp(LOWEST_LOG + (number + 0.5) * CLASS_LOG))
 /** A run that takes longer than any before is assumed to need this share of its time once more. */
 const OVERRUN_SHARE = 0.25
 /** The percentile from which on a forecast allows for a run that becomes slower than it was so far, and by how much. */
@@ -127,11 +129,6 @@
   return Math.min(CLASSES - 1, Math.max(0, Math.floor((Math.log(ratio) - LOWEST_LOG) / CLASS_LOG)))
 }
 
-/** The ratio in the middle of the class. */
-function ratioOf (number: number): number {
-  return Math.exp(LOWEST_LOG + (number + 0.5) * CLASS_LOG)
-}
-
 function percentileOf (distribution: IDistribution, percentile: number): number {
   const known = distribution.percentiles.get(percentile)
   if (known !== undefined) return known
@@ -142,14 +139,15 @@
 
 /** The percentile of the ratios above `minRatio`: a run that has lasted longer than others have ended is one of those that take longer. */
 function quantile ({ weights }: IDistribution, percentile: number, minRatio: number): number {
-  const isLeft = (number: number): boolean => ratioOf(number) > minRatio
-  const total = weights.reduce((sum, weight, number) => isLeft(number) ? sum + weight : sum, 0)
+  let first = 0
+  while (first < CLASSES && (RATIOS[first] ?? Infinity) <= minRatio) first += 1
+  let total = 0
+  for (let number = first; number < CLASSES; number += 1) total += weights[number] ?? 0
   if (total <= 0) return minRatio * (1 + OVERRUN_SHARE)
   let sum = 0
-  for (const [number, weight] of weights.entries()) {
-    if (!isLeft(number)) continue
-    sum += weight
-    if (sum >= total * percentile / 100) return ratioOf(number)
+  for (let number = first; number < CLASSES; number += 1) {
+    sum += weights[number] ?? 0
+    if (sum >= total * percentile / 100) return RATIOS[number] ?? minRatio
   }
-  return ratioOf(CLASSES - 1)
+  return RATIOS[CLASSES - 1] ?? minRatio
 }
