Reservations look only at hosts that can have room sooner than the places found

With the forecasts shared, what remained of the cost of a waiting gang was to list and sort the places of all hosts that it may use, with the resources that have to stay free on each, although it needs some of them. The soonest places are now kept in order while the hosts are gone through, and a host that has no room before the last of them is passed over by one comparison. Places of the same wait keep the order of the hosts. Room on a host is compared without a division.

--- a/src/common/cell/CapacityReservations.test.ts
+++ b/src/common/cell/CapacityReservations.test.ts
@@ -108,3 +108,19 @@
   t.is(reserved, gangs.length)
   t.is(times.remainingCount, 160)
 })
+
+test('the search for the soonest places of a gang passes over hosts that have none sooner than those found', async (t) => {
+  // With all places of all hosts forecast and sorted for each gang, the cost grew with gangs times hosts times runs.
+  const cell = new SimulatedCell({ hosts: 100, host: { workMs: () => 5000 } })
+  await cell.run(500)
+  cell.submit([{ count: 800, estimateMs: 5000 }], { priority: 0 })
+  await cell.run(500)
+  const [gang] = cell.createJob([{ count: 3, cpuMillicores: 8000, gang: true }]).steps
+  if (gang === undefined) throw new Error('no gang')
+  let headrooms = 0
+  const view = createView(cell)
+  const counting = { ...view, headroom: (...args: Parameters<typeof view.headroom>) => { headrooms += 1; return view.headroom(...args) } }
+  const reservation = new CapacityReservations(cell.scheduler.hosts.values()).reserve(gang, counting, false)
+  t.deepEqual(reservation, { hosts: [...cell.scheduler.hosts.values()].slice(0, 3), waitMs: 1000 })
+  t.is(headrooms, 3)
+})
--- a/src/common/cell/CapacityReservations.ts
+++ b/src/common/cell/CapacityReservations.ts
@@ -10,7 +10,7 @@
 
 import { fitsOnceFree } from './BlockedSteps.js'
 import type { HostState } from './HostState.js'
-import { forecastEnds, placeTimes } from './HostForecast.js'
+import { forecastEnds, hasRoomBefore, placeTimes } from './HostForecast.js'
 import type { IRunEnd } from './HostForecast.js'
 import type { Step } from './Job.js'
 import { eligibleHosts } from './Placement.js'
@@ -93,11 +93,17 @@
 
   /** The places that become free soonest: as many as the gang needs, or all within the horizon. */
   private _soonestPlaces (step: Step, hosts: readonly HostState[], view: IPlacementView): readonly IPlace[] {
+    const { spec } = step
     const places: IPlace[] = []
     for (const host of hosts) {
-      for (const waitMs of placeTimes(host, step.spec, view.headroom(host, step), this._endsOn(host, view))) places.push({ host, waitMs })
+      const ends = this._endsOn(host, view)
+      // A later place of the same wait is not among the soonest.
+      const beforeMs = places[spec.count - 1]?.waitMs ?? Infinity
+      if (beforeMs <= 0) break
+      if (!hasRoomBefore(host, spec, NO_RESOURCES, ends, beforeMs)) continue
+      for (const waitMs of placeTimes(host, spec, view.headroom(host, step), ends, beforeMs)) insertPlace(places, { host, waitMs }, spec.count)
     }
-    return places.sort((a, b) => a.waitMs - b.waitMs).slice(0, step.spec.count)
+    return places
   }
 
   /** Forecast once a pass for all gangs that wait, and again only if runs were placed on the host meanwhile. */
@@ -115,3 +121,11 @@
     this._leftMillicores -= resources.cpuMillicores
   }
 }
+
+/** Keeps the places in the order of their waits, and those of the same wait in the order of their insertion. */
+function insertPlace (places: IPlace[], place: IPlace, most: number): void {
+  let number = places.length
+  while (number > 0 && (places[number - 1]?.waitMs ?? 0) > place.waitMs) number -= 1
+  places.splice(number, 0, place)
+  if (places.length > most) places.pop()
+}
--- a/src/common/cell/HostForecast.ts
+++ b/src/common/cell/HostForecast.ts
@@ -44,23 +44,35 @@
   return placeTimes(host, step, keepFree, forecastEnds(host, nowMs, horizonMs, times))
 }
 
-/** The same, given the ends of the host's runs. */
-export function placeTimes (host: HostState, step: IStepSpec, keepFree: IResources, ends: readonly IRunEnd[]): readonly number[] {
-  const last = ends.at(-1)
+/**
+ * The same, given the ends of the host's runs.
+ *
+ * @param beforeMs waits of this length or longer don't count
+ */
+export function placeTimes (
+  host: HostState, step: IStepSpec, keepFree: IResources, ends: readonly IRunEnd[], beforeMs = Infinity
+): readonly number[] {
   const waitsMs: number[] = []
-  if (placesAfter(host, step, keepFree, last) === 0) return waitsMs
+  if (!hasRoomBefore(host, step, keepFree, ends, beforeMs)) return waitsMs
   const most = host.capacityFor(step)
   const addTimes = (places: number, waitMs: number): void => {
     while (waitsMs.length < Math.min(most, places)) waitsMs.push(waitMs)
   }
   addTimes(placesAfter(host, step, keepFree, undefined), 0)
   for (const end of ends) {
-    if (waitsMs.length === most) break
+    if (waitsMs.length === most || end.remainingMs >= beforeMs) break
     addTimes(placesAfter(host, step, keepFree, end), end.remainingMs)
   }
   return waitsMs
 }
 
+/** Whether the host will have room for a task of the step before that. */
+export function hasRoomBefore (host: HostState, step: IStepSpec, keepFree: IResources, ends: readonly IRunEnd[], beforeMs: number): boolean {
+  let number = ends.length
+  while (number > 0 && (ends[number - 1]?.remainingMs ?? 0) >= beforeMs) number -= 1
+  return placesAfter(host, step, keepFree, ends[number - 1]) > 0
+}
+
 function placesAfter ({ entry, used }: HostState, step: IStepSpec, keepFree: IResources, end: IRunEnd | undefined): number {
   return placesIn(
     entry.cpuMillicores - used.cpuMillicores - keepFree.cpuMillicores + (end?.cpuMillicores ?? 0),
--- a/src/common/cell/HostState.ts
+++ b/src/common/cell/HostState.ts
@@ -6,7 +6,7 @@
 import type { EpochMs, MonotonicMs } from '../Types.js'
 import type { Attempt } from './Attempt.js'
 import { MIN_POLL_WAIT_MS } from './PollWait.js'
-import { NO_RESOURCES, addResources, countPlaces, placesIn, resourcesOf } from './Resources.js'
+import { NO_RESOURCES, addResources, countPlaces, fits, placesIn, resourcesOf } from './Resources.js'
 import type { IResources } from './Resources.js'
 import type { IHostEntry, IStepSpec } from './Types.js'
 import type { WorkspaceUsage } from './WorkspaceUsage.js'
@@ -134,6 +134,13 @@
     )
   }
 
+  /** Whether one more task of this step fits, if nothing has to stay free. */
+  public hasRoomFor (step: IStepSpec): boolean {
+    const { entry, _used: used } = this
+    return fits(entry.cpuMillicores - used.cpuMillicores, step.fills ? 0 : step.cpuMillicores) &&
+      fits(entry.memoryMb - used.memoryMb, step.memoryMb) && fits(entry.accelerators - used.accelerators, step.accelerators)
+  }
+
   /** How many tasks of this step would fit if the host were empty. */
   public capacityFor (step: IStepSpec): number {
     return Math.min(countPlaces(this.entry, step), step.maxPerHost === 0 ? step.count : step.maxPerHost)
--- a/src/common/cell/PassHosts.ts
+++ b/src/common/cell/PassHosts.ts
@@ -38,6 +38,10 @@
 
   /** The hosts with room for a task of the step, if nothing had to stay free. */
   public withRoom ({ spec, job }: Step): readonly HostState[] {
-    return this._placeable.filter((host) => host.placesFor(spec) > 0 && host.entry.service === job.queue.service && host.couldHold(spec))
+    const found: HostState[] = []
+    for (const host of this._placeable) {
+      if (host.hasRoomFor(spec) && host.entry.service === job.queue.service && host.couldHold(spec)) found.push(host)
+    }
+    return found
   }
 }
--- a/src/common/cell/Resources.ts
+++ b/src/common/cell/Resources.ts
@@ -27,8 +27,8 @@
   return Math.max(0, Math.floor(Math.min(byCpu, byMemory, byAccelerators, step.count)))
 }
 
-/** What a task doesn't need may be overcommitted. */
-function fits (free: number, needed: number): boolean {
+/** Whether so much is free. What a task doesn't need may be overcommitted. */
+export function fits (free: number, needed: number): boolean {
   return needed === 0 || free >= needed
 }
 
