A new call for advice is matched with the machines alone, not together with all calls that wait

Cause: each call that a scheduling pass makes had all waiting calls sorted, checked and matched with every machine again. With n calls that wait and m machines, a pass that makes k calls did k * n * m checks, and each answer n * m more; so the more calls wait, the longer each pass and answer takes, and the fewer calls are made in time.

Change: the calls that wait were tried when a machine or the owner last became free. So a further call is checked alone, and only if there is a machine for it are all calls tried in their order. There, calls that need the same kind of machine as one that has found none aren't checked again until one is sent, and the room of the owner is checked once for each sent call.

--- a/src/common/cell/AdviceDispatcher.test.ts
+++ b/src/common/cell/AdviceDispatcher.test.ts
@@ -36,7 +36,7 @@
       jobId, step: 0, hostIds: [], priority, holdsCapacity, dueMs: 0, isLate: () => isLate, expectedMs, isWanted: () => true, settle: () => {}
     })
   }
-  return { clock, sent, ask, machines: () => sent.map(({ machine }) => machine) }
+  return { clock, sent, ask, dispatcher, machines: () => sent.map(({ machine }) => machine) }
 }
 
 /**
@@ -259,3 +259,29 @@
   t.is(dispatcher.waitingCount, 0)
   t.is(dispatcher.limit, before)
 })
+
+test('a call that finds no machine does not have all waiting calls ordered again', async (t) => {
+  // Each new call of a burst ordered all calls that waited, which took most of an owner's processor time.
+  const { dispatcher } = createDispatcher()
+  let ordered = 0
+  const isLate = (): boolean => {
+    ordered += 1
+    return false
+  }
+  for (let number = 0; number < 500; number += 1) {
+    dispatcher.dispatch({
+      jobId: String(number),
+      step: 0,
+      hostIds: [],
+      priority: 1,
+      holdsCapacity: false,
+      dueMs: 0,
+      isLate,
+      expectedMs: SLOW_MS,
+      isWanted: () => true,
+      settle: () => {}
+    })
+  }
+  t.is(dispatcher.waitingCount + dispatcher.inFlightCount, 500)
+  t.true(ordered <= 2 * 500, `${ordered} comparisons`)
+})
--- a/src/common/cell/AdviceDispatcher.ts
+++ b/src/common/cell/AdviceDispatcher.ts
@@ -109,6 +109,8 @@
   isSlowHeldUp: boolean
 }
 
+const NO_OTHERS: IWaitingKinds = { hasShort: false, sharingCount: 0, isSlowHeldUp: false }
+
 export class AdviceDispatcher {
   private readonly _loads = new Map<string, IMachineLoad>()
   private readonly _limit = new AdviceLimit()
@@ -148,9 +150,11 @@
   }
 
   public dispatch (call: IAdviceCall): void {
+    const hasWaiting = this._waiting.length > 0
     this._waiting.push({ call, sinceMs: this._clock.nowMs() })
     if (call.expectedMs <= BRIEF_CALL_MS) this._briefAtMs = this._clock.nowMs()
-    this.sendWaiting()
+    // The calls before it were tried when a machine last became free, so only this one may find a machine.
+    if (!hasWaiting || this._canSend(call)) this.sendWaiting()
   }
 
   /** Sends the calls that can be sent. To be called when machines come or go. */
@@ -171,6 +175,12 @@
     for (const { call } of this._waiting.splice(0)) call.settle({ kind: 'failed', reason: 'no longer the owner' })
   }
 
+  /** Whether the call could be sent now if no other waited. */
+  private _canSend (call: IAdviceCall): boolean {
+    if (!this._hasRoom()) return false
+    return !this._isShortOfMachines || this._chooseMachine(this._shareMachines(), call, NO_OTHERS) !== undefined
+  }
+
   /** If a turn is due, sends the call that has waited longest, of those that have waited for long and for which there is a machine. */
   private _sendLongestWaiting (shares: IMachineShares): void {
     if (this._sentSinceTurn < CALLS_PER_TURN - 1) return
@@ -190,18 +200,24 @@
   private _sendInOrder (shares: IMachineShares): void {
     const left: IWaitingCall[] = []
     const kinds = this._waitingKinds(shares)
+    // While nothing is sent, calls that need the same kind of machine find none either.
+    const withoutMachine = new Set<number>()
+    let hasRoom = this._hasRoom()
     this._isShortOfMachines = false
     for (const waiting of this._waiting) {
       const { call } = waiting
-      const hasRoom = this._hasRoom()
-      const name = hasRoom ? this._chooseMachine(shares, call, kinds) : undefined
+      const need = machineNeedOf(call)
+      const name = hasRoom && !withoutMachine.has(need) ? this._chooseMachine(shares, call, kinds) : undefined
       if (name === undefined) {
         left.push(waiting)
+        withoutMachine.add(need)
         this._isShortOfMachines ||= hasRoom
         kinds.isSlowHeldUp ||= hasRoom && isSlowCall(call.expectedMs)
       } else {
         if (hasToShare(shares, call)) kinds.sharingCount -= 1
         this._send(name, call)
+        withoutMachine.clear()
+        hasRoom = this._hasRoom()
       }
     }
     this._waiting = left
@@ -326,8 +342,14 @@
 }
 
 /** Whether a short call can only use machines that also make slow ones. */
-function hasToShare (shares: IMachineShares, call: IAdviceCall): boolean {
-  return !isSlowCall(call.expectedMs) && shortOnlyNames(shares, call).length === 0
+function hasToShare ({ names, slowCount, shortCount }: IMachineShares, { expectedMs }: IAdviceCall): boolean {
+  return !isSlowCall(expectedMs) && (expectedMs <= BRIEF_CALL_MS ? names.length : shortCount) <= slowCount
+}
+
+/** A number for all that decides which machines may make the call. */
+function machineNeedOf ({ expectedMs, priority }: IAdviceCall): number {
+  const length = isSlowCall(expectedMs) ? 2 : expectedMs <= BRIEF_CALL_MS ? 0 : 1
+  return length * 2 + Number(priority === URGENT_PRIORITY)
 }
 
 /** Whether the machine may be given the call now. Short calls are never given to a machine with a slow one in flight. */
