Reproduction: scheduling passes that take simulated time

Cause: after a pass, the next one comes four times its duration later, and goes through all steps from the first one. No test showed it: passes took no time in the simulated cell, and their pacing was part of CellOwner.

Change: in SimulatedCell, a pass may take time for each step that it considers (stepCostMs). The owner does nothing else meanwhile; hosts and the advice service go on. Its passes are paced by PassPacer, as in the product.

--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -316,7 +316,7 @@
   }
 
   /** Places what can be placed of the step. Returns what it waits for if that is nothing. */
-  private _placeStep (step: Step, reservations: CapacityReservations, view: IPlacementView): WaitStage | undefined {
+  protected _placeStep (step: Step, reservations: CapacityReservations, view: IPlacementView): WaitStage | undefined {
     const allowed = this._limits.countAllowed(step, view.nowMs)
     if (allowed === 0) return 'limit'
     const advice = this._advice.ensureAdvice(step)
--- a/test/support/SimulatedCell.ts
+++ b/test/support/SimulatedCell.ts
@@ -4,12 +4,14 @@
  */
 
 import { readFileSync } from 'node:fs'
-import { CellScheduler } from '../../src/common/cell/CellScheduler.js'
 import { Job } from '../../src/common/cell/Job.js'
 import { DEFAULT_STEP, applyProgress, decodeAccepted, encodeAccepted, encodeProgress } from '../../src/common/cell/JobRecord.js'
+import { PassPacer } from '../../src/common/cell/PassPacer.js'
 import { ManualClock } from '../../src/common/Clock.js'
 import { SilentLogger } from '../../src/common/observability/SilentLogger.js'
 import { ChartTable } from '../../src/common/state/ChartTable.js'
+import { BusyClock } from './BusyClock.js'
+import { CostlyScheduler } from './CostlyScheduler.js'
 import { SimulatedHost, taskKey } from './SimulatedHost.js'
 
 import type { ILogger } from '../../src/common/observability/Types.js'
@@ -61,6 +63,11 @@
   readonly ticketValidMs?: number
   /** Whether a call for advice fails once the timeout that the owner has set has passed; by default it waits for its answer. */
   readonly hasAdviceTimeouts?: boolean
+  /**
+   * The time that a scheduling pass takes for each step that it considers, during which the owner does nothing else. Passes are paced as in
+   * the product then; by default they take no time, and are made at the end of each tick.
+   */
+  readonly stepCostMs?: number
 }
 
 export class SimulatedCell {
@@ -75,7 +82,7 @@
   private _workspaces: readonly IWorkspace[] = []
   /** The number of starts that were refused because their ticket had expired. */
   public staleTicketCount = 0
-  public scheduler: CellScheduler
+  public scheduler: CostlyScheduler
   /** While this is set, no save completes. */
   public isStoreDown = false
   /** The machines that have disappeared: they make no calls for advice, and those that they have in flight get no answer. */
@@ -89,6 +96,10 @@
   /** The minimum time between two scheduling passes: a slow owner makes few. */
   public passIntervalMs = 0
   private _passedAtMs = -Infinity
+  private readonly _ownerClock = new BusyClock(this.clock)
+  private readonly _pacer: PassPacer
+  private _areHoldsDue = false
+  private _isSweepDue = false
   /** The stored progress record of each job, by job id. */
   public readonly stored = new Map<string, string>()
   /** The stored record of each accepted job, by job id. */
@@ -104,6 +115,8 @@
 
   public constructor (private readonly _options: ISimulatedCellOptions) {
     this.hosts = Array.from({ length: _options.hosts }, (_, number) => this._createHost(number))
+    const passEffects = { runPass: () => this.scheduler.runPass(), recordDuration: () => {} }
+    this._pacer = new PassPacer(passEffects, this._ownerClock, _options.logger ?? new SilentLogger())
     this.scheduler = this._createScheduler(0)
   }
 
@@ -190,26 +203,34 @@
     }, this.clock)
   }
 
-  private _createScheduler (inheritedUntilMs: number): CellScheduler {
+  private _createScheduler (inheritedUntilMs: number): CostlyScheduler {
     const fence = this._fence
     const machines = Array.from({ length: this._options.adviceMachines ?? ADVICE_MACHINES }, (_, number) => ({ name: `machine-${number}`, isNear: !this._isFar(number) }))
-    const scheduler = new CellScheduler({
+    const scheduler = new CostlyScheduler({
       save: async (job) => { await this._save(job) },
-      start: async (entry, order) => await this._start(entry.hostId, { ...order, fence }),
+      start: async (entry, order) => await this._answerOwner(this._start(entry.hostId, { ...order, fence })),
       stop: async (entry, ref) => this._hostOf(entry.hostId).stop(ref, fence),
       stopUnknown: async (entry, ref) => this._hostOf(entry.hostId).stop(ref, fence),
       onFenced: () => {},
-      requestPass: () => { this._isPassDue = true },
+      requestPass: () => { if (this._options.stepCostMs === undefined) this._isPassDue = true; else this._pacer.request() },
       recordDuration: () => {},
       count: () => {},
       machines: () => machines.filter(({ name }) => !this.goneMachines.has(name)),
-      send: async (machine, request, timeoutMs) => await this._sendInTime(machine, request, timeoutMs)
-    }, { farFactor: 3, inheritedUntilMs }, CHART, this.clock, this._options.logger ?? new SilentLogger(), this._options.order)
+      send: async (machine, request, timeoutMs) => await this._answerOwner(this._sendInTime(machine, request, timeoutMs))
+    }, { farFactor: 3, inheritedUntilMs }, CHART, this._ownerClock, this._options.logger ?? new SilentLogger(), this._options.order)
+    scheduler.onConsider = () => { this._ownerClock.work(this._options.stepCostMs ?? 0) }
     for (const host of this.hosts) if (host.isListed) scheduler.addHost(host.entry)
     scheduler.applyWorkspaces(this._workspaces)
     return scheduler
   }
 
+  /** An owner that is busy handles an answer once it is free. */
+  private async _answerOwner<T> (answer: Promise<T>): Promise<T> {
+    const outcome = await answer
+    await this._ownerClock.whenFree()
+    return outcome
+  }
+
   private async _start (hostId: string, order: IStartOrder): Promise<StartOutcome> {
     await this._wait(this.orderDelayMs)
     if (this._isTicketStale(order.ticket)) return { kind: 'refused', reason: 'ticket' }
@@ -283,9 +304,9 @@
     this.clock.advance(TICK_MS)
     for (const host of this.hosts) host.tick()
     this._recordWorstUse()
-    this._completeSaves()
-    if (this.clock.nowMs() % HOLD_INTERVAL_MS === 0) this._sendHolds()
-    if (this.clock.nowMs() % SWEEP_INTERVAL_MS === 0) this.scheduler.sweep()
+    this._areHoldsDue ||= this.clock.nowMs() % HOLD_INTERVAL_MS === 0
+    this._isSweepDue ||= this.clock.nowMs() % SWEEP_INTERVAL_MS === 0
+    if (!this._ownerClock.isBusy) this._runOwner()
     await settlePromises()
     if (this._isPassDue && this.clock.nowMs() - this._passedAtMs >= this.passIntervalMs) {
       this._isPassDue = false
@@ -295,6 +316,14 @@
     }
   }
 
+  private _runOwner (): void {
+    this._completeSaves()
+    if (this._areHoldsDue) this._sendHolds()
+    if (this._isSweepDue) this.scheduler.sweep()
+    this._areHoldsDue = false
+    this._isSweepDue = false
+  }
+
   private _completeSaves (): void {
     if (this.isStoreDown) return
     const due = this._pendingSaves.filter((save) => save.atMs <= this.clock.nowMs())
