A step starts on the hosts that it knows while a call for further hosts waits

What callers saw: steps with room on their allowed hosts waited for seconds (up to 5 s in a probe) while a call about further hosts was queued or in flight.

Cause: StepAdvice counted all calls of a step alike. While any of them was open, isAdvised counted only hosts with a valid ticket, and TicketRenewal requested no tickets. The rule is there so that calls for tickets don't pile up; a call about further hosts names none of the allowed ones, and the step needs no answer to it.

Now calls are counted by their reason. Only calls for tickets keep hosts without a ticket from being used and further tickets from being requested, so a step has at most one round of calls of each kind. A waiting call about further hosts isn't sent once no task of the step is idle, and doesn't go ahead as one that runs on occupied hosts wait for. A call that was never sent no longer delays the next one. The wait of a call is measured from its own request, since a step may have calls of both kinds.

--- a/src/common/cell/AdviceRequester.ts
+++ b/src/common/cell/AdviceRequester.ts
@@ -15,6 +15,7 @@
 import type { IBlockedSteps } from './BlockedSteps.js'
 import type { HostState } from './HostState.js'
 import type { Step } from './Job.js'
+import type { AdviceReason } from './StepAdvice.js'
 import type { AdviceOutcome, ITicket } from './Types.js'
 
 export interface IAdviceEffects extends IAdviceSender {
@@ -24,12 +25,10 @@
   count (name: string, kind: string): void
 }
 
-/** Why a call is made: to learn which hosts are allowed, or to renew tickets for hosts that are. */
-export type AdviceReason = 'hosts' | 'tickets'
-
 interface INamedHosts {
   readonly named: readonly string[]
   readonly reason: AdviceReason
+  readonly requestedAtMs: MonotonicMs
 }
 
 /** How long after a failed call the advice for a step is requested again, in ms. */
@@ -80,7 +79,7 @@
   public ensureAdvice (step: Step): StepAdvice {
     step.advice ??= new StepAdvice()
     const { advice } = step
-    if (step.job.queue.advice === undefined || advice.hasCallsInFlight) return advice
+    if (step.job.queue.advice === undefined || advice.hasCalls) return advice
     const nowMs = this._clock.nowMs()
     if (nowMs < advice.retryAtMs || nowMs < advice.nextCheckAtMs) return advice
     // Choosing hosts for every waiting step would take most of the time of an owner whose calls wait anyway.
@@ -125,27 +124,28 @@
    * Requests advice for the given hosts.
    *
    * @param reason why the call is made, for the log and the counters
-   * @param onSettled called once, when all calls have ended
+   * @param onSettled called once, when all of the step's calls for this reason have ended
    */
   public requestAdvice (step: Step, hostIds: readonly string[], reason: AdviceReason, onSettled: () => void): void {
     const { job, advice } = step
     if (job.queue.advice === undefined || advice === undefined) return
     const calls = splitIntoCalls(step, hostIds)
-    advice.recordCalls(calls.length, this._clock.nowMs())
+    const requestedAtMs = this._clock.nowMs()
+    advice.recordCalls(calls.length, reason, requestedAtMs)
     for (const named of calls) {
       this._dispatcher.dispatch({
         jobId: job.spec.jobId,
         step: step.number,
         hostIds: named,
         priority: job.queue.priority,
-        holdsCapacity: step.tasks.some(({ attempt }) => attempt?.phase === 'preparing'),
+        holdsCapacity: reason === 'tickets' && step.tasks.some(({ attempt }) => attempt?.phase === 'preparing'),
         dueMs: job.dueMs,
         isLate: () => isLate(job, this._clock.nowMs()),
         expectedMs: expectedAdviceMs(step, named.length),
-        isWanted: () => !job.isFinished && !this._blocked.isBlocked(step),
+        isWanted: () => !job.isFinished && !this._blocked.isBlocked(step) && (reason === 'tickets' || step.tasks.some((task) => task.isIdle)),
         settle: (outcome, sentAtMs) => {
-          this._applyAnswer(step, advice, { named, reason }, outcome, sentAtMs)
-          if (!advice.hasCallsInFlight) onSettled()
+          this._applyAnswer(step, advice, { named, reason, requestedAtMs }, outcome, sentAtMs)
+          if (!advice.hasCallsFor(reason)) onSettled()
           this._effects.requestPass()
         }
       })
@@ -154,10 +154,11 @@
 
   private _applyAnswer (step: Step, advice: StepAdvice, call: INamedHosts, outcome: AdviceOutcome, sentAtMs?: MonotonicMs): void {
     const { job } = step
-    const { named: hostIds, reason } = call
+    const { named: hostIds, reason, requestedAtMs } = call
     const nowMs = this._clock.nowMs()
-    advice.recordCallEnd()
-    if (outcome.kind !== 'advised') advice.retryAtMs = nowMs + ADVICE_RETRY_MS
+    advice.recordCallEnd(reason)
+    // A call that was never sent was no longer wanted.
+    if (outcome.kind !== 'advised' && sentAtMs !== undefined) advice.retryAtMs = nowMs + ADVICE_RETRY_MS
     if (outcome.kind === 'advised') {
       this._recordShare(job.queue.name, hostIds.filter((hostId) => !advice.wasAsked(hostId)), outcome.allowed)
       // The validity starts when the service issued the ticket: counted from the arrival of a delayed answer, the ticket would be
@@ -166,7 +167,7 @@
       const validUntilMs = issuedAtMs + (job.queue.advice?.validMs ?? 0)
       advice.recordAnswer(hostIds, outcome.allowed, validUntilMs, (hostId) => this._hosts.get(hostId)?.bornMs)
     }
-    const waitMs = Math.round(nowMs - advice.lastCallAtMs)
+    const waitMs = Math.round(nowMs - requestedAtMs)
     this._effects.recordDuration('wait_for_advice', waitMs)
     this._effects.count('advice', outcome.kind)
     this._effects.count('advice_calls', reason)
--- a/src/common/cell/Placement.ts
+++ b/src/common/cell/Placement.ts
@@ -83,10 +83,13 @@
   return allowed
 }
 
-/** While tickets are being requested, or shortly after a request has failed, only hosts with a valid ticket count: otherwise calls would pile up. */
+/**
+ * While tickets for allowed hosts are being requested, or shortly after a request has failed, only hosts with a valid ticket count:
+ * otherwise calls would pile up.
+ */
 function isAdvised (advice: StepAdvice | undefined, host: HostState, nowMs: MonotonicMs): boolean {
   if (advice?.allows(host.hostId) !== true) return false
-  return (!advice.hasCallsInFlight && nowMs >= advice.retryAtMs) || advice.findTicket(host.hostId, host.bornMs, nowMs) !== undefined
+  return (!advice.hasTicketCalls && nowMs >= advice.retryAtMs) || advice.findTicket(host.hostId, host.bornMs, nowMs) !== undefined
 }
 
 /** Plans a host for each idle task for which there is one. */
--- a/src/common/cell/SchedulingPass.test.ts
+++ b/src/common/cell/SchedulingPass.test.ts
@@ -34,7 +34,7 @@
     place: (step) => {
       this.clock.advance(1)
       this.considered.push(step)
-      return step.advice?.hasCallsInFlight === true ? 'advice' : 'room'
+      return step.advice?.hasCalls === true ? 'advice' : 'room'
     }
   }
 
@@ -83,11 +83,11 @@
   const [gang] = set.add(1, { priority: 2 }, { count: 2, gang: true })
   if (gang === undefined) return t.fail()
   gang.advice = new StepAdvice()
-  gang.advice.recordCalls(1, 0)
+  gang.advice.recordCalls(1, 'hosts', false, 0)
   set.begin(awaitingAdvice).runSlice(Infinity)
   const pass = set.begin(awaitingAdvice)
   pass.runSlice(SLICE_MS)
-  gang.advice.recordCallEnd()
+  gang.advice.recordCallEnd('hosts', false)
   while (!pass.isComplete) pass.runSlice(SLICE_MS)
   t.is(set.considered.filter((step) => step === gang).length, 1)
   t.true(set.considered.indexOf(gang) < 12)
--- a/src/common/cell/SchedulingPass.ts
+++ b/src/common/cell/SchedulingPass.ts
@@ -113,7 +113,7 @@
   /** Whether the step has become ready or got an answer since it was last considered. */
   private _hasChanged (step: Step): boolean {
     if (!this._known.has(step)) return true
-    return this._awaitingAdvice.has(step) && step.advice?.hasCallsInFlight !== true
+    return this._awaitingAdvice.has(step) && step.advice?.hasCalls !== true
   }
 
   private _continue (untilMs: MonotonicMs): number {
@@ -132,10 +132,10 @@
 
   private _consider (step: Step, reservations: CapacityReservations, view: IPlacementView): WaitStage | undefined {
     const stage = this._actions.place(step, reservations, view)
-    if (stage === 'advice' && step.advice?.hasCallsInFlight !== true) this._turnedAway.add(step)
+    if (stage === 'advice' && step.advice?.hasCalls !== true) this._turnedAway.add(step)
     else this._turnedAway.delete(step)
     if (step.spec.gang && stage === 'room' && reservations === this.reservations) this._waitingGangs.add(step)
-    if (step.advice?.hasCallsInFlight === true && (stage === 'advice' || !step.spec.gang)) this._awaitingAdvice.add(step)
+    if (step.advice?.hasCalls === true && (stage === 'advice' || !step.spec.gang)) this._awaitingAdvice.add(step)
     else this._awaitingAdvice.delete(step)
     return stage
   }
--- a/src/common/cell/StepAdvice.ts
+++ b/src/common/cell/StepAdvice.ts
@@ -8,6 +8,9 @@
 /** A ticket is not used in the last part of its validity, in ms: the order still has to be recorded and to reach the host. */
 const TICKET_MARGIN_MS = 200
 
+/** Why a call is made: to learn which hosts are allowed, or to renew tickets for hosts that are. */
+export type AdviceReason = 'hosts' | 'tickets'
+
 interface ICachedTicket {
   readonly ticket: string
   readonly validUntilMs: MonotonicMs
@@ -18,8 +21,8 @@
 export class StepAdvice {
   private readonly _tickets = new Map<string, ICachedTicket>()
   private readonly _asked = new Set<string>()
-  /** The number of calls in flight. */
-  private _calls = 0
+  /** The number of calls that wait or are in flight. */
+  private readonly _calls: Record<AdviceReason, number> = { hosts: 0, tickets: 0 }
   public lastCallAtMs: MonotonicMs = -Infinity
   /** No call is made before this time, set after a failed call. */
   public retryAtMs: MonotonicMs = -Infinity
@@ -28,19 +31,28 @@
   /** When to check again whether the step needs more hosts than it may use so far. */
   public nextCheckAtMs: MonotonicMs = -Infinity
 
-  public get hasCallsInFlight (): boolean {
-    return this._calls > 0
+  public get hasCalls (): boolean {
+    return this._calls.hosts > 0 || this._calls.tickets > 0
+  }
+
+  /** Whether tickets for allowed hosts are being requested. Calls about further hosts don't count: the step can start without their answers. */
+  public get hasTicketCalls (): boolean {
+    return this.hasCallsFor('tickets')
   }
 
   /** Records that calls were made. */
-  public recordCalls (calls: number, nowMs: MonotonicMs): void {
-    this._calls += calls
+  public recordCalls (calls: number, reason: AdviceReason, nowMs: MonotonicMs): void {
+    this._calls[reason] += calls
     this.lastCallAtMs = nowMs
   }
 
   /** Records that a call has ended, with an answer or without. */
-  public recordCallEnd (): void {
-    this._calls -= 1
+  public recordCallEnd (reason: AdviceReason): void {
+    this._calls[reason] -= 1
+  }
+
+  public hasCallsFor (reason: AdviceReason): boolean {
+    return this._calls[reason] > 0
   }
 
   public allows (hostId: string): boolean {
--- a/src/common/cell/TicketRenewal.test.ts
+++ b/src/common/cell/TicketRenewal.test.ts
@@ -44,3 +44,47 @@
   t.is(staleTickets, 0)
   t.true(calls <= 4, `${calls} calls`)
 })
+
+const HOSTS_TO_NAME_FIRST = 40
+const ALLOWED_HOSTS = ['host-0', 'host-1']
+/** The service takes so long to answer about further hosts that the allowed ones become free meanwhile. */
+const FURTHER_CALL_MS = 20_000
+const OCCUPIED_MS = 5000
+
+/** Runs a step whose allowed hosts become free while a call about further hosts is in flight. Returns how long it waited after that. */
+async function waitBesideCallForHosts (gang: boolean): Promise<Readonly<Record<'waitMs' | 'furtherCalls' | 'ticketCalls', number>>> {
+  const calls = { further: 0, known: 0 }
+  const workOf = new Map<string, number>()
+  const cell = new SimulatedCell({
+    hosts: HOSTS_TO_NAME_FIRST * 2,
+    host: { workMs: ({ jobId }) => workOf.get(jobId) ?? 1000 },
+    allows: (hostId) => ALLOWED_HOSTS.includes(hostId),
+    adviceMs: ({ hostIds }) => {
+      const isKnown = hostIds.includes(ALLOWED_HOSTS[0] ?? '')
+      calls[isKnown ? 'known' : 'further'] += 1
+      return isKnown ? CALL_MS : FURTHER_CALL_MS
+    },
+    ticketValidMs: VALID_MS
+  })
+  for (let number = 0; number < cell.hosts.length; number += 1) {
+    const filler = cell.submit([{ cpuMillicores: 7000, estimateMs: OCCUPIED_MS }], { priority: 0 })
+    workOf.set(filler.spec.jobId, OCCUPIED_MS)
+  }
+  await cell.run(200)
+  const advice = { baseMs: CALL_MS, perHostMs: 0, validMs: VALID_MS }
+  const job = cell.submit([{ count: 2, gang, cpuMillicores: 4000, maxPerHost: 1 }], { priority: 1, targetMs: 120_000, advice })
+  await cell.run(OCCUPIED_MS)
+  const freeAtMs = cell.clock.nowMs()
+  while (!job.hasStarted && cell.clock.nowMs() - freeAtMs < FURTHER_CALL_MS) await cell.run(10)
+  return { waitMs: cell.clock.nowMs() - freeAtMs, furtherCalls: calls.further, ticketCalls: calls.known - 1 }
+}
+
+for (const gang of [false, true]) {
+  test(`a ${gang ? 'gang' : 'batch step'} starts on the hosts that it knows while a call for further hosts is in flight`, async (t) => {
+    // The step would wait for an answer that it doesn't need, while its hosts are idle.
+    const { waitMs, furtherCalls, ticketCalls } = await waitBesideCallForHosts(gang)
+    t.true(furtherCalls > 0)
+    t.true(waitMs <= 1000, `started after ${waitMs} ms`)
+    t.true(ticketCalls <= 8, `${ticketCalls} calls for tickets`)
+  })
+}
--- a/src/common/cell/TicketRenewal.ts
+++ b/src/common/cell/TicketRenewal.ts
@@ -41,7 +41,7 @@
     const nowMs = this._clock.nowMs()
     if (advice === undefined || step.job.queue.advice === undefined) return
     const callMs = expectedAdviceMs(step, hosts.length) + ADVICE_AHEAD_MS
-    if (waitMs > callMs || advice.hasCallsInFlight || nowMs < advice.retryAtMs) return
+    if (waitMs > callMs || advice.hasTicketCalls || nowMs < advice.retryAtMs) return
     const expiring = hosts.filter((host) => !hasTicket(step, host, nowMs + callMs))
     if (expiring.length > 0) this._advice.requestAdvice(step, expiring.map(({ hostId }) => hostId), 'tickets', () => { this._runs.orderReady(step) })
   }
@@ -49,7 +49,7 @@
   /** Requests the tickets that prepared runs of the step lack. Runs that get none are dropped and placed again. */
   public requestMissing (step: Step): void {
     const { advice } = step
-    if (step.job.queue.advice === undefined || advice === undefined || advice.hasCallsInFlight) return
+    if (step.job.queue.advice === undefined || advice === undefined || advice.hasTicketCalls) return
     const waiting = step.tasks.flatMap(({ attempt }) => attempt?.phase === 'preparing' ? [attempt] : [])
     const isMissing = (attempt: Attempt, atMs: MonotonicMs): boolean => !hasTicket(step, attempt.host, atMs)
     const nowMs = this._clock.nowMs()
--- a/test/support/DescribeStep.ts
+++ b/test/support/DescribeStep.ts
@@ -30,7 +30,7 @@
   if (advice === undefined) return 'not requested'
   const asked = hostIds.filter((hostId) => advice.wasAsked(hostId)).length
   const allowed = [...advice.allowedHostIds()].length
-  return `asked ${asked}, allowed ${allowed}, calls in flight ${String(advice.hasCallsInFlight)}, retry in ${Math.round(advice.retryAtMs - nowMs)} ms`
+  return `asked ${asked}, allowed ${allowed}, calls ${String(advice.hasCalls)}, retry in ${Math.round(advice.retryAtMs - nowMs)} ms`
 }
 
 function describeRuns (steps: readonly Step[]): string {
