A step that the limit of waiting calls turns away has its turn after a long wait

What callers saw: a late step of a less urgent queue got no advice for as long as more urgent jobs kept coming, on a cell with two machines and slow answers.

Cause: AdviceDispatcher.isBusyFor turned the step away before its call was queued, and only queued calls have turns after a long wait. Queued alone it would still wait: with more calls than the machines can make, all those of the more urgent queue have waited longer.

Now AdviceTurns records since when steps have been turned away. After 5 s, the first of its priority may queue a call, whose wait counts from then; of each priority at most as many such calls wait as the limit allows, so the owner doesn't queue one for each waiting step. The turns after a long wait (LongWaitTurns, taken out of AdviceDispatcher) go to the priority whose last one was the longest ago.

--- a/src/common/cell/AdviceDispatcher.ts
+++ b/src/common/cell/AdviceDispatcher.ts
@@ -12,7 +12,8 @@
  */
 
 import { AdviceLimit, LATE_MS, SENDING_MS } from './AdviceLimit.js'
-import { countAhead, sortCalls } from './AdviceOrder.js'
+import { countAhead, partition, sortCalls } from './AdviceOrder.js'
+import { LongWaitTurns } from './LongWaitTurns.js'
 import { URGENT_PRIORITY } from './Placement.js'
 
 import type { IClock, IDisposable, ITimers, MonotonicMs } from '../Types.js'
@@ -23,6 +24,8 @@
   readonly priority: number
   /** Whether the step couldn't start with the answer now, for want of room. */
   readonly isForLater: boolean
+  /** Since when the limit of waiting calls had kept the step from asking; undefined if it hadn't. */
+  readonly turnedAwaySinceMs?: MonotonicMs | undefined
   /** Whether runs that wait for the answer occupy hosts. */
   readonly holdsCapacity: boolean
   readonly dueMs: number
@@ -74,10 +77,6 @@
 const USED_LAST_MS = 4000
 /** How much longer than expected a call may take, in ms: two round trips between regions and one short call ahead of it. */
 const CALL_SLACK_MS = 700
-/** A call that has waited for this long, in ms, has its turn, however late its job is. Otherwise it would wait for as long as others keep coming. */
-const LONG_WAIT_MS = 5000
-/** One of this many calls is the one that has waited longest, if it has waited for long. The others keep the usual order. */
-const CALLS_PER_TURN = 8
 /** A timer that is late by less than this, in ms, shows that this process has time to spare. */
 const PUNCTUAL_MS = 100
 
@@ -118,8 +117,7 @@
   private readonly _loads = new Map<string, IMachineLoad>()
   private readonly _limit = new AdviceLimit()
   private _waiting: IWaitingCall[] = []
-  /** The number of calls that were sent since one had its turn because of a long wait. */
-  private _sentSinceTurn = 0
+  private readonly _turns = new LongWaitTurns()
   private _retry: IDisposable | undefined
   private _nextEnd: IDisposable | undefined
   private _briefAtMs: MonotonicMs = -Infinity
@@ -150,9 +148,14 @@
     return countAhead(this._waiting, priority, isForLater) >= this._limit.calls
   }
 
+  /** Whether a step that was turned away for long may queue a call: of each priority, such calls have a limit of their own. */
+  public takesTurnOf (priority: number): boolean {
+    return this._waiting.filter(({ call }) => call.turnedAwaySinceMs !== undefined && call.priority === priority).length < this._limit.calls
+  }
+
   public dispatch (call: IAdviceCall): void {
     const hasWaiting = this._waiting.length > 0
-    this._waiting.push({ call, sinceMs: this._clock.nowMs() })
+    this._waiting.push({ call, sinceMs: call.turnedAwaySinceMs ?? this._clock.nowMs() })
     if (call.expectedMs <= BRIEF_CALL_MS) this._briefAtMs = this._clock.nowMs()
     // The calls before it were tried when a machine last became free, so only this one may find a machine.
     if (!hasWaiting || this._canSend(call)) this.sendWaiting()
@@ -182,18 +185,16 @@
     return !this._isShortOfMachines || this._chooseMachine(this._shareMachines(), call, NO_OTHERS) !== undefined
   }
 
-  /** If a turn is due, sends the call that has waited longest, of those that have waited for long and for which there is a machine. */
+  /** If a turn is due, sends one of the calls that have waited for long and for which there is a machine. */
   private _sendLongestWaiting (shares: IMachineShares): void {
-    if (this._sentSinceTurn < CALLS_PER_TURN - 1) return
-    const longSinceMs = this._clock.nowMs() - LONG_WAIT_MS
-    const longWaiting = this._waiting.filter(({ sinceMs }) => sinceMs <= longSinceMs).sort((a, b) => a.sinceMs - b.sinceMs)
+    if (!this._turns.isDue) return
     const kinds = this._waitingKinds(shares)
-    for (const waiting of longWaiting) {
+    for (const waiting of this._turns.candidates(this._waiting, this._clock.nowMs())) {
       const name = this._chooseMachine(shares, waiting.call, kinds)
       if (name === undefined) continue
       this._waiting = this._waiting.filter((each) => each !== waiting)
       this._send(name, waiting.call)
-      this._sentSinceTurn = 0
+      this._turns.recordTurn(waiting.call.priority)
       return
     }
   }
@@ -309,7 +310,7 @@
 
   private _send (name: string, call: IAdviceCall): void {
     const load = this._loadOf(name)
-    this._sentSinceTurn += 1
+    this._turns.recordSent()
     call.onSent()
     const kind = isSlowCall(call.expectedMs) ? 'slow' : 'short'
     load[kind] += 1
@@ -383,13 +384,6 @@
   return nowMs < usedLastUntilMs ? USED_LAST_MS + waitMs : waitMs
 }
 
-function partition<T> (values: readonly T[], predicate: (value: T) => boolean): readonly [T[], T[]] {
-  const matching: T[] = []
-  const others: T[] = []
-  for (const value of values) (predicate(value) ? matching : others).push(value)
-  return [matching, others]
-}
-
 export function isSlowCall (expectedMs: number): boolean {
   return expectedMs > SLOW_CALL_MS
 }
--- a/src/common/cell/AdviceOrder.ts
+++ b/src/common/cell/AdviceOrder.ts
@@ -33,3 +33,10 @@
   }
   return ahead
 }
+
+export function partition<T> (values: readonly T[], predicate: (value: T) => boolean): readonly [T[], T[]] {
+  const matching: T[] = []
+  const others: T[] = []
+  for (const value of values) (predicate(value) ? matching : others).push(value)
+  return [matching, others]
+}
--- a/src/common/cell/AdviceRequester.test.ts
+++ b/src/common/cell/AdviceRequester.test.ts
@@ -5,7 +5,7 @@
 import test from 'ava'
 import { SimulatedCell } from '../../../test/support/SimulatedCell.js'
 
-import type { QueueTerms } from './Job.js'
+import type { Job, QueueTerms } from './Job.js'
 
 const HOSTS = 320
 const MACHINES = 6
@@ -48,3 +48,20 @@
   const waitedMs = cell.clock.nowMs() - submittedAtMs
   t.true(waitedMs <= START_BOUND_MS, `the last step started after ${waitedMs} ms`)
 })
+
+/** Callers ask for a job some seconds after the last one was sent. The job of a step that waits for longer, in ms, may not be done by then. */
+const LATE_BOUND_MS = 20_000
+
+test('a late step that the limit of waiting calls turns away gets advice although more urgent jobs keep coming', async (t) => {
+  // It would have nothing running for as long as other jobs come, although its hosts are idle.
+  const cell = new SimulatedCell({ hosts: 40, adviceMachines: 2, isAdviceSerial: true, adviceMs: () => 150, host: { workMs: () => 200 } })
+  const advice = { baseMs: 150, perHostMs: 0, validMs: 1500 }
+  cell.adviceDelayMs = 400
+  const late: Job[] = []
+  for (let passedMs = 0; passedMs < LATE_BOUND_MS * 2; passedMs += 100) {
+    cell.submit([{ cpuMillicores: 500, estimateMs: 200 }], { ...PATIENT, name: 'soon', priority: 1, advice })
+    if (passedMs === LATE_BOUND_MS) late.push(...[0, 1, 2].map(() => cell.submit([{ cpuMillicores: 500 }], { name: 'batch', priority: 2, targetMs: 1, advice })))
+    await cell.run(100)
+  }
+  t.deepEqual(late.map((job) => job.hasStarted), [true, true, true])
+})
--- a/src/common/cell/AdviceRequester.ts
+++ b/src/common/cell/AdviceRequester.ts
@@ -5,7 +5,9 @@
 
 import { AdviceDispatcher, isSlowCall } from './AdviceDispatcher.js'
 import { AllowedShares, splitIntoCalls, findUnnamedHosts, chooseHostsToName } from './AdviceHosts.js'
+import { AdviceTurns } from './AdviceTurns.js'
 import { isLate } from './JobOrder.js'
+import { LONG_WAIT_MS } from './LongWaitTurns.js'
 import { allowedHosts } from './Placement.js'
 import { StepAdvice } from './StepAdvice.js'
 
@@ -43,6 +45,7 @@
 
 export class AdviceRequester {
   private readonly _shares = new AllowedShares()
+  private readonly _turns = new AdviceTurns()
   private readonly _dispatcher: AdviceDispatcher
 
   public constructor (
@@ -86,16 +89,24 @@
     const nowMs = this._clock.nowMs()
     if (nowMs < advice.retryAtMs || nowMs < advice.nextCheckAtMs) return advice
     // Choosing hosts for every waiting step would take most of the time of an owner whose calls wait anyway.
-    if (this._dispatcher.isBusyFor(step.job.queue.priority, false)) return advice
+    if (!this._mayAsk(step, 'now', nowMs)) return advice
     advice.nextCheckAtMs = nowMs + HOST_CHECK_MS
-    if (this._blocked.isBlocked(step)) return advice
-    const use = this._useOfMoreHosts(step, advice, nowMs)
-    if (use !== undefined) this._requestHosts(step, advice, use)
+    const use = this._blocked.isBlocked(step) ? undefined : this._useOfMoreHosts(step, advice, nowMs)
+    if (use === undefined) this._turns.take(step)
+    else this._requestHosts(step, advice, use)
     return advice
   }
 
+  /** Whether a call of the step would be sent soon, or the step has been turned away for so long that its turn has come. */
+  private _mayAsk (step: Step, use: AdviceUse, nowMs: MonotonicMs): boolean {
+    if (!this._dispatcher.isBusyFor(step.job.queue.priority, use === 'later')) return true
+    if (this._dispatcher.takesTurnOf(step.job.queue.priority) && this._turns.isNext(step, nowMs - LONG_WAIT_MS, nowMs)) return true
+    this._turns.record(step, nowMs)
+    return false
+  }
+
   private _requestHosts (step: Step, advice: StepAdvice, use: AdviceUse): void {
-    if (use === 'later' && (advice.hasLaterCallsFor('hosts') || this._dispatcher.isBusyFor(step.job.queue.priority, true))) return
+    if (use === 'later' && (advice.hasLaterCallsFor('hosts') || !this._mayAsk(step, use, this._clock.nowMs()))) return
     const hostIds = chooseHostsToName(step, this._hosts.values(), this._shares.shareOf(step.job.queue.name), this._isLean(step))
     if (hostIds.length > 0) this.requestAdvice(step, hostIds, 'hosts', use, () => {})
     else advice.lastCallAtMs = this._clock.nowMs()
@@ -145,6 +156,7 @@
     const calls = splitIntoCalls(step, hostIds)
     const requestedAtMs = this._clock.nowMs()
     const isForLater = use === 'later'
+    const turnedAwaySinceMs = reason === 'hosts' ? this._turns.take(step) : undefined
     const round = advice.recordCalls(calls.length, reason, isForLater, requestedAtMs)
     const isNeeded = (): boolean => step.tasks.some((task) => task.isIdle) && (!isForLater || advice.isLastRound(round, reason))
     let openCount = calls.length
@@ -155,6 +167,7 @@
         hostIds: named,
         priority: job.queue.priority,
         isForLater,
+        turnedAwaySinceMs,
         holdsCapacity: reason === 'tickets' && step.tasks.some(({ attempt }) => attempt?.phase === 'preparing'),
         dueMs: job.dueMs,
         isLate: () => isLate(job, this._clock.nowMs()),
