Whether a step is blocked is decided in one loop over the hosts

The decision is made again four times a second for each waiting step. Two nested generators made each host cost several times what the check itself does.

No failure, so no new test; BlockedSteps.test.ts covers the decisions. 900 steps on 246 hosts, all decisions made anew, medians of 40 rounds in three runs each on a busy machine: 4.5, 5.2 and 4.8 ms before, 2.5, 2.1 and 2.3 ms after.

--- a/src/common/cell/BlockedSteps.ts
+++ b/src/common/cell/BlockedSteps.ts
@@ -67,25 +67,24 @@
     this._refresh(nowMs)
     const { spec, job: { workspace } } = step
     if (this._usage.isLimited(workspace) && !this._usage.couldRun(workspace, spec, this._lastingByWorkspace.get(workspace))) return 'limit'
-    if (fitsOnceFree(step, this._possibleHosts(step, nowMs))) return undefined
-    return step.advice !== undefined && fitsOnceFree(step, this._suitableHosts(step, nowMs)) ? 'advice' : 'hosts'
-  }
-
-  /** The hosts that the advice service allows, and those about which it has not been asked. */
-  private * _possibleHosts (step: Step, nowMs: MonotonicMs): Iterable<HostState> {
     const { advice } = step
-    for (const host of this._suitableHosts(step, nowMs)) {
-      if (advice === undefined || advice.allows(host.hostId) || !advice.wasAsked(host.hostId)) yield host
-    }
+    const mayUse = ({ hostId }: HostState): boolean => advice === undefined || advice.allows(hostId) || !advice.wasAsked(hostId)
+    if (this._fitsOnceFree(step, nowMs, mayUse)) return undefined
+    return advice !== undefined && this._fitsOnceFree(step, nowMs, () => true) ? 'advice' : 'hosts'
   }
 
-  /** The hosts that take work and could hold a task of the step if they were empty. */
-  private * _suitableHosts ({ spec, job }: Step, nowMs: MonotonicMs): Iterable<HostState> {
+  /** Whether the step fits, once runs have ended, on the hosts that take work and that it may use. */
+  private _fitsOnceFree (step: Step, nowMs: MonotonicMs, mayUse: (host: HostState) => boolean): boolean {
+    const { spec, job } = step
     const slowHosts = this._slowHosts()
+    let missing = neededPlaces(step)
     for (const host of this._hosts.values()) {
       if (host.entry.service !== job.queue.service || !host.isAccepting(nowMs) || !host.couldHold(spec)) continue
-      if (!slowHosts.has(host) && !this._silentHosts.has(host)) yield host
+      if (slowHosts.has(host) || this._silentHosts.has(host) || !mayUse(host)) continue
+      missing -= placesOnceFree(step, host)
+      if (missing <= 0) return true
     }
+    return false
   }
 
   /** Determines what all steps have in common. */
@@ -100,15 +99,18 @@
 
 /** Whether the step fits on the hosts once the runs there that end by themselves have ended: a gang as a whole, of other steps one task. */
 export function fitsOnceFree (step: Step, hosts: Iterable<HostState>): boolean {
-  const needed = step.spec.gang ? step.spec.count : 1
-  let places = 0
+  let missing = neededPlaces(step)
   for (const host of hosts) {
-    places += placesOnceFree(step, host)
-    if (places >= needed) return true
+    missing -= placesOnceFree(step, host)
+    if (missing <= 0) return true
   }
   return false
 }
 
+function neededPlaces ({ spec }: Step): number {
+  return spec.gang ? spec.count : 1
+}
+
 function placesOnceFree (step: Step, host: HostState): number {
   if (host.longRunCount === 0) return host.capacityFor(step.spec)
   const lasting: Attempt[] = []
