Short runs use what waiting gangs reserve on hosts, while less than half of the processors are in use

What callers saw: a gang has nothing running on idle hosts for as long as an earlier gang waits for a long run to leave its hosts.

Cause: a waiting gang reserves the places that are free or become free soon for as long as it waits, however long that is.

Change: the backfilling of the limit for hosts. A step may use the place reserved for a gang if its runs are forecast to end before the gang can start (if that can't be forecast within the horizon, after the horizon), or within the time for which the gang has waited for runs that began before it. What a gang lends is computed once a pass; on each host the sum over its reservations replaces a look-up, while less than half is in use.

--- a/src/common/cell/BoundedStart.test.ts
+++ b/src/common/cell/BoundedStart.test.ts
@@ -66,8 +66,7 @@
   await checkStepsBeside(t, cell, gang)
 })
 
-// Listed in KNOWN-RED.txt.
-test.failing('a gang starts on idle hosts while an earlier gang waits for a long run to leave its hosts', async (t) => {
+test('a gang starts on idle hosts while an earlier gang waits for a long run to leave its hosts', async (t) => {
   const cell = setUpWithLongRun()
   cell.submit([{ count: 1, estimateMs: 20_000 }])
   await cell.run(500)
--- a/src/common/cell/CapacityReservations.ts
+++ b/src/common/cell/CapacityReservations.ts
@@ -5,9 +5,11 @@
  * that is four fifths full. So waiting gangs reserve capacity on the hosts where it will become free soonest, and work behind
  * them can't use it. Reserved capacity is idle, so its amount is limited. Capacity reserved for a gang that can no longer
  * meet its objective is available to work that still can and has waited for long: otherwise all work behind such a gang would be
- * late, too.
+ * late, too. While less than half of the processors are in use, short runs may use what is reserved (backfilling): a gang may wait for long
+ * for a few runs.
  */
 
+import { Backfill } from './Backfill.js'
 import { fitsOnceFree } from './BlockedSteps.js'
 import type { HostState } from './HostState.js'
 import { forecastEnds, hasRoomBefore, placeTimes } from './HostForecast.js'
@@ -15,14 +17,21 @@
 import type { Step } from './Job.js'
 import { eligibleHosts } from './Placement.js'
 import type { IPlacementView } from './Placement.js'
-import { NO_RESOURCES, addResources, resourcesOf } from './Resources.js'
+import { NO_RESOURCES, addResources, countPlaces, resourcesOf } from './Resources.js'
 import type { IResources } from './Resources.js'
+import type { IStartForecast } from './StartForecast.js'
+import type { MonotonicMs } from '../Types.js'
 
 /** Capacity that becomes free later than this, in ms, is not reserved: about the run time of the longest usual tasks. */
 const HORIZON_MS = 5000
 /** The share of all hosts' processors that waiting gangs may reserve together. Much of it is still in use. */
 const MAX_RESERVED_SHARE = 0.4
 
+/** A gang that hasn't reserved for this long, in ms, has started in the meantime, and waits anew. */
+const LAPSE_MS = 30_000
+/** Below this share of the processors in use, runs may use what is reserved. */
+const MAX_USED_SHARE = 0.5
+
 interface IPlace {
   readonly host: HostState
   readonly waitMs: number
@@ -34,6 +43,19 @@
   readonly ends: readonly IRunEnd[]
 }
 
+/** Resources for one task of a gang on a host. */
+interface IHold {
+  readonly step: Step
+  readonly isLate: boolean
+  /** How long runs may last that use it, in ms. */
+  readonly maxRunMs: number
+}
+
+interface IGangWait {
+  readonly backfill: Backfill
+  reservedAtMs: MonotonicMs
+}
+
 /** The hosts on which a gang will find room, and how long that will take. */
 export interface IReservation {
   readonly hosts: readonly HostState[]
@@ -45,22 +67,35 @@
   private readonly _reservedForLate = new Map<HostState, IResources>()
   /** How long each gang that has found no room is expected to wait for it, in ms; `HORIZON_MS` if that is longer. */
   private readonly _waits = new Map<Step, number>()
-  private readonly _holders = new Map<HostState, Step[]>()
+  private readonly _holds = new Map<HostState, IHold[]>()
+  private readonly _gangWaits: WeakMap<Step, IGangWait>
+  private readonly _runsMs = new Map<Step, number>()
+  private readonly _isHalfFree: boolean
   private readonly _ends = new Map<HostState, IKnownEnds>()
   private _leftMillicores: number
 
-  public constructor (hosts: Iterable<HostState>) {
+  /** @param last the reservations of the previous pass */
+  public constructor (hosts: Iterable<HostState>, private readonly _forecast?: IStartForecast, last?: CapacityReservations) {
     let total = 0
-    for (const host of hosts) total += host.entry.cpuMillicores
+    let used = 0
+    for (const host of hosts) {
+      total += host.entry.cpuMillicores
+      used += host.usedCpu
+    }
     this._leftMillicores = total * MAX_RESERVED_SHARE
+    this._isHalfFree = used < total * MAX_USED_SHARE
+    this._gangWaits = last?._gangWaits ?? new WeakMap()
   }
 
   /**
-   * The resources that work behind the gangs has to leave free on the host.
+   * The resources that a step behind the gangs has to leave free on the host.
    *
-   * @param isAtRisk whether the work may use what is reserved for late gangs
+   * @param isAtRisk whether the step may use what is reserved for late gangs
    */
-  public reservedOn (host: HostState, isAtRisk: boolean): IResources {
+  public reservedOn (host: HostState, step: Step, isAtRisk: boolean): IResources {
+    const holds = this._holds.get(host)
+    if (holds === undefined) return NO_RESOURCES
+    if (this._isHalfFree) return this._sumWithoutLent(holds, this._runMsOf(step), isAtRisk)
     const reserved = this._reserved.get(host) ?? NO_RESOURCES
     return isAtRisk ? reserved : addResources(reserved, this._reservedForLate.get(host) ?? NO_RESOURCES)
   }
@@ -77,7 +112,7 @@
   /** The gangs for which resources are reserved on the hosts. */
   public findHolders (hosts: Iterable<HostState>): ReadonlySet<Step> {
     const holders = new Set<Step>()
-    for (const host of hosts) for (const step of this._holders.get(host) ?? []) holders.add(step)
+    for (const host of hosts) for (const { step } of this._holds.get(host) ?? []) holders.add(step)
     return holders
   }
 
@@ -88,11 +123,15 @@
     const hosts = eligibleHosts(step, view)
     if (!fitsOnceFree(step, hosts)) return undefined
     const places = this._soonestPlaces(step, hosts, view)
-    this._waits.set(step, places.length < spec.count ? HORIZON_MS : places.at(-1)?.waitMs ?? 0)
+    const waitMs = places.length < spec.count ? HORIZON_MS : places.at(-1)?.waitMs ?? 0
+    this._waits.set(step, waitMs)
     const reserved = isLate ? this._reservedForLate : this._reserved
+    const hold = { step, isLate, maxRunMs: this._maxRunMs(step, hosts, waitMs, view) }
     for (const { host } of places) {
       this._addReservation(reserved, host, resourcesOf(spec))
-      this._holders.set(host, [...this._holders.get(host) ?? [], step])
+      const holds = this._holds.get(host)
+      if (holds === undefined) this._holds.set(host, [hold])
+      else holds.push(hold)
     }
     const last = places.at(-1)
     if (last === undefined || places.length < spec.count) return undefined
@@ -124,6 +163,36 @@
     return ends
   }
 
+  private _sumWithoutLent (holds: readonly IHold[], runMs: number, isAtRisk: boolean): IResources {
+    let sum = NO_RESOURCES
+    for (const { step, isLate, maxRunMs } of holds) {
+      if (runMs > maxRunMs && !(isAtRisk && isLate)) sum = addResources(sum, resourcesOf(step.spec))
+    }
+    return sum
+  }
+
+  private _runMsOf (step: Step): number {
+    const known = this._runsMs.get(step)
+    if (known !== undefined) return known
+    const runMs = this._forecast?.runMs(step) ?? step.spec.estimateMs
+    this._runsMs.set(step, runMs)
+    return runMs
+  }
+
+  private _maxRunMs (step: Step, hosts: readonly HostState[], waitMs: number, { nowMs }: IPlacementView): number {
+    const last = this._gangWaits.get(step)
+    const wait = last !== undefined && nowMs - last.reservedAtMs < LAPSE_MS ? last : { backfill: new Backfill(nowMs), reservedAtMs: nowMs }
+    wait.reservedAtMs = nowMs
+    this._gangWaits.set(step, wait)
+    if (!this._isHalfFree) return 0
+    const { backfill } = wait
+    const isReturning = backfill.hasLaterRuns(nowMs) && fitsBesideEarlier(step, hosts, backfill.runsBeforeMs)
+    // Runs may exceed their forecasts, so a wait for runs that began before it is expected to last for as long again as it has.
+    const lastedMs = nowMs - backfill.sinceMs
+    const isLasting = lastedMs > waitMs && !fitsBesideEarlier(step, hosts, backfill.sinceMs)
+    return backfill.maxRunMs(isLasting ? lastedMs : waitMs, isReturning, nowMs)
+  }
+
   private _addReservation (reserved: Map<HostState, IResources>, host: HostState, resources: IResources): void {
     reserved.set(host, addResources(reserved.get(host) ?? NO_RESOURCES, resources))
     this._leftMillicores -= resources.cpuMillicores
@@ -137,3 +206,15 @@
   places.splice(number, 0, place)
   if (places.length > most) places.pop()
 }
+
+/** Whether the gang would fit if all runs had ended that began after the given time. */
+function fitsBesideEarlier ({ spec }: Step, hosts: readonly HostState[], beganBeforeMs: MonotonicMs): boolean {
+  let places = 0
+  for (const host of hosts) {
+    let free: IResources = host.entry
+    for (const { preparedAtMs, task } of host.attempts) if (preparedAtMs <= beganBeforeMs) free = addResources(free, resourcesOf(task.step.spec), -1)
+    places += Math.min(host.capacityFor(spec), countPlaces(free, spec))
+    if (places >= spec.count) return true
+  }
+  return false
+}
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -60,6 +60,7 @@
   private readonly _times = new RunTimes()
   private readonly _workspaces = new WorkspaceUsage()
   private readonly _blocked: BlockedSteps
+  private readonly _forecast: StartForecast
   private readonly _limits: LimitReservations
   private readonly _runController: RunController
   private readonly _holdHandler: HoldAnswerHandler
@@ -82,8 +83,8 @@
   ) {
     const onChange = (): void => { _effects.requestPass() }
     this._blocked = new BlockedSteps(this.hosts, this._workspaces, () => this._slowHosts, _clock)
-    const forecast = new StartForecast(this.hosts, this._workspaces, this._times, (step) => this._lastReservations?.waitOf(step), _clock)
-    this._limits = new LimitReservations(this._workspaces, this._blocked, forecast)
+    this._forecast = new StartForecast(this.hosts, this._workspaces, this._times, (step) => this._lastReservations?.waitOf(step), _clock)
+    this._limits = new LimitReservations(this._workspaces, this._blocked, this._forecast)
     this._runController = new RunController({
       save: async (job) => { await _effects.save(job) },
       start: async (host, order) => await _effects.start(host, order),
@@ -242,7 +243,7 @@
       this._pass = new SchedulingPass({
         findReady: () => findReadySteps(this._openJobs, (step) => { this._waiting.recordResult(step) }),
         sort: (steps) => this._order.sort(steps, this._clock.nowMs(), this._workspaces, this._times),
-        createReservations: () => new CapacityReservations(this.hosts.values()),
+        createReservations: () => new CapacityReservations(this.hosts.values(), this._forecast, this._lastReservations),
         createView: (reservations) => this._createView(reservations),
         place: (step, reservations, view) => {
           const stage = this._placeStep(step, reservations, view)
@@ -310,7 +311,7 @@
       farFactor: this._options.farFactor,
       times: this._times,
       slowHosts: this._slowHosts,
-      headroom: (host, step) => addResources(urgentHeadroom(host, step), reservations.reservedOn(host, isAtRisk(step, nowMs))),
+      headroom: (host, step) => addResources(urgentHeadroom(host, step), reservations.reservedOn(host, step, isAtRisk(step, nowMs))),
       // Uses the reservations of the previous pass: urgent work is placed first, before this pass knows which gangs have to wait.
       hasReservation: (host) => this._lastReservations?.hasReservation(host) === true
     }
@@ -368,7 +369,7 @@
 
   /** What a less urgent step had to leave free in the last pass: the reservations of the present one are not complete while it runs. */
   private _headroomOf (host: HostState, step: Step): IResources {
-    return addResources(urgentHeadroom(host, step), this._lastReservations?.reservedOn(host, false) ?? NO_RESOURCES)
+    return addResources(urgentHeadroom(host, step), this._lastReservations?.reservedOn(host, step, false) ?? NO_RESOURCES)
   }
 
   private _prepareRuns (step: Step, plan: readonly IPlacement[]): void {
