Answers for advice that arrive together have the waiting calls ordered once

Cause: each answer had all waiting calls sorted again, with a look at each job's objective, and asked of each whether it is still wanted.

Change: the order is kept for 50 ms while no call is added. Whether a call is wanted is checked when the order is made and when the call is about to be sent.

--- a/src/common/cell/AdviceDispatcher.test.ts
+++ b/src/common/cell/AdviceDispatcher.test.ts
@@ -284,30 +284,35 @@
   t.is(dispatcher.limit, before)
 })
 
-test('a call that finds no machine does not have all waiting calls ordered again', async (t) => {
-  // Each new call of a burst ordered all calls that waited, which took most of an owner's processor time.
-  const { dispatcher } = createDispatcher()
-  let ordered = 0
+/** Dispatches calls of which only a few find a machine. */
+function dispatchMany (count: number) {
+  const { dispatcher, sent } = createDispatcher()
+  const counts = { ordered: 0 }
   const isLate = (): boolean => {
-    ordered += 1
+    counts.ordered += 1
     return false
   }
-  for (let number = 0; number < 500; number += 1) {
-    dispatcher.dispatch({
-      jobId: String(number),
-      step: 0,
-      hostIds: [],
-      priority: 1,
-      isForLater: false,
-      holdsCapacity: false,
-      dueMs: 0,
-      isLate,
-      expectedMs: SLOW_MS,
-      isWanted: () => true,
-      onSent: () => {},
-      settle: () => {}
-    })
+  const call = { step: 0, hostIds: [], priority: 1, isForLater: false, holdsCapacity: false, dueMs: 0, isLate, expectedMs: SLOW_MS }
+  for (let number = 0; number < count; number += 1) {
+    dispatcher.dispatch({ ...call, jobId: String(number), isWanted: () => true, onSent: () => {}, settle: () => {} })
   }
+  return { dispatcher, sent, counts }
+}
+
+test('a call that finds no machine does not have all waiting calls ordered again', (t) => {
+  // Each new call of a burst ordered all calls that waited, which took most of an owner's processor time.
+  const { dispatcher, counts } = dispatchMany(500)
   t.is(dispatcher.waitingCount + dispatcher.inFlightCount, 500)
-  t.true(ordered <= 2 * 500, `${ordered} comparisons`)
+  t.true(counts.ordered <= 2 * 500, `${counts.ordered} comparisons`)
+})
+
+test('answers that arrive together have the waiting calls ordered once', async (t) => {
+  const { sent, counts } = dispatchMany(500)
+  counts.ordered = 0
+  const inFlight = sent.slice()
+  t.true(inFlight.length >= 3)
+  for (const { answer } of inFlight) answer({ kind: 'advised', allowed: [] })
+  await setImmediate()
+  t.true(sent.length > inFlight.length)
+  t.true(counts.ordered <= 500, `${counts.ordered} comparisons`)
 })
--- a/src/common/cell/AdviceDispatcher.ts
+++ b/src/common/cell/AdviceDispatcher.ts
@@ -77,6 +77,8 @@
 const USED_LAST_MS = 4000
 /** How much longer than expected a call may take, in ms: two round trips between regions and one short call ahead of it. */
 const CALL_SLACK_MS = 700
+/** The order of the waiting calls changes little within this time, in ms, while none is added. */
+const ORDER_INTERVAL_MS = 50
 /** A timer that is late by less than this, in ms, shows that this process has time to spare. */
 const PUNCTUAL_MS = 100
 
@@ -122,6 +124,8 @@
   private _nextEnd: IDisposable | undefined
   private _briefAtMs: MonotonicMs = -Infinity
   private _isShortOfMachines = false
+  private _isOrdered = false
+  private _orderedAtMs: MonotonicMs = -Infinity
 
   public constructor (private readonly _sender: IAdviceSender, private readonly _clock: IClock & ITimers) {}
 
@@ -156,6 +160,7 @@
   public dispatch (call: IAdviceCall): void {
     const hasWaiting = this._waiting.length > 0
     this._waiting.push({ call, sinceMs: call.turnedAwaySinceMs ?? this._clock.nowMs() })
+    this._isOrdered = false
     if (call.expectedMs <= BRIEF_CALL_MS) this._briefAtMs = this._clock.nowMs()
     // The calls before it were tried when a machine last became free, so only this one may find a machine.
     if (!hasWaiting || this._canSend(call)) this.sendWaiting()
@@ -164,11 +169,10 @@
   /** Sends the calls that can be sent. To be called when machines come or go. */
   public sendWaiting (): void {
     if (this._waiting.length === 0 || !this._hasRoom()) return
-    const [wanted, unwanted] = partition(sortCalls(this._waiting), ({ call }) => call.isWanted())
+    const unwanted = this._orderWaiting()
     const shares = this._shareMachines()
-    this._waiting = wanted
     this._sendLongestWaiting(shares)
-    this._sendInOrder(shares)
+    unwanted.push(...this._sendInOrder(shares))
     if (this._isShortOfMachines) this._awaitNextEnd(shares.names)
     for (const { call } of unwanted) call.settle({ kind: 'failed', reason: 'no longer wanted' })
   }
@@ -185,6 +189,17 @@
     return !this._isShortOfMachines || this._chooseMachine(this._shareMachines(), call, NO_OTHERS) !== undefined
   }
 
+  /** Orders the waiting calls, unless it was done a moment ago and no call has come since. Returns those that are no longer wanted. */
+  private _orderWaiting (): IWaitingCall[] {
+    const nowMs = this._clock.nowMs()
+    if (this._isOrdered && nowMs - this._orderedAtMs < ORDER_INTERVAL_MS) return []
+    const [wanted, unwanted] = partition(sortCalls(this._waiting), ({ call }) => call.isWanted())
+    this._waiting = wanted
+    this._isOrdered = true
+    this._orderedAtMs = nowMs
+    return unwanted
+  }
+
   /** If a turn is due, sends one of the calls that have waited for long and for which there is a machine. */
   private _sendLongestWaiting (shares: IMachineShares): void {
     if (!this._turns.isDue) return
@@ -199,8 +214,10 @@
     }
   }
 
-  private _sendInOrder (shares: IMachineShares): void {
+  /** Returns the calls that turned out to be no longer wanted. */
+  private _sendInOrder (shares: IMachineShares): readonly IWaitingCall[] {
     const left: IWaitingCall[] = []
+    const unwanted: IWaitingCall[] = []
     const kinds = this._waitingKinds(shares)
     // While nothing is sent, calls that need the same kind of machine find none either.
     const withoutMachine = new Set<number>()
@@ -215,7 +232,8 @@
         withoutMachine.add(need)
         this._isShortOfMachines ||= hasRoom
         kinds.isSlowHeldUp ||= hasRoom && isSlowCall(call.expectedMs)
-      } else {
+      } else if (!call.isWanted()) unwanted.push(waiting)
+      else {
         if (hasToShare(shares, call)) kinds.sharingCount -= 1
         this._send(name, call)
         withoutMachine.clear()
@@ -223,6 +241,7 @@
       }
     }
     this._waiting = left
+    return unwanted
   }
 
   private _waitingKinds (shares: IMachineShares): IWaitingKinds {
