The backlog is counted without a look at steps whose tasks all run

The backlog is counted four times a second. Whether a step is blocked takes an iteration over the hosts, and was decided for every open step, also for those with no task that waits. The count is the same; nothing else was measured.

--- a/src/common/cell/ReadySteps.ts
+++ b/src/common/cell/ReadySteps.ts
@@ -39,8 +39,11 @@
   let urgentTasks = 0
   for (const job of jobs) {
     if (job.isFinished) continue
-    const startable = job.steps.filter((step) => step.isReady && !step.isDone && !blocked.isBlocked(step))
-    const waiting = startable.reduce((sum, step) => sum + step.tasks.filter(isWaiting).length, 0)
+    let waiting = 0
+    for (const step of job.steps) {
+      const count = step.isReady && !step.isDone ? step.tasks.filter(isWaiting).length : 0
+      if (count > 0 && !blocked.isBlocked(step)) waiting += count
+    }
     tasks += waiting
     if (job.queue.priority === URGENT_PRIORITY) urgentTasks += waiting
   }
