--- a/src/common/cell/AdviceDispatcher.ts
+++ b/src/common/cell/AdviceDispatcher.ts
@@ -14,6 +14,7 @@
 import { AdviceLimit, LATE_MS, SENDING_MS } from './AdviceLimit.js'
 import { countAhead, partition, sortCalls } from './AdviceOrder.js'
 import { LongWaitTurns } from './LongWaitTurns.js'
+import { MachineLoads, isSlowCall } from './MachineLoads.js'
 import { URGENT_PRIORITY } from './Placement.js'
 
 import type { IClock, IDisposable, ITimers, MonotonicMs } from '../Types.js'
@@ -53,8 +54,6 @@
   send (machine: string, ask: IAdviceRequest, timeoutMs: number): Promise<AdviceOutcome>
 }
 
-/** A call that takes longer than this counts as slow, in ms: others would wait behind it for too long, given an objective of half a second. */
-const SLOW_CALL_MS = 300
 /** The share of the machines that make slow calls. The others stay free for short ones, since an urgent step behind a slow call would be late. */
 const SLOW_MACHINE_SHARE = 0.6
 /** The same share while no short call waits for a machine. */
@@ -65,16 +64,6 @@
 const BRIEF_MACHINE_SHARE = 0.1
 /** Without brief calls for this long, in ms, all machines make the other ones. */
 const BRIEF_KEEP_MS = 10_000
-/** The number of calls in flight from one machine: the one that the service handles, and the next. */
-const MAX_CALLS_AT_ONCE = 2
-/** A machine gets its next call this long before the present one ends, in ms: else the service is idle for a round trip between regions. */
-const LEAD_MS = 45
-/** A machine whose call takes this much longer than expected, in ms, gets no other: more than two round trips between regions. */
-const OVERDUE_MS = 100
-/** After this many failed calls in a row, a machine is used last. */
-const MAX_FAILURES = 2
-/** How long a machine is used last after a failed call, in ms: a link that is cut for a moment is back by then. */
-const USED_LAST_MS = 4000
 /** How much longer than expected a call may take, in ms: two round trips between regions and one short call ahead of it. */
 const CALL_SLACK_MS = 700
 /** The order of the waiting calls changes little within this time, in ms, while none is added. */
@@ -82,18 +71,6 @@
 /** A timer that is late by less than this, in ms, shows that this process has time to spare. */
 const PUNCTUAL_MS = 100
 
-interface IMachineLoad {
-  slow: number
-  short: number
-  /** When the service is expected to have handled the calls in flight. */
-  busyUntilMs: MonotonicMs
-  /** Calls that failed in a row. */
-  failures: number
-  usedLastUntilMs: MonotonicMs
-  /** How long the service still handles short calls other than urgent ones before the next slow one, in ms, if both kinds share the machine. */
-  shortTurnMs: number
-}
-
 /** The machines by the calls that they may make: the first ones all, the last ones only brief calls. */
 interface IMachineShares {
   readonly names: readonly string[]
@@ -116,7 +93,7 @@
 const NO_OTHERS: IWaitingKinds = { hasShort: false, hasStartable: false, sharingCount: 0, isSlowHeldUp: false }
 
 export class AdviceDispatcher {
-  private readonly _loads = new Map<string, IMachineLoad>()
+  private readonly _loads: MachineLoads
   private readonly _limit = new AdviceLimit()
   private _waiting: IWaitingCall[] = []
   private readonly _turns = new LongWaitTurns()
@@ -127,7 +104,9 @@
   private _isOrdered = false
   private _orderedAtMs: MonotonicMs = -Infinity
 
-  public constructor (private readonly _sender: IAdviceSender, private readonly _clock: IClock & ITimers) {}
+  public constructor (private readonly _sender: IAdviceSender, private readonly _clock: IClock & ITimers) {
+    this._loads = new MachineLoads(_clock)
+  }
 
   public get waitingCount (): number {
     return this._waiting.length
@@ -264,12 +243,7 @@
   private _awaitNextEnd (names: readonly string[]): void {
     this._nextEnd?.dispose()
     this._nextEnd = undefined
-    const nowMs = this._clock.nowMs()
-    let waitMs = Infinity
-    for (const name of names) {
-      const freeInMs = this._loadOf(name).busyUntilMs - LEAD_MS - nowMs
-      if (freeInMs > 0) waitMs = Math.min(waitMs, freeInMs)
-    }
+    const waitMs = this._loads.nextFreeInMs(names)
     if (waitMs < Infinity) this._nextEnd = this._clock.after(Math.ceil(waitMs), () => { this.sendWaiting() })
   }
 
@@ -284,68 +258,35 @@
   private _chooseMachine (shares: IMachineShares, call: IAdviceCall, kinds: IWaitingKinds): string | undefined {
     const name = this._chooseByKind(shares, call, kinds)
     // If calls for later followed each other without a pause, their machine would make no other ones.
-    if (name !== undefined && call.isForLater && kinds.hasStartable && !this._isIdle(name)) return undefined
+    if (name !== undefined && call.isForLater && kinds.hasStartable && !this._loads.isIdle(name)) return undefined
     return name
   }
 
-  private _isIdle (name: string): boolean {
-    const { slow, short } = this._loadOf(name)
-    return slow + short === 0
-  }
-
   private _chooseByKind (shares: IMachineShares, call: IAdviceCall, kinds: IWaitingKinds): string | undefined {
     const { names, slowCount, maxSlowCount } = shares
     const slowNames = names.slice(0, slowCount)
     if (isSlowCall(call.expectedMs)) {
-      if (kinds.sharingCount > 0) return this._leastLoaded(slowNames.filter((name) => this._isSlowTurn(name)), call)
-      return this._leastLoaded(kinds.hasShort ? slowNames : names.slice(0, maxSlowCount), call)
-    }
-    const name = this._leastLoaded(shortOnlyNames(shares, call), call)
-    if (name !== undefined || !kinds.isSlowHeldUp) return name ?? this._leastLoaded(slowNames, call)
-    return hasToShare(shares, call) ? this._leastLoaded(slowNames.filter((slowName) => !this._isSlowTurn(slowName)), call) : undefined
-  }
-
-  /** Whether the next call of a shared machine is a slow one. */
-  private _isSlowTurn (name: string): boolean {
-    const { slow, shortTurnMs } = this._loadOf(name)
-    return slow === 0 && shortTurnMs <= 0
-  }
-
-  private _leastLoaded (names: readonly string[], call: IAdviceCall): string | undefined {
-    const nowMs = this._clock.nowMs()
-    let best: string | undefined
-    let bestWaitMs = Infinity
-    for (const name of names) {
-      const load = this._loadOf(name)
-      if (!isFree(load, call, nowMs)) continue
-      const waitMs = expectedWaitMs(load, nowMs)
-      if (waitMs < bestWaitMs) {
-        best = name
-        bestWaitMs = waitMs
-      }
+      if (kinds.sharingCount > 0) return this._loads.leastLoaded(slowNames.filter((name) => this._loads.isSlowTurn(name)), call)
+      return this._loads.leastLoaded(kinds.hasShort ? slowNames : names.slice(0, maxSlowCount), call)
     }
-    return best
+    const name = this._loads.leastLoaded(shortOnlyNames(shares, call), call)
+    if (name !== undefined || !kinds.isSlowHeldUp) return name ?? this._loads.leastLoaded(slowNames, call)
+    return hasToShare(shares, call) ? this._loads.leastLoaded(slowNames.filter((slowName) => !this._loads.isSlowTurn(slowName)), call) : undefined
   }
 
   private _send (name: string, call: IAdviceCall): void {
-    const load = this._loadOf(name)
     this._turns.recordSent()
     call.onSent()
-    const kind = isSlowCall(call.expectedMs) ? 'slow' : 'short'
-    load[kind] += 1
-    const { jobId, step, hostIds, expectedMs, priority } = call
-    if (kind === 'slow') load.shortTurnMs = expectedMs
-    else if (priority !== URGENT_PRIORITY) load.shortTurnMs -= expectedMs
+    this._loads.recordSent(name, call)
+    const { jobId, step, hostIds, expectedMs } = call
     const sentAtMs = this._clock.nowMs()
-    load.busyUntilMs = Math.max(load.busyUntilMs, sentAtMs) + expectedMs
     const limited = { sentAtMs, expectedMs, isNoticedInTime: false }
     this._limit.recordSent(limited)
     const lateAtMs = sentAtMs + expectedMs + LATE_MS
     const notice = this._clock.after(lateAtMs - sentAtMs, () => { limited.isNoticedInTime = this._clock.nowMs() - lateAtMs < PUNCTUAL_MS })
     const done = (outcome: AdviceOutcome): void => {
       notice.dispose()
-      load[kind] -= 1
-      this._recordEnd(load, outcome)
+      this._loads.recordEnd(name, call, outcome)
       this._limit.recordEnd(limited, this._clock.nowMs(), outcome.kind === 'advised', this._waiting.length > 0)
       call.settle(outcome, sentAtMs)
       this.sendWaiting()
@@ -353,22 +294,6 @@
     this._sender.send(name, { jobId, step, hostIds }, expectedMs + CALL_SLACK_MS)
       .then(done, (error: unknown) => { done({ kind: 'failed', reason: String(error) }) })
   }
-
-  private _recordEnd (load: IMachineLoad, outcome: AdviceOutcome): void {
-    const nowMs = this._clock.nowMs()
-    if (load.slow + load.short === 0) load.busyUntilMs = nowMs
-    load.failures = outcome.kind === 'advised' ? 0 : load.failures + 1
-    load.usedLastUntilMs = load.failures < MAX_FAILURES ? -Infinity : nowMs + USED_LAST_MS
-  }
-
-  private _loadOf (name: string): IMachineLoad {
-    let load = this._loads.get(name)
-    if (load === undefined) {
-      load = { slow: 0, short: 0, busyUntilMs: -Infinity, failures: 0, usedLastUntilMs: -Infinity, shortTurnMs: 0 }
-      this._loads.set(name, load)
-    }
-    return load
-  }
 }
 
 /** The machines that the short call uses first because they make no slow calls, near ones first. None if there are too few machines. */
@@ -387,26 +312,6 @@
   return length * 2 + Number(priority === URGENT_PRIORITY)
 }
 
-/** Whether the machine may be given the call now. Short calls are never given to a machine with a slow one in flight. */
-function isFree ({ slow, short, busyUntilMs }: IMachineLoad, { expectedMs, priority }: IAdviceCall, nowMs: MonotonicMs): boolean {
-  const calls = slow + short
-  if (calls === 0) return true
-  const isSlow = isSlowCall(expectedMs)
-  if (calls >= MAX_CALLS_AT_ONCE || (!isSlow && slow > 0) || nowMs - busyUntilMs > OVERDUE_MS) return false
-  // No call that arrives later is more urgent, so nothing is gained by keeping an urgent one here.
-  return busyUntilMs - nowMs <= LEAD_MS || (!isSlow && priority === URGENT_PRIORITY)
-}
-
-/** How long a further call is expected to wait at the machine, in ms; machines whose calls have failed come last. */
-function expectedWaitMs ({ slow, short, busyUntilMs, usedLastUntilMs }: IMachineLoad, nowMs: MonotonicMs): number {
-  const waitMs = slow + short === 0 ? 0 : Math.max(1, busyUntilMs - nowMs)
-  return nowMs < usedLastUntilMs ? USED_LAST_MS + waitMs : waitMs
-}
-
-export function isSlowCall (expectedMs: number): boolean {
-  return expectedMs > SLOW_CALL_MS
-}
-
 /**
  * Sorts far machines first, so that they take the slow calls: a round trip between regions matters little for a call of a second,
  * and much for a short one.
--- a/src/common/cell/AdviceRequester.ts
+++ b/src/common/cell/AdviceRequester.ts
@@ -3,11 +3,12 @@
  * suffice.
  */
 
-import { AdviceDispatcher, isSlowCall } from './AdviceDispatcher.js'
+import { AdviceDispatcher } from './AdviceDispatcher.js'
 import { AllowedShares, splitIntoCalls, findUnnamedHosts, chooseHostsToName } from './AdviceHosts.js'
 import { AdviceTurns } from './AdviceTurns.js'
 import { isLate } from './JobOrder.js'
 import { LONG_WAIT_MS } from './LongWaitTurns.js'
+import { isSlowCall } from './MachineLoads.js'
 import { allowedHosts } from './Placement.js'
 import { StepAdvice } from './StepAdvice.js'
 
