Calls for later that find no machine don't have all waiting calls ordered; unwanted calls get no turn

Cause, found by the review: whether a further call is tried alone ignored that calls for later may use only idle machines while others wait that a step could start with. So each of them had all waiting calls ordered again whenever a machine was about to be free. And since the order is kept for 50 ms, a turn after a long wait could go to a call that was no longer wanted.

--- a/src/common/cell/AdviceDispatcher.test.ts
+++ b/src/common/cell/AdviceDispatcher.test.ts
@@ -316,3 +316,55 @@
   t.true(sent.length > inFlight.length)
   t.true(counts.ordered <= 500, `${counts.ordered} comparisons`)
 })
+
+test('calls for later that find no machine do not have all waiting calls ordered again', async (t) => {
+  // They may use only machines without a call in flight while steps wait that could start.
+  const machines = Array.from({ length: 10 }, (_, number) => ({ name: `machine-${number}`, isNear: number > 6 }))
+  const { clock, sent, dispatcher } = createDispatcher(machines)
+  let ordered = 0
+  const isLate = (): boolean => {
+    ordered += 1
+    return false
+  }
+  const answerAll = async (): Promise<void> => {
+    for (const { answer } of sent.splice(0)) answer({ kind: 'advised', allowed: [] })
+    await setImmediate()
+  }
+  const call = { step: 0, hostIds: [], holdsCapacity: false, dueMs: 0, isLate, isWanted: () => true, onSent: () => {}, settle: () => {} }
+  const ask = (jobId: string, isForLater: boolean, expectedMs: number): void => {
+    dispatcher.dispatch({ ...call, jobId, isForLater, expectedMs, priority: isForLater ? 1 : 2 })
+  }
+  for (let round = 0; round < 60; round += 1) {
+    for (let number = 0; number < 40; number += 1) ask('first', false, BATCH_MS)
+    await answerAll()
+  }
+  while (dispatcher.inFlightCount > 0) await answerAll()
+  for (let number = 0; number < 40; number += 1) ask('later', true, SLOW_MS)
+  for (let number = 0; number < 100; number += 1) ask('batch', false, BATCH_MS)
+  clock.advance(SLOW_MS - 30)
+  await setImmediate()
+  ordered = 0
+  const waitingCount = dispatcher.waitingCount
+  for (let number = 0; number < 300; number += 1) ask('later', true, SLOW_MS)
+  t.true(ordered <= 2 * (waitingCount + 300), `${ordered} comparisons`)
+})
+
+test('a call that is no longer wanted is not sent after a long wait', async (t) => {
+  const { clock, sent, dispatcher } = createDispatcher(ONE_MACHINE)
+  let isWanted = true
+  let isSent = false
+  const call = { step: 0, hostIds: [], isForLater: false, holdsCapacity: false, dueMs: 0, isLate: () => false, expectedMs: SLOW_MS / 10 }
+  const ask = (jobId: string, further: object = {}): void => {
+    dispatcher.dispatch({ ...call, jobId, priority: 1, isWanted: () => true, onSent: () => {}, settle: () => {}, ...further })
+  }
+  ask('first')
+  ask('unwanted', { priority: 2, isWanted: () => isWanted, onSent: () => { isSent = true } })
+  for (let number = 0; number < 30; number += 1) ask(`other-${number}`)
+  clock.advance(6000)
+  for (let answers = 0; answers < 20; answers += 1) {
+    if (answers === 2) isWanted = false
+    for (const { answer } of sent.splice(0)) answer({ kind: 'advised', allowed: [] })
+    await setImmediate()
+  }
+  t.false(isSent)
+})
--- a/src/common/cell/AdviceDispatcher.ts
+++ b/src/common/cell/AdviceDispatcher.ts
@@ -90,8 +90,6 @@
   isSlowHeldUp: boolean
 }
 
-const NO_OTHERS: IWaitingKinds = { hasShort: false, hasStartable: false, sharingCount: 0, isSlowHeldUp: false }
-
 export class AdviceDispatcher {
   private readonly _loads: MachineLoads
   private readonly _limit = new AdviceLimit()
@@ -162,10 +160,13 @@
     for (const { call } of this._waiting.splice(0)) call.settle({ kind: 'failed', reason: 'no longer the owner' })
   }
 
-  /** Whether the call could be sent now if no other waited. */
+  /** Whether the call could be sent now if it were the first of those that wait. */
   private _canSend (call: IAdviceCall): boolean {
     if (!this._hasRoom()) return false
-    return !this._isShortOfMachines || this._chooseMachine(this._shareMachines(), call, NO_OTHERS) !== undefined
+    if (!this._isShortOfMachines) return true
+    const hasShort = this._waiting.some((waiting) => !isSlowCall(waiting.call.expectedMs))
+    const hasStartable = this._waiting.some((waiting) => !waiting.call.isForLater)
+    return this._chooseMachine(this._shareMachines(), call, { hasShort, hasStartable, sharingCount: 0, isSlowHeldUp: false }) !== undefined
   }
 
   /** Orders the waiting calls, unless it was done a moment ago and no call has come since. Returns those that are no longer wanted. */
@@ -184,6 +185,7 @@
     if (!this._turns.isDue) return
     const kinds = this._waitingKinds(shares)
     for (const waiting of this._turns.candidates(this._waiting, this._clock.nowMs())) {
+      if (!waiting.call.isWanted()) continue
       const name = this._chooseMachine(shares, waiting.call, kinds)
       if (name === undefined) continue
       this._waiting = this._waiting.filter((each) => each !== waiting)
