A gang whose call for later waits already no longer blocks the turns of its priority

A gang with a waiting call for later took it and asked for nothing, so each such gang kept the others from asking for 5 s.

--- a/src/common/cell/AdviceRequester.test.ts
+++ b/src/common/cell/AdviceRequester.test.ts
@@ -4,8 +4,12 @@
 
 import test from 'ava'
 import { SimulatedCell } from '../../../test/support/SimulatedCell.js'
+import { ManualClock } from '../Clock.js'
+import { SilentLogger } from '../observability/SilentLogger.js'
+import { AdviceRequester } from './AdviceRequester.js'
 
-import type { Job, QueueTerms } from './Job.js'
+import type { Job, QueueTerms, Step } from './Job.js'
+import type { IStepSpec } from './Types.js'
 
 const HOSTS = 320
 const MACHINES = 6
@@ -65,3 +69,25 @@
   }
   t.deepEqual(late.map((job) => job.hasStarted), [true, true, true])
 })
+
+test('a step that was turned away is not behind gangs of its priority whose calls for later wait already', async (t) => {
+  const cell = new SimulatedCell({ hosts: 4 })
+  await cell.run(500)
+  const clock = new ManualClock()
+  const requester = new AdviceRequester(cell.scheduler.hosts, { isBlocked: () => false }, {
+    machines: () => [{ name: 'machine', isNear: true }],
+    send: async () => await new Promise(() => {}),
+    requestPass: () => {},
+    recordDuration: () => {},
+    count: () => {}
+  }, clock, new SilentLogger())
+  const stepOf = (spec: Partial<IStepSpec>, priority: number): Step | undefined => cell.createJob([spec], { ...GANGS, priority }).steps[0]
+  const gangs = Array.from({ length: 5 }, () => stepOf({ count: 40, gang: true, cpuMillicores: 4000 }, 1))
+  const urgent = Array.from({ length: 40 }, () => stepOf({}, 0))
+  const step = stepOf({}, 1)
+  for (let passedMs = 0; passedMs < 6000; passedMs += 100) {
+    for (const each of [...gangs, ...urgent, ...passedMs === 0 ? [] : [step]]) if (each !== undefined) requester.ensureAdvice(each)
+    clock.advance(100)
+  }
+  t.true(step?.advice?.hasCalls)
+})
--- a/src/common/cell/AdviceRequester.ts
+++ b/src/common/cell/AdviceRequester.ts
@@ -107,7 +107,11 @@
   }
 
   private _requestHosts (step: Step, advice: StepAdvice, use: AdviceUse): void {
-    if (use === 'later' && (advice.hasLaterCallsFor('hosts') || !this._mayAsk(step, use, this._clock.nowMs()))) return
+    if (advice.hasLaterCallsFor('hosts') && use === 'later') {
+      this._turns.take(step)
+      return
+    }
+    if (use === 'later' && !this._mayAsk(step, use, this._clock.nowMs())) return
     const hostIds = chooseHostsToName(step, this._hosts.values(), this._shares.shareOf(step.job.queue.name), this._isLean(step))
     if (hostIds.length > 0) this.requestAdvice(step, hostIds, 'hosts', use, () => {})
     else advice.lastCallAtMs = this._clock.nowMs()
