An urgent gang that gets its advice during a pass reserves its room in that pass

Cause, found by the review: in the later slices of a pass, urgent steps are considered with reservations of their own, and only those that were new with the reservations of the pass as well. A gang that waited for advice at first isn't new; less urgent steps took what became free until the pass ended.

--- a/src/common/cell/SchedulingPass.test.ts
+++ b/src/common/cell/SchedulingPass.test.ts
@@ -21,6 +21,7 @@
   public readonly clock = new ManualClock()
   public readonly ready: Step[] = []
   public considered: Step[] = []
+  public readonly reservationsOf = new Map<Step, CapacityReservations[]>()
   private readonly _cell = new SimulatedCell({ hosts: 1 })
 
   /** Considering a step takes 1 ms, and none finds room. */
@@ -31,9 +32,10 @@
     createView: () => ({
       nowMs: 0, hosts: new Map(), farFactor: 1, slowHosts: new Set(), times: new RunTimes(), headroom: () => NO_RESOURCES, hasReservation: () => false
     }),
-    place: (step) => {
+    place: (step, reservations) => {
       this.clock.advance(1)
       this.considered.push(step)
+      this.reservationsOf.set(step, [...this.reservationsOf.get(step) ?? [], reservations])
       return step.advice?.hasCalls === true ? 'advice' : 'room'
     }
   }
@@ -92,3 +94,20 @@
   t.is(set.considered.filter((step) => step === gang).length, 1)
   t.true(set.considered.indexOf(gang) < 12)
 })
+
+test('an urgent gang whose advice arrives during a pass has its room reserved from the less urgent steps that follow', (t) => {
+  const set = new StepSet()
+  const [gang] = set.add(1, { priority: 0 }, { count: 2, gang: true })
+  set.add(60, { priority: 2 })
+  if (gang === undefined) return t.fail()
+  gang.advice = new StepAdvice()
+  gang.advice.recordCalls(1, 'hosts', false, 0)
+  const pass = set.begin()
+  pass.runSlice(SLICE_MS)
+  gang.advice.recordCallEnd('hosts', false)
+  set.reservationsOf.clear()
+  pass.runSlice(SLICE_MS)
+  t.true(set.reservationsOf.get(gang)?.includes(pass.reservations))
+  while (!pass.isComplete) pass.runSlice(SLICE_MS)
+  t.is(set.reservationsOf.get(gang)?.filter((reservations) => reservations === pass.reservations).length, 1)
+})
--- a/src/common/cell/SchedulingPass.ts
+++ b/src/common/cell/SchedulingPass.ts
@@ -82,8 +82,8 @@
     const view = this._actions.createView(reservations)
     return this._considerUntil(untilMs, steps, (step) => {
       const isWaitingGang = this._consider(step, reservations, view) === 'room' && step.spec.gang
-      // Less urgent steps have to leave free what a new gang needs.
-      if (isWaitingGang && !this._known.has(step)) this._consider(step, this.reservations, this._actions.createView(this.reservations))
+      // Less urgent steps have to leave free what the gang needs.
+      if (isWaitingGang && !this._waitingGangs.has(step)) this._consider(step, this.reservations, this._actions.createView(this.reservations))
       this._known.add(step)
     })
   }
