What is reserved on hosts is used by others only while less than half of the processors are in use, also within a pass

Cause, found by the review: whether half is in use was determined when a pass began. After a takeover, one pass could fill the cell with runs that use what gangs reserve.

It is determined once for each step that asks.

--- a/src/common/cell/CapacityReservations.test.ts
+++ b/src/common/cell/CapacityReservations.test.ts
@@ -124,3 +124,17 @@
   t.deepEqual(reservation, { hosts: [...cell.scheduler.hosts.values()].slice(0, 3), waitMs: 1000 })
   t.is(headrooms, 3)
 })
+
+test('once half of the processors are in use, nothing that is reserved is used by others for the rest of the pass', async (t) => {
+  const cell = new SimulatedCell({ hosts: 8, host: { workMs: () => 60_000 } })
+  await cell.run(500)
+  cell.submit([{ count: 1, cpuMillicores: 5000, estimateMs: 60_000 }], { priority: 0 })
+  await cell.run(1500)
+  cell.passIntervalMs = Infinity
+  await cell.run(100)
+  cell.submit([{ count: 8, gang: true, cpuMillicores: 7000 }], { targetMs: 1e6 })
+  for (let number = 0; number < 70; number += 1) cell.submit([{ estimateMs: 500 }], { priority: 2, targetMs: 1e6 })
+  cell.scheduler.runPass()
+  const usedMillicores = [...cell.scheduler.hosts.values()].reduce((sum, host) => sum + host.usedCpu, 0)
+  t.true(usedMillicores <= 33_000, `${usedMillicores} millicores`)
+})
--- a/src/common/cell/CapacityReservations.ts
+++ b/src/common/cell/CapacityReservations.ts
@@ -70,20 +70,17 @@
   private readonly _holds = new Map<HostState, IHold[]>()
   private readonly _gangWaits: WeakMap<Step, IGangWait>
   private readonly _runsMs = new Map<Step, number>()
-  private readonly _isHalfFree: boolean
+  private readonly _hosts: readonly HostState[]
+  /** The step that asked last, and whether most of the processors were free then. */
+  private _lastAsking: Step | undefined
+  private _isHalfFree = false
   private readonly _ends = new Map<HostState, IKnownEnds>()
   private _leftMillicores: number
 
   /** @param last the reservations of the previous pass */
   public constructor (hosts: Iterable<HostState>, private readonly _forecast?: IStartForecast, last?: CapacityReservations) {
-    let total = 0
-    let used = 0
-    for (const host of hosts) {
-      total += host.entry.cpuMillicores
-      used += host.usedCpu
-    }
-    this._leftMillicores = total * MAX_RESERVED_SHARE
-    this._isHalfFree = used < total * MAX_USED_SHARE
+    this._hosts = [...hosts]
+    this._leftMillicores = sumCpu(this._hosts) * MAX_RESERVED_SHARE
     this._gangWaits = last?._gangWaits ?? new WeakMap()
   }
 
@@ -95,7 +92,7 @@
   public reservedOn (host: HostState, step: Step, isAtRisk: boolean): IResources {
     const holds = this._holds.get(host)
     if (holds === undefined) return NO_RESOURCES
-    if (this._isHalfFree) return this._sumWithoutLent(holds, this._runMsOf(step), isAtRisk)
+    if (this._isHalfFreeFor(step)) return this._sumWithoutLent(holds, this._runMsOf(step), isAtRisk)
     const reserved = this._reserved.get(host) ?? NO_RESOURCES
     return isAtRisk ? reserved : addResources(reserved, this._reservedForLate.get(host) ?? NO_RESOURCES)
   }
@@ -163,6 +160,15 @@
     return ends
   }
 
+  /** Determined once a step: what the steps before it were given counts as used. */
+  private _isHalfFreeFor (step: Step): boolean {
+    if (this._lastAsking === step) return this._isHalfFree
+    this._lastAsking = step
+    const used = this._hosts.reduce((sum, host) => sum + host.usedCpu, 0)
+    this._isHalfFree = used < sumCpu(this._hosts) * MAX_USED_SHARE
+    return this._isHalfFree
+  }
+
   private _sumWithoutLent (holds: readonly IHold[], runMs: number, isAtRisk: boolean): IResources {
     let sum = NO_RESOURCES
     for (const { step, isLate, maxRunMs } of holds) {
@@ -184,7 +190,7 @@
     const wait = last !== undefined && nowMs - last.reservedAtMs < LAPSE_MS ? last : { backfill: new Backfill(nowMs), reservedAtMs: nowMs }
     wait.reservedAtMs = nowMs
     this._gangWaits.set(step, wait)
-    if (!this._isHalfFree) return 0
+    if (!this._isHalfFreeFor(step)) return 0
     const { backfill } = wait
     const isReturning = backfill.hasLaterRuns(nowMs) && fitsBesideEarlier(step, hosts, backfill.runsBeforeMs)
     // Runs may exceed their forecasts, so a wait for runs that began before it is expected to last for as long again as it has.
@@ -218,3 +224,7 @@
   }
   return false
 }
+
+function sumCpu (hosts: readonly HostState[]): number {
+  return hosts.reduce((sum, { entry }) => sum + entry.cpuMillicores, 0)
+}
