--- a/src/common/cell/WaitingSteps.ts
+++ b/src/common/cell/WaitingSteps.ts
@@ -123,9 +123,13 @@
 
 /** What the prepared runs of the step wait for; undefined if it has none. */
 function preparedStage ({ tasks }: Step): WaitStage | undefined {
-  const prepared = tasks.flatMap(({ attempt }) => attempt?.phase === 'preparing' ? [attempt] : [])
-  if (prepared.length === 0) return undefined
-  return prepared.some(({ isRecorded }) => isRecorded) ? 'tickets' : 'record'
+  let stage: WaitStage | undefined
+  for (const { attempt } of tasks) {
+    if (attempt?.phase !== 'preparing') continue
+    if (attempt.isRecorded) return 'tickets'
+    stage = 'record'
+  }
+  return stage
 }
 
 function rowOf ({ job: { spec, queue, workspace }, number }: Step, sinceMs: MonotonicMs, cause: IWaitCause, nowMs: MonotonicMs): IWaitingRow {
