--- a/src/common/cell/AdviceTurns.ts
+++ b/src/common/cell/AdviceTurns.ts
@@ -1,5 +1,5 @@
 /**
- * The steps that may not ask for advice because too many calls wait that would go before theirs.
+ * The steps that were turned away: they may not ask for advice now, because too many calls wait that would go before theirs.
  *
  * It is designed for an owner with few machines whose more urgent queues ask for more than these can call. The owner can't queue a call for
  * each of hundreds of waiting steps. A step that has been turned away for long may queue one all the same, the longest-waiting of its
@@ -9,7 +9,7 @@
 import type { MonotonicMs } from '../Types.js'
 import type { Step } from './Job.js'
 
-/** A step that has not asked again for this long, in ms, needs no advice any more: more than two passes of a slow owner. */
+/** A step that has not asked again for this long, in ms, needs no advice any more. */
 const FORGET_AFTER_MS = 5000
 
 interface ITurnedAway {
--- a/src/common/cell/CapacityReservations.ts
+++ b/src/common/cell/CapacityReservations.ts
@@ -92,7 +92,7 @@
   public reservedOn (host: HostState, step: Step, isAtRisk: boolean): IResources {
     const holds = this._holds.get(host)
     if (holds === undefined) return NO_RESOURCES
-    if (this._isHalfFreeFor(step)) return this._sumWithoutLent(holds, this._runMsOf(step), isAtRisk)
+    if (this._isHalfFreeFor(step)) return this._sumNotUsable(holds, this._runMsOf(step), isAtRisk)
     const reserved = this._reserved.get(host) ?? NO_RESOURCES
     return isAtRisk ? reserved : addResources(reserved, this._reservedForLate.get(host) ?? NO_RESOURCES)
   }
@@ -160,7 +160,7 @@
     return ends
   }
 
-  /** Determined once a step: what the steps before it were given counts as used. */
+  /** Determined anew for each step: the runs that the pass has given to the steps before it count as used. */
   private _isHalfFreeFor (step: Step): boolean {
     if (this._lastAsking === step) return this._isHalfFree
     this._lastAsking = step
@@ -169,7 +169,7 @@
     return this._isHalfFree
   }
 
-  private _sumWithoutLent (holds: readonly IHold[], runMs: number, isAtRisk: boolean): IResources {
+  private _sumNotUsable (holds: readonly IHold[], runMs: number, isAtRisk: boolean): IResources {
     let sum = NO_RESOURCES
     for (const { step, isLate, maxRunMs } of holds) {
       if (runMs > maxRunMs && !(isAtRisk && isLate)) sum = addResources(sum, resourcesOf(step.spec))
@@ -192,11 +192,11 @@
     this._gangWaits.set(step, wait)
     if (!this._isHalfFreeFor(step)) return 0
     const { backfill } = wait
-    const isReturning = backfill.hasLaterRuns(nowMs) && fitsBesideEarlier(step, hosts, backfill.runsBeforeMs)
+    const isHeldByLaterRuns = backfill.hasLaterRuns(nowMs) && fitsBesideEarlier(step, hosts, backfill.runsBeforeMs)
     // Runs may exceed their forecasts, so a wait for runs that began before it is expected to last for as long again as it has.
     const lastedMs = nowMs - backfill.sinceMs
     const isLasting = lastedMs > waitMs && !fitsBesideEarlier(step, hosts, backfill.sinceMs)
-    return backfill.maxRunMs(isLasting ? lastedMs : waitMs, isReturning, nowMs)
+    return backfill.maxRunMs(isLasting ? lastedMs : waitMs, isHeldByLaterRuns, nowMs)
   }
 
   private _addReservation (reserved: Map<HostState, IResources>, host: HostState, resources: IResources): void {
--- a/src/common/cell/LimitReservations.ts
+++ b/src/common/cell/LimitReservations.ts
@@ -59,7 +59,7 @@
     const needed = spec.gang && step.hasNoRuns ? spec.count : 1
     if (places >= needed) return places
     const freePlaces = this._usage.placesFor(workspace, spec)
-    return freePlaces >= needed && this._isLent(step, nowMs) ? freePlaces : 0
+    return freePlaces >= needed && this._mayBackfill(step, nowMs) ? freePlaces : 0
   }
 
   /** Whether the step reserves room within the limit, and is expected to start soon. */
@@ -89,7 +89,7 @@
   }
 
   /** Whether the step may use what is reserved: most of the limit is idle, and its runs end before the job that reserves is expected to start. */
-  private _isLent (step: Step, nowMs: MonotonicMs): boolean {
+  private _mayBackfill (step: Step, nowMs: MonotonicMs): boolean {
     const { workspace } = step.job
     const holder = this._holders.get(workspace)
     if (holder === undefined || !this._usage.isHalfFree(workspace)) return false
@@ -99,11 +99,11 @@
 
   private _maxRunMs ({ step, backfill }: IHolder, nowMs: MonotonicMs): number {
     const limitWaitMs = this._forecast.limitWaitMs(step, backfill.runsBeforeMs)
-    const isReturning = limitWaitMs === 0 && backfill.hasLaterRuns(nowMs) && this._forecast.limitWaitMs(step, Infinity) > 0
+    const isHeldByLaterRuns = limitWaitMs === 0 && backfill.hasLaterRuns(nowMs) && this._forecast.limitWaitMs(step, Infinity) > 0
     // Runs may exceed their forecasts, so a wait for runs that began before it is expected to last for as long again as it has.
     const lastingMs = this._forecast.limitWaitMs(step, backfill.sinceMs) > 0 ? nowMs - backfill.sinceMs : 0
     const roomWaitMs = this._forecast.roomWaitMs(step)
     // Keeping the limit free for longer than the hosts need would not let the job start sooner.
-    return Math.max(roomWaitMs, backfill.maxRunMs(Math.max(limitWaitMs, lastingMs), isReturning, nowMs))
+    return Math.max(roomWaitMs, backfill.maxRunMs(Math.max(limitWaitMs, lastingMs), isHeldByLaterRuns, nowMs))
   }
 }
--- a/src/common/cell/StartForecast.ts
+++ b/src/common/cell/StartForecast.ts
@@ -2,7 +2,7 @@
  * Forecasts when a waiting step can start, and how long its run will take, so that work that ends before then may use what is reserved for
  * the step (backfilling).
  *
- * Designed for workspaces near their limits and runs of which a few take seven times as long as the others. A gang that waits for such a run
+ * Designed for workspaces near their limits and queues in which a few runs take several times as long as forecast. A gang that waits for such a run
  * would keep its workspace, or its hosts, idle for as long as the run lasts.
  */
 
