--- a/src/common/cell/AdviceDispatcher.ts
+++ b/src/common/cell/AdviceDispatcher.ts
@@ -139,7 +139,7 @@
     this._waiting.push({ call, sinceMs: call.turnedAwaySinceMs ?? this._clock.nowMs() })
     this._isOrdered = false
     if (call.expectedMs <= BRIEF_CALL_MS) this._briefAtMs = this._clock.nowMs()
-    // The calls before it were tried when a machine last became free, so only this one may find a machine.
+    // The calls before it are tried when a machine becomes free, and regularly by `sendWaiting`.
     if (!hasWaiting || this._canSend(call)) this.sendWaiting()
   }
 
