--- a/src/common/cell/RunController.ts
+++ b/src/common/cell/RunController.ts
@@ -161,7 +161,9 @@
     const nowMs = this._clock.nowMs()
     const ageMs = Math.round(nowMs - attempt.task.step.job.receivedAtMs)
     const recordMs = Math.round(attempt.startedAtMs - attempt.preparedAtMs)
-    this._log.info('run.ordered', { ...runLogFields(attempt), outcome: outcome.kind, ageMs, recordMs, durationMs: Math.round(nowMs - attempt.startedAtMs) })
+    const durationMs = Math.round(nowMs - attempt.startedAtMs)
+    const clockMs = 'clockMs' in outcome ? outcome.clockMs : undefined
+    this._log.info('run.ordered', { ...runLogFields(attempt), outcome: outcome.kind, ageMs, recordMs, durationMs, bornMs, clockMs })
     switch (outcome.kind) {
       case 'started':
         // The clock of a later incarnation has started again.
