Orders to a host that is back use new connections, and a start that was lost with its connection is sent once more

Cause: the pool of connections to a host is kept as long as its address stays, ten minutes when idle. After a restart, or a cut in which a connection was given up on the other side, the first order on each old connection fails within milliseconds, and the owner waited for the host's next lists, about 3 s, though the same run may be ordered again.

Change: when a host answers after a poll without an answer, or in a new life, further orders use a new pool; orders in flight keep the old one. A start that failed within 500 ms, while the host is in contact and its fence is the same, is sent once more with the same run, deadline and fence: a host that has the run answers that it has it. Any answer but 'started' to the second order says nothing about the first one, which stays unsure. A start that timed out is not repeated, since it may be carried out late.

--- a/src/cell/HostDeparture.test.ts
+++ b/src/cell/HostDeparture.test.ts
@@ -57,6 +57,7 @@
       start: async ({ hostId }, order) => this._hostOf(hostId).start(order),
       stop: async ({ hostId }, ref, fence) => this._hostOf(hostId).stop(ref, fence),
       hold: async ({ hostId }, order) => await this._hold(hostId, order),
+      reconnect: () => {},
       forget: () => {}
     }
     this.scheduler = new CellScheduler({
--- a/src/cell/HostSession.test.ts
+++ b/src/cell/HostSession.test.ts
@@ -42,6 +42,7 @@
     },
     onFenced: () => {},
     onFenceExhausted: () => {},
+    onRegained: () => {},
     onFailure: () => {},
     pollWaitMs: () => LONG_WAIT_MS
   }, MAX_HOLD_MS, clock, new SilentLogger())
@@ -79,6 +80,7 @@
     },
     onFenced: () => {},
     onFenceExhausted: () => {},
+    onRegained: () => {},
     onFailure: () => {},
     pollWaitMs: () => LONG_WAIT_MS
   }, MAX_HOLD_MS, clock, new SilentLogger())
@@ -112,6 +114,7 @@
     },
     onFenced: () => {},
     onFenceExhausted: () => {},
+    onRegained: () => {},
     onFailure: () => {},
     pollWaitMs: () => LONG_WAIT_MS
   }, MAX_HOLD_MS, clock, new SilentLogger())
@@ -141,6 +144,49 @@
   t.is(answer === undefined || answer === 'fenced' ? 0 : answer.ended.length, 2)
 })
 
+test('orders to a host use new connections once it is back after a silence or a restart', async (t) => {
+  // Orders on connections that have broken meanwhile would fail, while others reach the host, and gangs would start in part.
+  const clock = new ManualClock()
+  const simulated = new SimulatedHost({
+    hostId: 'host-0', cpuMillicores: 1, memoryMb: 1, rack: 'rack', maxHoldMs: MAX_HOLD_MS, workMs: () => 1, endOf: () => 'done'
+  }, clock)
+  const host = new HostState(simulated.entry, TERMS, new HostFence(1), new WorkspaceUsage())
+  let reconnections = 0
+  const session = new HostSession(host, {
+    hold: async (_entry, order) => {
+      await new Promise<void>((resolve) => { clock.after(100, resolve) })
+      const answer = simulated.hold(order)
+      return answer === undefined || answer === 'fenced' ? { kind: 'failed', reason: 'silent' } : { kind: 'held', answer }
+    },
+    holdUntilMs: () => Infinity,
+    onHeld: (held, { clockMs, bornMs }, sentAtMs) => {
+      if (bornMs === held.bornMs) held.confirmFence(clockMs)
+      else held.resetAfterRestart(bornMs, clock.nowMs())
+      held.updateClock(clockMs, sentAtMs, clock.nowMs())
+    },
+    onFenced: () => {},
+    onFenceExhausted: () => {},
+    onRegained: () => { reconnections += 1 },
+    onFailure: () => {},
+    pollWaitMs: () => LONG_WAIT_MS
+  }, MAX_HOLD_MS, clock, new SilentLogger())
+  t.teardown(() => { session.dispose() })
+  clock.advance(1)
+  session.start()
+  await advance(clock, 1000)
+  t.is(reconnections, 0)
+  simulated.isSilent = true
+  await advance(clock, 1000)
+  simulated.isSilent = false
+  await advance(clock, 1000)
+  t.is(reconnections, 1)
+  simulated.restart()
+  await advance(clock, 1000)
+  t.is(reconnections, 2)
+  t.is(host.bornMs, simulated.bornMs)
+  t.true(host.isFenced)
+})
+
 test('a host is polled again after a poll that has thrown an error', async (t) => {
   // The session ended for good, and a sound host that registered later under the same id got no work.
   const clock = new ManualClock()
@@ -166,6 +212,7 @@
     },
     onFenced: () => {},
     onFenceExhausted: () => {},
+    onRegained: () => {},
     onFailure: () => {},
     pollWaitMs: () => LONG_WAIT_MS
   }, MAX_HOLD_MS, clock, log)
--- a/src/cell/HostSession.ts
+++ b/src/cell/HostSession.ts
@@ -17,6 +17,8 @@
   onFenced (host: HostState): void
   /** This owner has no further fencing token for the host. */
   onFenceExhausted (host: HostState): void
+  /** The host answers a poll after one without an answer, or for the first time in a new life. */
+  onRegained (host: HostState): void
   /** The host does not answer. */
   onFailure (host: HostState): void
   /** How long the host's next poll may wait for a run to end, in ms. */
@@ -120,6 +122,7 @@
   }
 
   private _recordAnswer (bornMs: EpochMs, acknowledgedSequence: number): void {
+    if (this._failures > 0 || bornMs !== this.host.bornMs) this._effects.onRegained(this.host)
     if (this._failures >= FAILURES_TO_LOG) this._log.info('host.regained', { host: this.host.hostId })
     this._failures = 0
     this._isUrgent = false
--- a/src/cell/HostSessions.test.ts
+++ b/src/cell/HostSessions.test.ts
@@ -30,7 +30,7 @@
 function setUp (t: ExecutionContext, clock: ManualClock, context: object) {
   const hosts = new Map<string, IListedHost>()
   const sessions = new HostSessions({
-    orders: { hold: async () => await new Promise<never>(() => {}), forget: () => {} },
+    orders: { hold: async () => await new Promise<never>(() => {}), reconnect: () => {}, forget: () => {} },
     records: { hostsPrefix: '', decodeHostEntry: ({ key, value }: IMetadataItem) => ok({ hostId: key, draining: value === 'draining' }) },
     scheduler: {
       hosts,
--- a/src/cell/HostSessions.ts
+++ b/src/cell/HostSessions.ts
@@ -224,6 +224,7 @@
       onHeld: (held, answer, sentAtMs) => { if (!this._isDisposed) scheduler.applyHoldAnswer(held, answer, sentAtMs) },
       onFenced: (held) => { this._context.onFenced(held.hostId) },
       onFenceExhausted: (held) => { this._context.onFenceExhausted(held.hostId) },
+      onRegained: (regained) => { orders.reconnect(regained.hostId) },
       onFailure: (silent) => { scheduler.loseRunsIfLapsed(silent) },
       pollWaitMs: (polled) => this._pollWaitMs(polled)
     }, this._options.maxHoldMs, clock, log)
--- a/src/common/cell/HostRestarts.test.ts
+++ b/src/common/cell/HostRestarts.test.ts
@@ -152,3 +152,16 @@
   await cell.run(3000)
   t.is(cell.maxRunsOfOneTask, 1)
 })
+
+test('a gang starts as a whole although the orders of some members are lost with their connections', async (t) => {
+  // The others would wait for them until they end as alone, and the gang would start again seconds later.
+  const cell = new SimulatedCell({ hosts: 2, host: { workMs: () => SHORT_MS } })
+  await cell.run(1000)
+  cell.host(0).lostStarts = 2
+  const job = cell.submit([{ count: 4, maxPerHost: 2, gang: true }])
+  await cell.run(200)
+  t.is(cell.hosts.reduce((sum, { running }) => sum + running.size, 0), 4)
+  await cell.run(1000)
+  t.is(job.phase, 'completed')
+  t.is(cell.hosts.flatMap(({ started }) => started).length, 4)
+})
--- a/src/common/cell/RunController.ts
+++ b/src/common/cell/RunController.ts
@@ -31,6 +31,8 @@
   onChange (): void
 }
 
+/** A start without an answer is sent again if it failed within this time, in ms: its connection was lost, while one that timed out may come late. */
+const RESEND_WINDOW_MS = 500
 /** A stop that had no answer is sent again after this time, in ms. */
 const STOP_RETRY_MS = 700
 /** A host that refuses a start gets no further work for this long, in ms: its next list shows the reason. */
@@ -153,11 +155,28 @@
     host.recordDeadline(attempt.deadlineMs, nowMs)
     attempt.fence = host.fence
     const { ref, ticket, deadlineMs, fence } = attempt
+    const order = { ref, description: task.step.job.spec.description, deadlineMs, checkpoint: task.checkpoint, ticket, fence }
+    this._send(attempt, order).catch((error: unknown) => { this._log.error('run.startFailed', { ...runLogFields(attempt), reason: String(error) }) })
+  }
+
+  /**
+   * Sends a start, and once more if it has no answer: the host has the run only once, and the other members of a gang would wait in vain for
+   * one that was lost with its connection.
+   */
+  private async _send (attempt: Attempt, order: IStartOrder): Promise<void> {
+    const { host } = attempt
     const { bornMs } = host
-    const description = task.step.job.spec.description
-    this._effects.start(host.entry, { ref, description, deadlineMs, checkpoint: task.checkpoint, ticket, fence })
-      .then((outcome) => { this._onStartAnswered(attempt, outcome, bornMs) },
-        (error: unknown) => { this._log.error('run.startFailed', { ...runLogFields(attempt), reason: String(error) }) })
+    const outcome = await this._effects.start(host.entry, order)
+    if (outcome.kind !== 'unanswered' || !this._mayResend(attempt, bornMs)) return this._onStartAnswered(attempt, outcome, bornMs)
+    const second = await this._effects.start(host.entry, order)
+    // Any other answer is about the second order alone.
+    this._onStartAnswered(attempt, second.kind === 'started' ? second : outcome, bornMs)
+  }
+
+  private _mayResend (attempt: Attempt, bornMs: EpochMs): boolean {
+    const { host, phase, startedAtMs, fence } = attempt
+    const nowMs = this._clock.nowMs()
+    return phase === 'ordered' && nowMs - startedAtMs < RESEND_WINDOW_MS && host.fence === fence && host.bornMs === bornMs && host.isReachable(nowMs)
   }
 
   /** @param bornMs the incarnation of the host to which the order was sent */
--- a/src/common/cell/Types.ts
+++ b/src/common/cell/Types.ts
@@ -199,6 +199,8 @@
   start (host: IHostEntry, order: IStartOrder): Promise<StartOutcome>
   stop (host: IHostEntry, ref: IRunRef, fence: number): Promise<StopOutcome>
   hold (host: IHostEntry, order: IHoldOrder, signal: AbortSignal): Promise<HoldOutcome>
+  /** Sends further orders to the host over new connections: the present ones may lead to an earlier incarnation, or may be broken. */
+  reconnect (hostId: string): void
   /** Closes the connections to a host that is gone. */
   forget (hostId: string): void
 }
--- a/test/support/SimulatedHost.ts
+++ b/test/support/SimulatedHost.ts
@@ -78,6 +78,8 @@
   public startAnswerDelayMs = 0
   /** Start orders get no answer, but are kept so that they can be carried out later. */
   public losesStarts = false
+  /** The number of start orders that are lost with their connections, from now on. */
+  public lostStarts = 0
   /** Polls get no answer, but are kept so that they can be carried out later, also by the next incarnation. */
   public losesPolls = false
   /** Stop orders get no answer, but are kept in the same way. */
@@ -128,6 +130,10 @@
 
   public start (order: IStartOrder): StartOutcome {
     if (this.isSilent) return { kind: 'unanswered' }
+    if (this.lostStarts > 0) {
+      this.lostStarts -= 1
+      return { kind: 'unanswered' }
+    }
     if (this.refusesStarts) return { kind: 'refused', reason: 'failed' }
     if (this.losesStarts) {
       this._lateStarts.push(order)
@@ -243,6 +249,7 @@
     this._extendLease(order.deadlineMs)
     const key = taskKey(order.ref)
     if (order.deadlineMs < this.clockMs) return { kind: 'refused', reason: 'late' }
+    if (this.running.get(key)?.ref.run === order.ref.run) return { kind: 'started', clockMs: this.clockMs }
     if (order.ref.run <= (this._lastBarredRuns.get(key) ?? 0)) return { kind: 'refused', reason: 'old' }
     this.running.set(key, { ref: order.ref, startedAtMs: this._clock.nowMs(), workMs: this.options.workMs(order.ref), doneMs: 0 })
     this.started.push(order.ref)
