A host whose list shows a run that its owner does not hold gets no work until that run has ended

What callers would see: a host that doesn't guard its capacity runs more than it can hold (rule LIMIT). A start that was given up may be carried out late, by a later life of the host as well. The owner stops such a run when it is listed, but a stop takes up to stopGraceMs, and longer without an answer; meanwhile the run used room that the owner took for free.

Change: HostState.hasUnknownRuns, set by each list; such a host is not reachable for new work. It waits a stop and a list, instead of being overfull.

--- a/src/common/cell/HoldAnswerHandler.ts
+++ b/src/common/cell/HoldAnswerHandler.ts
@@ -79,9 +79,12 @@
 
   private _applyRunning (host: HostState, answer: IHoldAnswer, nowMs: MonotonicMs): ReadonlySet<Attempt> {
     const listed = new Set<Attempt>()
+    // Until it has ended, an unknown run uses room that the owner takes for free.
+    host.hasUnknownRuns = false
     for (const row of answer.running) {
       const attempt = findAttempt(host, row.ref)
       if (attempt === undefined) {
+        host.hasUnknownRuns = true
         this._stopUnknown(host, row.ref)
         continue
       }
--- a/src/common/cell/HostRestarts.test.ts
+++ b/src/common/cell/HostRestarts.test.ts
@@ -165,3 +165,27 @@
   t.is(job.phase, 'completed')
   t.is(cell.hosts.flatMap(({ started }) => started).length, 4)
 })
+
+test('a host gets no work beside a run that its owner has given up, until that run has ended', async (t) => {
+  // The run uses room that the owner takes for free, and more would start there than the host can hold.
+  const { cell, host, other } = await createCell()
+  host.losesStarts = true
+  cell.submit([{ cpuMillicores: 8000 }])
+  await cell.run(100)
+  other.isDraining = false
+  host.isDraining = true
+  await cell.run(5000)
+  t.is(other.running.size, 1)
+  host.losesStarts = false
+  host.restart()
+  host.executeLateStarts()
+  host.losesStops = true
+  await cell.run(500)
+  host.isDraining = false
+  cell.submit([{ cpuMillicores: 8000 }])
+  await cell.run(2000)
+  t.is(cell.maxOverCapacity, 0)
+  host.losesStops = false
+  await cell.run(2000)
+  t.is(host.started.length, 2)
+})
--- a/src/common/cell/HostState.ts
+++ b/src/common/cell/HostState.ts
@@ -59,6 +59,8 @@
   /** When the present fencing token was first used. */
   private _fenceRaisedAtMs: MonotonicMs = -Infinity
   private _isFenced = false
+  /** Whether its last list showed a run that the owner doesn't hold. */
+  public hasUnknownRuns = false
   /** Whether an order was answered by another life than the one that the owner knows. */
   private _isRestartSuspected = false
   public bornMs: EpochMs
@@ -412,7 +414,7 @@
 
   /** Whether it would carry out an order, though it may be paused. */
   public isReachable (nowMs: MonotonicMs): boolean {
-    return this.isAccepting && this.isFenced && !this._isRestartSuspected && this.bornMs === this.entry.bornMs &&
+    return this.isAccepting && this.isFenced && !this._isRestartSuspected && !this.hasUnknownRuns && this.bornMs === this.entry.bornMs &&
       nowMs >= this._refusesUntilMs && this._isContactFresh(nowMs)
   }
 
