A start that timed out is sent once more to its host

Cause: a start without an answer was repeated only if its connection had broken at once. The users' pages let a host answer 200 for a run that it has, and refuse one that has ended there, so the same order may be repeated until its deadline, however late the first copy is carried out.

After a restart within the delay of the first copy, the run is adopted from the list of the next life, where it would have run beside another one.

--- a/src/common/cell/HostRestarts.test.ts
+++ b/src/common/cell/HostRestarts.test.ts
@@ -189,3 +189,18 @@
   await cell.run(2000)
   t.is(host.started.length, 2)
 })
+
+test('a task whose start has no answer in time runs on its host, although the order is carried out once more later', async (t) => {
+  // It would wait until the deadline of its order has passed, and start elsewhere 3 s later.
+  const cell = new SimulatedCell({ hosts: 2, startTimeoutMs: 1000, host: { workMs: () => SHORT_MS } })
+  await cell.run(1000)
+  for (const host of cell.hosts) host.losesStarts = true
+  const job = cell.submit([{}])
+  await cell.run(500)
+  for (const host of cell.hosts) host.losesStarts = false
+  await cell.run(1500)
+  t.is(job.phase, 'completed')
+  for (const host of cell.hosts) host.executeLateStarts()
+  await cell.run(1000)
+  t.is(cell.hosts.flatMap(({ started }) => started).length, 1)
+})
--- a/src/common/cell/RunController.ts
+++ b/src/common/cell/RunController.ts
@@ -31,8 +31,8 @@
   onChange (): void
 }
 
-/** A start without an answer is sent again if it failed within this time, in ms: its connection was lost, while one that timed out may come late. */
-const RESEND_WINDOW_MS = 500
+/** A start without an answer is sent again if this time has not passed since, in ms: it has to arrive before its deadline. */
+const RESEND_WINDOW_MS = 1500
 /** A stop that had no answer is sent again after this time, in ms. */
 const STOP_RETRY_MS = 700
 /** A host that refuses a start gets no further work for this long, in ms: its next list shows the reason. */
@@ -160,14 +160,15 @@
   }
 
   /**
-   * Sends a start, and once more if it has no answer: the host has the run only once, and the other members of a gang would wait in vain for
-   * one that was lost with its connection.
+   * Sends a start, and once more if it has no answer: the host starts the run only once, however late the first order is carried out. Otherwise
+   * the task would wait until its deadline has passed on the host, and the other members of its gang would wait for it in vain.
    */
   private async _send (attempt: Attempt, order: IStartOrder): Promise<void> {
     const { host } = attempt
     const { bornMs } = host
     const outcome = await this._effects.start(host.entry, order)
     if (outcome.kind !== 'unanswered' || !this._mayResend(attempt, bornMs)) return this._onStartAnswered(attempt, outcome, bornMs)
+    host.recordDeadline(order.deadlineMs, this._clock.nowMs())
     const second = await this._effects.start(host.entry, order)
     // Any other answer is about the second order alone.
     this._onStartAnswered(attempt, second.kind === 'started' ? second : outcome, bornMs)
--- a/test/support/SimulatedCell.ts
+++ b/test/support/SimulatedCell.ts
@@ -55,6 +55,8 @@
   readonly logger?: ILogger
   /** The delay between the decision of the advice service and the arrival of its answer. */
   readonly adviceReplyDelayMs?: number
+  /** How long the owner waits for the answer to a start that gets none; zero by default. */
+  readonly startTimeoutMs?: number
   /** How long a host waits before it answers a poll; zero by default. */
   readonly holdMs?: number
   /** The order of waiting steps; that of the product by default. */
@@ -246,6 +248,7 @@
     if (this._isTicketStale(order.ticket)) return { kind: 'refused', reason: 'ticket' }
     const host = this._hostOf(hostId)
     const outcome = host.start(order)
+    if (outcome.kind === 'unanswered') await this._wait(this._options.startTimeoutMs ?? 0)
     const { startAnswerDelayMs } = host
     if (startAnswerDelayMs > 0) await new Promise<void>((resolve) => { this.clock.after(startAnswerDelayMs, resolve) })
     return outcome
