Restarted hosts: an order without a ticket is waited for, and what the review of the fix has found

- A start without a ticket names its incarnation by nothing: an incarnation between may refuse or bar it, and the next one carries it out beside another run.
It is given up 12.5 s after it was sent, the longest delay that users report.
With a ticket, which is valid for one incarnation, nothing changes.
Only an order with a ticket is sent twice: the first copy of another one would run on a later incarnation after the run was done.
- A list with the entry of a new incarnation interrupted the poll each time, not only when it was news: no poll of a host that was cut off then ever failed, and its runs were not given up.
- The token rises when a host that was forgotten comes back; orders under the last one may be in flight.
- A host that had an unknown run waits half a second after a list lacks it: its end is listed later.
An answer that says nothing about the runs (429, 503) no longer ends the suspicion of a restart.
Ends that are stored while a start has no answer cost one poll less.
- 'Incarnation' is the one word for the life of a host in code.

Two tests of CellScheduler expected a task whose order had no answer to start anew within seconds; they use a queue with advice now, with the same bounds, and a test of the case without advice is added, with a further restart. Simulated hosts check the incarnation of tickets.

--- a/src/cell/CellOwner.ts
+++ b/src/cell/CellOwner.ts
@@ -365,7 +365,10 @@
     this._context.ownership.resign('a host has accepted orders of a newer owner')
   }
 
-  /** Without a higher token, orders for an earlier life of the host can not be told from those for its present one. The next owner has new ones. */
+  /**
+   * Without a higher token, orders for an earlier incarnation of the host can not be told from those for its present one. The next owner has new
+   * ones.
+   */
   private _onFenceExhausted (hostId: string): void {
     if (this._isDisposed) return
     this._context.log.warn('owner.fenceExhausted', { host: hostId, revision: this._fence })
--- a/src/cell/HostSession.ts
+++ b/src/cell/HostSession.ts
@@ -17,7 +17,7 @@
   onFenced (host: HostState): void
   /** This owner has no further fencing token for the host. */
   onFenceExhausted (host: HostState): void
-  /** The host answers a poll after one without an answer, or for the first time in a new life. */
+  /** The host answers a poll after one without an answer, or for the first time in a new incarnation. */
   onRegained (host: HostState): void
   /** The host does not answer. */
   onFailure (host: HostState): void
@@ -160,7 +160,7 @@
     const { host } = this
     if (!host.isFenced) return
     if (host.storedSequence < host.appliedSequence) await Promise.race([host.endsStored, this._pause()])
-    else if (host.hasUnacknowledgedEnds && !host.areAllStartsKnown) await this._pause(START_ANSWER_DELAY_MS)
+    if (host.hasUnacknowledgedEnds && !host.areAllStartsKnown) await this._pause(START_ANSWER_DELAY_MS)
   }
 
   private async _pause (delayMs = RETRY_DELAY_MS): Promise<void> {
--- a/src/cell/HostSessions.test.ts
+++ b/src/cell/HostSessions.test.ts
@@ -6,12 +6,16 @@
 import { err, ok } from 'neverthrow'
 import { ManualClock } from '../common/Clock.js'
 import { SilentLogger } from '../common/observability/SilentLogger.js'
+import { SimulatedHost } from '../../test/support/SimulatedHost.js'
 import { advance } from '../../test/support/advance.js'
+import { HostFence } from '../common/cell/HostFence.js'
+import { HostState } from '../common/cell/HostState.js'
+import { WorkspaceUsage } from '../common/cell/WorkspaceUsage.js'
 import { HostSessions } from './HostSessions.js'
 
 import type { ExecutionContext } from 'ava'
 import type { ILogFields, ILogger } from '../common/observability/Types.js'
-import type { IHostEntry, IMetadataItem, IMetadataRange, ReadOutcome } from '../common/cell/Types.js'
+import type { HoldOutcome, IHoldOrder, IHostEntry, IMetadataItem, IMetadataRange, ReadOutcome } from '../common/cell/Types.js'
 import type { IHostSessionsContext } from './HostSessions.js'
 
 const HOST_ID = 'h'
@@ -131,3 +135,45 @@
   await advance(clock, 2 * TWO_POLLS_MS)
   t.true(hosts.has(HOST_ID))
 })
+
+test('the runs of a host that is cut off after its entry has changed are given up', async (t) => {
+  // Each list interrupted the poll before its timeout, so that no poll ever failed, and its tasks waited for as long as the entry was there.
+  const clock = new ManualClock()
+  let failures = 0
+  let polls = 0
+  const hold = async (_host: IHostEntry, { waitMs }: IHoldOrder, signal: AbortSignal): Promise<HoldOutcome> => await new Promise((resolve) => {
+    polls += 1
+    const fail = (): void => { resolve({ kind: 'failed', reason: 'timeout' }) }
+    signal.addEventListener('abort', fail)
+    clock.after(waitMs + 700, fail)
+  })
+  const { entry } = new SimulatedHost({
+    hostId: HOST_ID, cpuMillicores: 1, memoryMb: 1, rack: 'rack', maxHoldMs: 6000, workMs: () => 1, endOf: () => 'done'
+  }, clock)
+  let bornMs = 1
+  const states = new Map<string, HostState>()
+  let revision = 0
+  const { sessions } = setUp(t, clock, {
+    orders: { hold, reconnect: () => {}, forget: () => {} },
+    store: { range: async () => { revision += 1; return rangeOf('ready', revision) } },
+    records: { hostsPrefix: '', decodeHostEntry: () => ok({ ...entry, bornMs }) },
+    scheduler: {
+      hosts: states,
+      loseRunsIfLapsed: () => { failures += 1; return false },
+      addHost: (added: IHostEntry) => {
+        const host = states.get(HOST_ID) ?? new HostState(added, { maxHoldMs: 6000, inheritedUntilMs: 0 }, new HostFence(1), new WorkspaceUsage())
+        host.entry = added
+        states.set(HOST_ID, host)
+        return host
+      }
+    }
+  })
+  sessions.start()
+  await advance(clock, 5000)
+  t.true(failures > 2)
+  failures = 0
+  polls = 0
+  bornMs = 2
+  await advance(clock, 10_000)
+  t.true(failures > 2, `${failures} failures of ${polls} polls`)
+})
--- a/src/cell/HostSessions.ts
+++ b/src/cell/HostSessions.ts
@@ -96,10 +96,11 @@
       listed.add(entry.hostId)
       if (this._isWorthLogging(entry)) this._logHost(entry)
       if (scheduler.hosts.get(entry.hostId)?.isListed === false) log.info('host.listedAgain', { host: entry.hostId, bornMs: entry.bornMs })
+      const listedBornMs = scheduler.hosts.get(entry.hostId)?.entry.bornMs
       const host = scheduler.addHost(entry)
       host.isListed = true
       // Its poll may hang: a host that crashes without a word breaks no connection.
-      if (entry.bornMs > host.bornMs) this.pollNow(entry.hostId)
+      if (entry.bornMs > host.bornMs && entry.bornMs !== listedBornMs) this.pollNow(entry.hostId)
       if (!this._sessions.has(entry.hostId)) this._unopened.add(entry.hostId)
     }
     for (const host of scheduler.hosts.values()) {
--- a/src/common/cell/Attempt.ts
+++ b/src/common/cell/Attempt.ts
@@ -38,8 +38,13 @@
   public minClockMs = 0
   /** The fencing token of its start order; -Infinity if an earlier owner has ordered it. */
   public fence = -Infinity
-  /** Whether it is known which life of the host has carried out its start order: a list of that life has shown the run, or the answer proves it. */
-  public isLifeKnown: boolean
+  /** Until when a later incarnation of the host may carry out the start order, of which nothing but a ticket names the incarnation. */
+  public orderOpenUntilMs: MonotonicMs = -Infinity
+  /**
+   * Whether it is known which incarnation of the host has carried out its start order: a list of that incarnation has shown the run, or the
+   * answer proves it.
+   */
+  public isIncarnationKnown: boolean
   /** When the host last reported that it has the run. A list requested after that shows the run or its end. */
   public reportedAtMs: MonotonicMs = Infinity
   /** When a list that should have shown the run or its end first had neither; Infinity if none did. */
@@ -72,7 +77,7 @@
   ) {
     this.isInherited = recordedBornMs !== undefined
     this._phase = this.isInherited ? 'recovering' : 'preparing'
-    this.isLifeKnown = this.isInherited
+    this.isIncarnationKnown = this.isInherited
     this._bornMs = recordedBornMs ?? host.bornMs
     this.preparedAtMs = nowMs
     this.startedAtMs = nowMs
@@ -120,7 +125,7 @@
 
   /** A list of this incarnation of the host shows the run. It knows nothing of a stop or a deadline that was meant for an earlier one. */
   public recordListed (bornMs: EpochMs): void {
-    this.isLifeKnown = true
+    this.isIncarnationKnown = true
     if (bornMs === this._bornMs) return
     this._bornMs = bornMs
     this.deadlineMs = Infinity
--- a/src/common/cell/CellScheduler.test.ts
+++ b/src/common/cell/CellScheduler.test.ts
@@ -6,6 +6,8 @@
 import { hash32 } from '../membership/Hash.js'
 import { SimulatedCell } from '../../../test/support/SimulatedCell.js'
 
+const ADVICE = { baseMs: 10, perHostMs: 0, validMs: 60_000 }
+
 test('a job of two steps runs them in order and is completed', async (t) => {
   const cell = new SimulatedCell({ hosts: 2 })
   const job = cell.submit([{ count: 4 }, { count: 2, after: [0] }])
@@ -108,7 +110,7 @@
   const cell = new SimulatedCell({ hosts: 2, host: { workMs: () => 5000 } })
   cell.host(0).losesStarts = true
   cell.host(1).losesStarts = true
-  cell.submit([{ count: 2 }])
+  cell.submit([{ count: 2 }], { advice: ADVICE })
   await cell.run(500)
   cell.host(0).restart()
   cell.host(1).restart()
@@ -121,6 +123,26 @@
   t.is(cell.maxRunsOfOneTask, 1)
 })
 
+test('a late order without a ticket is carried out by no incarnation of its host beside another run', async (t) => {
+  // Nothing in the order names the incarnation that it is meant for, so its task waits until the order can't arrive any more.
+  const cell = new SimulatedCell({ hosts: 2, host: { workMs: () => 5000 } })
+  for (const host of cell.hosts) host.losesStarts = true
+  const job = cell.submit([{ count: 2 }])
+  await cell.run(500)
+  for (const host of cell.hosts) {
+    host.restart()
+    host.losesStarts = false
+  }
+  await cell.run(1500)
+  for (const host of cell.hosts) {
+    host.restart()
+    host.executeLateStarts()
+  }
+  await cell.run(20_000)
+  t.is(cell.maxRunsOfOneTask, 1)
+  t.is(job.phase, 'completed')
+})
+
 test('a stalled run is stopped and started on another host', async (t) => {
   // A host makes no progress on its tasks but reports good health. The caller would wait for ever.
   const cell = new SimulatedCell({ hosts: 2 })
@@ -273,7 +295,7 @@
   const cell = new SimulatedCell({ hosts: 1, holdMs: 1000 })
   await cell.run(1500)
   cell.host(0).losesStarts = true
-  const job = cell.submit([{ count: 1 }])
+  const job = cell.submit([{ count: 1 }], { advice: ADVICE })
   await cell.run(300)
   cell.host(0).losesStarts = false
   cell.host(0).restart()
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -179,14 +179,20 @@
       known.markRegistered()
       return known
     }
-    // A host that was forgotten and comes back may have seen a higher token than the first one of this owner.
-    const fence = this._fences.get(entry.hostId) ?? new HostFence(this._options.ownerRevision)
-    this._fences.set(entry.hostId, fence)
-    const host = new HostState(entry, this._options, fence, this._workspaces, this._clock.nowMs())
+    const host = new HostState(entry, this._options, this._createFence(entry.hostId), this._workspaces, this._clock.nowMs())
     this.hosts.set(entry.hostId, host)
     return host
   }
 
+  /** A host that was forgotten and comes back may have seen the last token, and may have been sent orders under it that are still in flight. */
+  private _createFence (hostId: string): HostFence {
+    const earlier = this._fences.get(hostId)
+    earlier?.raise()
+    const fence = earlier ?? new HostFence(this._options.ownerRevision)
+    this._fences.set(hostId, fence)
+    return fence
+  }
+
   /**
    * Applies the workspaces' limits. Runs that were not ordered yet are dropped in a workspace that now has more than it may have; the
    * others run to their end.
--- a/src/common/cell/HoldAnswerHandler.ts
+++ b/src/common/cell/HoldAnswerHandler.ts
@@ -8,7 +8,7 @@
 import type { Attempt } from './Attempt.js'
 import { applyEnd, storeCheckpoint } from './EndRules.js'
 import type { HostSpeeds } from './HostSpeeds.js'
-import { confirmableAtMs } from './HostState.js'
+import { ABSENCE_CONFIRM_MS, confirmableAtMs } from './HostState.js'
 import type { HostState } from './HostState.js'
 import type { Job, Task } from './Job.js'
 import { runLogFields } from './RunController.js'
@@ -42,10 +42,11 @@
     if (answer.bornMs !== host.bornMs) this._recordRestart(host, answer.bornMs, nowMs)
     else if (!host.isFenced && host.isUnderFence(sentAtMs)) this._confirmFence(host, answer.clockMs)
     host.updateClock(answer.clockMs, sentAtMs, nowMs)
+    host.recordList(sentAtMs)
     const changed = new Set<Job>()
     const listed = this._applyRunning(host, answer, nowMs)
     this._applyEnds(host, answer, changed, nowMs)
-    // Until the host answers under the fence of its present life, a run that the list lacks may still start there.
+    // Until the host answers under the fence of its present incarnation, a run that the list lacks may still start there.
     if (host.isFenced && !answer.moreEnds) this._dropAbsent(host, answer, listed, sentAtMs, changed)
     this._speeds.update(host, nowMs)
     this._storeEnds(host, changed)
@@ -63,14 +64,16 @@
   }
 
   /**
-   * Gives up the runs of a host that has left, or has been silent for longer than the leases that its known life may have granted; a run whose
-   * order another life may have carried out, once no life can hold a lease. The jobs are stored without these runs: the next owner knows
-   * nothing of the host, and would wait until its leases have ended.
+   * Gives up the runs of a host that has left, or has been silent for longer than the leases that its known incarnation may have granted; a run
+   * whose order another incarnation may have carried out, once no incarnation can hold a lease. The jobs are stored without these runs: the next
+   * owner knows nothing of the host, and would wait until its leases have ended.
    */
   public loseLapsedRuns (host: HostState): void {
     const reason = host.hasLeft ? 'the host has left' : 'all leases of the silent host have ended'
     const nowMs = this._clock.nowMs()
-    const lost = [...host.attempts].filter((attempt) => attempt.wasOrdered && (attempt.isLifeKnown || host.hasLapsedInAnyLife(nowMs)))
+    const hasLapsed = ({ isIncarnationKnown, orderOpenUntilMs }: Attempt): boolean =>
+      isIncarnationKnown || host.hasLapsedInAnyIncarnation(nowMs, orderOpenUntilMs)
+    const lost = [...host.attempts].filter((attempt) => attempt.wasOrdered && hasLapsed(attempt))
     for (const attempt of lost) this._loseRun(attempt, reason)
     for (const job of new Set(lost.map(({ task }) => task.step.job))) {
       this._effects.save(job).catch((error: unknown) => { this._log.error('run.recordFailed', { requestId: job.spec.jobId, reason: String(error) }) })
@@ -79,7 +82,7 @@
 
   private _applyRunning (host: HostState, answer: IHoldAnswer, nowMs: MonotonicMs): ReadonlySet<Attempt> {
     const listed = new Set<Attempt>()
-    // Until it has ended, an unknown run uses room that the owner takes for free.
+    const hadUnknownRuns = host.hasUnknownRuns
     host.hasUnknownRuns = false
     for (const row of answer.running) {
       const attempt = findAttempt(host, row.ref)
@@ -99,6 +102,8 @@
       this._runs.markRunning(attempt, nowMs)
       if (attempt.phase === 'stopping') this._runs.stop(attempt)
     }
+    // An unknown run uses room that the owner takes for free until its end is listed, which may be some time after it is missing here.
+    if (hadUnknownRuns && !host.hasUnknownRuns) host.recordRefusal(nowMs + ABSENCE_CONFIRM_MS)
     return listed
   }
 
@@ -196,7 +201,9 @@
   }
 
   private _isAbsent (attempt: Attempt, answer: IHoldAnswer, sentAtMs: MonotonicMs): boolean {
-    const { host, phase, fence } = attempt
+    const { host, phase, fence, task: { step: { job } } } = attempt
+    // The next incarnation would carry out the order beside another run of the task.
+    if (this._clock.nowMs() < attempt.orderOpenUntilMs && !job.isFinished) return false
     // The host refuses orders with a lower fence once it has the one that was sent with the request for this list.
     if (phase !== 'preparing' && fence < host.fence && host.isUnderFence(sentAtMs)) return true
     switch (phase) {
--- a/src/common/cell/HostFence.ts
+++ b/src/common/cell/HostFence.ts
@@ -1,9 +1,9 @@
 /**
  * The fencing tokens that one owner of the cell uses for one host.
  *
- * A host that restarts under its id has seen no token, and carries out what was sent to its earlier life: nothing else in an order names the
- * life that it is meant for. So the owner uses a higher token for each life that it meets. Once a life has answered under its own token, it
- * refuses all that was sent before.
+ * A host that restarts under its id has seen no token, and carries out what was sent to its earlier incarnation: nothing else in an order names
+ * the incarnation that it is meant for. So the owner uses a higher token for each incarnation that it meets. Once an incarnation has answered
+ * under its own token, it refuses all that was sent before.
  */
 
 /** The tokens of each owner. Those of the next owner are above all of them. */
@@ -25,7 +25,7 @@
     return this._count >= TOKENS_PER_OWNER - 1
   }
 
-  /** Moves to the next token. Orders with an earlier one are refused by each life of the host that has received this one. */
+  /** Moves to the next token. Orders with an earlier one are refused by each incarnation of the host that has received this one. */
   public raise (): void {
     if (!this.isExhausted) this._count += 1
   }
--- a/src/common/cell/HostState.ts
+++ b/src/common/cell/HostState.ts
@@ -30,7 +30,7 @@
  * A run that is missing from a list is gone only if a list that is requested this much later, in ms, lacks it, too. A run leaves the host's
  * list of running ones before its end is listed, and a list that is made in between has neither.
  */
-const ABSENCE_CONFIRM_MS = 500
+export const ABSENCE_CONFIRM_MS = 500
 /**
  * A host that has removed its entry has left once this many consecutive polls had no answer. It may serve on for some time after that, so a
  * missing entry alone doesn't show that its runs have ended.
@@ -61,8 +61,8 @@
   private _isFenced = false
   /** Whether its last list showed a run that the owner doesn't hold. */
   public hasUnknownRuns = false
-  /** Whether an order was answered by another life than the one that the owner knows. */
-  private _isRestartSuspected = false
+  /** When an order was answered by another incarnation than the one that the owner knows; -Infinity if none was. */
+  private _restartSuspectedAtMs: MonotonicMs = -Infinity
   public bornMs: EpochMs
   /** The sequence of the last end that was applied, and of the last one whose effect is stored. */
   public appliedSequence = 0
@@ -197,10 +197,15 @@
     return this._clockMs + Math.max(0, nowMs - this._clockAtMs) * MIN_CLOCK_RATE
   }
 
+  /** The highest value that the host's clock can show now. */
+  public maxClockMs (nowMs: MonotonicMs): number {
+    return this._clockMs + (nowMs - this._clockRequestedAtMs) / MIN_CLOCK_RATE
+  }
+
   /** A time before which the host's clock can't have shown this value; -Infinity if that is not known. */
   public earliestTimeOf (clockMs: number, nowMs: MonotonicMs): MonotonicMs {
     // A value that the clock can't have reached yet is not of this clock.
-    if (!this.hasClock || clockMs > this._clockMs + (nowMs - this._clockRequestedAtMs) / MIN_CLOCK_RATE) return -Infinity
+    if (!this.hasClock || clockMs > this.maxClockMs(nowMs)) return -Infinity
     return this._clockRequestedAtMs - Math.max(0, this._clockMs - clockMs) / MIN_CLOCK_RATE
   }
 
@@ -218,17 +223,19 @@
     return this._fence.token
   }
 
-  /** Whether this owner has no higher token for a further life of the host. */
+  /** Whether this owner has no higher token for a further incarnation of the host. */
   public get isFenceExhausted (): boolean {
     return this._fence.isExhausted
   }
 
-  /** Whether its list of runs was read under the fencing token of its present life: nothing that was sent before can start a run any more. */
+  /**
+   * Whether its list of runs was read under the fencing token of its present incarnation: nothing that was sent before can start a run any more.
+   */
   public get isFenced (): boolean {
     return this._isFenced
   }
 
-  /** From now on, a life of the host that has received an order of this owner refuses those that were sent before. */
+  /** From now on, an incarnation of the host that has received an order of this owner refuses those that were sent before. */
   public raiseFence (nowMs: MonotonicMs): void {
     this._fence.raise()
     this._fenceRaisedAtMs = nowMs
@@ -239,7 +246,10 @@
     return requestedAtMs >= this._fenceRaisedAtMs
   }
 
-  /** Records that the present life has answered under its own fencing token. Orders that were sent before may have extended its leases until now. */
+  /**
+   * Records that the present incarnation has answered under its own fencing token. Orders that were sent before may have extended its leases
+   * until now.
+   */
   public confirmFence (clockMs: number): void {
     this._isFenced = true
     this._maxDeadlineMs = Math.max(this._maxDeadlineMs, clockMs + this._terms.maxHoldMs)
@@ -251,14 +261,22 @@
     this._deadlineSentAtMs = nowMs
   }
 
-  /** Whether an answer with this clock is of the life that the owner knows: any later one began after its last answer was requested. */
-  public isOfKnownLife (clockMs: number, receivedAtMs: MonotonicMs): boolean {
+  /**
+   * Whether a clock that starts at zero can't show this value yet, if it is that of a later incarnation: such a one began after the last answer
+   * was requested.
+   */
+  public isBeyondLaterClocks (clockMs: number, receivedAtMs: MonotonicMs): boolean {
     return clockMs > (receivedAtMs - this._clockRequestedAtMs) / MIN_CLOCK_RATE
   }
 
-  /** Records that an order was answered by another life than the known one. Until the next poll is answered, the host gets no work. */
-  public suspectRestart (): void {
-    this._isRestartSuspected = true
+  /** Records that an order was answered by another incarnation than the known one. Until a list that is requested later, the host gets no work. */
+  public suspectRestart (nowMs: MonotonicMs): void {
+    this._restartSuspectedAtMs = nowMs
+  }
+
+  /** Records a list that was requested then. */
+  public recordList (requestedAtMs: MonotonicMs): void {
+    if (requestedAtMs >= this._restartSuspectedAtMs) this._restartSuspectedAtMs = -Infinity
   }
 
   public isInContact (nowMs: MonotonicMs): boolean {
@@ -288,16 +306,16 @@
 
   /**
    * The last end that the host may forget; 0 if it may forget none. Each is acknowledged until a poll that does so is answered, and none after a
-   * poll without an answer, or while a run was ordered of which it isn't known whether the present life has it.
+   * poll without an answer, or while a run was ordered of which it isn't known whether the present incarnation has it.
    *
-   * A poll may be carried out late, also by the next life of the host, whose sequence numbers start again. It would forget ends that this owner
-   * has never seen, and their tasks would start again.
+   * A poll may be carried out late, also by the next incarnation of the host, whose sequence numbers start again. It would forget ends that this
+   * owner has never seen, and their tasks would start again.
    */
   public get sequenceToAcknowledge (): number {
     return this._isLastPollAnswered && this.areAllStartsKnown && this.hasUnacknowledgedEnds ? this.storedSequence : 0
   }
 
-  /** Records that this life of the host has answered a poll that acknowledged its ends up to this one. */
+  /** Records that this incarnation of the host has answered a poll that acknowledged its ends up to this one. */
   public recordAnsweredPoll (bornMs: EpochMs, acknowledgedSequence: number): void {
     this._isLastPollAnswered = true
     if (bornMs === this.bornMs) this._acknowledgedSequence = Math.max(this._acknowledgedSequence, acknowledgedSequence)
@@ -305,8 +323,9 @@
   }
 
   /**
-   * Records that a poll had no answer. If the host has restarted, its next life would carry out what was sent before: this poll, which
-   * acknowledges ends by the numbers of the earlier life, and starts. It refuses them from the first order that it receives under a higher fence.
+   * Records that a poll had no answer. If the host has restarted, its next incarnation would carry out what was sent before: this poll, which
+   * acknowledges ends by the numbers of the earlier incarnation, and starts. It refuses them from the first order that it receives under a higher
+   * fence.
    */
   public recordUnansweredPoll (nowMs: MonotonicMs): void {
     if (this._isLastPollAnswered) this.raiseFence(nowMs)
@@ -330,7 +349,6 @@
 
   public recordPollAnswer (): void {
     this._failedDeparturePolls = 0
-    this._isRestartSuspected = false
   }
 
   public recordPollFailure (sentAtMs: MonotonicMs): void {
@@ -342,26 +360,30 @@
     return this._failedDeparturePolls >= DEPARTURE_POLLS
   }
 
-  /** Whether every lease ever granted on the known life of the host has certainly ended, or the host has left, even without an answer from it. */
+  /**
+   * Whether every lease ever granted on the known incarnation of the host has certainly ended, or the host has left, even without an answer from
+   * it.
+   */
   public hasLapsed (nowMs: MonotonicMs): boolean {
     if (this.hasLeft) return true
     if (nowMs < this._terms.inheritedUntilMs) return false
     if (!this.hasClock) return true
-    if (!this._isFenced) return this.hasLapsedInAnyLife(nowMs)
+    if (!this._isFenced) return this.hasLapsedInAnyIncarnation(nowMs)
     return this.minClockMs(nowMs) > this._maxDeadlineMs + LAPSE_MARGIN_MS
   }
 
   /**
-   * Whether every lease has ended that a life which the owner doesn't know may hold. Such a life takes a deadline that was meant for an earlier
-   * one, whose clock was ahead, as the longest possible lease.
+   * Whether every lease has ended that an incarnation which the owner doesn't know may hold. Such an incarnation takes a deadline that was meant
+   * for an earlier one, whose clock was ahead, as the longest possible lease.
    */
-  public hasLapsedInAnyLife (nowMs: MonotonicMs): boolean {
-    return this.hasLeft || nowMs > this._deadlineSentAtMs + MAX_TRAVEL_MS + this._terms.maxHoldMs / MIN_CLOCK_RATE + LAPSE_MARGIN_MS
+  public hasLapsedInAnyIncarnation (nowMs: MonotonicMs, orderOpenUntilMs: MonotonicMs = -Infinity): boolean {
+    const arrivedByMs = Math.max(this._deadlineSentAtMs + MAX_TRAVEL_MS, orderOpenUntilMs)
+    return this.hasLeft || nowMs > arrivedByMs + this._terms.maxHoldMs / MIN_CLOCK_RATE + LAPSE_MARGIN_MS
   }
 
   /**
    * Resets what is known of a host that has restarted: its clock and its sequence numbers start again. Its earlier runs are gone, but it may
-   * have carried out orders that were meant for the earlier life, until it answers under a fencing token of its own.
+   * have carried out orders that were meant for the earlier incarnation, until it answers under a fencing token of its own.
    */
   public resetAfterRestart (bornMs: EpochMs, nowMs: MonotonicMs): void {
     this.raiseFence(nowMs)
@@ -414,7 +436,8 @@
 
   /** Whether it would carry out an order, though it may be paused. */
   public isReachable (nowMs: MonotonicMs): boolean {
-    return this.isAccepting && this.isFenced && !this._isRestartSuspected && !this.hasUnknownRuns && this.bornMs === this.entry.bornMs &&
+    const isIncarnationSure = this.isFenced && this._restartSuspectedAtMs === -Infinity && this.bornMs === this.entry.bornMs
+    return this.isAccepting && isIncarnationSure && !this.hasUnknownRuns &&
       nowMs >= this._refusesUntilMs && this._isContactFresh(nowMs)
   }
 
@@ -424,11 +447,11 @@
   }
 
   /**
-   * Whether each run that was ordered here is known to belong to the present life. Otherwise ends must not be acknowledged: a later life that
-   * has carried out the order would forget the end of the run by the numbers of this one.
+   * Whether each run that was ordered here is known to belong to the present incarnation. Otherwise ends must not be acknowledged: a later
+   * incarnation that has carried out the order would forget the end of the run by the numbers of this one.
    */
   public get areAllStartsKnown (): boolean {
-    for (const attempt of this.attempts) if (attempt.wasOrdered && !attempt.isLifeKnown) return false
+    for (const attempt of this.attempts) if (attempt.wasOrdered && !attempt.isIncarnationKnown) return false
     return true
   }
 
--- a/src/common/cell/RunController.ts
+++ b/src/common/cell/RunController.ts
@@ -21,7 +21,7 @@
   stop (host: IHostEntry, ref: IRunRef, fence: number): Promise<StopOutcome>
   /** Called when a host accepts only orders of a newer owner. */
   onFenced (hostId: string): void
-  /** Called when an order was answered by another life of the host than the known one. */
+  /** Called when an order was answered by another incarnation of the host than the known one. */
   onRestartSuspected (hostId: string): void
   /** Called when recorded runs of the step have no valid ticket. */
   requestTickets (step: Step): void
@@ -31,6 +31,8 @@
   onChange (): void
 }
 
+/** How late a host may carry out a start that had no answer, in ms. */
+const MAX_START_DELAY_MS = 12_500
 /** A start without an answer is sent again if this time has not passed since, in ms: it has to arrive before its deadline. */
 const RESEND_WINDOW_MS = 1500
 /** A stop that had no answer is sent again after this time, in ms. */
@@ -154,6 +156,7 @@
     attempt.deadlineMs = Math.ceil(host.minClockMs(nowMs)) + MAX_TRAVEL_MS
     host.recordDeadline(attempt.deadlineMs, nowMs)
     attempt.fence = host.fence
+    if (attempt.ticket === '') attempt.orderOpenUntilMs = nowMs + MAX_START_DELAY_MS
     const { ref, ticket, deadlineMs, fence } = attempt
     const order = { ref, description: task.step.job.spec.description, deadlineMs, checkpoint: task.checkpoint, ticket, fence }
     this._send(attempt, order).catch((error: unknown) => { this._log.error('run.startFailed', { ...runLogFields(attempt), reason: String(error) }) })
@@ -161,7 +164,8 @@
 
   /**
    * Sends a start, and once more if it has no answer: the host starts the run only once, however late the first order is carried out. Otherwise
-   * the task would wait until its deadline has passed on the host, and the other members of its gang would wait for it in vain.
+   * the task would wait until its deadline has passed on the host, and the other members of its gang would wait for it in vain. Only an order
+   * with a ticket is sent again: without one, a later incarnation would carry out the first order after the run was done.
    */
   private async _send (attempt: Attempt, order: IStartOrder): Promise<void> {
     const { host } = attempt
@@ -175,9 +179,9 @@
   }
 
   private _mayResend (attempt: Attempt, bornMs: EpochMs): boolean {
-    const { host, phase, startedAtMs, fence } = attempt
+    const { host, phase, startedAtMs, fence, ticket } = attempt
     const nowMs = this._clock.nowMs()
-    return phase === 'ordered' && nowMs - startedAtMs < RESEND_WINDOW_MS && host.fence === fence && host.bornMs === bornMs && host.isReachable(nowMs)
+    return ticket !== '' && phase === 'ordered' && nowMs - startedAtMs < RESEND_WINDOW_MS && host.fence === fence && host.bornMs === bornMs && host.isReachable(nowMs)
   }
 
   /** @param bornMs the incarnation of the host to which the order was sent */
@@ -190,8 +194,9 @@
     this._log.info('run.ordered', { ...runLogFields(attempt), outcome: outcome.kind, ageMs, recordMs, durationMs, bornMs, clockMs })
     switch (outcome.kind) {
       case 'started':
+        attempt.orderOpenUntilMs = -Infinity
         // The clock of a later incarnation has started again.
-        if (attempt.host.bornMs === bornMs) this._recordLife(attempt, outcome.clockMs, nowMs)
+        if (attempt.host.bornMs === bornMs) this._recordIncarnation(attempt, outcome.clockMs, nowMs)
         this._effects.onStarted(attempt.task.step.job, ageMs)
         if (attempt.transition('LISTED')) this.markRunning(attempt, nowMs)
         return
@@ -212,16 +217,16 @@
     if (attempt.transition('NOT_RUN')) this._handleNotStarted(attempt, nowMs)
   }
 
-  /** Records which life of the host has carried out the start order, as far as the clock in its answer tells. */
-  private _recordLife (attempt: Attempt, clockMs: number, nowMs: number): void {
+  /** Records which incarnation of the host has carried out the start order, as far as the clock in its answer tells. */
+  private _recordIncarnation (attempt: Attempt, clockMs: number, nowMs: number): void {
     const { host, startedAtMs } = attempt
-    if (host.isOfKnownLife(clockMs, nowMs)) {
-      attempt.isLifeKnown = true
-      host.updateClock(clockMs, startedAtMs, nowMs)
+    // The clock of the known incarnation shows neither less than when the order was sent, nor more than now.
+    if (clockMs >= attempt.minClockMs && clockMs <= host.maxClockMs(nowMs)) {
+      if (!host.isBeyondLaterClocks(clockMs, nowMs)) return
+      attempt.isIncarnationKnown = true
+      return host.updateClock(clockMs, startedAtMs, nowMs)
     }
-    // The known life's clock showed more than that when the order was sent.
-    if (clockMs >= attempt.minClockMs) return
-    host.suspectRestart()
+    host.suspectRestart(nowMs)
     this._log.warn('host.restartSuspected', { ...runLogFields(attempt), clockMs, ...host.logFields(nowMs) })
     this._effects.onRestartSuspected(host.hostId)
   }
--- a/test/support/SimulatedHost.ts
+++ b/test/support/SimulatedHost.ts
@@ -54,7 +54,9 @@
   private _lapsedSequence = 0
   private _fence = 0
   private _deadlineMs = 0
+  /** When its clock would have shown zero. */
   private _startedAtMs: MonotonicMs
+  private _bornAtMs: MonotonicMs
   public bornMs: number
   public isDraining = false
   /** The host answers no order, and receives none. It runs on, as when it is cut off. */
@@ -91,6 +93,7 @@
 
   public constructor (public readonly options: ISimulatedHostOptions, private readonly _clock: IClock) {
     this._startedAtMs = _clock.nowMs()
+    this._bornAtMs = _clock.nowMs()
     this._tickedAtMs = _clock.nowMs()
     this.bornMs = _clock.wallMs()
     this._listedEntry = this.entry
@@ -219,8 +222,9 @@
    * Restarts the host under the same id, without any memory of its earlier runs. Orders that got no answer may still be carried out.
    *
    * @param isListed whether the store has the entry of the new incarnation at once; if not, call `renewEntry` later
+   * @param clockMs the value at which its clock starts
    */
-  public restart (isListed = true): void {
+  public restart (isListed = true, clockMs = 0): void {
     this.running.clear()
     this._lastBarredRuns.clear()
     this._ended = []
@@ -229,7 +233,8 @@
     this._lapsedSequence = 0
     this._fence = 0
     this._deadlineMs = 0
-    this._startedAtMs = this._clock.nowMs()
+    this._startedAtMs = this._clock.nowMs() - clockMs
+    this._bornAtMs = this._clock.nowMs()
     this.bornMs = this._clock.wallMs()
     if (isListed) this.renewEntry()
   }
@@ -249,6 +254,8 @@
     this._extendLease(order.deadlineMs)
     const key = taskKey(order.ref)
     if (order.deadlineMs < this.clockMs) return { kind: 'refused', reason: 'late' }
+    // A ticket is valid during one incarnation of its host.
+    if (order.ticket !== '' && Number(order.ticket) < this._bornAtMs) return { kind: 'refused', reason: 'ticket' }
     if (this.running.get(key)?.ref.run === order.ref.run) return { kind: 'started', clockMs: this.clockMs }
     if (order.ref.run <= (this._lastBarredRuns.get(key) ?? 0)) return { kind: 'refused', reason: 'old' }
     this.running.set(key, { ref: order.ref, startedAtMs: this._clock.nowMs(), workMs: this.options.workMs(order.ref), doneMs: 0 })
