--- a/test/support/ControllerCell.ts
+++ b/test/support/ControllerCell.ts
@@ -48,7 +48,9 @@
     private readonly _nodeArgs: readonly string[] = [],
     private readonly _binary = 'bin/jackdawreel-controller.js',
     /** The bandwidth that each process believes to have, in turn, in Mbit/s; unlimited if there are none. */
-    private readonly _linksMbps: readonly number[] = []
+    private readonly _linksMbps: readonly number[] = [],
+    /** The memory that each process believes its machine to have, in MB; no limit if absent. */
+    private readonly _memoryMb?: number
   ) {}
 
   public async start (count: number): Promise<void> {
@@ -76,7 +78,8 @@
     const { forwarder, port } = await this._platform.createStoreForwarder()
     const configPath = join(this._folder, `${id}.ini`)
     const linkMbps = this._linksMbps[number % this._linksMbps.length]
-    writeFileSync(configPath, settingsText(id, port, await this._platform.createAdvicePort(), this._maxHoldMs, linkMbps))
+    const sizes = { linkMbps, memoryMb: this._memoryMb }
+    writeFileSync(configPath, settingsText(id, port, await this._platform.createAdvicePort(), this._maxHoldMs, sizes))
     const process = startProcess(this._binary, ['--config', configPath], this._nodeArgs)
     const controller: IController = { id, configPath, store: forwarder, process, earlierOutput: [], urls: undefined }
     this.controllers.push(controller)
@@ -99,13 +102,19 @@
   }, () => {})
 }
 
-function settingsText (id: string, storePort: number, advicePort: number, maxHoldMs: number, linkMbps?: number): string {
+interface IMachineSizes {
+  readonly linkMbps: number | undefined
+  readonly memoryMb: number | undefined
+}
+
+function settingsText (id: string, storePort: number, advicePort: number, maxHoldMs: number, sizes: IMachineSizes): string {
+  const machine = Object.entries(sizes).flatMap(([name, value]) => value === undefined ? [] : [`\n${name} = ${value}`]).join('')
   return `[process]
 id = ${id}
 region = region-a
 failureDomain = zone-a
 processorShare = 1
-processorSpeed = 1${linkMbps === undefined ? '' : `\nlinkMbps = ${linkMbps}`}
+processorSpeed = 1${machine}
 [callers]
 listen = 127.0.0.1:0
 [readiness]
