A body in many small chunks no longer ends a process

Twenty clients that send bodies of 262 kB in chunks of one byte, and stop short of the end, ended a controller: out of memory.

Cause: readBody kept each chunk as a buffer of its own until the body was complete. A buffer of one byte takes over a hundred bytes of heap, so a body inside the limits took tens of megabytes.

Chunks are now copied into one buffer, which doubles as it fills, up to the limit on a body. It occupies at most twice the body (1 KiB for the smallest).

--- a/src/runtime/BodyReader.ts
+++ b/src/runtime/BodyReader.ts
@@ -3,6 +3,7 @@
  */
 
 import { err, ok } from 'neverthrow'
+import { BodyBuffer } from './BodyBuffer.js'
 
 import type { IncomingMessage } from 'node:http'
 import type { Result } from 'neverthrow'
@@ -23,14 +24,11 @@
 }
 
 function collect (request: IncomingMessage, maxBytes: number, resolve: (result: Result<Uint8Array, IBadInput>) => void): void {
-  const chunks: Buffer[] = []
-  let bytes = 0
+  const buffer = new BodyBuffer(maxBytes)
   request.on('data', (chunk: Buffer) => {
-    bytes += chunk.byteLength
-    if (bytes > maxBytes) resolve(oversize(maxBytes))
-    else chunks.push(chunk)
+    if (!buffer.add(chunk)) resolve(oversize(maxBytes))
   })
-  request.once('end', () => resolve(ok(Buffer.concat(chunks))))
+  request.once('end', () => resolve(ok(buffer.bytes)))
   request.once('error', () => resolve(err({ status: INCOMPLETE_STATUS, field: 'body', message: 'was cut short' })))
   request.once('close', () => resolve(err({ status: INCOMPLETE_STATUS, field: 'body', message: 'was cut short' })))
 }
--- a/test/crowds/CrowdTest.ts
+++ b/test/crowds/CrowdTest.ts
@@ -9,7 +9,7 @@
 import type { CrowdName } from './Crowds.js'
 
 const FAILING_CROWDS: ReadonlySet<CrowdName> = new Set<CrowdName>([
-  'bodiesInChunksOfOneByte', 'bodiesInLargeChunks', 'bodiesOfDeclaredLength', 'requestsAhead', 'jobsAhead', 'requestsWithoutHost',
+  'bodiesInLargeChunks', 'bodiesOfDeclaredLength', 'requestsAhead', 'jobsAhead', 'requestsWithoutHost',
   'readinessAhead', 'metricsAhead', 'peerAhead', 'idleCallers', 'idleReadiness'
 ])
 
