The readiness and metrics listeners limit their clients

2,112 idle connections to the readiness port took 2,142 descriptors of the 2,012 that a machine has, and 40 connections that sent requests ahead and read no answer ended the process.

Cause: the readiness listener had no limits. The metrics listener limited its connections, not the requests of one.

Both use HttpListener with ClientGuard now, as the gateway's and the operator's listeners do. At the limit on connections an idle one gives way, so that the platform's probe gets in beside a crowd.

--- a/src/daemon/ControllerDaemon.ts
+++ b/src/daemon/ControllerDaemon.ts
@@ -3,7 +3,6 @@
  * holds the ownership. It holds no state that must survive the process.
  */
 
-import { createServer } from 'node:http'
 import { randomInt } from 'node:crypto'
 import { JobServer } from '../cell/JobServer.js'
 import { CellOwner } from '../cell/CellOwner.js'
@@ -31,6 +30,7 @@
 import { SeededRandom } from '../common/Random.js'
 import { PeerHub } from '../peer/PeerHub.js'
 import { loadChart } from '../runtime/ChartLoader.js'
+import { HttpListener } from '../runtime/HttpListener.js'
 import { Logger } from '../runtime/Logger.js'
 import { MetricsServer } from '../runtime/MetricsServer.js'
 import { AdviceClient } from '../../platform/AdviceClient.js'
@@ -40,11 +40,10 @@
 import { MetadataStore } from '../../platform/MetadataStore.js'
 import { READINESS_PATH } from '../../platform/Names.js'
 
-import type { Server } from 'node:http'
-import type { AddressInfo } from 'node:net'
 import type { IAdviceMachine, IAdviceSender } from '../common/cell/AdviceDispatcher.js'
 import type { AdviceOutcome, IAdviceRequest } from '../common/cell/Types.js'
 import type { IProcessIdentity } from '../common/Types.js'
+import type { ClientLimitKind } from '../runtime/ClientGuard.js'
 import type { IControllerSettings } from '../runtime/settings/ControllerSettings.js'
 
 const MAX_SEED = 0x7fffffff
@@ -62,6 +61,11 @@
 /** How much longer than the advice service's own timeout a request for advice through a peer may take, in ms. */
 const PEER_CALL_MARGIN_MS = 300
 
+/** The readiness listener answers at once, so a client needs few requests at a time. */
+const READINESS_LIMITS = {
+  maxHeaderBytes: 8192, maxHeaderCount: 50, maxConnections: 128, maxInFlightPerConnection: 4, headersTimeoutMs: 3000, requestTimeoutMs: 5000
+}
+
 const MICROS_PER_S = 1_000_000
 
 export interface IControllerAddresses {
@@ -93,7 +97,7 @@
   private _jobServer: JobServer | undefined
   private _route: OwnerRoute | undefined
   private _resolveRoute: (route: OwnerRoute) => void = () => {}
-  private _readinessServer: Server | undefined
+  private _readinessListener: HttpListener | undefined
   private _isStopping = false
 
   /** @param isCodeKept whether V8 accepted the cached code of the packed script; undefined if the script isn't packed */
@@ -103,7 +107,9 @@
     this._self = { processId: id, incarnation: this._clock.wallMs(), region, failureDomain }
     this._store = new MetadataStore(`${store.address.ip}:${store.address.port}`)
     this._adviceClient = new AdviceClient(`${advice.address.ip}:${advice.address.port}`)
-    this._metricsServer = new MetricsServer(id, { metrics: () => this._renderMetrics(), dump: () => this._dump() }, this._log)
+    this._metricsServer = new MetricsServer(id, {
+      metrics: () => this._renderMetrics(), dump: () => this._dump(), onLimited: (kind) => { this._recordLimited('metrics', kind) }
+    }, this._log)
     this._config = this._disposables.add(new ConfigFeed(this._store, cellRecords, this._clock, this._log))
   }
 
@@ -169,8 +175,7 @@
     const closeMs = Math.max(0, this._settings.stop.graceMs - BALANCER_NOTICE_MS - CLOSE_RESERVE_MS)
     await this._jobServer?.close(closeMs)
     await this._metricsServer.close()
-    this._readinessServer?.close()
-    this._readinessServer?.closeAllConnections()
+    await this._readinessListener?.close(0)
     this._disposables.dispose()
     this._hub?.dispose()
     this._log.info('process.stopped', {})
@@ -331,17 +336,18 @@
   }
 
   private async _listenForReadiness (): Promise<string> {
-    const { ip, port } = this._settings.readiness.listen
-    const server = createServer((request, response) => {
+    this._readinessListener = new HttpListener(READINESS_LIMITS, (request, response) => {
       const isReady = !this._isStopping && this._route?.isIsolated === false && this._config.config !== undefined
       response.writeHead(request.url === READINESS_PATH && isReady ? 200 : 503, { 'content-length': 0 })
       response.end()
-    })
-    this._readinessServer = server
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject)
-      server.listen(port, ip, resolve)
-    })
-    return `http://${ip}:${(server.address() as AddressInfo).port}`
+    }, (kind) => { this._recordLimited('readiness', kind) })
+    const url = await this._readinessListener.listen(this._settings.readiness.listen)
+    if (url.isErr()) throw url.error
+    return url.value
+  }
+
+  private _recordLimited (listener: string, kind: ClientLimitKind): void {
+    this._counters.add('clients_limited', `${listener} ${kind}`)
+    this._log.warn('client.limited', { listener, kind })
   }
 }
--- a/src/runtime/HttpListener.ts
+++ b/src/runtime/HttpListener.ts
@@ -6,10 +6,12 @@
 import { createServer } from 'node:http'
 import { ResultAsync, err, ok } from 'neverthrow'
 import { UnreachableError } from '../common/Errors.js'
+import { ClientGuard, GUARDED_SERVER } from './ClientGuard.js'
 
 import type { RequestListener, Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import type { Result } from 'neverthrow'
+import type { ClientLimitKind } from './ClientGuard.js'
 import type { IListenAddress } from './settings/Types.js'
 
 export interface IHttpLimits {
@@ -20,23 +22,34 @@
   readonly headersTimeoutMs: number
   /** How long a client may take to send a whole request, in milliseconds. */
   readonly requestTimeoutMs: number
+  /** Requests of one connection whose answers haven't been transferred; a connection with more is closed. */
+  readonly maxInFlightPerConnection?: number
 }
 
 /** How many times the server checks for slow clients within the time that a client has for its headers. */
 const CHECKS_PER_TIMEOUT = 2
+const MAX_IN_FLIGHT_PER_CONNECTION = 64
+/** How long the transfer of an answer may take, in ms. Answers to operators may be large. */
+const ANSWER_TIMEOUT_MS = 30_000
 
 export class HttpListener {
   private readonly _server: Server
 
-  public constructor (limits: IHttpLimits, handler: RequestListener) {
+  /** @param onLimited a client met a limit */
+  public constructor (limits: IHttpLimits, handler: RequestListener, onLimited: (kind: ClientLimitKind) => void = () => {}) {
     this._server = createServer({
+      ...GUARDED_SERVER,
       maxHeaderSize: limits.maxHeaderBytes,
       headersTimeout: limits.headersTimeoutMs,
       requestTimeout: Math.max(limits.requestTimeoutMs, limits.headersTimeoutMs),
       connectionsCheckingInterval: limits.headersTimeoutMs / CHECKS_PER_TIMEOUT
-    }, handler)
+    }, (request, response) => {
+      if (guard.admit(request, response)) handler(request, response)
+    })
     this._server.maxHeadersCount = limits.maxHeaderCount
-    this._server.maxConnections = limits.maxConnections
+    const { maxConnections, maxInFlightPerConnection = MAX_IN_FLIGHT_PER_CONNECTION } = limits
+    const bounds = { maxConnections, maxInFlight: Infinity, maxInFlightPerConnection, maxBodyBytes: Infinity }
+    const guard = new ClientGuard(this._server, { bounds, answerTimeoutMs: ANSWER_TIMEOUT_MS, onLimited })
   }
 
   /** Binds the address and returns the base URL with the actual port. */
--- a/src/runtime/MetricsServer.ts
+++ b/src/runtime/MetricsServer.ts
@@ -11,6 +11,7 @@
 import type { ResultAsync } from 'neverthrow'
 import type { UnreachableError } from '../common/Errors.js'
 import type { ILogger } from '../common/observability/Types.js'
+import type { ClientLimitKind } from './ClientGuard.js'
 import type { IListenAddress } from './settings/Types.js'
 
 export interface IMetricsSources {
@@ -18,9 +19,13 @@
   metrics (): string
   /** The state of the process, as JSON. */
   dump (): string
+  /** A client of the metrics server met a limit. */
+  onLimited (kind: ClientLimitKind): void
 }
 
-const LIMITS = { maxHeaderBytes: 8192, maxHeaderCount: 50, maxConnections: 20, headersTimeoutMs: 3000, requestTimeoutMs: 5000 }
+const LIMITS = {
+  maxHeaderBytes: 8192, maxHeaderCount: 50, maxConnections: 20, maxInFlightPerConnection: 2, headersTimeoutMs: 3000, requestTimeoutMs: 5000
+}
 const CLOSE_GRACE_MS = 200
 
 export class MetricsServer {
@@ -35,7 +40,7 @@
         this._log.error('metrics.failed', { reason: String(error) })
         response.writeHead(500).end()
       })
-    })
+    }, (kind) => { this._sources.onLimited(kind) })
   }
 
   public listen (address: IListenAddress): ResultAsync<string, UnreachableError> {
