A connection that is closed by a limit isn't parsed any further

40 connections that sent short requests ahead to the metrics or the peer port ended the process, although the connection was closed with the first request too many.

Cause: Node.js parses all of a read of 64 KiB at once, 2,400 of the shortest requests, and keeps two objects for each until the loop has come round, on all connections that are readable. The peer port never answered a request that opens no link, and kept it.

What a connection has received is handed to the parser in pieces of 2 KiB, and no further once the connection is closed or paused. The peer listener closes the connection of a request that opens no link; its feed ends with the upgrade.

The cost of the change in processor time was not measured.

--- a/src/peer/PeerListener.ts
+++ b/src/peer/PeerListener.ts
@@ -12,6 +12,7 @@
 import type { AddressInfo, Socket } from 'node:net'
 import type { WebSocket } from 'ws'
 import { UnreachableError } from '../common/Errors.js'
+import { feedInPieces } from '../runtime/ParserFeed.js'
 import type { PeerCounters } from './PeerCounters.js'
 import type { IPeerEnvironment, IPeerHubOptions } from './PeerHubOptions.js'
 
@@ -27,6 +28,8 @@
   private readonly _server: Server
   private readonly _webSockets: WebSocketServer
   private readonly _unauthenticated = new Set<Socket>()
+  /** Ends the feed of the HTTP parser of each connection that isn't a WebSocket yet. */
+  private readonly _endFeeds = new WeakMap<Socket, () => void>()
 
   public constructor (
     private readonly _options: IPeerHubOptions,
@@ -34,8 +37,9 @@
     private readonly _counters: PeerCounters,
     onWebSocket: (webSocket: WebSocket, tcp: Socket) => void
   ) {
-    this._server = createServer({ maxHeaderSize: MAX_HEADER_BYTES })
+    this._server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requireHostHeader: false }, refuseRequest)
     this._server.on('connection', (socket: Socket) => this._onConnection(socket))
+    this._server.on('upgrade', ({ socket }: IncomingMessage) => { this._endFeeds.get(socket)?.() })
     this._webSockets = new WebSocketServer({
       server: this._server, clientTracking: false, perMessageDeflate: false, maxPayload: maxPacketBytes(_options)
     })
@@ -82,6 +86,7 @@
       return
     }
     this._unauthenticated.add(socket)
+    this._endFeeds.set(socket, feedInPieces(socket))
     const timeout = this._environment.timers.after(this._options.handshakeTimeoutMs, () => {
       if (this._unauthenticated.has(socket)) socket.destroy()
     })
@@ -91,3 +96,8 @@
     })
   }
 }
+
+/** Closes the connection of a request that opens no WebSocket: it would never be answered. */
+function refuseRequest ({ socket }: IncomingMessage): void {
+  socket.destroy()
+}
--- a/src/runtime/ClientGuard.ts
+++ b/src/runtime/ClientGuard.ts
@@ -3,6 +3,7 @@
  */
 
 import { BodyReader } from './BodyReader.js'
+import { feedInPieces } from './ParserFeed.js'
 import { ClientLimits } from '../common/requests/ClientLimits.js'
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
@@ -84,6 +85,7 @@
 
   private _openConnection (socket: Socket): void {
     this._exchanges.set(socket, new Set())
+    feedInPieces(socket)
     socket.once('close', () => {
       this._limits.closeConnection(socket)
       const exchanges = this._exchanges.get(socket) ?? []
