--- a/test/crowds/CrowdedCell.ts
+++ b/test/crowds/CrowdedCell.ts
@@ -29,7 +29,7 @@
 const BYTES_PER_MB = 1_000_000
 const PORTS = ['callers', 'readiness', 'metrics', 'peer'] as const
 
-const IGNORED_EVENTS: IHostEvents = { onStart () {}, onEnd () {}, onAcknowledged () {}, onLapse () {}, onListLost () {} }
+const IGNORED_EVENTS: IHostEvents = { onStart () {}, onEnd () {}, onLateOrder () {}, onAcknowledged () {}, onLapse () {}, onListLost () {} }
 
 export class CrowdedCell {
   private _peakBytes = 0
