Runs of unknown incarnations on hosts that have restarted wait as long as late calls may prolong their leases

Change: once an answer has shown another incarnation, or the owner has met one that hasn't answered under its own token, late calls are reckoned with for 12.5 s, the longest delay that users report. Hosts that are lost without a restart are given up as before. Runs that a list of an incarnation has shown are given up at once if a later one has answered since. HostState.hasLapsedFor decides for each run.

--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -220,9 +220,8 @@
 
   /** Gives up the runs of a host that has left, or has been silent for longer than their leases. Returns whether the host has no runs left. */
   public loseRunsIfLapsed (host: HostState): boolean {
-    if (!host.hasLapsed(this._clock.nowMs())) return false
     if (host.attempts.size > 0) this._holdHandler.loseLapsedRuns(host)
-    return host.attempts.size === 0
+    return host.attempts.size === 0 && host.hasLapsed(this._clock.nowMs())
   }
 
   /** The accepted jobs that aren't finished, and those that are being accepted. */
--- a/src/common/cell/HoldAnswerHandler.ts
+++ b/src/common/cell/HoldAnswerHandler.ts
@@ -71,9 +71,7 @@
   public loseLapsedRuns (host: HostState): void {
     const reason = host.hasLeft ? 'the host has left' : 'all leases of the silent host have ended'
     const nowMs = this._clock.nowMs()
-    const hasLapsed = ({ isIncarnationKnown, orderOpenUntilMs }: Attempt): boolean =>
-      isIncarnationKnown || host.hasLapsedInAnyIncarnation(nowMs, orderOpenUntilMs)
-    const lost = [...host.attempts].filter((attempt) => attempt.wasOrdered && hasLapsed(attempt))
+    const lost = [...host.attempts].filter((attempt) => attempt.wasOrdered && host.hasLapsedFor(attempt, nowMs))
     for (const attempt of lost) this._loseRun(attempt, reason)
     for (const job of new Set(lost.map(({ task }) => task.step.job))) {
       this._effects.save(job).catch((error: unknown) => { this._log.error('run.recordFailed', { requestId: job.spec.jobId, reason: String(error) }) })
--- a/src/common/cell/HostRestarts.test.ts
+++ b/src/common/cell/HostRestarts.test.ts
@@ -309,3 +309,21 @@
   await cell.run(500)
   t.is(cell.maxRunsOfOneTask, 1)
 })
+
+test('a task that an unknown incarnation has taken runs nowhere else while a late poll prolongs its lease', async (t) => {
+  // The host is cut off, and a poll that was meant for the earlier incarnation is carried out seconds later.
+  const { cell, host, other } = await createCell(LONG_MS, 800)
+  while (cell.scheduler.hosts.get('host-0')?.contactAtMs !== cell.clock.nowMs()) await cell.run(10)
+  host.losesPolls = true
+  await cell.run(300)
+  host.restart(false)
+  cell.submit([{}], { advice: ADVICE })
+  await cell.run(700)
+  t.is(host.running.size, 1)
+  host.isSilent = true
+  other.isDraining = false
+  await cell.run(5000)
+  host.executeLatePolls()
+  await cell.run(LEASES_END_MS)
+  t.is(cell.maxRunsOfOneTask, 1)
+})
--- a/src/common/cell/HostState.ts
+++ b/src/common/cell/HostState.ts
@@ -20,6 +20,8 @@
 const LAPSE_MARGIN_MS = 300
 /** How long an order may take to arrive, in ms: more than two timeouts of an order. */
 export const MAX_TRAVEL_MS = 2500
+/** How late a host may carry out a call that had no answer, in ms. */
+export const MAX_CALL_DELAY_MS = 12_500
 /** A host that has not answered for this long after the wait of its poll, in ms, gets no new work. */
 const CONTACT_FRESH_MS = 1500
 /** A host whose first answer takes longer than this, in ms, counts as silent. An owner that takes over needs some time to query all hosts. */
@@ -368,17 +370,27 @@
     if (this.hasLeft) return true
     if (nowMs < this._terms.inheritedUntilMs) return false
     if (!this.hasClock) return true
-    if (!this._isFenced) return this.hasLapsedInAnyIncarnation(nowMs)
+    if (!this._isFenced) return this._hasLapsedInAnyIncarnation(nowMs)
     return this.minClockMs(nowMs) > this._maxDeadlineMs + LAPSE_MARGIN_MS
   }
 
+  /** Whether a run there has certainly ended, or the host has left, even without an answer from it. */
+  public hasLapsedFor (attempt: Attempt, nowMs: MonotonicMs): boolean {
+    if (this.hasLeft) return true
+    if (nowMs < this._terms.inheritedUntilMs) return false
+    if (attempt.isIncarnationKnown && this._isFenced) return this.hasLapsed(nowMs)
+    const hasIncarnationEnded = attempt.isIncarnationKnown && attempt.phase !== 'recovering' && attempt.bornMs !== this.bornMs
+    return hasIncarnationEnded || this._hasLapsedInAnyIncarnation(nowMs, attempt.orderOpenUntilMs)
+  }
+
   /**
    * Whether every lease has ended that an incarnation which the owner doesn't know may hold. Such an incarnation takes a deadline that was meant
-   * for an earlier one, whose clock was ahead, as the longest possible lease.
+   * for an earlier one, whose clock was ahead, as the longest possible lease. If the host has restarted, it does so as long as late calls arrive.
    */
-  public hasLapsedInAnyIncarnation (nowMs: MonotonicMs, orderOpenUntilMs: MonotonicMs = -Infinity): boolean {
-    const arrivedByMs = Math.max(this._deadlineSentAtMs + MAX_TRAVEL_MS, orderOpenUntilMs)
-    return this.hasLeft || nowMs > arrivedByMs + this._terms.maxHoldMs / MIN_CLOCK_RATE + LAPSE_MARGIN_MS
+  private _hasLapsedInAnyIncarnation (nowMs: MonotonicMs, orderOpenUntilMs: MonotonicMs = -Infinity): boolean {
+    const hasRestarted = this._restartSuspectedAtMs > -Infinity || (this.hasClock && !this._isFenced)
+    const arrivedByMs = Math.max(this._deadlineSentAtMs + (hasRestarted ? MAX_CALL_DELAY_MS : MAX_TRAVEL_MS), orderOpenUntilMs)
+    return nowMs > arrivedByMs + this._terms.maxHoldMs / MIN_CLOCK_RATE + LAPSE_MARGIN_MS
   }
 
   /**
--- a/src/common/cell/RunController.ts
+++ b/src/common/cell/RunController.ts
@@ -8,7 +8,7 @@
 import type { EpochMs, IClock } from '../Types.js'
 import { Attempt } from './Attempt.js'
 import type { StopReason } from './Attempt.js'
-import { MAX_TRAVEL_MS } from './HostState.js'
+import { MAX_CALL_DELAY_MS, MAX_TRAVEL_MS } from './HostState.js'
 import type { HostState } from './HostState.js'
 import type { Job, Step, Task } from './Job.js'
 import type { IPlacement } from './Placement.js'
@@ -31,8 +31,6 @@
   onChange (): void
 }
 
-/** How late a host may carry out a start that had no answer, in ms. */
-const MAX_START_DELAY_MS = 12_500
 /** A start without an answer is sent again if this time has not passed since, in ms: it has to arrive before its deadline. */
 const RESEND_WINDOW_MS = 1500
 /** A stop that had no answer is sent again after this time, in ms. */
@@ -156,7 +154,7 @@
     attempt.deadlineMs = Math.ceil(host.minClockMs(nowMs)) + MAX_TRAVEL_MS
     host.recordDeadline(attempt.deadlineMs, nowMs)
     attempt.fence = host.fence
-    if (attempt.ticket === '') attempt.orderOpenUntilMs = nowMs + MAX_START_DELAY_MS
+    if (attempt.ticket === '') attempt.orderOpenUntilMs = nowMs + MAX_CALL_DELAY_MS
     const { ref, ticket, deadlineMs, fence } = attempt
     const order = { ref, description: task.step.job.spec.description, deadlineMs, checkpoint: task.checkpoint, ticket, fence }
     this._send(attempt, order).catch((error: unknown) => { this._log.error('run.startFailed', { ...runLogFields(attempt), reason: String(error) }) })
