--- a/review/support-3/Cell.mjs
+++ b/review/support-3/Cell.mjs
@@ -109,6 +109,13 @@
     this.standIn.restart()
   }
 
+  /** The host is cut off from the controllers, and crashes and starts again behind the cut. It still reaches the store. */
+  restartBehindCut () {
+    this.forwarder.cut('toTarget', 'toClient')
+    this.standIn.restart()
+    this.register()
+  }
+
   /** The host is up again under its id and address, and knows nothing of before. It writes its entry first. */
   comeBack (labels = this.labels) {
     this.labels = labels
@@ -190,15 +197,20 @@
     return this.child !== undefined && this.exit === undefined
   }
 
-  signal (name) {
-    this._recorder.add('signal', { id: this.id, name })
-    this.child.kill(name)
+  async kill () {
+    await this._end('SIGKILL')
   }
 
-  async kill () {
+  /** Stops the process as the platform does before it starts it again. Resolves once it has ended. */
+  async stop () {
+    await this._end('SIGTERM')
+  }
+
+  async _end (signal) {
     if (!this.isRunning) return
+    this._recorder.add('signal', { id: this.id, signal })
     const ended = new Promise((resolve) => { this.child.once('exit', resolve) })
-    this.child.kill('SIGKILL')
+    this.child.kill(signal)
     await ended
   }
 }
