Exit with 2 where a review case can't run

Cause: a script whose stand-ins weren't built ended with node's exit code 1, which says that the rule was broken.

Seen before the change: case 12 exited with 1 without its packages.

--- a/review/support-3/Cell.mjs
+++ b/review/support-3/Cell.mjs
@@ -16,6 +16,8 @@
 
 const ROOT = fileURLToPath(new URL('../../', import.meta.url))
 const READY_TIMEOUT_MS = 20_000
+/** A case that takes longer is ended, in ms. */
+const MAX_CASE_MS = 118_000
 const MAX_HOLD_MS = 6000
 export const HEARTBEAT_MS = 1500
 const ENTRY_EXPIRY_MS = 3 * HEARTBEAT_MS
@@ -349,6 +351,15 @@
 export async function runCase (folderUrl, options, events, play) {
   const recorder = new Recorder(fileURLToPath(new URL('.', folderUrl)))
   const cell = new Cell(options, recorder, events)
+  const giveUp = (reason) => {
+    recorder.say(`the case couldn't run: ${reason instanceof Error ? reason.stack ?? reason.message : String(reason)}`)
+    recorder.write()
+    for (const { child } of cell.controllers) child?.kill('SIGKILL')
+    process.exit(2)
+  }
+  process.on('uncaughtException', giveUp)
+  for (const name of ['SIGTERM', 'SIGINT']) process.on(name, () => { giveUp(name) })
+  setTimeout(() => { giveUp(`it takes longer than ${MAX_CASE_MS} ms`) }, MAX_CASE_MS).unref()
   let code = 2
   try {
     await cell.start()
