A task whose start without a ticket may still be carried out starts on no other host, also after changes of the owner

Cause: until when a start without a ticket may still be carried out by a later incarnation of its host was known to the owner that had sent it and to nobody else. The next owner gave the run up half a second after its first list of the host and started the task elsewhere; the host restarted behind a cut and carried the first order out. The owner itself waited for 12.5 s instead, also on a host that lives.

Change, one rule (OpenStarts): until a start can't be carried out any more, no other host starts the task; a run that outlasts that time, or that may never have been ordered, is ordered again on its host, which starts it only once. The row of the run says for how long its start is open, as a duration, and is corrected while that is 1 s or more too long, so that the wait doesn't begin anew with each owner. Rows have one more value; earlier versions ignore it, and rows without it count as open where the queue has no advice. Queues with advice are as before.

--- a/src/cell/CellOwner.test.ts
+++ b/src/cell/CellOwner.test.ts
@@ -360,7 +360,7 @@
   const job = new Job(decodeJob(SUBMISSION.record), QUEUE, 0, 'blue')
   t.is(decodeAccepted(encodeAccepted(job, 0), 0, 0).workspace, 'blue')
   job.phase = 'completed'
-  t.is(decodeOutcome(JOB_ID, encodeProgress(job), 0).workspace, 'blue')
+  t.is(decodeOutcome(JOB_ID, encodeProgress(job, 0), 0).workspace, 'blue')
 })
 
 test('a job whose key is unknown is refused as unauthorized, and nothing of it is stored', async (t) => {
--- a/src/cell/JobStore.ts
+++ b/src/cell/JobStore.ts
@@ -117,7 +117,7 @@
         value: () => {
           if (job.acceptance === 'withdrawn') return undefined
           phase = job.phase
-          return encodeProgress(job)
+          return encodeProgress(job, this._clock.nowMs())
         },
         alsoRemoves: () => {
           removesDescription = this._canRemoveDescription(job)
--- a/src/cell/StoredCell.test.ts
+++ b/src/cell/StoredCell.test.ts
@@ -40,7 +40,7 @@
     // A number of tasks that no memory holds ended the process of each new owner; other values got into the sums over the cell.
     const cell = new SimulatedCell({ hosts: 1 })
     const job = cell.createJob([{ count: 2 }])
-    const good = { accepted: encodeAccepted(job, 0), progress: encodeProgress(job) }
+    const good = { accepted: encodeAccepted(job, 0), progress: encodeProgress(job, 0) }
     const malformed = {
       accepted: JSON.stringify({ ...JSON.parse(encodeAccepted(cell.createJob([{}]), 0)), ...withId(good.accepted), ...accepted }),
       progress: JSON.stringify({ ...JSON.parse(good.progress), ...progress })
--- a/src/common/cell/Attempt.ts
+++ b/src/common/cell/Attempt.ts
@@ -5,18 +5,21 @@
  * - `preparing`: resources are allocated, but the run is not recorded in the store yet, or its ticket is missing. No order was
  *   sent.
  * - `ordered`: the start order was sent and has no answer yet.
- * - `unsure`: the start order had no answer; the host may carry it out until its deadline on the host's clock.
+ * - `unsure`: the start order had no answer; the host may carry it out until its deadline on the host's clock, and a later incarnation of the
+ *   host even after that, if it has no ticket.
  * - `recovering`: an earlier owner recorded the run; the host hasn't reported yet whether it runs.
  * - `running`: the host has the run.
  * - `stopping`: a stop was requested, and the host has not reported the end of the run yet.
  * - `gone`: it runs nowhere and never will.
  */
 
+import { MAX_CALL_DELAY_MS } from './OpenStarts.js'
+
 import type { ChartTable } from '../state/ChartTable.js'
 import type { EpochMs, MonotonicMs } from '../Types.js'
 import type { HostState } from './HostState.js'
 import type { Task } from './Job.js'
-import type { IRunRef, JobPhase } from './Types.js'
+import type { IRecordedRun, IRunRef, JobPhase } from './Types.js'
 
 export type AttemptPhase = 'preparing' | 'ordered' | 'unsure' | 'recovering' | 'running' | 'stopping' | 'gone'
 export type AttemptEvent = 'ORDER' | 'DROP' | 'LISTED' | 'NOT_RUN' | 'UNANSWERED' | 'STOP' | 'ENDED' | 'LOST'
@@ -38,8 +41,14 @@
   public minClockMs = 0
   /** The fencing token of its start order; -Infinity if an earlier owner has ordered it. */
   public fence = -Infinity
-  /** Until when a later incarnation of the host may carry out the start order, of which nothing but a ticket names the incarnation. */
+  /** Until when a later incarnation of the host may carry out a start order, of which nothing but a ticket names the incarnation. */
   public orderOpenUntilMs: MonotonicMs = -Infinity
+  /** Whether at most one start order of the run can arrive, so that a list or an end that shows the run proves that none is open any more. */
+  public isOnlyOrder = true
+  /** Whether an earlier owner may not have sent the start order at all. */
+  public mayBeUnsent = false
+  /** The time for which the start order may still be carried out, in ms, according to the stored record. */
+  public recordedOpenMs = 0
   /**
    * Whether it is known which incarnation of the host has carried out its start order: a list of that incarnation has shown the run, or the
    * answer proves it.
@@ -66,19 +75,25 @@
   public readonly preparedAtMs: MonotonicMs
   private _bornMs: EpochMs
 
-  /** @param recordedBornMs the incarnation of the host for which an earlier owner recorded the run; undefined for a new run */
+  /** @param recorded the run as an earlier owner recorded it; undefined for a new run */
   public constructor (
     public readonly task: Task,
     public readonly run: number,
     public readonly host: HostState,
     private readonly _chart: ChartTable,
     nowMs: MonotonicMs,
-    recordedBornMs?: EpochMs
+    recorded?: Pick<IRecordedRun, 'bornMs' | 'openMs'>
   ) {
-    this.isInherited = recordedBornMs !== undefined
+    this.isInherited = recorded !== undefined
     this._phase = this.isInherited ? 'recovering' : 'preparing'
-    this.isIncarnationKnown = this.isInherited
-    this._bornMs = recordedBornMs ?? host.bornMs
+    this.isIncarnationKnown = recorded?.openMs === 0
+    this._bornMs = recorded?.bornMs ?? host.bornMs
+    if (recorded !== undefined && recorded.openMs > 0) {
+      this.orderOpenUntilMs = nowMs + recorded.openMs
+      this.recordedOpenMs = recorded.openMs
+      this.mayBeUnsent = recorded.openMs > MAX_CALL_DELAY_MS
+      this.isOnlyOrder = this.mayBeUnsent
+    }
     this.preparedAtMs = nowMs
     this.startedAtMs = nowMs
     this.percentAtMs = nowMs
@@ -88,7 +103,7 @@
     return this._phase
   }
 
-  /** The incarnation of the host for which the run is recorded, or which has started it. It is ordered on no other one. */
+  /** The incarnation of the host for which the run was recorded or ordered last, or which has started it. */
   public get bornMs (): EpochMs {
     return this._bornMs
   }
@@ -98,6 +113,35 @@
     return { jobId: step.job.spec.jobId, step: step.number, index, run: this.run }
   }
 
+  /** Whether a start order of the run may still be carried out by a later incarnation of the host. */
+  public isOrderOpen (nowMs: MonotonicMs): boolean {
+    return nowMs < this.orderOpenUntilMs
+  }
+
+  /**
+   * Records that a start order is being sent. The host refuses it after the deadline, which is on its clock.
+   *
+   * @param minClockMs the least that the host's clock shows now
+   */
+  public recordOrder (nowMs: MonotonicMs, minClockMs: number, deadlineMs: number): void {
+    const { host } = this
+    this.isOnlyOrder = this.phase === 'preparing'
+    this.mayBeUnsent = false
+    this.isIncarnationKnown = false
+    this._bornMs = host.bornMs
+    this.startedAtMs = nowMs
+    this.percentAtMs = nowMs
+    this.minClockMs = minClockMs
+    this.deadlineMs = deadlineMs
+    this.fence = host.fence
+    if (this.ticket === '') this.orderOpenUntilMs = nowMs + MAX_CALL_DELAY_MS
+  }
+
+  /** Records that the host has, or had, the run. */
+  public recordOnHost (): void {
+    if (this.isOnlyOrder) this.orderOpenUntilMs = -Infinity
+  }
+
   /** Whether the host may have received an order for it. */
   public get wasOrdered (): boolean {
     return this._phase !== 'preparing'
@@ -126,6 +170,7 @@
   /** A list of this incarnation of the host shows the run. It knows nothing of a stop or a deadline that was meant for an earlier one. */
   public recordListed (bornMs: EpochMs): void {
     this.isIncarnationKnown = true
+    this.recordOnHost()
     if (bornMs === this._bornMs) return
     this._bornMs = bornMs
     this.deadlineMs = Infinity
--- a/src/common/cell/CellScheduler.ts
+++ b/src/common/cell/CellScheduler.ts
@@ -21,8 +21,8 @@
 import type { Job, Step } from './Job.js'
 import { ObjectiveOrder, isLate } from './JobOrder.js'
 import type { IJobOrder } from './JobOrder.js'
-import type { IRecordedRun } from './JobRecord.js'
 import { LimitReservations } from './LimitReservations.js'
+import { isRecordOutdated } from './OpenStarts.js'
 import type { IPassSlice } from './PassPacer.js'
 import { planGang, planTasks, urgentHeadroom } from './Placement.js'
 import type { IPlacement, IPlacementView } from './Placement.js'
@@ -41,7 +41,7 @@
 import type { IWaitContext } from './WaitCause.js'
 import { WaitingSteps } from './WaitingSteps.js'
 import type { IWaitingRow, WaitStage } from './WaitingSteps.js'
-import type { IHoldAnswer, IHostEntry, IRunRef, IWorkspace, StopOutcome } from './Types.js'
+import type { IHoldAnswer, IHostEntry, IRecordedRun, IRunRef, IWorkspace, StopOutcome } from './Types.js'
 import { WorkspaceUsage } from './WorkspaceUsage.js'
 
 export interface ICellEffects extends Omit<IRunEffects, 'onChange' | 'requestTickets' | 'onStarted'>, IAdviceEffects {
@@ -135,7 +135,7 @@
       const task = job.steps[recorded.step]?.tasks[recorded.index]
       if (task === undefined) continue
       const host = hostOf(recorded.hostId, recorded.bornMs)
-      const attempt = new Attempt(task, recorded.run, host, this._chart, this._clock.nowMs(), recorded.bornMs)
+      const attempt = new Attempt(task, recorded.run, host, this._chart, this._clock.nowMs(), recorded)
       task.attempt = attempt
       host.addAttempt(attempt)
     }
@@ -241,15 +241,22 @@
     return countBacklog(this._openJobs, this._blocked)
   }
 
-  /** Stops stalled runs, repeats stops that had no answer, and requests missing tickets again. It has to be called about twice a second. */
+  /**
+   * Stops stalled runs, repeats stops that had no answer, corrects outdated records and requests missing tickets again. It has to be called about
+   * twice a second.
+   */
   public sweep (): void {
+    const nowMs = this._clock.nowMs()
     const preparing = new Set<Step>()
+    const outdated = new Set<Job>()
     for (const host of this.hosts.values()) {
       for (const attempt of [...host.attempts]) {
         if (attempt.phase === 'stopping') this._runController.stop(attempt)
         if (attempt.phase === 'preparing') preparing.add(attempt.task.step)
+        if (isRecordOutdated(attempt, nowMs)) outdated.add(attempt.task.step.job)
       }
     }
+    for (const job of outdated) this._correctRecord(job)
     this._stalled.stopStalled([...this.hosts.values()])
     for (const step of preparing) this._runController.orderReady(step)
     this._advice.sendWaiting()
@@ -331,6 +338,11 @@
     this._advice.dispose()
   }
 
+  private _correctRecord (job: Job): void {
+    this._effects.count('records_corrected', job.queue.name)
+    this._effects.save(job).catch((error: unknown) => { this._log.error('run.recordFailed', { requestId: job.spec.jobId, reason: String(error) }) })
+  }
+
   private _sort (steps: Step[]): readonly Step[] {
     return this._order.sort(steps, this._clock.nowMs(), this._workspaces, this._times)
   }
--- a/src/common/cell/HoldAnswerHandler.ts
+++ b/src/common/cell/HoldAnswerHandler.ts
@@ -13,6 +13,7 @@
 import type { Job, Task } from './Job.js'
 import { runLogFields } from './RunController.js'
 import type { RunController } from './RunController.js'
+import { mayOrderAgain } from './OpenStarts.js'
 import type { RunTimes } from './RunTimes.js'
 import type { IEndRow, IHoldAnswer, IRunRef, StopOutcome } from './Types.js'
 
@@ -155,11 +156,14 @@
     const { task } = attempt
     const { job } = task.step
     if (!attempt.transition('ENDED')) return
+    attempt.recordOnHost()
     const { stopReason, startedAtMs } = attempt
     const { cpuMillicores } = task.step.spec
     this._log.info('run.ended', { ...runLogFields(attempt), end: row.end, stopReason, ranMs: Math.round(nowMs - startedAtMs), cpuMillicores })
     this._effects.count('ends', row.end)
     applyEnd(task, row.ref.run, row.end, row.checkpoint, host.hostId, nowMs)
+    // A later incarnation of the host would carry out another order of the run beside the next run of the task.
+    if (attempt.isOrderOpen(nowMs)) task.notBeforeMs = Math.max(task.notBeforeMs, attempt.orderOpenUntilMs)
     if (row.end === 'done') {
       if (host.breaker.recordSuccess(attempt)) this._log.info('host.resumed', { ...runLogFields(attempt), reason: 'trialDone' })
       this._times.recordDone(attempt, nowMs)
@@ -176,18 +180,27 @@
 
   /**
    * Gives up runs that are missing from the list, if they were known to run, or their stop was confirmed, before the list was requested, and
-   * an earlier list lacked them, too.
+   * an earlier list lacked them, too. A run whose start order may still be carried out is ordered again, or is waited for if it may not be.
    */
   private _dropAbsent (
     host: HostState, answer: IHoldAnswer, listed: ReadonlySet<Attempt>, sentAtMs: MonotonicMs, changed: Set<Job>
   ): void {
+    const nowMs = this._clock.nowMs()
     for (const attempt of [...host.attempts]) {
-      if (listed.has(attempt) || !this._isAbsent(attempt, answer, sentAtMs)) {
+      const isOpen = attempt.isOrderOpen(nowMs) && !attempt.task.step.job.isFinished
+      const mustWait = isOpen && !mayOrderAgain(attempt, nowMs)
+      if (listed.has(attempt) || mustWait || !this._isAbsent(attempt, answer, sentAtMs, isOpen)) {
         attempt.missingSinceMs = Infinity
         continue
       }
       if (attempt.missingSinceMs === Infinity) this._markMissing(attempt)
-      if (sentAtMs < confirmableAtMs(attempt)) continue
+      // An order of this owner that had no answer is sent again without delay: the host starts the run only once.
+      const isConfirmed = (isOpen && attempt.phase === 'unsure') || sentAtMs >= confirmableAtMs(attempt)
+      if (!isConfirmed) continue
+      if (isOpen) {
+        this._runs.orderAgain(attempt)
+        continue
+      }
       changed.add(attempt.task.step.job)
       this._loseRun(attempt, 'not listed')
     }
@@ -198,14 +211,12 @@
     this._log.info('run.missing', { ...runLogFields(attempt), phase: attempt.phase })
   }
 
-  private _isAbsent (attempt: Attempt, answer: IHoldAnswer, sentAtMs: MonotonicMs): boolean {
-    const { host, phase, fence, task: { step: { job } } } = attempt
-    // The next incarnation would carry out the order beside another run of the task.
-    if (this._clock.nowMs() < attempt.orderOpenUntilMs && !job.isFinished) return false
+  private _isAbsent (attempt: Attempt, answer: IHoldAnswer, sentAtMs: MonotonicMs, isOrderOpen: boolean): boolean {
+    const { host, phase, fence } = attempt
     // The host refuses orders with a lower fence once it has the one that was sent with the request for this list.
     if (phase !== 'preparing' && fence < host.fence && host.isUnderFence(sentAtMs)) return true
     switch (phase) {
-      case 'unsure': return answer.clockMs > attempt.deadlineMs
+      case 'unsure': return answer.clockMs > attempt.deadlineMs || (isOrderOpen && attempt.startedAtMs < sentAtMs)
       case 'running': return attempt.reportedAtMs < sentAtMs
       case 'stopping': return attempt.stopConfirmedAtMs < sentAtMs || answer.clockMs > attempt.deadlineMs
       default: return false
--- a/src/common/cell/HostState.ts
+++ b/src/common/cell/HostState.ts
@@ -8,6 +8,7 @@
 import { HostBreaker } from './HostBreaker.js'
 import type { HostFence } from './HostFence.js'
 import type { Step } from './Job.js'
+import { MAX_CALL_DELAY_MS } from './OpenStarts.js'
 import { MIN_POLL_WAIT_MS } from './PollWait.js'
 import { NO_RESOURCES, addResources, countPlaces, fits, placesIn, resourcesOf } from './Resources.js'
 import type { IResources } from './Resources.js'
@@ -20,8 +21,6 @@
 const LAPSE_MARGIN_MS = 300
 /** How long an order may take to arrive, in ms: more than two timeouts of an order. */
 export const MAX_TRAVEL_MS = 2500
-/** How late a host may carry out a call that had no answer, in ms. */
-export const MAX_CALL_DELAY_MS = 12_500
 /** A host that has not answered for this long after the wait of its poll, in ms, gets no new work. */
 const CONTACT_FRESH_MS = 1500
 /** A host whose first answer takes longer than this, in ms, counts as silent. An owner that takes over needs some time to query all hosts. */
@@ -154,6 +153,12 @@
       fits(entry.memoryMb - used.memoryMb, step.memoryMb) && fits(entry.accelerators - used.accelerators, step.accelerators)
   }
 
+  /** Whether its runs need more than it has: its present incarnation may be smaller than the one for which they were placed. */
+  public get isOverCapacity (): boolean {
+    const { entry, _used: used } = this
+    return used.cpuMillicores > entry.cpuMillicores || used.memoryMb > entry.memoryMb || used.accelerators > entry.accelerators
+  }
+
   /** How many tasks of this step would fit if the host were empty. */
   public capacityFor (step: IStepSpec): number {
     return Math.min(countPlaces(this.entry, step), step.maxPerHost === 0 ? step.count : step.maxPerHost)
@@ -377,20 +382,24 @@
   /** Whether a run there has certainly ended, or the host has left, even without an answer from it. */
   public hasLapsedFor (attempt: Attempt, nowMs: MonotonicMs): boolean {
     if (this.hasLeft) return true
-    if (nowMs < this._terms.inheritedUntilMs) return false
+    if (nowMs < this._terms.inheritedUntilMs || nowMs <= this._lastLeaseEndMs(attempt.orderOpenUntilMs)) return false
     if (attempt.isIncarnationKnown && this._isFenced) return this.hasLapsed(nowMs)
     const hasIncarnationEnded = attempt.isIncarnationKnown && attempt.phase !== 'recovering' && attempt.bornMs !== this.bornMs
-    return hasIncarnationEnded || this._hasLapsedInAnyIncarnation(nowMs, attempt.orderOpenUntilMs)
+    return hasIncarnationEnded || this._hasLapsedInAnyIncarnation(nowMs)
   }
 
   /**
    * Whether every lease has ended that an incarnation which the owner doesn't know may hold. Such an incarnation takes a deadline that was meant
    * for an earlier one, whose clock was ahead, as the longest possible lease. If the host has restarted, it does so as long as late calls arrive.
    */
-  private _hasLapsedInAnyIncarnation (nowMs: MonotonicMs, orderOpenUntilMs: MonotonicMs = -Infinity): boolean {
+  private _hasLapsedInAnyIncarnation (nowMs: MonotonicMs): boolean {
     const hasRestarted = this._restartSuspectedAtMs > -Infinity || (this.hasClock && !this._isFenced)
-    const arrivedByMs = Math.max(this._deadlineSentAtMs + (hasRestarted ? MAX_CALL_DELAY_MS : MAX_TRAVEL_MS), orderOpenUntilMs)
-    return nowMs > arrivedByMs + this._terms.maxHoldMs / MIN_CLOCK_RATE + LAPSE_MARGIN_MS
+    return nowMs > this._lastLeaseEndMs(this._deadlineSentAtMs + (hasRestarted ? MAX_CALL_DELAY_MS : MAX_TRAVEL_MS))
+  }
+
+  /** When the longest lease has ended that an order grants which arrives at this time or earlier. */
+  private _lastLeaseEndMs (arrivedByMs: MonotonicMs): MonotonicMs {
+    return arrivedByMs + this._terms.maxHoldMs / MIN_CLOCK_RATE + LAPSE_MARGIN_MS
   }
 
   /**
--- a/src/common/cell/JobRecord.ts
+++ b/src/common/cell/JobRecord.ts
@@ -6,8 +6,9 @@
 import type { EpochMs, MonotonicMs } from '../Types.js'
 import { Job } from './Job.js'
 import { checkAccepted, checkProgress } from './JobRecordChecks.js'
+import { UNSENT_OPEN_MS, openMsToRecord } from './OpenStarts.js'
 import type { QueueTerms } from './Job.js'
-import type { IJobSpec, IQueue, IStepSpec, JobPhase } from './Types.js'
+import type { IJobSpec, IQueue, IRecordedRun, IStepSpec, JobPhase } from './Types.js'
 
 /** Defaults for the fields that a caller leaves out of a step. */
 export const DEFAULT_STEP: IStepSpec = {
@@ -38,8 +39,11 @@
   readonly workspace?: string
 }
 
-/** [step, index, last run, failures, done, checkpoint, host, born]. The last two are present only for a run that may exist. */
-type TaskRow = readonly [number, number, number, number, 0 | 1, string, string?, number?]
+/**
+ * [step, index, last run, failures, done, checkpoint, host, born, open]. The last three are present only for a run that may exist. `open` is the
+ * time for which its start order may still be carried out, in ms from when the record was written; earlier versions neither write nor read it.
+ */
+type TaskRow = readonly [number, number, number, number, 0 | 1, string, string?, number?, number?]
 /** [step, gang failures, last failed run] */
 type StepRow = readonly [number, number, number]
 
@@ -52,15 +56,6 @@
   readonly workspace?: string
 }
 
-/** A run that an earlier owner recorded. */
-export interface IRecordedRun {
-  readonly step: number
-  readonly index: number
-  readonly run: number
-  readonly hostId: string
-  readonly bornMs: EpochMs
-}
-
 /** Encodes the caller's job. Fields that are 0, false or empty are left out. */
 export function encodeJob (spec: IJobSpec): string {
   return JSON.stringify({ ...spec, steps: spec.steps.map(withoutDefaults) })
@@ -97,8 +92,10 @@
   return job
 }
 
-export function encodeProgress (job: Job): string {
-  const tasks = job.isFinished && job.steps.every((step) => step.hasNoRuns) ? [] : job.steps.flatMap((step) => step.tasks.flatMap(toTaskRow))
+/** Each run remembers what the record says of it. */
+export function encodeProgress (job: Job, nowMs: MonotonicMs): string {
+  const hasRows = !job.isFinished || job.steps.some((step) => !step.hasNoRuns)
+  const tasks = hasRows ? job.steps.flatMap((step) => step.tasks.flatMap((task) => toTaskRow(task, nowMs))) : []
   const steps = job.steps.flatMap(({ number, gangFailures, lastFailedRun }): readonly StepRow[] =>
     gangFailures === 0 ? [] : [[number, gangFailures, lastFailedRun]])
   return JSON.stringify({ phase: job.phase, started: job.hasStarted, steps, tasks, workspace: job.workspace } satisfies IProgressRecord)
@@ -123,16 +120,17 @@
   return value as T
 }
 
-function toTaskRow (task: Job['steps'][number]['tasks'][number]): readonly TaskRow[] {
+function toTaskRow (task: Job['steps'][number]['tasks'][number], nowMs: MonotonicMs): readonly TaskRow[] {
   const { step, index, lastRun, failures, isDone, checkpoint, attempt } = task
   if (lastRun === 0) return []
   const done = isDone ? 1 : 0
   if (attempt === undefined) return [[step.number, index, lastRun, failures, done, checkpoint]]
-  return [[step.number, index, lastRun, failures, done, checkpoint, attempt.host.hostId, attempt.bornMs]]
+  attempt.recordedOpenMs = openMsToRecord(attempt, nowMs)
+  return [[step.number, index, lastRun, failures, done, checkpoint, attempt.host.hostId, attempt.bornMs, attempt.recordedOpenMs]]
 }
 
 function applyTaskRow (job: Job, row: TaskRow): readonly IRecordedRun[] {
-  const [stepNumber, index, lastRun, failures, done, checkpoint, hostId, bornMs] = row
+  const [stepNumber, index, lastRun, failures, done, checkpoint, hostId, bornMs, openMs] = row
   const step = job.steps[stepNumber]
   const task = step?.tasks[index]
   if (step === undefined || task === undefined) return []
@@ -141,7 +139,9 @@
   task.checkpoint = checkpoint
   if (done === 1) step.markDone(task)
   if (hostId === undefined) return []
-  return [{ step: stepNumber, index, run: lastRun, hostId, bornMs: bornMs ?? 0 }]
+  // A record of an earlier version doesn't tell whether a start without a ticket is open.
+  const unknownOpenMs = job.queue.advice === undefined ? UNSENT_OPEN_MS : 0
+  return [{ step: stepNumber, index, run: lastRun, hostId, bornMs: bornMs ?? 0, openMs: openMs ?? unknownOpenMs }]
 }
 
 function withoutDefaults (step: IStepSpec): Partial<IStepSpec> {
--- a/src/common/cell/JobRecordChecks.ts
+++ b/src/common/cell/JobRecordChecks.ts
@@ -56,8 +56,9 @@
 
 function isTaskRow (row: unknown): boolean {
   if (!isRow(row, 5)) return false
-  const [, , , , , checkpoint, hostId, bornMs] = row as readonly unknown[]
-  return typeof checkpoint === 'string' && (hostId === undefined || typeof hostId === 'string') && (bornMs === undefined || isNumber(bornMs))
+  const [, , , , , checkpoint, hostId, bornMs, openMs] = row as readonly unknown[]
+  const isHostValid = (hostId === undefined || typeof hostId === 'string') && (bornMs === undefined || isNumber(bornMs))
+  return typeof checkpoint === 'string' && isHostValid && (openMs === undefined || isSize(openMs))
 }
 
 /** Whether it is a list that begins with this many whole numbers. */
--- a/src/common/cell/RunController.ts
+++ b/src/common/cell/RunController.ts
@@ -5,10 +5,10 @@
 
 import type { ILogger } from '../observability/Types.js'
 import type { ChartTable } from '../state/ChartTable.js'
-import type { EpochMs, IClock } from '../Types.js'
+import type { EpochMs, IClock, MonotonicMs } from '../Types.js'
 import { Attempt } from './Attempt.js'
 import type { StopReason } from './Attempt.js'
-import { MAX_CALL_DELAY_MS, MAX_TRAVEL_MS } from './HostState.js'
+import { MAX_TRAVEL_MS } from './HostState.js'
 import type { HostState } from './HostState.js'
 import type { Job, Step, Task } from './Job.js'
 import type { IPlacement } from './Placement.js'
@@ -121,6 +121,15 @@
     this._effects.onChange()
   }
 
+  /** Orders a run again on its host, which doesn't have it, although an earlier order of it may still be carried out. */
+  public orderAgain (attempt: Attempt): void {
+    attempt.missingSinceMs = Infinity
+    const { phase, isInherited, host: { bornMs }, orderOpenUntilMs } = attempt
+    const openMs = Math.round(orderOpenUntilMs - this._clock.nowMs())
+    this._log.info('run.orderedAgain', { ...runLogFields(attempt), phase, isInherited, bornMs, openMs })
+    this._sendStart(attempt)
+  }
+
   private _prepareRun (task: Task, host: HostState, run: number, nowMs: number): Attempt {
     const attempt = new Attempt(task, run, host, this._chart, nowMs)
     task.lastRun = run
@@ -145,30 +154,28 @@
   }
 
   private _sendStart (attempt: Attempt): void {
-    const { host, task } = attempt
+    const { host, task, orderOpenUntilMs: earlierOpenUntilMs } = attempt
     const nowMs = this._clock.nowMs()
+    const clockMs = host.minClockMs(nowMs)
+    attempt.recordOrder(nowMs, Math.floor(clockMs), Math.ceil(clockMs) + MAX_TRAVEL_MS)
     attempt.transition('ORDER')
-    attempt.startedAtMs = nowMs
-    attempt.percentAtMs = nowMs
-    attempt.minClockMs = Math.floor(host.minClockMs(nowMs))
-    attempt.deadlineMs = Math.ceil(host.minClockMs(nowMs)) + MAX_TRAVEL_MS
-    host.recordDeadline(attempt.deadlineMs, nowMs)
-    attempt.fence = host.fence
-    if (attempt.ticket === '') attempt.orderOpenUntilMs = nowMs + MAX_CALL_DELAY_MS
     const { ref, ticket, deadlineMs, fence } = attempt
+    host.recordDeadline(deadlineMs, nowMs)
     const order = { ref, description: task.step.job.spec.description, deadlineMs, checkpoint: task.checkpoint, ticket, fence }
-    this._send(attempt, order).catch((error: unknown) => { this._log.error('run.startFailed', { ...runLogFields(attempt), reason: String(error) }) })
+    this._send(attempt, order, earlierOpenUntilMs).catch((error: unknown) => { this._log.error('run.startFailed', { ...runLogFields(attempt), reason: String(error) }) })
   }
 
   /**
    * Sends a start, and once more if it has no answer: the host starts the run only once, however late the first order is carried out. Otherwise
    * the task would wait until its deadline has passed on the host, and the other members of its gang would wait for it in vain. Only an order
-   * with a ticket is sent again: without one, a later incarnation would carry out the first order after the run was done.
+   * with a ticket is sent again at once: without one, a later incarnation could carry out the first order after the run was done (`orderAgain`).
    */
-  private async _send (attempt: Attempt, order: IStartOrder): Promise<void> {
+  private async _send (attempt: Attempt, order: IStartOrder, earlierOpenUntilMs: MonotonicMs): Promise<void> {
     const { host } = attempt
     const { bornMs } = host
     const outcome = await this._effects.start(host.entry, order)
+    // Any answer settles this order, and none that was sent before.
+    if (outcome.kind !== 'unanswered') attempt.orderOpenUntilMs = earlierOpenUntilMs
     if (outcome.kind !== 'unanswered' || !this._mayResend(attempt, bornMs)) return this._onStartAnswered(attempt, outcome, bornMs)
     host.recordDeadline(order.deadlineMs, this._clock.nowMs())
     const second = await this._effects.start(host.entry, order)
@@ -192,7 +199,6 @@
     this._log.info('run.ordered', { ...runLogFields(attempt), outcome: outcome.kind, ageMs, recordMs, durationMs, bornMs, clockMs })
     switch (outcome.kind) {
       case 'started':
-        attempt.orderOpenUntilMs = -Infinity
         // The clock of a later incarnation has started again.
         if (attempt.host.bornMs === bornMs) this._recordIncarnation(attempt, outcome.clockMs, nowMs)
         this._effects.onStarted(attempt.task.step.job, ageMs)
@@ -212,7 +218,9 @@
       case 'unsent':
         attempt.host.recordRefusal(nowMs + REFUSAL_PAUSE_MS)
     }
-    if (attempt.transition('NOT_RUN')) this._handleNotStarted(attempt, nowMs)
+    // The answer is about this order alone, and the host may have carried out an earlier one.
+    if (!attempt.isOnlyOrder) attempt.transition('UNANSWERED')
+    else if (attempt.transition('NOT_RUN')) this._handleNotStarted(attempt, nowMs)
   }
 
   /** Records which incarnation of the host has carried out the start order, as far as the clock in its answer tells. */
--- a/src/common/cell/Types.ts
+++ b/src/common/cell/Types.ts
@@ -125,6 +125,17 @@
   readonly run: number
 }
 
+/** A run that an earlier owner recorded. */
+export interface IRecordedRun {
+  readonly step: number
+  readonly index: number
+  readonly run: number
+  readonly hostId: string
+  readonly bornMs: EpochMs
+  /** For how long a later incarnation of the host may still carry out the start order, in ms; 0 if it can't. */
+  readonly openMs: number
+}
+
 export interface IStartOrder {
   readonly ref: IRunRef
   readonly description: string
--- a/test/support/SimulatedCell.ts
+++ b/test/support/SimulatedCell.ts
@@ -342,7 +342,7 @@
     const due = this._pendingSaves.filter((save) => save.atMs <= this.clock.nowMs())
     this._pendingSaves = this._pendingSaves.filter((save) => save.atMs > this.clock.nowMs())
     for (const { job, done } of due) {
-      this.stored.set(job.spec.jobId, encodeProgress(job))
+      this.stored.set(job.spec.jobId, encodeProgress(job, this.clock.nowMs()))
       if (job.phase !== 'queued') job.storedPhase = job.phase
       done()
     }
