The record of a run covers each further order before it is sent

What callers would see: rule TWICE. Cause: a run that is ordered again has an order that is open for 12.5 s from then, while the record, written for the first order and corrected since, says less. An owner that takes over then gives the run up too early, and a later incarnation of the host carries the second order out.

Change: a run is ordered again only once the store has a record that covers the order, as for the first one. The store's answer adds its latency to that order; a run that a new owner has just read needs no write.

--- a/src/common/cell/Attempt.ts
+++ b/src/common/cell/Attempt.ts
@@ -47,6 +47,8 @@
   public isOnlyOrder = true
   /** Whether an earlier owner may not have sent the start order at all. */
   public mayBeUnsent = false
+  /** Whether the run is about to be ordered again, once the store has recorded for how long that order may be carried out. */
+  public isAwaitingRecord = false
   /** The time for which the start order may still be carried out, in ms, according to the stored record. */
   public recordedOpenMs = 0
   /**
@@ -127,6 +129,7 @@
     const { host } = this
     this.isOnlyOrder = this.phase === 'preparing'
     this.mayBeUnsent = false
+    this.isAwaitingRecord = false
     this.isIncarnationKnown = false
     this._bornMs = host.bornMs
     this.startedAtMs = nowMs
@@ -170,6 +173,7 @@
   /** A list of this incarnation of the host shows the run. It knows nothing of a stop or a deadline that was meant for an earlier one. */
   public recordListed (bornMs: EpochMs): void {
     this.isIncarnationKnown = true
+    this.isAwaitingRecord = false
     this.recordOnHost()
     if (bornMs === this._bornMs) return
     this._bornMs = bornMs
--- a/src/common/cell/OpenStarts.test.ts
+++ b/src/common/cell/OpenStarts.test.ts
@@ -9,6 +9,7 @@
 import { MAX_CALL_DELAY_MS, UNSENT_OPEN_MS } from './OpenStarts.js'
 
 import type { SimulatedHost } from '../../../test/support/SimulatedHost.js'
+import type { Attempt } from './Attempt.js'
 import type { QueueTerms } from './Job.js'
 import type { IStepSpec } from './Types.js'
 
@@ -24,8 +25,8 @@
 interface ICell { readonly cell: SimulatedCell, readonly host: SimulatedHost, readonly other: SimulatedHost }
 
 /** A cell of which only the first host takes work. */
-async function createCell (workMs: number): Promise<ICell> {
-  const cell = new SimulatedCell({ hosts: 2, startTimeoutMs: 1000, host: { workMs: () => workMs } })
+async function createCell (workMs: number, holdMs = 0): Promise<ICell> {
+  const cell = new SimulatedCell({ hosts: 2, startTimeoutMs: 1000, holdMs, host: { workMs: () => workMs } })
   const [host, other] = [cell.host(0), cell.host(1)]
   other.isDraining = true
   await cell.run(20_000)
@@ -39,6 +40,11 @@
   return cell.clock.nowMs() - startedAtMs
 }
 
+/** The row of the first run in a stored progress record. */
+function readRow (record: string): readonly unknown[] {
+  return (JSON.parse(record) as { readonly tasks: readonly (readonly unknown[])[] }).tasks[0] ?? []
+}
+
 async function changeOwner (cell: SimulatedCell, times: number, gapMs: number): Promise<void> {
   for (let change = 0; change < times; change += 1) {
     cell.takeOver()
@@ -218,15 +224,33 @@
 
 test('the record of a run says for how long its start may still be carried out, and nothing else than in earlier versions', async (t) => {
   const { cell, host } = await createCell(LONG_MS)
-  const readRow = (jobId: string): readonly unknown[] => (JSON.parse(cell.stored.get(jobId) ?? '') as { readonly tasks: readonly (readonly unknown[])[] }).tasks[0] ?? []
+  const rowOf = (jobId: string): readonly unknown[] => readRow(cell.stored.get(jobId) ?? '')
   const answered = cell.submit([LONG_STEP])
   await cell.run(100)
   host.losesStarts = true
   const unanswered = cell.submit([{}])
   await cell.run(50)
-  t.deepEqual(readRow(unanswered.spec.jobId), [0, 0, 1, 0, 0, '', 'host-0', host.bornMs, UNSENT_OPEN_MS])
+  t.deepEqual(rowOf(unanswered.spec.jobId), [0, 0, 1, 0, 0, '', 'host-0', host.bornMs, UNSENT_OPEN_MS])
   await cell.run(3000)
-  t.deepEqual(readRow(answered.spec.jobId), [0, 0, 1, 0, 0, '', 'host-0', host.bornMs, 0])
-  const [, , , , , , , , openMs] = readRow(unanswered.spec.jobId)
+  t.deepEqual(rowOf(answered.spec.jobId), [0, 0, 1, 0, 0, '', 'host-0', host.bornMs, 0])
+  const [, , , , , , , , openMs] = rowOf(unanswered.spec.jobId)
   t.true(Number(openMs) < MAX_CALL_DELAY_MS && Number(openMs) > MAX_CALL_DELAY_MS - 3150, `${String(openMs)}`)
 })
+
+test('the record of a run never says less than for how long its orders may be carried out, however often it is ordered again', async (t) => {
+  // An owner that takes over would start the task elsewhere beside the last order.
+  const { cell, host } = await createCell(LONG_MS, 1000)
+  host.losesStarts = true
+  const job = cell.submit([{ longRunning: true }])
+  const attempt = (): Attempt | undefined => job.steps[0]?.tasks[0]?.attempt
+  let orders = 0
+  for (let ms = 0; ms < MAX_OPEN_MS; ms += 10) {
+    const orderedAtMs = attempt()?.startedAtMs
+    await cell.run(10)
+    if (attempt()?.startedAtMs !== orderedAtMs) orders += 1
+    const openUntilMs = attempt()?.orderOpenUntilMs ?? -Infinity
+    // The next owner counts from when it reads the record.
+    if (openUntilMs > -Infinity) t.true(Number(readRow(cell.stored.get(job.spec.jobId) ?? '')[8]) >= openUntilMs - cell.clock.nowMs(), `${ms}`)
+  }
+  t.true(orders > 3)
+})
--- a/src/common/cell/OpenStarts.ts
+++ b/src/common/cell/OpenStarts.ts
@@ -23,7 +23,8 @@
 
 /** For how long the start order of the run may still be carried out, in ms, as it has to be recorded for the next owner. */
 export function openMsToRecord (attempt: Attempt, nowMs: MonotonicMs): number {
-  const { phase, isOnlyOrder, orderOpenUntilMs, task } = attempt
+  const { phase, isOnlyOrder, isAwaitingRecord, orderOpenUntilMs, task } = attempt
+  if (isAwaitingRecord) return UNSENT_OPEN_MS
   if (phase === 'preparing') return task.step.job.queue.advice === undefined ? UNSENT_OPEN_MS : 0
   if (!attempt.isOrderOpen(nowMs)) return 0
   // The answer is most likely on its way.
--- a/src/common/cell/RunController.ts
+++ b/src/common/cell/RunController.ts
@@ -11,6 +11,7 @@
 import { MAX_TRAVEL_MS } from './HostState.js'
 import type { HostState } from './HostState.js'
 import type { Job, Step, Task } from './Job.js'
+import { UNSENT_OPEN_MS, mayOrderAgain } from './OpenStarts.js'
 import type { IPlacement } from './Placement.js'
 import type { IHostEntry, IRunRef, IStartOrder, StartOutcome, StopOutcome } from './Types.js'
 
@@ -121,8 +122,23 @@
     this._effects.onChange()
   }
 
-  /** Orders a run again on its host, which doesn't have it, although an earlier order of it may still be carried out. */
+  /**
+   * Orders a run again on its host, which doesn't have it, although an earlier order of it may still be carried out. The record has to cover the
+   * further order before it is sent, as it had to cover the first one: it says how long the next owner waits.
+   */
   public orderAgain (attempt: Attempt): void {
+    if (attempt.recordedOpenMs >= UNSENT_OPEN_MS) return this._sendAgain(attempt)
+    if (attempt.isAwaitingRecord) return
+    attempt.isAwaitingRecord = true
+    const { job } = attempt.task.step
+    this._effects.save(job).then(() => {
+      if (!attempt.isAwaitingRecord) return
+      attempt.isAwaitingRecord = false
+      if (mayOrderAgain(attempt, this._clock.nowMs())) this._sendAgain(attempt)
+    }, (error: unknown) => { this._log.error('run.recordFailed', { requestId: job.spec.jobId, reason: String(error) }) })
+  }
+
+  private _sendAgain (attempt: Attempt): void {
     attempt.missingSinceMs = Infinity
     const { phase, isInherited, host: { bornMs }, orderOpenUntilMs } = attempt
     const openMs = Math.round(orderOpenUntilMs - this._clock.nowMs())
