A host isn't polled without a pause while a run that is to be ordered again waits for its record

What operators would see: while the store is away, a host with such a run is polled as fast as it answers. Cause: a run that a list lacks makes the next poll due after half a second, and that time stayed in the past until the record was stored. Found by reading; the new test of OpenStarts fails without the change (at 890 ms). The run counts as missing anew from the next list.

--- a/src/common/cell/OpenStarts.test.ts
+++ b/src/common/cell/OpenStarts.test.ts
@@ -254,3 +254,16 @@
   }
   t.true(orders > 3)
 })
+
+test('a host is not polled without a pause while a run waits for its record because the store is away', async (t) => {
+  const { cell, host } = await createCell(LONG_MS, 1000)
+  host.losesStarts = true
+  const job = cell.submit([{ longRunning: true }])
+  await cell.run(500)
+  await runUntil(cell, () => (job.steps[0]?.tasks[0]?.attempt?.recordedOpenMs ?? 0) < MAX_CALL_DELAY_MS, LONG_MS)
+  cell.isStoreDown = true
+  for (let ms = 0; ms < 5000; ms += 10) {
+    await cell.run(10)
+    t.true((cell.scheduler.hosts.get('host-0')?.absenceConfirmableAtMs ?? 0) >= cell.clock.nowMs(), `${ms}`)
+  }
+})
--- a/src/common/cell/RunController.ts
+++ b/src/common/cell/RunController.ts
@@ -127,6 +127,8 @@
    * further order before it is sent, as it had to cover the first one: it says how long the next owner waits.
    */
   public orderAgain (attempt: Attempt): void {
+    // While a run is missing, its host is polled without waiting.
+    attempt.missingSinceMs = Infinity
     if (attempt.recordedOpenMs >= UNSENT_OPEN_MS) return this._sendAgain(attempt)
     if (attempt.isAwaitingRecord) return
     attempt.isAwaitingRecord = true
@@ -139,7 +141,6 @@
   }
 
   private _sendAgain (attempt: Attempt): void {
-    attempt.missingSinceMs = Infinity
     const { phase, isInherited, host: { bornMs }, orderOpenUntilMs } = attempt
     const openMs = Math.round(orderOpenUntilMs - this._clock.nowMs())
     this._log.info('run.orderedAgain', { ...runLogFields(attempt), phase, isInherited, bornMs, openMs })
