Open starts: the answer to an order settles no order that was sent meanwhile; names and comments

By reading: a run that is ordered again, listed, lost with a restart and ordered once more within a second has two orders in flight, and the answer to the older one set the time of the newer one back.

--- a/src/common/cell/Attempt.ts
+++ b/src/common/cell/Attempt.ts
@@ -140,8 +140,8 @@
     if (this.ticket === '') this.orderOpenUntilMs = nowMs + MAX_CALL_DELAY_MS
   }
 
-  /** Records that the host has, or had, the run. */
-  public recordOnHost (): void {
+  /** Records that an order of the run has reached the host, which has, or had, the run. */
+  public recordArrival (): void {
     if (this.isOnlyOrder) this.orderOpenUntilMs = -Infinity
   }
 
@@ -174,7 +174,7 @@
   public recordListed (bornMs: EpochMs): void {
     this.isIncarnationKnown = true
     this.isAwaitingRecord = false
-    this.recordOnHost()
+    this.recordArrival()
     if (bornMs === this._bornMs) return
     this._bornMs = bornMs
     this.deadlineMs = Infinity
--- a/src/common/cell/HoldAnswerHandler.ts
+++ b/src/common/cell/HoldAnswerHandler.ts
@@ -11,9 +11,9 @@
 import { ABSENCE_CONFIRM_MS, confirmableAtMs } from './HostState.js'
 import type { HostState } from './HostState.js'
 import type { Job, Task } from './Job.js'
+import { mayOrderAgain } from './OpenStarts.js'
 import { runLogFields } from './RunController.js'
 import type { RunController } from './RunController.js'
-import { mayOrderAgain } from './OpenStarts.js'
 import type { RunTimes } from './RunTimes.js'
 import type { IEndRow, IHoldAnswer, IRunRef, StopOutcome } from './Types.js'
 
@@ -156,7 +156,7 @@
     const { task } = attempt
     const { job } = task.step
     if (!attempt.transition('ENDED')) return
-    attempt.recordOnHost()
+    attempt.recordArrival()
     const { stopReason, startedAtMs } = attempt
     const { cpuMillicores } = task.step.spec
     this._log.info('run.ended', { ...runLogFields(attempt), end: row.end, stopReason, ranMs: Math.round(nowMs - startedAtMs), cpuMillicores })
--- a/src/common/cell/JobRecord.ts
+++ b/src/common/cell/JobRecord.ts
@@ -41,7 +41,7 @@
 
 /**
  * [step, index, last run, failures, done, checkpoint, host, born, open]. The last three are present only for a run that may exist. `open` is the
- * time for which its start order may still be carried out, in ms from when the record was written; earlier versions neither write nor read it.
+ * longest time for which its start order may still be carried out, in ms from when the record is read; earlier versions neither write nor read it.
  */
 type TaskRow = readonly [number, number, number, number, 0 | 1, string, string?, number?, number?]
 /** [step, gang failures, last failed run] */
--- a/src/common/cell/RunController.ts
+++ b/src/common/cell/RunController.ts
@@ -188,11 +188,11 @@
    * with a ticket is sent again at once: without one, a later incarnation could carry out the first order after the run was done (`orderAgain`).
    */
   private async _send (attempt: Attempt, order: IStartOrder, earlierOpenUntilMs: MonotonicMs): Promise<void> {
-    const { host } = attempt
+    const { host, startedAtMs } = attempt
     const { bornMs } = host
     const outcome = await this._effects.start(host.entry, order)
-    // Any answer settles this order, and none that was sent before.
-    if (outcome.kind !== 'unanswered') attempt.orderOpenUntilMs = earlierOpenUntilMs
+    // Any answer settles this order, but none that was sent before, or meanwhile.
+    if (outcome.kind !== 'unanswered' && attempt.startedAtMs === startedAtMs) attempt.orderOpenUntilMs = earlierOpenUntilMs
     if (outcome.kind !== 'unanswered' || !this._mayResend(attempt, bornMs)) return this._onStartAnswered(attempt, outcome, bornMs)
     host.recordDeadline(order.deadlineMs, this._clock.nowMs())
     const second = await this._effects.start(host.entry, order)
